--- /dev/null
+++ b/src/beamloom/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits per tenant, retry budgets, deadlines and refusals."""
--- /dev/null
+++ b/src/beamloom/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The beamloom command line."""
--- /dev/null
+++ b/src/beamloom/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes are alive: probing, suspicion and the member list."""
--- /dev/null
+++ b/src/beamloom/node/__init__.py
@@ -0,0 +1,1 @@
+"""The decision core of one balancer: events in, commands out."""
--- /dev/null
+++ b/src/beamloom/replication/__init__.py
@@ -0,0 +1,1 @@
+"""How nodes share configuration within one control-traffic budget."""
--- /dev/null
+++ b/src/beamloom/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend a packet goes to: hashing, placement, flow table, partitions, forwarding."""
--- /dev/null
+++ b/src/beamloom/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that run the decision core on asyncio sockets."""
--- /dev/null
+++ b/src/beamloom/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The node settings file and the tree of settings: global, tenant, service."""
--- /dev/null
+++ b/src/beamloom/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""The deterministic simulator: virtual clock, faults, oracle, scenarios, reports."""
--- /dev/null
+++ b/src/beamloom/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, structured logs and explanations."""
--- /dev/null
+++ b/src/beamloom/world/__init__.py
@@ -0,0 +1,1 @@
+"""The typed model of the outside world: machines, zones, links and contracts."""
