--- /dev/null
+++ b/src/beamloom/routing/flow_table.py
@@ -0,0 +1,98 @@
+"""The flow table: columns of packed values and one dict from flow key to row.
+
+A flow costs a dict entry, two small ints and 29 bytes of columns; see
+`beamloom bench forwarding`. Rows of ended flows are reused. Times are the adapter's seconds.
+"""
+
+from __future__ import annotations
+
+from array import array
+from collections.abc import Iterator
+from enum import IntFlag
+
+SWEEP_ROWS = 2048
+
+
+class FlowFlag(IntFlag):
+    """What is known of one flow's entry."""
+
+    HOME = 1
+    PAYLOAD_SENT = 2
+    CLIENT_CLOSED = 4
+    BACKEND_CLOSED = 8
+    REPLICATED = 16
+    REPLICA = 32
+    HELD = 64
+
+
+class FlowTable:
+    """Entries of flows known at this node.
+
+    `deadline` is when a cached copy's lease ends, or when an entry held as home ends if no packet
+    comes. `created` is when this node first knew of the flow.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[int, int] = {}
+        self.backend = array("I")
+        self.deadline = array("d")
+        self.created = array("d")
+        self.flags = array("B")
+        self._keys = array("Q")
+        self._free: list[int] = []
+        self._cursor = 0
+
+    def __len__(self) -> int:
+        return len(self.rows)
+
+    def insert(self, key: int, backend: int, flags: int, deadline: float, now: float) -> int:
+        """Add or replace the entry of a flow and return its row."""
+        row = self.rows.get(key)
+        if row is None:
+            row = self._new_row(key)
+        self.backend[row] = backend
+        self.deadline[row] = deadline
+        self.created[row] = now
+        self.flags[row] = flags
+        return row
+
+    def _new_row(self, key: int) -> int:
+        if self._free:
+            row = self._free.pop()
+            self._keys[row] = key
+        else:
+            row = len(self._keys)
+            self._keys.append(key)
+            self.backend.append(0)
+            self.deadline.append(0.0)
+            self.created.append(0.0)
+            self.flags.append(0)
+        self.rows[key] = row
+        return row
+
+    def remove(self, key: int) -> None:
+        """Forget a flow; unknown keys are ignored."""
+        row = self.rows.pop(key, None)
+        if row is not None:
+            self._free.append(row)
+
+    def items(self) -> Iterator[tuple[int, int]]:
+        """Yield (key, row) of every entry; the table must not change meanwhile."""
+        return iter(self.rows.items())
+
+    def expired(self, now: float) -> list[int]:
+        """Look at the next rows in turn and return the keys of those whose deadline passed.
+
+        A whole round of the table takes `len(table) / SWEEP_ROWS` calls.
+        """
+        count = len(self._keys)
+        if not count:
+            return []
+        keys = []
+        for _ in range(min(SWEEP_ROWS, count)):
+            row = self._cursor
+            self._cursor = (row + 1) % count
+            key = self._keys[row]
+            if self.deadline[row] <= now and self.rows.get(key) == row:
+                keys.append(key)
+        return keys
--- /dev/null
+++ b/src/beamloom/routing/hashing.py
@@ -0,0 +1,62 @@
+"""Keyed hashing: flow keys, partitions, slots and rendezvous scores.
+
+A flow key is 60 bits of xxh3 (so that a Python int of it takes two digits) keyed by the fleet's
+hash key. Its lowest bits name the partition, the next ones the slot.
+"""
+
+from __future__ import annotations
+
+import numpy as np
+import numpy.typing as npt
+import xxhash
+
+FLOW_KEY_MASK = (1 << 60) - 1
+PARTITION_BITS = 14
+PARTITION_COUNT = 1 << PARTITION_BITS
+PARTITION_MASK = PARTITION_COUNT - 1
+SLOT_COUNT = 1024
+SLOT_MASK = SLOT_COUNT - 1
+
+Scores = npt.NDArray[np.uint64]
+
+_MIX_INCREMENT = np.uint64(0x9E3779B97F4A7C15)
+_MIX_FIRST = np.uint64(0xBF58476D1CE4E5B9)
+_MIX_SECOND = np.uint64(0x94D049BB133111EB)
+
+
+def flow_seed(hash_key: bytes, protocol: int) -> int:
+    """Return the xxh3 seed for flows of one transport protocol under the fleet's key."""
+    return xxhash.xxh3_64_intdigest(hash_key + bytes((protocol,)))
+
+
+def flow_key(hash_input: bytes, seed: int) -> int:
+    """Return the 60-bit key of a flow from its addresses and ports."""
+    return xxhash.xxh3_64_intdigest(hash_input, seed) & FLOW_KEY_MASK
+
+
+def partition_of(key: int) -> int:
+    """Return the partition, 0 to PARTITION_COUNT - 1, that a flow belongs to."""
+    return key & PARTITION_MASK
+
+
+def slot_of(key: int) -> int:
+    """Return the slot, 0 to SLOT_COUNT - 1, that a flow falls into within its service."""
+    return (key >> PARTITION_BITS) & SLOT_MASK
+
+
+def name_seed(name: str) -> int:
+    """Return a 64-bit seed for a node's or a backend's name."""
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def rendezvous_scores(item_count: int, seed: int) -> Scores:
+    """Return one candidate's score for each of the items 0 to item_count - 1.
+
+    The finalizer is splitmix64's (Steele, Lea and Flood 2014), vectorised over the items.
+    """
+    with np.errstate(over="ignore"):
+        mixed = np.arange(1, item_count + 1, dtype=np.uint64) * _MIX_INCREMENT
+        mixed ^= np.uint64(seed)
+        mixed = (mixed ^ (mixed >> np.uint64(30))) * _MIX_FIRST
+        mixed = (mixed ^ (mixed >> np.uint64(27))) * _MIX_SECOND
+        return mixed ^ (mixed >> np.uint64(31))
--- /dev/null
+++ b/src/beamloom/routing/packet.py
@@ -0,0 +1,245 @@
+"""Fixed-offset reading of the IP packets that ride in UDP (Foo-over-UDP, GUE variant 1).
+
+Only what the forwarding decision needs is read. Sources: RFC 791, RFC 8200, RFC 9293, RFC 768,
+RFC 792, RFC 4443. IPv6 extension headers other than none are refused: they are fragments or
+options, and neither can be placed by ports.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from enum import Enum
+
+IPV4_HEADER_SIZE = 20
+IPV6_HEADER_SIZE = 40
+PORTS_SIZE = 4
+TCP_FLAGS_OFFSET = 13
+TCP_HEADER_SIZE = 20
+UDP_HEADER_SIZE = 8
+ICMP_HEADER_SIZE = 8
+
+PROTOCOL_ICMP = 1
+PROTOCOL_TCP = 6
+PROTOCOL_UDP = 17
+PROTOCOL_ICMPV6 = 58
+
+TCP_FIN = 0x01
+TCP_SYN = 0x02
+TCP_RST = 0x04
+TCP_ACK = 0x10
+
+IPV4_FRAGMENT_MASK = 0x3FFF
+IPV4_TTL_OFFSET = 8
+IPV4_CHECKSUM_OFFSET = 10
+IPV6_HOP_LIMIT_OFFSET = 7
+
+ICMP_ERROR_TYPES = frozenset({3, 4, 5, 11, 12})
+ICMPV6_LAST_ERROR_TYPE = 127
+
+_IPV4_HEADER = struct.Struct("!BxHxxHBB")
+_IPV6_HEADER = struct.Struct("!BxxxHBB")
+
+
+class DropReason(Enum):
+    """Why a packet was dropped; the values are counter labels."""
+
+    TRUNCATED = "truncated"
+    MALFORMED = "malformed"
+    FRAGMENT = "fragment"
+    OPTIONS = "options"
+    PROTOCOL = "protocol"
+    HOP_LIMIT = "hop_limit"
+    UNKNOWN_SERVICE = "unknown_service"
+    FOREIGN_SENDER = "foreign_sender"
+    UNKNOWN_PEER = "unknown_peer"
+    NO_HOME = "no_home"
+    NO_BACKEND = "no_backend"
+    HANDOVER_PENDING = "handover_pending"
+    UNKNOWN_BINDING = "unknown_binding"
+    PACKET_LIMIT = "packet_limit"
+    REFUSED = "refused"
+    NOT_READY = "not_ready"
+
+
+class PacketError(Exception):
+    """A packet that cannot be forwarded; `reason` says what to count."""
+
+    def __init__(self, reason: DropReason) -> None:
+        super().__init__(f"packet dropped: {reason.value}")
+        self.reason = reason
+
+
+@dataclass(frozen=True, slots=True)
+class FlowTuple:
+    """What identifies a flow, from the client's side: addresses are 4 or 16 bytes.
+
+    `ports` holds source then destination port as on the wire.
+    """
+
+    source: bytes
+    destination: bytes
+    protocol: int
+    ports: bytes
+
+    def reversed(self) -> FlowTuple:
+        """Return the tuple of the opposite direction."""
+        ports = self.ports[2:] + self.ports[:2]
+        return FlowTuple(self.destination, self.source, self.protocol, ports)
+
+    @property
+    def hash_input(self) -> bytes:
+        """The bytes that the flow key is made of: source, destination, ports."""
+        return self.source + self.destination + self.ports
+
+    @property
+    def destination_key(self) -> bytes:
+        """What names a service: destination address, destination port, protocol."""
+        return self.destination + self.ports[2:] + bytes((self.protocol,))
+
+    @property
+    def source_key(self) -> bytes:
+        """The same for the source: set when the packet is a service's answer."""
+        return self.source + self.ports[:2] + bytes((self.protocol,))
+
+
+@dataclass(frozen=True, slots=True)
+class PacketView:
+    """A checked packet: its flow tuple, TCP flags (0 for UDP) and payload size in bytes.
+
+    `is_error` marks an ICMP error; its tuple is that of the flow the error is about, in the
+    direction of the packet that carries the error.
+    """
+
+    flow: FlowTuple
+    tcp_flags: int
+    payload_size: int
+    is_error: bool = False
+
+    @property
+    def opens_flow(self) -> bool:
+        """Whether this is a TCP SYN without ACK."""
+        return self.tcp_flags & (TCP_SYN | TCP_ACK) == TCP_SYN
+
+    @property
+    def closes_flow(self) -> bool:
+        """Whether this is a TCP FIN or RST."""
+        return bool(self.tcp_flags & (TCP_FIN | TCP_RST))
+
+
+def parse_packet(data: bytes) -> PacketView:
+    """Check one IP packet and read what forwarding needs; raises PacketError with the reason."""
+    if not data:
+        raise PacketError(DropReason.TRUNCATED)
+    version = data[0] >> 4
+    if version == 4:
+        return _parse_ipv4(data)
+    if version == 6:
+        return _parse_ipv6(data)
+    raise PacketError(DropReason.MALFORMED)
+
+
+def _parse_ipv4(data: bytes) -> PacketView:
+    if len(data) < IPV4_HEADER_SIZE:
+        raise PacketError(DropReason.TRUNCATED)
+    first, total, fragment, hop_limit, protocol = _IPV4_HEADER.unpack_from(data)
+    if first != 0x45:
+        raise PacketError(DropReason.OPTIONS if first & 15 > 5 else DropReason.MALFORMED)
+    if total != len(data):
+        raise PacketError(DropReason.TRUNCATED if total > len(data) else DropReason.MALFORMED)
+    if fragment & IPV4_FRAGMENT_MASK:
+        raise PacketError(DropReason.FRAGMENT)
+    if hop_limit == 0:
+        raise PacketError(DropReason.HOP_LIMIT)
+    if protocol == PROTOCOL_ICMP:
+        return _parse_icmp_error(data, IPV4_HEADER_SIZE, 4)
+    return _parse_transport(data, data[12:16], data[16:20], protocol, IPV4_HEADER_SIZE)
+
+
+def _parse_ipv6(data: bytes) -> PacketView:
+    if len(data) < IPV6_HEADER_SIZE:
+        raise PacketError(DropReason.TRUNCATED)
+    _, payload_length, next_header, hop_limit = _IPV6_HEADER.unpack_from(data)
+    total = payload_length + IPV6_HEADER_SIZE
+    if total != len(data):
+        raise PacketError(DropReason.TRUNCATED if total > len(data) else DropReason.MALFORMED)
+    if hop_limit == 0:
+        raise PacketError(DropReason.HOP_LIMIT)
+    if next_header == PROTOCOL_ICMPV6:
+        return _parse_icmp_error(data, IPV6_HEADER_SIZE, 6)
+    return _parse_transport(data, data[8:24], data[24:40], next_header, IPV6_HEADER_SIZE)
+
+
+def _parse_transport(
+    data: bytes, source: bytes, destination: bytes, protocol: int, offset: int
+) -> PacketView:
+    if protocol == PROTOCOL_TCP:
+        if len(data) < offset + TCP_HEADER_SIZE:
+            raise PacketError(DropReason.TRUNCATED)
+        flags = data[offset + TCP_FLAGS_OFFSET]
+        header_size = (data[offset + 12] >> 4) * 4
+        if header_size < TCP_HEADER_SIZE or offset + header_size > len(data):
+            raise PacketError(DropReason.MALFORMED)
+    elif protocol == PROTOCOL_UDP:
+        if len(data) < offset + UDP_HEADER_SIZE:
+            raise PacketError(DropReason.TRUNCATED)
+        flags, header_size = 0, UDP_HEADER_SIZE
+    else:
+        raise PacketError(DropReason.PROTOCOL)
+    flow = FlowTuple(source, destination, protocol, data[offset : offset + PORTS_SIZE])
+    return PacketView(flow, flags, len(data) - offset - header_size)
+
+
+def _parse_icmp_error(data: bytes, offset: int, version: int) -> PacketView:
+    """Read an ICMP error and name the flow it is about, seen in the error's own direction."""
+    if len(data) < offset + ICMP_HEADER_SIZE:
+        raise PacketError(DropReason.TRUNCATED)
+    kind = data[offset]
+    is_error = kind in ICMP_ERROR_TYPES if version == 4 else kind <= ICMPV6_LAST_ERROR_TYPE
+    if not is_error:
+        raise PacketError(DropReason.PROTOCOL)
+    quoted = _quoted_flow(data[offset + ICMP_HEADER_SIZE :], version)
+    return PacketView(quoted.reversed(), 0, 0, is_error=True)
+
+
+def _quoted_flow(quoted: bytes, version: int) -> FlowTuple:
+    header_size = IPV4_HEADER_SIZE if version == 4 else IPV6_HEADER_SIZE
+    if len(quoted) < header_size + PORTS_SIZE:
+        raise PacketError(DropReason.TRUNCATED)
+    if quoted[0] >> 4 != version:
+        raise PacketError(DropReason.MALFORMED)
+    if version == 4:
+        if quoted[0] != 0x45:
+            raise PacketError(DropReason.OPTIONS)
+        source, destination, protocol = quoted[12:16], quoted[16:20], quoted[9]
+    else:
+        source, destination, protocol = quoted[8:24], quoted[24:40], quoted[6]
+    if protocol not in {PROTOCOL_TCP, PROTOCOL_UDP}:
+        raise PacketError(DropReason.PROTOCOL)
+    return FlowTuple(source, destination, protocol, quoted[header_size : header_size + PORTS_SIZE])
+
+
+def with_hop_limit_decremented(data: bytes) -> bytes:
+    """Return the packet one hop on; raises PacketError(HOP_LIMIT) when it may not go further.
+
+    The IPv4 header checksum is updated incrementally (RFC 1624, equation 3).
+    """
+    if data[0] >> 4 == 6:
+        return _with_ipv6_hop_limit_decremented(data)
+    if data[IPV4_TTL_OFFSET] <= 1:
+        raise PacketError(DropReason.HOP_LIMIT)
+    packet = bytearray(data)
+    packet[IPV4_TTL_OFFSET] -= 1
+    checksum = int.from_bytes(data[IPV4_CHECKSUM_OFFSET : IPV4_CHECKSUM_OFFSET + 2], "big")
+    total = (~checksum & 0xFFFF) + 0xFEFF
+    total = (total & 0xFFFF) + (total >> 16)
+    packet[IPV4_CHECKSUM_OFFSET : IPV4_CHECKSUM_OFFSET + 2] = (~total & 0xFFFF).to_bytes(2, "big")
+    return bytes(packet)
+
+
+def _with_ipv6_hop_limit_decremented(data: bytes) -> bytes:
+    if data[IPV6_HOP_LIMIT_OFFSET] <= 1:
+        raise PacketError(DropReason.HOP_LIMIT)
+    packet = bytearray(data)
+    packet[IPV6_HOP_LIMIT_OFFSET] -= 1
+    return bytes(packet)
--- /dev/null
+++ b/src/beamloom/routing/services.py
@@ -0,0 +1,122 @@
+"""Services and backends in the form that forwarding reads."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from beamloom.routing.placement import NO_CANDIDATE, PlacementTable, build_placement_table
+from beamloom.world.addresses import SocketAddress
+from beamloom.world.contracts import Backend, Generation, ServiceContract
+
+
+@dataclass(slots=True)
+class ServiceRoute:
+    """One service: its contract, the tables of its generations and its senders' addresses.
+
+    Tables are built when first asked for; `open_flows` counts, by backend number, the flows that
+    this node is home of.
+    """
+
+    contract: ServiceContract
+    destination_key: bytes
+    senders: frozenset[SocketAddress]
+    open_flows: dict[int, int] = field(default_factory=dict)
+    _tables: dict[int, PlacementTable] = field(default_factory=dict)
+
+    def table(self, generation: Generation) -> PlacementTable:
+        """Return the placement table of one of the service's generations."""
+        table = self._tables.get(generation.revision)
+        if table is None:
+            table = build_placement_table(generation)
+            self._tables[generation.revision] = table
+        return table
+
+    @property
+    def current_table(self) -> PlacementTable:
+        """The table that decides new flows."""
+        return self.table(self.contract.current_generation)
+
+    def generation_at(self, revision: int) -> Generation:
+        """Return the newest generation not newer than `revision`, or the oldest one kept."""
+        generations = self.contract.generations
+        for generation in reversed(generations):
+            if generation.revision <= revision:
+                return generation
+        return generations[0]
+
+    def placed_by(self, revision: int, slot: int) -> int:
+        """Return where the generation in force at `revision` places a slot."""
+        return self.table(self.generation_at(revision)).first[slot]
+
+
+@dataclass(slots=True)
+class BackendRoute:
+    """One backend as the hot path needs it."""
+
+    backend: Backend
+    address: SocketAddress
+    service: ServiceRoute
+
+
+class RouteTable:
+    """All services and backends in force at this node."""
+
+    def __init__(self) -> None:
+        self.by_destination: dict[bytes, ServiceRoute] = {}
+        self.by_service_number: dict[int, ServiceRoute] = {}
+        self.backends: dict[int, BackendRoute] = {}
+
+    def update(self, contracts: Iterable[ServiceContract]) -> None:
+        """Put new or changed services in force."""
+        for contract in contracts:
+            self._put(contract)
+
+    def _put(self, contract: ServiceContract) -> None:
+        route = ServiceRoute(contract, _destination_key(contract), _senders(contract))
+        previous = self.by_service_number.get(contract.service_number)
+        if previous is not None:
+            route.open_flows = previous.open_flows
+            route._tables = _kept_tables(previous, contract)
+            self.by_destination.pop(previous.destination_key, None)
+            self._forget_backends(previous)
+        self.by_service_number[contract.service_number] = route
+        self.by_destination[route.destination_key] = route
+        for backend in _known_backends(contract):
+            self.backends[backend.backend_number] = BackendRoute(
+                backend, backend.data_address, route
+            )
+
+    def remove(self, service_number: int) -> None:
+        """Take a service out of force; unknown numbers are ignored."""
+        route = self.by_service_number.pop(service_number, None)
+        if route is None:
+            return
+        self.by_destination.pop(route.destination_key, None)
+        self._forget_backends(route)
+
+    def _forget_backends(self, route: ServiceRoute) -> None:
+        for backend in _known_backends(route.contract):
+            self.backends.pop(backend.backend_number, None)
+
+    def has_backend(self, number: int) -> bool:
+        """Whether a candidate number names a backend that is still in force."""
+        return number != NO_CANDIDATE and number in self.backends
+
+
+def _known_backends(contract: ServiceContract) -> tuple[Backend, ...]:
+    return contract.backends
+
+
+def _senders(contract: ServiceContract) -> frozenset[SocketAddress]:
+    return frozenset(backend.data_address for backend in _known_backends(contract))
+
+
+def _destination_key(contract: ServiceContract) -> bytes:
+    address = contract.virtual_address
+    return address.packed_ip + address.port.to_bytes(2, "big") + bytes((address.protocol,))
+
+
+def _kept_tables(previous: ServiceRoute, contract: ServiceContract) -> dict[int, PlacementTable]:
+    kept: Mapping[int, Generation] = {item.revision: item for item in contract.generations}
+    return {revision: table for revision, table in previous._tables.items() if revision in kept}
