Declare every setting once and inherit it down the tree

Cause: policies and limits come from a tree of settings that needs one source of truth. Change: settings/declarations.py (13 settings: type, unit, default, bounds, levels), settings/tree.py (scopes, overrides, inheritance, origin of a value), typed errors. Conclusion: the compile of stored objects can use it.

--- /dev/null
+++ b/src/beamloom/settings/declarations.py
@@ -0,0 +1,325 @@
+"""The one declaration of each setting of the tree, from which checks and documentation come."""
+
+from __future__ import annotations
+
+import difflib
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from types import MappingProxyType
+from typing import Any
+
+from beamloom.settings.errors import (
+    OutOfBoundsError,
+    SettingsError,
+    UnknownSettingError,
+    WrongLevelError,
+    WrongTypeError,
+)
+from beamloom.world.contracts import (
+    PlacementPreference,
+    RepeatPolicy,
+    ServicePolicy,
+    TenantLimits,
+)
+
+SettingValue = bool | int | float | str
+"""A value of a setting; choices are held as their text."""
+
+LIMIT_PREFIX = "limit."
+
+
+class SettingLevel(StrEnum):
+    """Levels of the tree, from the root down."""
+
+    GLOBAL = "global"
+    TENANT = "tenant"
+    SERVICE = "service"
+
+
+class SettingType(StrEnum):
+    """Types of a setting's value."""
+
+    BOOLEAN = "boolean"
+    INTEGER = "integer"
+    FLOAT = "float"
+    CHOICE = "choice"
+
+
+ALL_LEVELS = (SettingLevel.GLOBAL, SettingLevel.TENANT, SettingLevel.SERVICE)
+TENANT_LEVELS = (SettingLevel.GLOBAL, SettingLevel.TENANT)
+
+
+@dataclass(frozen=True, slots=True)
+class SettingDeclaration:
+    """Everything that is known of one setting; bounds are inclusive and None where absent."""
+
+    name: str
+    value_type: SettingType
+    unit: str
+    default: SettingValue
+    summary: str
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: tuple[str, ...] = ()
+    levels: tuple[SettingLevel, ...] = ALL_LEVELS
+
+    @property
+    def field_name(self) -> str:
+        """The field of `ServicePolicy` or `TenantLimits` that the setting fills."""
+        return self.name.removeprefix(LIMIT_PREFIX).replace(".", "_")
+
+    @property
+    def is_limit(self) -> bool:
+        """Whether the setting belongs to `TenantLimits` instead of `ServicePolicy`."""
+        return self.name.startswith(LIMIT_PREFIX)
+
+    @property
+    def bounds_text(self) -> str:
+        """The permitted values, for messages and documentation."""
+        if self.choices:
+            return " or ".join(self.choices)
+        if self.value_type is SettingType.BOOLEAN:
+            return "true or false"
+        if self.maximum is None:
+            return f"at least {self.minimum:g}"
+        return f"{self.minimum:g} to {self.maximum:g}"
+
+    def check(self, value: object) -> SettingValue:
+        """Return the value in the setting's own type.
+
+        Raises WrongTypeError or OutOfBoundsError.
+        """
+        if self.value_type is SettingType.CHOICE:
+            return self._check_choice(value)
+        if self.value_type is SettingType.BOOLEAN:
+            return self._check_boolean(value)
+        return self._check_number(value)
+
+    def parse(self, text: str) -> SettingValue:
+        """Read a value as an operator types it; raises WrongTypeError or OutOfBoundsError."""
+        try:
+            return self.check(self._convert(text))
+        except ValueError:
+            raise self._wrong_type(text) from None
+
+    def _convert(self, text: str) -> object:
+        if self.value_type is SettingType.INTEGER:
+            return int(text)
+        if self.value_type is SettingType.FLOAT:
+            return float(text)
+        if self.value_type is SettingType.BOOLEAN:
+            return {"true": True, "false": False}.get(text, text)
+        return text
+
+    def _check_choice(self, value: object) -> SettingValue:
+        if not isinstance(value, str):
+            raise self._wrong_type(value)
+        if value not in self.choices:
+            raise self._out_of_bounds(value)
+        return str(value)
+
+    def _check_boolean(self, value: object) -> SettingValue:
+        if not isinstance(value, bool):
+            raise self._wrong_type(value)
+        return value
+
+    def _check_number(self, value: object) -> SettingValue:
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise self._wrong_type(value)
+        if self.value_type is SettingType.INTEGER and not isinstance(value, int):
+            raise self._wrong_type(value)
+        too_low = self.minimum is not None and value < self.minimum
+        too_high = self.maximum is not None and value > self.maximum
+        if too_low or too_high or not math.isfinite(value):
+            raise self._out_of_bounds(value)
+        return value if self.value_type is SettingType.INTEGER else float(value)
+
+    def _wrong_type(self, value: object) -> WrongTypeError:
+        unit = f" in {self.unit}" if self.unit else ""
+        reason = f"{self.name} is of type {self.value_type.value}{unit}, and {value!r} is not"
+        return WrongTypeError(reason, f"give {self.bounds_text}, for example {self.default}")
+
+    def _out_of_bounds(self, value: object) -> OutOfBoundsError:
+        unit = f" {self.unit}" if self.unit else ""
+        return OutOfBoundsError(
+            f"{self.name} cannot be {value!r}", f"give {self.bounds_text}{unit}"
+        )
+
+
+_POLICY = ServicePolicy()
+_LIMITS = TenantLimits()
+_DAY = 86_400.0
+
+_DECLARATIONS = (
+    SettingDeclaration(
+        "placement.prefer",
+        SettingType.CHOICE,
+        "",
+        _POLICY.placement_prefer.value,
+        "Which measure weighs more when a new flow is placed: keeping flows where they were "
+        "(stickiness) or evening out open flows (balance).",
+        choices=tuple(choice.value for choice in PlacementPreference),
+    ),
+    SettingDeclaration(
+        "placement.imbalance_bound",
+        SettingType.FLOAT,
+        "share",
+        _POLICY.placement_imbalance_bound,
+        "How far above its share of open flows a backend may be before new flows go to their "
+        "second candidate.",
+        minimum=0.01,
+        maximum=2.0,
+    ),
+    SettingDeclaration(
+        "flow.idle_timeout",
+        SettingType.FLOAT,
+        "seconds",
+        _POLICY.flow_idle_timeout,
+        "A flow without a packet for this long is forgotten.",
+        minimum=1.0,
+        maximum=_DAY,
+    ),
+    SettingDeclaration(
+        "flow.maximum_age",
+        SettingType.FLOAT,
+        "seconds",
+        _POLICY.flow_maximum_age,
+        "No flow is older than this; earlier generations are kept in mind for as long.",
+        minimum=60.0,
+        maximum=7 * _DAY,
+    ),
+    SettingDeclaration(
+        "request.repeat",
+        SettingType.CHOICE,
+        "",
+        _POLICY.request_repeat.value,
+        "Whether a request may be offered to a second backend before its payload was sent.",
+        choices=tuple(choice.value for choice in RepeatPolicy),
+    ),
+    SettingDeclaration(
+        "request.deadline",
+        SettingType.FLOAT,
+        "seconds",
+        _POLICY.request_deadline,
+        "A flow still open after this time is closed at client and backend; 0 means never.",
+        minimum=0.0,
+        maximum=_DAY,
+    ),
+    SettingDeclaration(
+        "retry.budget_ratio",
+        SettingType.FLOAT,
+        "share",
+        _POLICY.retry_budget_ratio,
+        "Second offers of refused flows, as a share of new flows.",
+        minimum=0.0,
+        maximum=1.0,
+    ),
+    SettingDeclaration(
+        "backend.cold_start_ramp",
+        SettingType.FLOAT,
+        "seconds",
+        _POLICY.backend_cold_start_ramp,
+        "Time over which a new backend's share of new flows rises to its full weight.",
+        minimum=0.0,
+        maximum=3600.0,
+    ),
+    SettingDeclaration(
+        "backend.check_interval",
+        SettingType.FLOAT,
+        "seconds",
+        _POLICY.backend_check_interval,
+        "Time between two checks of a backend's health endpoint.",
+        minimum=0.1,
+        maximum=300.0,
+    ),
+    SettingDeclaration(
+        "limit.new_flows_per_second",
+        SettingType.FLOAT,
+        "flows per second",
+        _LIMITS.new_flows_per_second,
+        "New flows per second of one tenant across the fleet; 0 means unlimited.",
+        minimum=0.0,
+        levels=TENANT_LEVELS,
+    ),
+    SettingDeclaration(
+        "limit.open_flows",
+        SettingType.INTEGER,
+        "flows",
+        _LIMITS.open_flows,
+        "Open flows of one tenant across the fleet; 0 means unlimited.",
+        minimum=0.0,
+        levels=TENANT_LEVELS,
+    ),
+    SettingDeclaration(
+        "limit.packets_per_second",
+        SettingType.FLOAT,
+        "packets per second",
+        _LIMITS.packets_per_second,
+        "Packets per second of one tenant across the fleet; 0 means unlimited.",
+        minimum=0.0,
+        levels=TENANT_LEVELS,
+    ),
+    SettingDeclaration(
+        "limit.table_share",
+        SettingType.FLOAT,
+        "share",
+        _LIMITS.table_share,
+        "Share of a node's flow table that one tenant may hold.",
+        minimum=0.001,
+        maximum=1.0,
+        levels=TENANT_LEVELS,
+    ),
+)
+
+DECLARATIONS: Mapping[str, SettingDeclaration] = MappingProxyType(
+    {declaration.name: declaration for declaration in _DECLARATIONS}
+)
+"""Every setting of the tree by name, in the order of the reference page."""
+
+
+def find_declaration(name: str) -> SettingDeclaration:
+    """Return a setting's declaration; raises UnknownSettingError with the nearest name."""
+    declaration = DECLARATIONS.get(name)
+    if declaration is not None:
+        return declaration
+    nearest = difflib.get_close_matches(name, DECLARATIONS, n=1, cutoff=0.4)
+    remedy = f"did you mean {nearest[0]}?" if nearest else "see `beamloom settings tree`"
+    raise UnknownSettingError(f"there is no setting {name!r}", remedy)
+
+
+def check_setting(level: SettingLevel, name: str, value: object) -> SettingValue:
+    """Return the checked value of a setting that is set at a level.
+
+    Raises UnknownSettingError, WrongLevelError, WrongTypeError or OutOfBoundsError.
+    """
+    declaration = find_declaration(name)
+    if level not in declaration.levels:
+        allowed = " or ".join(allowed.value for allowed in declaration.levels)
+        raise WrongLevelError(
+            f"{name} cannot be set at level {level.value}", f"set it at level {allowed}"
+        )
+    return declaration.check(value)
+
+
+def split_values(
+    level: SettingLevel, values: Mapping[str, Any]
+) -> tuple[dict[str, SettingValue], tuple[SettingsError, ...]]:
+    """Return the good values of one level and the errors of the others."""
+    good: dict[str, SettingValue] = {}
+    errors: list[SettingsError] = []
+    for name, value in values.items():
+        try:
+            good[name] = check_setting(level, name, value)
+        except SettingsError as error:
+            errors.append(error)
+    return good, tuple(errors)
+
+
+def check_values(level: SettingLevel, values: Mapping[str, Any]) -> dict[str, SettingValue]:
+    """Return the checked values of one level; raises an ExceptionGroup of all SettingsErrors."""
+    good, errors = split_values(level, values)
+    if errors:
+        raise ExceptionGroup(f"{len(errors)} faults at level {level.value}", errors)
+    return good
--- /dev/null
+++ b/src/beamloom/settings/tree.py
@@ -0,0 +1,202 @@
+"""The tree of settings: scopes, overrides and inheritance from global over tenant to service."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from beamloom.settings.declarations import (
+    DECLARATIONS,
+    SettingDeclaration,
+    SettingLevel,
+    SettingValue,
+    find_declaration,
+)
+from beamloom.settings.errors import InvalidScopeError, WrongLevelError
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}")
+"""Names of tenants, services and backends."""
+
+SETTINGS_PREFIX = "settings/"
+DEFAULT_LEVEL = "default"
+_REMEDY = "give global, tenant/T or tenant/T/service/S"
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """One place of the tree: global (no names), a tenant, or a service of a tenant."""
+
+    tenant: str | None = None
+    service: str | None = None
+
+    @property
+    def level(self) -> SettingLevel:
+        """The scope's level."""
+        if self.service is not None:
+            return SettingLevel.SERVICE
+        return SettingLevel.GLOBAL if self.tenant is None else SettingLevel.TENANT
+
+    @property
+    def object_key(self) -> str:
+        """The key of the stored object that holds the scope's overrides."""
+        if self.service is not None:
+            return f"{SETTINGS_PREFIX}service/{self.tenant}/{self.service}"
+        if self.tenant is not None:
+            return f"{SETTINGS_PREFIX}tenant/{self.tenant}"
+        return f"{SETTINGS_PREFIX}global"
+
+    @property
+    def parent(self) -> Scope | None:
+        """The scope from which this one inherits; None for global."""
+        if self.service is not None:
+            return Scope(self.tenant)
+        return None if self.tenant is None else Scope()
+
+    def path(self) -> Iterator[Scope]:
+        """Yield this scope and its ancestors, nearest first."""
+        scope: Scope | None = self
+        while scope is not None:
+            yield scope
+            scope = scope.parent
+
+    def __str__(self) -> str:
+        """Return the form in which operators write the scope."""
+        if self.service is not None:
+            return f"tenant/{self.tenant}/service/{self.service}"
+        return "global" if self.tenant is None else f"tenant/{self.tenant}"
+
+    @classmethod
+    def parse(cls, text: str) -> Scope:
+        """Read `global`, `tenant/T` or `tenant/T/service/S`; raises InvalidScopeError."""
+        match text.split("/"):
+            case ["global"]:
+                return cls()
+            case ["tenant", tenant] if is_name(tenant):
+                return cls(tenant)
+            case ["tenant", tenant, "service", service] if is_name(tenant) and is_name(service):
+                return cls(tenant, service)
+        raise InvalidScopeError(f"{text!r} is no scope", _REMEDY)
+
+    @classmethod
+    def from_object_key(cls, key: str) -> Scope:
+        """Read the key of a stored settings object; raises InvalidScopeError."""
+        match key.split("/"):
+            case ["settings", "global"]:
+                return cls()
+            case ["settings", "tenant", tenant] if is_name(tenant):
+                return cls(tenant)
+            case ["settings", "service", tenant, service] if is_name(tenant) and is_name(service):
+                return cls(tenant, service)
+        raise InvalidScopeError(f"{key!r} is no settings object", _REMEDY)
+
+
+GLOBAL_SCOPE = Scope()
+
+
+@dataclass(frozen=True, slots=True)
+class EffectiveSetting:
+    """A value in force and where it comes from.
+
+    `level` is global, tenant, service or default. `scope_key` is the key of the stored object that
+    sets it, empty for a default; `since_revision` is that object's revision, 0 for a default.
+    """
+
+    value: SettingValue
+    level: str
+    scope_key: str
+    since_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ScopeOverrides:
+    """The checked overrides of one scope, as of the stored object's revision."""
+
+    values: Mapping[str, SettingValue]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class TreeNode:
+    """One scope for display: its own overrides and the scopes beneath it."""
+
+    scope: Scope
+    overrides: Mapping[str, SettingValue]
+    children: tuple[TreeNode, ...]
+
+
+@dataclass(slots=True)
+class SettingsTree:
+    """Overrides of every scope; values that no scope sets have their declared default."""
+
+    _overrides: dict[Scope, ScopeOverrides] = field(default_factory=dict)
+
+    def replace(self, scope: Scope, values: Mapping[str, SettingValue], revision: int) -> None:
+        """Set the whole of a scope's overrides; values must have been checked."""
+        self._overrides[scope] = ScopeOverrides(dict(values), revision)
+
+    def remove(self, scope: Scope) -> None:
+        """Forget a scope's overrides; unknown scopes are ignored."""
+        self._overrides.pop(scope, None)
+
+    def overrides(self, scope: Scope) -> Mapping[str, SettingValue]:
+        """Return the values that a scope itself sets."""
+        found = self._overrides.get(scope)
+        return {} if found is None else found.values
+
+    def revision(self, scope: Scope) -> int:
+        """Return the highest revision among a scope's and its ancestors' overrides, or 0."""
+        found = (self._overrides.get(ancestor) for ancestor in scope.path())
+        return max((overrides.revision for overrides in found if overrides is not None), default=0)
+
+    def effective(self, scope: Scope, name: str) -> EffectiveSetting:
+        """Return the value of a setting in force at a scope.
+
+        Raises UnknownSettingError, and WrongLevelError where the setting has no meaning there.
+        """
+        declaration = find_declaration(name)
+        _require_level(declaration, scope)
+        for ancestor in scope.path():
+            overrides = self._overrides.get(ancestor)
+            if overrides is not None and name in overrides.values:
+                value = overrides.values[name]
+                level = ancestor.level.value
+                return EffectiveSetting(value, level, ancestor.object_key, overrides.revision)
+        return EffectiveSetting(declaration.default, DEFAULT_LEVEL, "", 0)
+
+    def effective_values(self, scope: Scope) -> dict[str, SettingValue]:
+        """Return every non-default value in force at a scope by name."""
+        values: dict[str, SettingValue] = {}
+        for ancestor in reversed(list(scope.path())):
+            values.update(self.overrides(ancestor))
+        return values
+
+    def render(self) -> TreeNode:
+        """Return the whole tree for display, children in the order of their names."""
+        return self._render(GLOBAL_SCOPE)
+
+    def _render(self, scope: Scope) -> TreeNode:
+        children = tuple(self._render(child) for child in self._children(scope))
+        return TreeNode(scope, self.overrides(scope), children)
+
+    def _children(self, scope: Scope) -> list[Scope]:
+        known = {ancestor for leaf in self._overrides for ancestor in leaf.path()}
+        return sorted((child for child in known if child.parent == scope), key=str)
+
+
+def settings_at(level: SettingLevel) -> list[SettingDeclaration]:
+    """Return the declarations of the settings that can be set at a level."""
+    return [declaration for declaration in DECLARATIONS.values() if level in declaration.levels]
+
+
+def is_name(text: str) -> bool:
+    """Whether the text can name a tenant, service or backend."""
+    return NAME_PATTERN.fullmatch(text) is not None
+
+
+def _require_level(declaration: SettingDeclaration, scope: Scope) -> None:
+    if scope.level not in declaration.levels:
+        levels = " or ".join(level.value for level in declaration.levels)
+        raise WrongLevelError(
+            f"{declaration.name} has no value at {scope}", f"ask for it at level {levels}"
+        )
