--- /dev/null
+++ b/src/beamloom/settings/stored_objects.py
@@ -0,0 +1,148 @@
+"""Reading of stored objects: their keys and values become typed objects or typed errors."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, TypeVar
+
+from beamloom.protocol.events import StoredObject
+from beamloom.settings.errors import MalformedObjectError, UnknownObjectKeyError
+from beamloom.settings.tree import is_name
+from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.world.contracts import Backend, BackendAdministrativeState
+
+Result = TypeVar("Result")
+
+DEFAULT_WEIGHT = 100
+MAXIMUM_WEIGHT = 10_000
+MAXIMUM_PORT = 65_535
+PROTOCOLS = {"tcp": TransportProtocol.TCP, "udp": TransportProtocol.UDP}
+
+
+class ObjectKind(StrEnum):
+    """Kinds of stored objects: the first part of their keys."""
+
+    TENANT = "tenant"
+    SERVICE = "service"
+    BACKEND = "backend"
+    SETTINGS = "settings"
+    LEASE = "lease"
+
+
+_NAME_COUNTS = {ObjectKind.TENANT: 1, ObjectKind.SERVICE: 2, ObjectKind.BACKEND: 3}
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectKey:
+    """A key taken apart: its kind, and the names of tenant, service and backend as far as given."""
+
+    kind: ObjectKind
+    names: tuple[str, ...]
+
+    @classmethod
+    def parse(cls, key: str) -> ObjectKey:
+        """Read a key; raises UnknownObjectKeyError."""
+        first, *names = key.split("/")
+        try:
+            kind = ObjectKind(first)
+        except ValueError:
+            reason = f"objects of the kind {first!r} are unknown to this version"
+            raise UnknownObjectKeyError(reason, "upgrade the node or delete the object") from None
+        count = _NAME_COUNTS.get(kind)
+        if count is not None and (len(names) != count or not all(map(is_name, names))):
+            reason = f"{key!r} is no key of a {kind.value}"
+            raise UnknownObjectKeyError(reason, f"give {count} names of letters, digits, -, _, .")
+        return cls(kind, tuple(names))
+
+
+def read_virtual_address(stored: StoredObject) -> VirtualAddress:
+    """Read the value of a service object; raises MalformedObjectError."""
+    value = _require_value(stored)
+    ip = _read(stored, value, "ip", _parse_ip, "an IPv4 or IPv6 address")
+    protocol = _read(stored, value, "protocol", PROTOCOLS.__getitem__, "tcp or udp")
+    port = _read(stored, value, "port", _parse_port, "a number from 1 to 65535")
+    return VirtualAddress(ip, protocol, port)
+
+
+def read_backend(stored: StoredObject) -> Backend:
+    """Read the value of a backend object; raises MalformedObjectError."""
+    value = {"weight": DEFAULT_WEIGHT, "state": "active", **_require_value(stored)}
+    return Backend(
+        backend_id=ObjectKey.parse(stored.key).names[-1],
+        backend_number=stored.created_revision,
+        data_address=_read(stored, value, "address", _parse_socket_address, "HOST:PORT"),
+        health_address=_read(stored, value, "health", _parse_socket_address, "HOST:PORT"),
+        zone=_read(stored, value, "zone", _parse_zone, "the name of a zone"),
+        weight=_read(stored, value, "weight", _parse_weight, f"0 to {MAXIMUM_WEIGHT}"),
+        state=_read(stored, value, "state", BackendAdministrativeState, "active or draining"),
+    )
+
+
+def read_setting_values(stored: StoredObject) -> Mapping[str, Any]:
+    """Read the value of a settings object, values unchecked; raises MalformedObjectError."""
+    value = _require_value(stored)
+    values = value.get("values")
+    if not isinstance(values, Mapping):
+        raise MalformedObjectError(f"{stored.key} has no table `values`", "write it anew")
+    return {str(name): setting for name, setting in values.items()}
+
+
+def _require_value(stored: StoredObject) -> Mapping[str, Any]:
+    if not isinstance(stored.value, Mapping):
+        raise MalformedObjectError(f"the value of {stored.key} is no table", "write it anew")
+    return stored.value
+
+
+def _read(
+    stored: StoredObject,
+    value: Mapping[str, Any],
+    name: str,
+    parse: Callable[[Any], Result],
+    expected: str,
+) -> Result:
+    if name not in value:
+        raise MalformedObjectError(f"{stored.key} lacks `{name}`", f"give {expected}")
+    try:
+        return parse(value[name])
+    except (ValueError, TypeError, KeyError, AttributeError):
+        reason = f"{stored.key} has {name} = {value[name]!r}"
+        raise MalformedObjectError(reason, f"give {expected}") from None
+
+
+def _parse_ip(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError("an IP address is text")
+    return str(ipaddress.ip_address(value))
+
+
+def _parse_port(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError("a port is a number")
+    if not 0 < value <= MAXIMUM_PORT:
+        raise ValueError("a port is from 1 to 65535")
+    return value
+
+
+def _parse_socket_address(value: object) -> SocketAddress:
+    if not isinstance(value, str):
+        raise TypeError("an address is text")
+    address = SocketAddress.parse(value)
+    _parse_port(address.port)
+    return address
+
+
+def _parse_zone(value: object) -> str:
+    if not isinstance(value, str) or not is_name(value):
+        raise ValueError("a zone has a name")
+    return value
+
+
+def _parse_weight(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError("a weight is a whole number")
+    if not 0 <= value <= MAXIMUM_WEIGHT:
+        raise ValueError("a weight is bounded")
+    return value
