Build and parse the packets of the stand-ins

Cause: clients and backends must speak whole IP packets inside UDP. Change: standins/packets.py, a frozen typed view over dpkt, with builders for TCP, UDP and ICMP or ICMPv6 unreachable errors.

--- /dev/null
+++ b/src/beamloom/standins/packets.py
@@ -0,0 +1,250 @@
+"""IP packets as clients and backends see them: a typed view, builders and a parser.
+
+A packet travels as the whole payload of a UDP datagram (Generic UDP Encapsulation variant 1): the
+first byte is that of the inner IPv4 (RFC 791) or IPv6 (RFC 8200) header. `dpkt` builds and parses;
+it computes the checksums of IPv4, TCP (RFC 9293) and UDP (RFC 768).
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+from functools import lru_cache
+
+import dpkt
+from dpkt import icmp, icmp6, ip, ip6, tcp, udp
+
+from beamloom.world.addresses import SocketAddress, TransportProtocol
+
+FIN = 0x01
+SYN = 0x02
+RST = 0x04
+PSH = 0x08
+ACK = 0x10
+
+TIME_TO_LIVE = 64
+RECEIVE_WINDOW = 65_535
+TCP_HEADER_SIZE = 20
+UDP_HEADER_SIZE = 8
+ICMP_HEADER_SIZE = 8
+QUOTED_BYTES = 548
+ICMP_UNREACHABLE = 3
+ICMP_CODE_HOST = 1
+ICMP_CODE_PORT = 3
+ICMP6_UNREACHABLE = 1
+ICMP6_CODE_ADDRESS = 3
+ICMP6_CODE_PORT = 4
+
+
+class MalformedPacketError(ValueError):
+    """The bytes are no whole IPv4 or IPv6 packet with TCP, UDP or an ICMP error inside."""
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    """A TCP segment or UDP datagram; `sequence` and `acknowledgement` are as on the wire."""
+
+    source: SocketAddress
+    destination: SocketAddress
+    protocol: TransportProtocol
+    payload: bytes = b""
+    flags: int = 0
+    sequence: int = 0
+    acknowledgement: int = 0
+    time_to_live: int = TIME_TO_LIVE
+
+    def has(self, flag: int) -> bool:
+        """Whether a TCP flag is set."""
+        return bool(self.flags & flag)
+
+    @property
+    def sequence_length(self) -> int:
+        """Sequence numbers that the segment takes: its payload, plus one each for SYN and FIN."""
+        return len(self.payload) + self.has(SYN) + self.has(FIN)
+
+
+@dataclass(frozen=True, slots=True)
+class IcmpError:
+    """An ICMP (RFC 792) or ICMPv6 (RFC 4443) error and the ends of the packet that it quotes."""
+
+    reporter: str
+    receiver: str
+    kind: int
+    code: int
+    quoted_source: SocketAddress
+    quoted_destination: SocketAddress
+    quoted_protocol: TransportProtocol
+
+    @property
+    def unreachable(self) -> bool:
+        """Whether the error says that the destination cannot be reached."""
+        return self.kind == (ICMP6_UNREACHABLE if ":" in self.receiver else ICMP_UNREACHABLE)
+
+
+@lru_cache(maxsize=65_536)
+def pack_address(address: str) -> bytes:
+    """Return an IP address as 4 or 16 bytes in network order."""
+    return ipaddress.ip_address(address).packed
+
+
+@lru_cache(maxsize=65_536)
+def unpack_address(packed: bytes) -> str:
+    """Return the text form of an IP address in network order."""
+    return str(ipaddress.ip_address(packed))
+
+
+def destination_ip(data: bytes) -> str:
+    """Return the inner destination address; raises MalformedPacketError when there is none."""
+    version = data[0] >> 4 if data else 0
+    if version == 4 and len(data) >= 20:
+        return unpack_address(data[16:20])
+    if version == 6 and len(data) >= 40:
+        return unpack_address(data[24:40])
+    raise MalformedPacketError("no IP header; send whole IPv4 or IPv6 packets")
+
+
+def source_ip(data: bytes) -> str:
+    """Return the inner source address; raises MalformedPacketError when there is none."""
+    version = data[0] >> 4 if data else 0
+    if version == 4 and len(data) >= 20:
+        return unpack_address(data[12:16])
+    if version == 6 and len(data) >= 40:
+        return unpack_address(data[8:24])
+    raise MalformedPacketError("no IP header; send whole IPv4 or IPv6 packets")
+
+
+def build_packet(packet: Packet) -> bytes:
+    """Return the bytes of a TCP segment or UDP datagram with correct checksums."""
+    if packet.protocol is TransportProtocol.TCP:
+        return _wrap(packet, _build_segment(packet), TCP_HEADER_SIZE + len(packet.payload))
+    length = UDP_HEADER_SIZE + len(packet.payload)
+    datagram = udp.UDP(
+        sport=packet.source.port, dport=packet.destination.port, ulen=length, data=packet.payload
+    )
+    return _wrap(packet, datagram, length)
+
+
+def _build_segment(packet: Packet) -> tcp.TCP:
+    return tcp.TCP(
+        sport=packet.source.port,
+        dport=packet.destination.port,
+        seq=packet.sequence,
+        ack=packet.acknowledgement,
+        flags=packet.flags,
+        win=RECEIVE_WINDOW,
+        data=packet.payload,
+    )
+
+
+def _wrap(packet: Packet, content: dpkt.Packet, length: int) -> bytes:
+    source, destination = pack_address(packet.source.host), pack_address(packet.destination.host)
+    if len(source) == 4:
+        header = ip.IP(
+            src=source,
+            dst=destination,
+            p=int(packet.protocol),
+            ttl=packet.time_to_live,
+            data=content,
+        )
+        return bytes(header)
+    header = ip6.IP6(
+        src=source,
+        dst=destination,
+        nxt=int(packet.protocol),
+        hlim=packet.time_to_live,
+        plen=length,
+        data=content,
+    )
+    return bytes(header)
+
+
+def build_unreachable(offending: bytes, reporter: str, *, port_closed: bool = True) -> bytes:
+    """Return the ICMP or ICMPv6 error that says `offending` cannot reach its port or host."""
+    quoted = offending[:QUOTED_BYTES]
+    destination = pack_address(source_ip(offending))
+    if len(destination) == 4:
+        code = ICMP_CODE_PORT if port_closed else ICMP_CODE_HOST
+        message = icmp.ICMP(type=ICMP_UNREACHABLE, code=code, data=bytes(4) + quoted)
+        header = ip.IP(
+            src=pack_address(reporter), dst=destination, p=1, ttl=TIME_TO_LIVE, data=message
+        )
+        return bytes(header)
+    code = ICMP6_CODE_PORT if port_closed else ICMP6_CODE_ADDRESS
+    message = icmp6.ICMP6(type=ICMP6_UNREACHABLE, code=code, data=bytes(4) + quoted)
+    header = ip6.IP6(
+        src=pack_address(reporter),
+        dst=destination,
+        nxt=58,
+        hlim=TIME_TO_LIVE,
+        plen=ICMP_HEADER_SIZE + len(quoted),
+        data=message,
+    )
+    return bytes(header)
+
+
+def parse_packet(data: bytes) -> Packet | IcmpError:
+    """Return the typed view of a packet; raises MalformedPacketError when it is not one."""
+    try:
+        header = _parse_header(data)
+        content = header.data
+        if isinstance(content, tcp.TCP | udp.UDP):
+            return _view(header, content)
+        if isinstance(content, icmp.ICMP | icmp6.ICMP6):
+            return _view_error(header, bytes(content))
+    except (dpkt.UnpackError, IndexError, ValueError) as error:
+        raise MalformedPacketError(f"{error}; send whole packets") from error
+    raise MalformedPacketError("neither TCP, UDP nor an ICMP error; only these are taken")
+
+
+def _parse_header(data: bytes) -> ip.IP | ip6.IP6:
+    version = data[0] >> 4
+    if version == 4:
+        header = ip.IP(data)
+        if header.len != len(data):
+            raise MalformedPacketError("IPv4 length differs from the datagram's; packet truncated?")
+        return header
+    header = ip6.IP6(data)
+    if version != 6 or header.plen + 40 != len(data):
+        raise MalformedPacketError("no IPv6 packet of the stated length; packet truncated?")
+    return header
+
+
+def _time_to_live(header: ip.IP | ip6.IP6) -> int:
+    return int(header.ttl if isinstance(header, ip.IP) else header.hlim)
+
+
+def _view(header: ip.IP | ip6.IP6, content: tcp.TCP | udp.UDP) -> Packet:
+    source = SocketAddress(unpack_address(header.src), content.sport)
+    destination = SocketAddress(unpack_address(header.dst), content.dport)
+    lifetime = _time_to_live(header)
+    payload = bytes(content.data)
+    if isinstance(content, udp.UDP):
+        return Packet(source, destination, TransportProtocol.UDP, payload, time_to_live=lifetime)
+    return Packet(
+        source,
+        destination,
+        TransportProtocol.TCP,
+        payload,
+        content.flags,
+        content.seq,
+        content.ack,
+        lifetime,
+    )
+
+
+def _view_error(header: ip.IP | ip6.IP6, message: bytes) -> IcmpError:
+    quoted = message[ICMP_HEADER_SIZE:]
+    header_size = (quoted[0] & 15) * 4 if quoted[0] >> 4 == 4 else 40
+    protocol = quoted[9] if quoted[0] >> 4 == 4 else quoted[6]
+    ports = quoted[header_size : header_size + 4]
+    if len(ports) < 4:
+        raise MalformedPacketError("the quoted packet lacks its ports")
+    return IcmpError(
+        unpack_address(header.src),
+        unpack_address(header.dst),
+        message[0],
+        message[1],
+        SocketAddress(source_ip(quoted), int.from_bytes(ports[:2], "big")),
+        SocketAddress(destination_ip(quoted), int.from_bytes(ports[2:], "big")),
+        TransportProtocol(protocol),
+    )
