Model clients and backends without I/O

Cause: the simulator and the processes on sockets need the same clients and backends, which know truly whether a request ran and whether a flow broke.

--- /dev/null
+++ b/src/beamloom/standins/client_stream.py
@@ -0,0 +1,101 @@
+"""Clients that hold one connection for long and send updates over it."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from beamloom.standins.application import Answer, AnswerStatus, Request, RequestKind, frame
+from beamloom.standins.client_model import Outcome, TcpFlow
+from beamloom.standins.tcp_connection import TcpOptions
+from beamloom.world.addresses import SocketAddress, VirtualAddress
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOptions:
+    """A long flow with an update each `interval` s; broken after `unanswered_limit` s of silence.
+
+    `duration` is in seconds; zero means until `close` is called.
+    """
+
+    flow_id: str
+    local: SocketAddress
+    service: VirtualAddress
+    interval: float = 5.0
+    unanswered_limit: float = 15.0
+    duration: float = 0.0
+    size: int = 100
+    tcp: TcpOptions = field(default_factory=TcpOptions)
+
+
+class StreamFlow(TcpFlow):
+    """A long flow that sends updates and takes pushes until it is closed."""
+
+    def __init__(self, options: StreamOptions, chance: random.Random) -> None:
+        super().__init__(options.flow_id, options.local, options.service, options.tcp, chance)
+        self._options = options
+        self._unanswered: dict[str, float] = {}
+        self._next_update = 0.0
+        self._end_at: float | None = None
+        self._closing = False
+
+    def close(self, now: float) -> list[bytes]:
+        """Close as planned: send no more updates and end once the last is answered."""
+        self._closing = True
+        self._close_when_answered(now)
+        return self._connection.take_packets()
+
+    def _begin(self, now: float) -> None:
+        self._end_at = now + self._options.duration if self._options.duration else None
+        self._send_update(now)
+
+    def _send_update(self, now: float) -> None:
+        update_id = f"{self._options.flow_id}/{self.truth.updates_sent}"
+        update = Request(update_id, RequestKind.UPDATE, size=self._options.size)
+        self.truth.updates_sent += 1
+        self._unanswered[update_id] = now
+        self._next_update = now + self._options.interval
+        self._connection.send(frame(update), now)
+
+    def _take_answer(self, answer: Answer, now: float) -> None:
+        if answer.status is AnswerStatus.PUSH:
+            self.truth.pushes += 1
+            return
+        if answer.part + 1 < answer.total:
+            return
+        sent_at = self._unanswered.pop(answer.request_id, None)
+        if sent_at is None:
+            return
+        if answer.status is AnswerStatus.RUN:
+            self.truth.updates_answered += 1
+            self.truth.latencies.append(now - sent_at)
+        else:
+            self.truth.updates_refused += 1
+        self._close_when_answered(now)
+
+    def _close_when_answered(self, now: float) -> None:
+        if self._closing and not self._unanswered and self.outcome is None:
+            self._conclude(Outcome.ANSWERED, "", now)
+            self._connection.close(now)
+
+    def _do_due(self, now: float) -> None:
+        oldest = next(iter(self._unanswered.values()), now)
+        if now - oldest >= self._options.unanswered_limit:
+            self._conclude_silence("updates unanswered", now)
+            self._connection.abort()
+            return
+        if self._end_at is not None and now >= self._end_at:
+            self._closing = True
+            self._close_when_answered(now)
+        elif not self._closing and now >= self._next_update:
+            self._send_update(now)
+
+    def _next_due(self) -> float | None:
+        times = [sent_at + self._options.unanswered_limit for sent_at in self._oldest()]
+        if not self._closing:
+            times.append(self._next_update)
+            times += [self._end_at] if self._end_at is not None else []
+        return min(times, default=None)
+
+    def _oldest(self) -> list[float]:
+        return [next(iter(self._unanswered.values()))] if self._unanswered else []
--- /dev/null
+++ b/tests/unit/test_standins.py
@@ -0,0 +1,281 @@
+"""Clients and backends on a virtual network: what each knows must be what truly happened."""
+
+import random
+import unittest
+from collections.abc import Iterable
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from beamloom.standins.application import RequestKind
+from beamloom.standins.backend_health import HealthFaults
+from beamloom.standins.backend_model import BackendOptions
+from beamloom.standins.client_model import Outcome
+from beamloom.standins.client_request import RequestFlow, RequestOptions, UdpRequestFlow
+from beamloom.standins.client_stream import StreamFlow, StreamOptions
+from beamloom.standins.packets import build_unreachable
+from beamloom.world.addresses import SocketAddress, VirtualAddress
+from tests.unit.standin_network import (
+    CLIENT,
+    CLIENT_V6,
+    DELAY,
+    SERVICE,
+    SERVICE_V6,
+    UDP_SERVICE,
+    Network,
+    make_backend,
+)
+
+SLOW = BackendOptions(slots=1, queue_limit=1, service_time=lambda request, chance: 1.0)
+
+
+def request(
+    request_id: str = "r1",
+    port: int = CLIENT.port,
+    service: VirtualAddress = SERVICE,
+    size: int = 100,
+    deadline: float = 30.0,
+) -> RequestFlow:
+    host = CLIENT_V6.host if ":" in service.ip else CLIENT.host
+    options = RequestOptions(
+        request_id, SocketAddress(host, port), service, request_id, deadline=deadline, size=size
+    )
+    return RequestFlow(options, random.Random(port))
+
+
+def stream(duration: float = 0.0) -> StreamFlow:
+    return StreamFlow(StreamOptions("s1", CLIENT, SERVICE, duration=duration), random.Random(1))
+
+
+def udp_request(size: int = 100) -> UdpRequestFlow:
+    options = RequestOptions("u1", CLIENT, UDP_SERVICE, "u1", RequestKind.UPDATE, size=size)
+    return UdpRequestFlow(options, random.Random(1))
+
+
+class ScriptedFate:
+    """Drops, doubles or delays packets by a script, then delivers each once."""
+
+    def __init__(self, script: list[tuple[float, ...]]) -> None:
+        self._script = iter(script)
+
+    def __call__(self) -> Iterable[float]:
+        return next(self._script, (DELAY,))
+
+
+class RequestTest(unittest.TestCase):
+    def test_whole_answer_over_both_families_and_nothing_left_open(self) -> None:
+        for service in (SERVICE, SERVICE_V6):
+            backend = make_backend(service=service)
+            network = Network(backend)
+            flow = request(service=service, size=60_000)
+            network.from_client(network.host.start(flow, 0.0))
+            network.run(20.0)
+            self.assertEqual(flow.outcome, Outcome.ANSWERED)
+            self.assertEqual(flow.truth.backends, ["b1"])
+            self.assertEqual(len(backend.truth.runs["r1"]), 1)
+            self.assertEqual((backend.open_connections, len(network.host)), (0, 0))
+
+    def test_loss_duplication_and_reordering_give_the_whole_answer(self) -> None:
+        chance = random.Random(3)
+        fates = [(), (DELAY,), (DELAY, 3 * DELAY), (0.3,), (DELAY,)]
+        backend = make_backend()
+        network = Network(backend, fate=lambda: chance.choice(fates))
+        flow = request(size=40_000, deadline=300.0)
+        network.from_client(network.host.start(flow, 0.0))
+        network.run(400.0)
+        self.assertEqual(flow.outcome, Outcome.ANSWERED)
+        self.assertEqual(len(backend.truth.runs["r1"]), 1)
+
+    def test_connection_limit_refuses_before_anything_ran(self) -> None:
+        backend = make_backend(options=BackendOptions(connection_limit=0, retry_after=2.5))
+        network = Network(backend)
+        flow = request()
+        network.from_client(network.host.start(flow, 0.0))
+        network.run(1.0)
+        self.assertEqual((flow.outcome, flow.truth.retry_after), (Outcome.REFUSED, 2.5))
+        self.assertEqual((backend.truth.runs, flow.truth.broken), ({}, False))
+
+    def test_unreachable_in_answer_to_syn_is_a_refusal(self) -> None:
+        network = Network(make_backend())
+        flow = request()
+        syn = network.host.start(flow, 0.0)[0]
+        network.host.receive(build_unreachable(syn, "10.0.0.9"), 0.1)
+        self.assertEqual(flow.outcome, Outcome.REFUSED)
+
+    def test_full_queue_sheds_what_it_does_not_run(self) -> None:
+        backend = make_backend(options=SLOW)
+        network = Network(backend)
+        flows = [request(f"r{number}", 40_000 + number) for number in range(3)]
+        for flow in flows:
+            network.from_client(network.host.start(flow, 0.0))
+        network.run(0.5)
+        self.assertTrue(backend.health(0.5).shedding)
+        network.run(20.0)
+        self.assertEqual(
+            [flow.outcome for flow in flows],
+            [Outcome.ANSWERED, Outcome.ANSWERED, Outcome.REFUSED],
+        )
+        self.assertEqual(
+            (sorted(backend.truth.runs), backend.truth.shed_requests), (["r0", "r1"], 1)
+        )
+
+    def test_cancelled_before_its_start_does_not_run(self) -> None:
+        backend = make_backend(options=SLOW)
+        network = Network(backend)
+        first, second = request("r0", 40_000), request("r1", 40_001)
+        for flow in (first, second):
+            network.from_client(network.host.start(flow, 0.0))
+        network.run(0.5)
+        network.from_client(network.host.cancel(second, 0.5))
+        network.run(20.0)
+        self.assertEqual((first.outcome, second.outcome), (Outcome.ANSWERED, Outcome.CANCELLED))
+        self.assertNotIn("r1", backend.truth.runs)
+        self.assertEqual(backend.truth.not_run, {"r1": "cancelled"})
+
+    def test_cancellation_frees_the_slot(self) -> None:
+        backend = make_backend(options=SLOW)
+        network = Network(backend)
+        first, second = request("r0", 40_000), request("r1", 40_001)
+        for flow in (first, second):
+            network.from_client(network.host.start(flow, 0.0))
+        network.run(0.2)
+        network.from_client(network.host.cancel(first, 0.2))
+        network.run(0.3)
+        self.assertIn("r1", backend.truth.runs)
+
+    def test_deadline_that_passed_before_the_start_is_not_run(self) -> None:
+        backend = make_backend(options=SLOW)
+        network = Network(backend)
+        first, second = request("r0", 40_000), request("r1", 40_001, deadline=0.9)
+        for flow in (first, second):
+            network.from_client(network.host.start(flow, 0.0))
+        network.run(20.0)
+        self.assertEqual((first.outcome, second.outcome), (Outcome.ANSWERED, Outcome.TIMED_OUT))
+        self.assertNotIn("r1", backend.truth.runs)
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(
+        st.lists(
+            st.lists(st.sampled_from([DELAY, 0.004, 0.5, 2.5]), max_size=2).map(tuple),
+            max_size=40,
+        ),
+        st.sampled_from([1, 900, 9_000]),
+        st.sampled_from([0, 1, 2_000]),
+    )
+    def test_any_schedule_gives_the_whole_answer_or_says_so(
+        self, script: list[tuple[float, ...]], size: int, connection_limit: int
+    ) -> None:
+        backend = make_backend(options=BackendOptions(connection_limit=connection_limit))
+        network = Network(backend, fate=ScriptedFate(script))
+        flow = request(size=size)
+        network.from_client(network.host.start(flow, 0.0))
+        network.run(200.0)
+        runs = len(backend.truth.runs.get("r1", []))
+        self.assertIsNotNone(flow.outcome)
+        self.assertLessEqual(runs, 1)
+        if flow.outcome is Outcome.REFUSED:
+            self.assertEqual(runs, 0)
+        if flow.outcome is Outcome.ANSWERED:
+            self.assertEqual(runs, 1)
+
+
+class StreamTest(unittest.TestCase):
+    def test_updates_and_pushes_until_the_planned_end(self) -> None:
+        backend = make_backend()
+        network = Network(backend)
+        flow = stream(duration=3_600.0)
+        network.from_client(network.host.start(flow, 0.0))
+        network.run(1_800.0)
+        network.from_backend(backend.push(network.now, b"position"))
+        network.run(4_000.0)
+        truth = flow.truth
+        self.assertEqual((truth.outcome, truth.broken), (Outcome.ANSWERED, False))
+        self.assertEqual((truth.updates_answered, truth.pushes), (truth.updates_sent, 1))
+        self.assertGreaterEqual(truth.updates_sent, 719)
+
+    def test_mid_flow_segment_to_another_backend_breaks_the_flow(self) -> None:
+        right, wrong = make_backend("b1"), make_backend("b2")
+        network = Network(right, wrong)
+        flow = stream()
+        network.from_client(network.host.start(flow, 0.0))
+        network.run(12.0)
+        network.route = 1
+        network.run(20.0)
+        self.assertEqual((flow.outcome, flow.truth.broken), (Outcome.RESET, True))
+        self.assertEqual(wrong.truth.unknown_segments, 1)
+
+    def test_silence_breaks_the_flow(self) -> None:
+        network = Network(make_backend())
+        flow = stream()
+        network.from_client(network.host.start(flow, 0.0))
+        network.run(12.0)
+        network.fate = lambda: ()
+        network.run(60.0)
+        self.assertEqual((flow.outcome, flow.truth.broken), (Outcome.TIMED_OUT, True))
+
+    def test_drain_is_reported_and_cuts_nothing(self) -> None:
+        backend = make_backend()
+        network = Network(backend)
+        flow = stream()
+        network.from_client(network.host.start(flow, 0.0))
+        network.run(10.0)
+        backend.drain()
+        network.run(100.0)
+        self.assertTrue(backend.health(100.0).draining)
+        self.assertIsNone(flow.outcome)
+        self.assertEqual(backend.truth.new_connections, [DELAY])
+
+
+class DatagramTest(unittest.TestCase):
+    def test_repeated_datagram_runs_once(self) -> None:
+        backend = make_backend(service=UDP_SERVICE)
+        network = Network(backend, fate=ScriptedFate([(DELAY, 2 * DELAY), (), (), ()]))
+        flow = udp_request(size=2_500)
+        network.from_client(network.host.start(flow, 0.0))
+        network.run(20.0)
+        self.assertEqual(flow.outcome, Outcome.ANSWERED)
+        self.assertEqual(len(backend.truth.runs["u1"]), 1)
+
+    def test_silence_is_not_a_refusal(self) -> None:
+        network = Network(make_backend(service=UDP_SERVICE), fate=lambda: ())
+        flow = udp_request()
+        network.from_client(network.host.start(flow, 0.0))
+        network.run(60.0)
+        self.assertEqual(flow.outcome, Outcome.TIMED_OUT)
+
+
+class BackendTest(unittest.TestCase):
+    def test_packet_of_another_service_is_a_tenancy_violation(self) -> None:
+        backend = make_backend(service=VirtualAddress("10.0.0.2", SERVICE.protocol, SERVICE.port))
+        network = Network(backend)
+        network.from_client(network.host.start(request(), 0.0))
+        network.run(0.5)
+        self.assertEqual(len(backend.truth.tenancy_violations), 1)
+        self.assertEqual(backend.truth.new_connections, [])
+
+    def test_reports_lag_freeze_and_lie(self) -> None:
+        backend = make_backend(options=SLOW)
+        backend.health_reporter.faults = HealthFaults(lag=10.0)
+        backend.poll(0.0)
+        network = Network(backend)
+        network.from_client(network.host.start(request(deadline=30.0), 0.0))
+        network.run(0.5)
+        self.assertEqual((backend.true_health().load, backend.health(0.5).load), (1.0, 0.0))
+        backend.health_reporter.faults = HealthFaults(load=0.1)
+        self.assertEqual(backend.health(0.6).load, 0.1)
+        backend.health_reporter.faults = HealthFaults(frozen=True)
+        self.assertEqual(backend.health(0.7).load, 0.1)
+
+    def test_cold_start_is_slower(self) -> None:
+        options = BackendOptions(
+            cold_seconds=10.0, cold_factor=4.0, service_time=lambda request, chance: 0.1
+        )
+        backend = make_backend(options=options)
+        network = Network(backend)
+        early, late = request("r0", 40_000), request("r1", 40_001)
+        network.from_client(network.host.start(early, 0.0))
+        network.run(20.0)
+        network.from_client(network.host.start(late, 20.0))
+        network.run(40.0)
+        self.assertAlmostEqual(early.truth.latency or 0.0, 0.4 + 4 * DELAY)
+        self.assertAlmostEqual(late.truth.latency or 0.0, 0.1 + 4 * DELAY)
