--- /dev/null
+++ b/src/beamloom/runtime/balancer.py
@@ -0,0 +1,127 @@
+"""The asyncio adapter: runs one decision core on UDP sockets and the platform's client."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+import structlog
+
+from beamloom.node.core import NodeCore
+from beamloom.protocol.commands import (
+    Command,
+    LocalSocket,
+    RecordTransition,
+    SendControl,
+    SendPacket,
+    StopNode,
+)
+from beamloom.protocol.events import ControlDatagramReceived, Event, StopRequested, TimerExpired
+from beamloom.runtime.datagrams import DatagramSocket
+from beamloom.world.addresses import SocketAddress
+
+CommandHandler = Callable[[Command], None]
+
+
+class BalancerProcess:
+    """One balancer on sockets; `extra_handler` takes the commands this adapter leaves to others.
+
+    Raises OSError from `start` when an address cannot be bound.
+    """
+
+    def __init__(self, core: NodeCore, extra_handler: CommandHandler | None = None) -> None:
+        self.core = core
+        self.stopped = asyncio.Event()
+        self._extra_handler = extra_handler
+        self._sockets: dict[LocalSocket, DatagramSocket] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at: float | None = None
+        self._log = structlog.get_logger().bind(node=core.options.machine.node_id)
+
+    def start(self) -> None:
+        """Bind the three sockets and start the core."""
+        machine = self.core.options.machine
+        addresses = {
+            LocalSocket.DATA: (machine.data_address, self._data_received),
+            LocalSocket.PEER: (machine.peer_address, self._peer_received),
+            LocalSocket.CONTROL: (machine.control_address, self._control_received),
+        }
+        for name, (address, received) in addresses.items():
+            self._sockets[name] = DatagramSocket(address, received)
+        self._carry_out(self.core.start(self._now()))
+
+    @property
+    def data_address(self) -> SocketAddress:
+        """The address that takes packets, as bound."""
+        return self._sockets[LocalSocket.DATA].address
+
+    def deliver(self, event: Event) -> None:
+        """Give an event to the core and carry out what it answers."""
+        self._carry_out(self.core.handle(event, self._now()))
+
+    def request_stop(self) -> None:
+        """Begin a planned stop; `stopped` is set once it is complete."""
+        self.deliver(StopRequested())
+
+    def close(self) -> None:
+        """Close the sockets and cancel the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for datagram_socket in self._sockets.values():
+            datagram_socket.close()
+        self._sockets.clear()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _data_received(self, data: bytes, source: SocketAddress) -> None:
+        self._packet_received(data, source, from_peer=False)
+
+    def _peer_received(self, data: bytes, source: SocketAddress) -> None:
+        self._packet_received(data, source, from_peer=True)
+
+    def _packet_received(self, data: bytes, source: SocketAddress, from_peer: bool) -> None:
+        core = self.core
+        destination = core.packet_received(data, source, from_peer, self._now())
+        if destination is not None:
+            self._sockets[LocalSocket.DATA].send(data, destination)
+        if core.has_commands:
+            self._carry_out(core.take_commands(self._now()))
+
+    def _control_received(self, data: bytes, source: SocketAddress) -> None:
+        self.deliver(ControlDatagramReceived(data, source))
+
+    def _carry_out(self, commands: Sequence[Command]) -> None:
+        for command in commands:
+            self._carry_out_one(command)
+        self._set_timer()
+
+    def _carry_out_one(self, command: Command) -> None:
+        match command:
+            case SendPacket(local_socket, destination, data):
+                self._sockets[local_socket].send(data, destination)
+            case SendControl(destination, data):
+                self._sockets[LocalSocket.CONTROL].send(data, destination)
+            case RecordTransition(subject, before, after, reason):
+                self._log.info(
+                    "state_changed", subject=subject, before=before, after=after, reason=reason
+                )
+            case StopNode():
+                self.stopped.set()
+            case _ if self._extra_handler is not None:
+                self._extra_handler(command)
+
+    def _set_timer(self) -> None:
+        wanted = self.core.next_timer()
+        if wanted == self._timer_at and self._timer is not None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = wanted
+        self._timer = None
+        if wanted is not None:
+            self._timer = asyncio.get_running_loop().call_at(wanted, self._timer_expired)
+
+    def _timer_expired(self) -> None:
+        self._timer = None
+        self.deliver(TimerExpired())
