Bind a machine's sockets before its addresses are told to others

Cause: a test or demo that picks ports first and binds later can clash with another process. Change: MachineSockets binds all three or none and names the machine; the adapter listens later. Conclusion: no ports are guessed; no cost on the hot path.

--- a/src/beamloom/bench/forwarding.py
+++ b/src/beamloom/bench/forwarding.py
@@ -23,9 +23,10 @@
 from beamloom.routing.flow_table import FlowFlag, FlowTable
 from beamloom.routing.hashing import FLOW_KEY_MASK
 from beamloom.runtime.balancer import BalancerProcess
+from beamloom.runtime.machine_sockets import MachineSockets
 from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
 from beamloom.world.contracts import Backend, Generation, ServiceContract, ServicePolicy
-from beamloom.world.machines import Machine, Member, MemberState, NodeId
+from beamloom.world.machines import Member, MemberState, NodeId
 from beamloom.world.zones import Zone
 
 LOOPBACK = "127.0.0.1"
@@ -82,8 +83,8 @@
 class _CountingBalancer(BalancerProcess):
     """The real adapter, with the same count per packet as the bare relay has."""
 
-    def __init__(self, core: NodeCore, counter: _BatchCounter) -> None:
-        super().__init__(core)
+    def __init__(self, core: NodeCore, sockets: MachineSockets, counter: _BatchCounter) -> None:
+        super().__init__(core, sockets)
         self._counter = counter
 
     def _data_received(self, data: bytes, source: SocketAddress) -> None:
@@ -144,12 +145,6 @@
     return bytes(packet)
 
 
-def _machine() -> Machine:
-    any_address = SocketAddress(LOOPBACK, ANY_PORT)
-    zone = Zone("zone", "region")
-    return Machine(NodeId("bench"), zone, any_address, any_address, any_address)
-
-
 def _contract(backend_address: SocketAddress) -> ServiceContract:
     backend = Backend("backend", BACKEND_NUMBER, backend_address, backend_address, "zone")
     return ServiceContract(
@@ -173,11 +168,12 @@
         self._sink.setblocking(False)
         self._sink.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 << 20)
         self._source = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        machine = _machine()
+        self._sockets = MachineSockets.bind_any(LOOPBACK)
+        machine = self._machine = self._sockets.machine(NodeId("bench"), Zone("zone", "region"))
         options = NodeOptions(machine, (), KeyRing((HASH_KEY,)), HASH_KEY, (self._sink_address,))
         self.core = NodeCore(options)
         self._counter = _BatchCounter()
-        self._process = _CountingBalancer(self.core, self._counter)
+        self._process = _CountingBalancer(self.core, self._sockets, self._counter)
         step = max(1, flows // (BATCH_PACKETS * 64))
         self._packets = [make_packet(number) for number in range(0, flows, step)]
 
@@ -200,7 +196,7 @@
         sent = 0
         while min(balancer_seconds, relay_seconds) < seconds:
             batch = next(batches)
-            balancer_seconds += await self._time_batch(batch, self._process.data_address)
+            balancer_seconds += await self._time_batch(batch, self._sockets.data.address)
             relay_seconds += await self._time_batch(batch, relay_address)
             sent += len(batch)
         transport.close()
@@ -220,7 +216,7 @@
         forwarder = self.core.forwarder
         now = asyncio.get_running_loop().time()
         forwarder.update_services([_contract(self._sink_address)], [])
-        forwarder.update_members([Member(_machine(), MemberState.ALIVE, 0)], now)
+        forwarder.update_members([Member(self._machine, MemberState.ALIVE, 0)], now)
         for number in range(self._flows):
             self.core.packet_received(make_packet(number), self._sink_address, False, now)
 
--- a/src/beamloom/runtime/balancer.py
+++ b/src/beamloom/runtime/balancer.py
@@ -17,44 +17,40 @@
     StopNode,
 )
 from beamloom.protocol.events import ControlDatagramReceived, Event, StopRequested, TimerExpired
-from beamloom.runtime.datagrams import DatagramSocket
+from beamloom.runtime.machine_sockets import MachineSockets
 from beamloom.world.addresses import SocketAddress
 
 CommandHandler = Callable[[Command], None]
 
 
 class BalancerProcess:
-    """One balancer on sockets; `extra_handler` takes the commands this adapter leaves to others.
-
-    Raises OSError from `start` when an address cannot be bound.
-    """
-
-    def __init__(self, core: NodeCore, extra_handler: CommandHandler | None = None) -> None:
+    """One balancer on sockets; `extra_handler` takes the commands this adapter leaves to others."""
+
+    def __init__(
+        self,
+        core: NodeCore,
+        sockets: MachineSockets,
+        extra_handler: CommandHandler | None = None,
+    ) -> None:
         self.core = core
         self.stopped = asyncio.Event()
         self._extra_handler = extra_handler
-        self._sockets: dict[LocalSocket, DatagramSocket] = {}
+        self._sockets = {
+            LocalSocket.DATA: sockets.data,
+            LocalSocket.PEER: sockets.peer,
+            LocalSocket.CONTROL: sockets.control,
+        }
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at: float | None = None
         self._log = structlog.get_logger().bind(node=core.options.machine.node_id)
 
     def start(self) -> None:
-        """Bind the three sockets and start the core."""
-        machine = self.core.options.machine
-        addresses = {
-            LocalSocket.DATA: (machine.data_address, self._data_received),
-            LocalSocket.PEER: (machine.peer_address, self._peer_received),
-            LocalSocket.CONTROL: (machine.control_address, self._control_received),
-        }
-        for name, (address, received) in addresses.items():
-            self._sockets[name] = DatagramSocket(address, received)
+        """Listen on the three sockets and start the core."""
+        self._sockets[LocalSocket.DATA].listen(self._data_received)
+        self._sockets[LocalSocket.PEER].listen(self._peer_received)
+        self._sockets[LocalSocket.CONTROL].listen(self._control_received)
         self._carry_out(self.core.start(self._now()))
 
-    @property
-    def data_address(self) -> SocketAddress:
-        """The address that takes packets, as bound."""
-        return self._sockets[LocalSocket.DATA].address
-
     def deliver(self, event: Event) -> None:
         """Give an event to the core and carry out what it answers."""
         self._carry_out(self.core.handle(event, self._now()))
@@ -69,7 +65,6 @@
             self._timer.cancel()
         for datagram_socket in self._sockets.values():
             datagram_socket.close()
-        self._sockets.clear()
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/src/beamloom/runtime/datagrams.py
+++ b/src/beamloom/runtime/datagrams.py
@@ -22,12 +22,14 @@
 
 
 class DatagramSocket:
-    """A bound UDP socket whose datagrams go to one callback; raises OSError when it cannot bind.
+    """A bound UDP socket; raises OSError when it cannot bind.
+
+    Nothing is read before `listen`, so that a node can learn its addresses before it starts.
 
     `unsent` counts datagrams that the kernel had no room for: like a full link, they are lost.
     """
 
-    def __init__(self, address: SocketAddress, received: DatagramReceived) -> None:
+    def __init__(self, address: SocketAddress) -> None:
         family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -38,10 +40,15 @@
         except OSError:
             self._socket.close()
             raise
+        self._received: DatagramReceived | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self.unsent = 0
+
+    def listen(self, received: DatagramReceived) -> None:
+        """Hand each datagram to `received` from now on, on the running loop."""
         self._received = received
         self._loop = asyncio.get_running_loop()
         self._loop.add_reader(self._socket, self._read_batch)
-        self.unsent = 0
 
     @property
     def address(self) -> SocketAddress:
@@ -57,7 +64,8 @@
             self.unsent += 1
 
     def _read_batch(self) -> None:
-        receive = self._socket.recvfrom
+        receive, received = self._socket.recvfrom, self._received
+        assert received is not None
         for _ in range(BATCH_SIZE):
             try:
                 data, source = receive(LARGEST_DATAGRAM)
@@ -65,11 +73,12 @@
                 return
             except OSError:
                 continue
-            self._received(data, cast(SocketAddress, source[:2]))
+            received(data, cast(SocketAddress, source[:2]))
 
     def close(self) -> None:
         """Stop reading and close the socket; a second call does nothing."""
         if self._socket.fileno() < 0:
             return
-        self._loop.remove_reader(self._socket)
+        if self._loop is not None:
+            self._loop.remove_reader(self._socket)
         self._socket.close()
--- /dev/null
+++ b/src/beamloom/runtime/machine_sockets.py
@@ -0,0 +1,44 @@
+"""The three UDP sockets of one machine, bound before the machine's addresses are told to others."""
+
+from __future__ import annotations
+
+from contextlib import ExitStack, closing
+from dataclasses import dataclass
+
+from beamloom.runtime.datagrams import DatagramSocket
+from beamloom.world.addresses import SocketAddress
+from beamloom.world.machines import Machine, NodeId
+from beamloom.world.zones import Zone
+
+ANY_PORT = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MachineSockets:
+    """Sockets for packets, for packets that other nodes relayed, and for control messages."""
+
+    data: DatagramSocket
+    peer: DatagramSocket
+    control: DatagramSocket
+
+    @classmethod
+    def bind(
+        cls, data: SocketAddress, peer: SocketAddress, control: SocketAddress
+    ) -> MachineSockets:
+        """Bind all three, or none: raises OSError when an address cannot be bound."""
+        with ExitStack() as opened:
+            data_socket = opened.enter_context(closing(DatagramSocket(data)))
+            peer_socket = opened.enter_context(closing(DatagramSocket(peer)))
+            control_socket = opened.enter_context(closing(DatagramSocket(control)))
+            opened.pop_all()
+        return cls(data_socket, peer_socket, control_socket)
+
+    @classmethod
+    def bind_any(cls, host: str) -> MachineSockets:
+        """Bind all three to free ports of one host."""
+        address = SocketAddress(host, ANY_PORT)
+        return cls.bind(address, address, address)
+
+    def machine(self, node_id: NodeId, zone: Zone) -> Machine:
+        """Return the machine that listens on these sockets."""
+        return Machine(node_id, zone, self.data.address, self.peer.address, self.control.address)
