--- a/src/beamloom/standins/client_host.py
+++ b/src/beamloom/standins/client_host.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from beamloom.standins.client_model import ClientFlow
+from beamloom.standins.client_stream import StreamFlow
 from beamloom.standins.packets import (
     RST,
     IcmpError,
@@ -60,6 +61,12 @@
         self._settle((flow.local, flow.remote, flow.protocol), flow)
         return packets
 
+    def close(self, flow: StreamFlow, now: float) -> list[bytes]:
+        """Close a stream as planned."""
+        packets = flow.close(now)
+        self._settle((flow.local, flow.remote, flow.protocol), flow)
+        return packets
+
     def receive(self, data: bytes, now: float) -> list[bytes]:
         """Take a packet from the network."""
         try:
