--- /dev/null
+++ b/src/beamloom/standins/load_profiles.py
@@ -0,0 +1,124 @@
+"""What the users' clients ask for: the mixture of flows of each load profile."""
+
+from __future__ import annotations
+
+import ipaddress
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from itertools import count
+
+from beamloom.standins.application import RequestKind
+from beamloom.standins.client_model import ClientFlow
+from beamloom.standins.client_request import RequestFlow, RequestOptions, UdpRequestFlow
+from beamloom.standins.client_stream import StreamFlow, StreamOptions
+from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
+
+FIRST_PORT = 1_024
+PORTS_PER_CLIENT = 60_000
+CLIENT_NETWORKS = {
+    4: ipaddress.ip_network("198.18.0.0/15"),
+    6: ipaddress.ip_network("2001:db8:1::/64"),
+}
+
+
+class ProfileName(StrEnum):
+    """The load profiles."""
+
+    VAKATALE = "vakatale"
+    TAIRI = "tairi"
+
+
+@dataclass(frozen=True, slots=True)
+class FlowMix:
+    """One kind of flow; `share` is its part of all new flows, sizes are in bytes.
+
+    A flow with an `interval` (seconds) is a stream, one without is a single request.
+    """
+
+    service: str
+    share: float
+    kind: RequestKind
+    repeatable: bool = True
+    smallest: int = 100
+    largest: int = 100
+    interval: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadProfile:
+    """A mixture of flows, and how many endpoints stand behind each service."""
+
+    name: ProfileName
+    endpoints: Mapping[str, int]
+    mixes: tuple[FlowMix, ...]
+
+
+PROFILES = {
+    ProfileName.VAKATALE: LoadProfile(
+        ProfileName.VAKATALE,
+        {"tracker": 7, "labeller": 3},
+        (
+            FlowMix("tracker", 0.30, RequestKind.UPDATE, interval=2.0, largest=400),
+            FlowMix("tracker", 0.60, RequestKind.UPDATE, repeatable=False),
+            FlowMix("labeller", 0.10, RequestKind.DOCUMENT, smallest=20_000, largest=60_000),
+        ),
+    ),
+    ProfileName.TAIRI: LoadProfile(
+        ProfileName.TAIRI,
+        {"bay-desk": 7, "catalogue": 3},
+        (
+            FlowMix("bay-desk", 0.40, RequestKind.UPDATE, interval=2.0, largest=400),
+            FlowMix("bay-desk", 0.50, RequestKind.UPDATE, repeatable=False),
+            FlowMix("catalogue", 0.10, RequestKind.DOCUMENT, smallest=10_000, largest=80_000),
+        ),
+    ),
+}
+
+
+class FlowSource:
+    """Makes the flows of a profile, each from a client address and port of its own."""
+
+    def __init__(
+        self,
+        profile: LoadProfile,
+        services: Mapping[str, VirtualAddress],
+        chance: random.Random,
+        deadline: float = 30.0,
+    ) -> None:
+        """Raise ValueError when `services` lacks one that the profile uses."""
+        missing = sorted(set(profile.endpoints) - set(services))
+        if missing:
+            raise ValueError(f"no virtual address for {', '.join(missing)}; give one for each")
+        self._profile = profile
+        self._services = services
+        self._chance = chance
+        self._deadline = deadline
+        self._numbers = count()
+        self._shares = [mix.share for mix in profile.mixes]
+
+    def next_flow(self) -> tuple[str, ClientFlow]:
+        """Return the service's name and a flow that has not started."""
+        mix = self._chance.choices(self._profile.mixes, self._shares)[0]
+        number = next(self._numbers)
+        service = self._services[mix.service]
+        local = client_address(number, ipaddress.ip_address(service.ip).version)
+        size = self._chance.randint(mix.smallest, mix.largest)
+        flow_id = f"{mix.service}-{number}"
+        if mix.interval and service.protocol is TransportProtocol.TCP:
+            stream = StreamOptions(flow_id, local, service, mix.interval, size=size)
+            return mix.service, StreamFlow(stream, self._chance)
+        options = RequestOptions(
+            flow_id, local, service, flow_id, mix.kind, mix.repeatable, self._deadline, size
+        )
+        make = RequestFlow if service.protocol is TransportProtocol.TCP else UdpRequestFlow
+        return mix.service, make(options, self._chance)
+
+
+def client_address(number: int, version: int) -> SocketAddress:
+    """Return the inner address of the client that opens flow `number`, spread over 250 hosts."""
+    network = CLIENT_NETWORKS[version]
+    group, within = divmod(number, 250 * PORTS_PER_CLIENT)
+    host = network.network_address + 1 + group * 250 + within % 250
+    return SocketAddress(str(host), FIRST_PORT + within // 250)
