Model the platform's object store without I/O

Cause: the HTTP stand-in and the simulator need one store with the same semantics and faults. Conclusion: commands of the core are answered with the events of protocol/events.py.

--- /dev/null
+++ b/src/beamloom/standins/platform_store.py
@@ -0,0 +1,193 @@
+"""Sans-I/O model of the platform's object store; the HTTP stand-in and the simulator share it.
+
+Every change takes the next number of one store-wide order, its revision. Objects handed out are
+shared and must not be changed by the caller.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from copy import deepcopy
+from itertools import islice
+from random import Random
+from typing import Any
+
+from beamloom.platform.errors import (
+    StoreConflictError,
+    StoreUnavailableError,
+    TooManyReadersError,
+    WatchGoneError,
+)
+from beamloom.platform.wire import ChangeBatch, ObjectListing, ObjectReading
+from beamloom.protocol.commands import ListStore, ReadObject, WriteObject
+from beamloom.protocol.events import (
+    Event,
+    StoreConflict,
+    StoredObject,
+    StoreFailed,
+    StoreListed,
+    StoreObjectRead,
+    StoreWritten,
+)
+from beamloom.standins.platform_faults import FaultDecision, FaultPlan, StoreFaults
+from beamloom.standins.platform_machines import MachineDirectory
+
+DEFAULT_HISTORY_LIMIT = 10_000
+DEFAULT_WATCH_LIMIT = 8
+WATCH_RETRY_AFTER_SECONDS = 1.0
+
+
+class StoreWatch:
+    """One open watch: changes up to `revision` have been taken."""
+
+    def __init__(self, revision: int, prefix: str) -> None:
+        self.revision = revision
+        self.prefix = prefix
+
+
+class PlatformStore:
+    """Objects with revisions, conditional writes, bounded history, watches and faults."""
+
+    def __init__(
+        self,
+        random: Random,
+        *,
+        history_limit: int = DEFAULT_HISTORY_LIMIT,
+        watch_limit: int = DEFAULT_WATCH_LIMIT,
+        machines: MachineDirectory | None = None,
+    ) -> None:
+        self.faults = StoreFaults(random)
+        self.machines = machines or MachineDirectory()
+        self._watch_limit = watch_limit
+        self._objects: dict[str, StoredObject] = {}
+        self._history: deque[StoredObject] = deque(maxlen=history_limit)
+        self._revision = 0
+        self._watches: set[StoreWatch] = set()
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def revision(self) -> int:
+        """The revision of the newest change; 0 before the first."""
+        return self._revision
+
+    @property
+    def watch_count(self) -> int:
+        """How many watches are open."""
+        return len(self._watches)
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change of an object and each change of faults."""
+        self._listeners.append(listener)
+
+    def remove_listener(self, listener: Callable[[], None]) -> None:
+        """End what `add_listener` began."""
+        self._listeners.remove(listener)
+
+    def inject(self, plan: FaultPlan) -> None:
+        """Put a fault plan in force."""
+        self.faults.inject(plan)
+        self._notify()
+
+    def list_objects(self, prefix: str = "") -> ObjectListing:
+        """Return the objects whose keys start with `prefix`."""
+        keys = sorted(key for key in self._objects if key.startswith(prefix))
+        return ObjectListing(self._revision, tuple(self._objects[key] for key in keys))
+
+    def read(self, key: str) -> ObjectReading:
+        """Return one object, or None in its place."""
+        return ObjectReading(self._revision, self._objects.get(key))
+
+    def write(self, key: str, value: dict[str, Any] | None, expected_revision: int) -> StoredObject:
+        """Write, create (`expected_revision` 0) or delete (`value` None) one object.
+
+        Raises StoreConflictError with the current object unless its revision is as expected.
+        """
+        current = self._objects.get(key)
+        if (current.revision if current else 0) != expected_revision:
+            raise StoreConflictError(key, current)
+        if current is None and value is None:
+            raise StoreConflictError(key, None)
+        self._revision += 1
+        created = current.created_revision if current else self._revision
+        stored = StoredObject(key, deepcopy(value), self._revision, created)
+        self._record(stored)
+        return stored
+
+    def open_watch(self, revision: int, prefix: str = "") -> StoreWatch:
+        """Open a watch for the changes after `revision`.
+
+        Raises StoreUnavailableError, WatchGoneError (list anew) or TooManyReadersError.
+        """
+        self._refuse_when_down()
+        self._require_history(revision)
+        if len(self._watches) >= self._watch_limit:
+            raise TooManyReadersError(WATCH_RETRY_AFTER_SECONDS)
+        watch = StoreWatch(revision, prefix)
+        self._watches.add(watch)
+        return watch
+
+    def take_changes(self, watch: StoreWatch) -> ChangeBatch:
+        """Return what the watch has not yet taken, perhaps nothing.
+
+        Raises StoreUnavailableError while the store is down, and WatchGoneError when the watch fell
+        behind the kept history.
+        """
+        self._refuse_when_down()
+        self._require_history(watch.revision)
+        oldest = self._revision - len(self._history)
+        pending = islice(self._history, watch.revision - oldest, None)
+        changes = tuple(change for change in pending if change.key.startswith(watch.prefix))
+        watch.revision = self._revision
+        return ChangeBatch(self._revision, changes)
+
+    def close_watch(self, watch: StoreWatch) -> None:
+        """Close a watch; closing it twice is harmless."""
+        self._watches.discard(watch)
+
+    def answer(
+        self, command: ListStore | ReadObject | WriteObject, decision: FaultDecision
+    ) -> Event:
+        """Run a core's command as `decision` says and return the event that answers it.
+
+        The caller drew the decision with `faults.decide` and let its delay pass before this call.
+        """
+        if decision.unavailable:
+            return StoreFailed(command.request_id, str(StoreUnavailableError("injected fault")))
+        event = self._run(command)
+        if decision.lose_answer:
+            return StoreFailed(command.request_id, "the answer was lost; read the object back")
+        return event
+
+    def _run(self, command: ListStore | ReadObject | WriteObject) -> Event:
+        if isinstance(command, ListStore):
+            listing = self.list_objects()
+            return StoreListed(command.request_id, listing.revision, listing.objects)
+        if isinstance(command, ReadObject):
+            return StoreObjectRead(command.request_id, self.read(command.key).found)
+        try:
+            stored = self.write(command.key, command.value, command.expected_revision)
+        except StoreConflictError as error:
+            return StoreConflict(command.request_id, error.current)
+        return StoreWritten(command.request_id, stored.revision)
+
+    def _record(self, stored: StoredObject) -> None:
+        if stored.value is None:
+            del self._objects[stored.key]
+        else:
+            self._objects[stored.key] = stored
+        self._history.append(stored)
+        self._notify()
+
+    def _refuse_when_down(self) -> None:
+        if self.faults.plan.down:
+            raise StoreUnavailableError("injected fault")
+
+    def _require_history(self, revision: int) -> None:
+        oldest = self._revision - len(self._history)
+        if not oldest <= revision <= self._revision:
+            raise WatchGoneError(revision)
+
+    def _notify(self) -> None:
+        for listener in tuple(self._listeners):
+            listener()
