--- /dev/null
+++ b/src/beamloom/platform/transport.py
@@ -0,0 +1,36 @@
+"""HTTP session whose failures say whether a request may have been run."""
+
+from __future__ import annotations
+
+import aiohttp
+
+from beamloom.platform.errors import OutcomeUnknownError, StoreUnavailableError
+from beamloom.platform.options import PlatformOptions, client_tls_context
+
+
+async def raise_typed_failures(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Turn broken connections into platform errors before aiohttp sees them.
+
+    aiohttp would send a PUT or DELETE once more, unseen, although the first may have taken effect.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError as error:
+        raise StoreUnavailableError(str(error)) from error
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise OutcomeUnknownError(f"{request.method} {request.url.path}: {error!r}") from error
+
+
+def open_session(options: PlatformOptions) -> aiohttp.ClientSession:
+    """Return a session with the token and certificates of `options`; raises TlsConfigurationError.
+
+    Connections are not reused: one that the platform has just closed would look like a lost answer.
+    """
+    tls = client_tls_context(options.tls)
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(force_close=True, ssl=tls or True),
+        headers={"Authorization": f"Bearer {options.token}"},
+        middlewares=(raise_typed_failures,),
+    )
