--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	touch $@
 
 demo: $(VENV)/installed
-	$(BIN)/beamloom demo
+	$(BIN)/python -m beamloom.demo
 
 test: check
 	$(BIN)/python -m tests.run
--- /dev/null
+++ b/src/beamloom/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole fleet in one process on loopback: platform, fabric, balancers, backends and clients."""
--- a/src/beamloom/runtime/balancer.py
+++ b/src/beamloom/runtime/balancer.py
@@ -20,21 +20,20 @@
 from beamloom.runtime.machine_sockets import MachineSockets
 from beamloom.world.addresses import SocketAddress
 
-CommandHandler = Callable[[Command], None]
+CommandHandler = Callable[[Command], bool]
 
 
 class BalancerProcess:
-    """One balancer on sockets; `extra_handler` takes the commands this adapter leaves to others."""
-
-    def __init__(
-        self,
-        core: NodeCore,
-        sockets: MachineSockets,
-        extra_handler: CommandHandler | None = None,
-    ) -> None:
+    """One balancer on sockets.
+
+    `extra_handlers` are tried in turn for the commands that this adapter leaves to others; each
+    returns whether it took the command.
+    """
+
+    def __init__(self, core: NodeCore, sockets: MachineSockets) -> None:
         self.core = core
         self.stopped = asyncio.Event()
-        self._extra_handler = extra_handler
+        self.extra_handlers: list[CommandHandler] = []
         self._sockets = {
             LocalSocket.DATA: sockets.data,
             LocalSocket.PEER: sockets.peer,
@@ -103,8 +102,8 @@
                 )
             case StopNode():
                 self.stopped.set()
-            case _ if self._extra_handler is not None:
-                self._extra_handler(command)
+            case _:
+                any(handle(command) for handle in self.extra_handlers)
 
     def _set_timer(self) -> None:
         wanted = self.core.next_timer()
