Add the membership component: probing, suspicion, gossip and join

Change: SWIM with Lifeguard as a sans-I/O MembershipCore, messages of kinds 1 to 11, and an in-memory fleet for its tests.

--- /dev/null
+++ b/src/beamloom/membership/core.py
@@ -0,0 +1,262 @@
+"""The membership component: who is in the fleet and who answers, without any I/O of its own.
+
+SWIM (Das, Gupta, Motivala 2002) with the additions of Lifeguard (Dadgar, Phillips, Currey 2018).
+docs/design/membership.md says what was weighed and what was measured.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import replace
+
+from beamloom.membership.prober import Prober
+from beamloom.membership.settings import MembershipSettings
+from beamloom.membership.snapshot import MembershipSnapshot
+from beamloom.membership.synchronizer import Synchronizer
+from beamloom.membership.tracker import MemberTracker
+from beamloom.membership.view import MembershipView
+from beamloom.protocol.commands import Command, RecordTransition, SendMessage
+from beamloom.protocol.membership_messages import (
+    Acknowledge,
+    Gossip,
+    JoinRequest,
+    MemberRequest,
+    NegativeAcknowledge,
+    Ping,
+    PingRequest,
+    StateDigest,
+    StateExchange,
+    StatePage,
+    StateRequest,
+)
+from beamloom.protocol.messages import Message
+from beamloom.world.addresses import SocketAddress
+from beamloom.world.machines import Machine, MemberState, NodeId
+
+NEVER = float("inf")
+NOTICE_INTERVAL = 1.0
+
+
+class MembershipCore:
+    """One node's part in the membership protocol; all times are in seconds.
+
+    Commands that name a member by its id are to be sent to its control address in `view`, which
+    also holds members believed dead: they are asked now and then, so that a split heals.
+    """
+
+    def __init__(
+        self,
+        machine: Machine,
+        seeds: Sequence[SocketAddress],
+        settings: MembershipSettings,
+        random: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._random = random
+        self._outbox: list[Command] = []
+        self._tracker = MemberTracker(machine, settings, self._outbox)
+        self._prober = Prober(self._tracker, random)
+        self._synchronizer = Synchronizer(self._tracker, seeds, random)
+        self._next_gossip = NEVER
+        self._notices: dict[NodeId, float] = {}
+        self._running = False
+
+    @property
+    def view(self) -> MembershipView:
+        """The member list; a new object, with a higher version, after each visible change."""
+        return self._tracker.table.view
+
+    def start(self, now: float) -> list[Command]:
+        """Begin to join through the seeds and to probe."""
+        self._running = True
+        self._tracker.announce_self(now)
+        self._prober.start(now)
+        self._synchronizer.start(now)
+        self._next_gossip = now + self._settings.gossip_interval
+        return self._take_commands()
+
+    def become_alive(self, now: float) -> list[Command]:
+        """Announce that this node may be given work; it has its configuration."""
+        self._change_state("become_alive", "configuration is in force", now)
+        return self._take_commands()
+
+    def leave(self, now: float) -> list[Command]:
+        """Announce a planned leave: this node still answers, but may not be a home."""
+        self._change_state("leave", "planned stop", now)
+        return self._take_commands()
+
+    def leave_complete(self, now: float) -> list[Command]:
+        """Tell several peers that this node has left, and stop."""
+        if self._change_state("complete", "hand-over is complete", now):
+            self._tell_own_state(self._settings.farewell_peers)
+            self.stop()
+        return self._take_commands()
+
+    def stop(self) -> None:
+        """Send and expect nothing more."""
+        self._running = False
+        self._next_gossip = NEVER
+        self._prober.stop()
+        self._synchronizer.stop()
+
+    def machines_listed(
+        self, live: Sequence[Machine], leaving: Sequence[Machine], now: float
+    ) -> list[Command]:
+        """Note the platform's lagging list: a source of addresses to ask, proof of nothing."""
+        self._synchronizer.machines_listed(live)
+        return self._take_commands()
+
+    def handle_message(self, sender: NodeId, message: Message, now: float) -> list[Command]:
+        """Take in one message of an authenticated sender."""
+        if not self._running:
+            return []
+        self._notice_pause(now)
+        if not self._dispatch(sender, message, now):
+            self._tracker.counters.unexpected_messages += 1
+        self._check_sender(sender, message, now)
+        self._spread_refutation()
+        return self._take_commands()
+
+    def poll(self, now: float) -> list[Command]:
+        """Do whatever is due."""
+        if not self._running:
+            return []
+        self._notice_pause(now)
+        self._tracker.expire(now)
+        self._prober.poll(now)
+        self._synchronizer.poll(now)
+        if now >= self._next_gossip:
+            self._gossip(now)
+        return self._take_commands()
+
+    def next_timer(self) -> float | None:
+        """Return when to call `poll`; None once stopped."""
+        if not self._running:
+            return None
+        due = min(self._prober.next_timer(), self._synchronizer.next_timer(), self._next_gossip)
+        suspicion = self._tracker.next_deadline()
+        return due if suspicion is None else min(due, suspicion)
+
+    def snapshot(self) -> MembershipSnapshot:
+        """Return counters and state."""
+        tracker = self._tracker
+        states = Counter(member.state for member in tracker.table.members.values())
+        return MembershipSnapshot(
+            state=tracker.life_cycle.state,
+            incarnation=tracker.incarnation,
+            view_version=self.view.version,
+            synchronized=self._synchronizer.synchronized,
+            members_by_state=states,
+            health_score=tracker.health.score,
+            suspicions=len(tracker.suspicions),
+            updates_queued=len(tracker.queue),
+            counters=replace(tracker.counters),
+        )
+
+    def _dispatch(self, sender: NodeId, message: Message, now: float) -> bool:
+        if isinstance(message, (Ping, Acknowledge, PingRequest, Gossip)):
+            self._synchronizer.take_updates(sender, message.updates, now)
+        match message:
+            case JoinRequest():
+                return self._synchronizer.answer_join(sender, message, now)
+            case StatePage():
+                self._synchronizer.take_page(sender, message, now)
+            case StateExchange():
+                self._synchronizer.take_exchange(sender, message, now)
+            case Acknowledge():
+                return self._prober.take_acknowledgement(sender, message, now)
+            case NegativeAcknowledge():
+                return self._prober.take_refusal(sender, message)
+            case Gossip():
+                return True
+            case _:
+                return self._answer(sender, message, now)
+        return True
+
+    def _answer(self, sender: NodeId, message: Message, now: float) -> bool:
+        if sender not in self._tracker.table.members:
+            return False
+        match message:
+            case Ping():
+                self._prober.answer_ping(sender, message)
+            case PingRequest():
+                self._prober.answer_request(sender, message, now)
+            case StateRequest():
+                self._synchronizer.answer_state_request(sender, message, now)
+            case StateDigest():
+                self._synchronizer.answer_digest(sender, message, now)
+            case MemberRequest():
+                self._synchronizer.answer_question(sender, message)
+            case _:
+                return False
+        return True
+
+    def _check_sender(self, sender: NodeId, message: Message, now: float) -> None:
+        """Ask who an unknown sender is, and tell a sender that it is believed dead."""
+        member = self._tracker.table.members.get(sender)
+        if member is None:
+            self._tracker.counters.unknown_senders += 1
+            peers = self._tracker.table.peers
+            if peers:
+                peer = self._random.choice(peers).machine.node_id
+                self._synchronizer.ask_about(peer, [sender], now)
+            return
+        if member.state is not MemberState.DEAD or isinstance(message, Ping):
+            return
+        if now - self._notices.get(sender, -NEVER) >= NOTICE_INTERVAL:
+            self._notices[sender] = now
+            notice = self._tracker.table.update_of(sender).encode()
+            self._outbox.append(SendMessage(sender, Gossip([notice])))
+
+    def _notice_pause(self, now: float) -> None:
+        due = self.next_timer()
+        if due is None or now - due < self._settings.pause_threshold:
+            return
+        self._tracker.counters.pauses += 1
+        self._prober.abandon(now)
+        self._tracker.health.worsen(1)
+        self._tracker.restart_suspicions(now)
+        self._synchronizer.compare_soon(now)
+        self._next_gossip = now + self._settings.gossip_interval
+        if now - due >= self._settings.suspicion_multiplier * self._settings.probe_interval:
+            self._tracker.raise_incarnation(self._tracker.incarnation, now)
+
+    def _gossip(self, now: float) -> None:
+        self._next_gossip = now + self._settings.gossip_interval
+        for node_id, told in list(self._notices.items()):
+            if now - told >= NOTICE_INTERVAL:
+                del self._notices[node_id]
+        peers = self._tracker.table.peers
+        if not peers or not len(self._tracker.queue):
+            return
+        peer = self._random.choice(peers).machine.node_id
+        self._outbox.append(SendMessage(peer, Gossip(self._tracker.updates_for(peer))))
+
+    def _spread_refutation(self) -> None:
+        if self._tracker.refutation_pending:
+            self._tracker.refutation_pending = False
+            self._tell_own_state(self._settings.refutation_peers)
+
+    def _tell_own_state(self, count: int) -> None:
+        peers = self._tracker.table.peers
+        told = self._random.sample(peers, min(count, len(peers)))
+        update = self._tracker.table.update_of(self._tracker.own_id).encode()
+        for member in told:
+            self._outbox.append(SendMessage(member.machine.node_id, Gossip([update])))
+
+    def _change_state(self, trigger: str, reason: str, now: float) -> bool:
+        before = self._tracker.life_cycle.state
+        if not self._tracker.life_cycle.fire(trigger):
+            return False
+        self._tracker.announce_self(now)
+        after = self._tracker.life_cycle.state
+        subject = f"member {self._tracker.own_id}"
+        self._outbox.append(RecordTransition(subject, before.name, after.name, reason))
+        return True
+
+    def _take_commands(self) -> list[Command]:
+        commands = self._outbox[:]
+        self._outbox.clear()
+        return commands
--- /dev/null
+++ b/src/beamloom/membership/prober.py
@@ -0,0 +1,224 @@
+"""Failure detection: one member probed per interval, directly and then through helpers (SWIM)."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from beamloom.membership.health import RoundTripEstimator
+from beamloom.membership.probe_ring import ProbeRing
+from beamloom.membership.tracker import MemberTracker
+from beamloom.protocol.commands import SendMessage
+from beamloom.protocol.membership_messages import (
+    UNTRACKED_PROBE,
+    Acknowledge,
+    NegativeAcknowledge,
+    Ping,
+    PingRequest,
+)
+from beamloom.world.machines import Member, MemberState, NodeId
+
+MAXIMUM_RELAYS = 64
+HELPER_CANDIDATES = 12
+IMPROBABLE_FUTURE = float("inf")
+
+
+@dataclass(slots=True)
+class _Probe:
+    target: NodeId
+    zone: str
+    incarnation: int
+    started: float
+    direct_deadline: float
+    final_deadline: float
+    helpers: tuple[NodeId, ...] = ()
+    refusals: int = 0
+
+
+@dataclass(slots=True)
+class _Relay:
+    asker: NodeId
+    asker_probe: int
+    target: NodeId
+    refusal_due: float
+    expires: float
+
+
+class Prober:
+    """Sends probes, answers those of others, and tells the tracker of failed ones."""
+
+    def __init__(self, tracker: MemberTracker, chance: random.Random) -> None:
+        self._tracker = tracker
+        self._settings = tracker.settings
+        self._random = chance
+        self._round_trips = RoundTripEstimator(tracker.settings)
+        self._ring = ProbeRing(tracker.own_machine.zone, tracker.settings, chance)
+        self._probes: dict[int, _Probe] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._rechecks: dict[NodeId, float] = {}
+        self._last_number = 0
+        self._next_probe = IMPROBABLE_FUTURE
+
+    def start(self, now: float) -> None:
+        """Begin probing at a random moment within one interval."""
+        self._next_probe = now + self._random.random() * self._settings.probe_interval
+
+    def stop(self) -> None:
+        """Send no more probes."""
+        self._next_probe = IMPROBABLE_FUTURE
+        self._probes.clear()
+        self._relays.clear()
+        self._rechecks.clear()
+
+    def abandon(self, now: float) -> None:
+        """Forget probes under way, without blame: this node did not listen for the answers."""
+        self._probes.clear()
+        self._relays.clear()
+        self._rechecks.clear()
+        if self._next_probe < IMPROBABLE_FUTURE:
+            self._next_probe = now + self._settings.probe_interval
+
+    def poll(self, now: float) -> None:
+        """Go on with probes and relays that are due, and start the next probe."""
+        for number, probe in list(self._probes.items()):
+            if now >= probe.final_deadline:
+                self._fail(number, probe, now)
+            elif now >= probe.direct_deadline and not probe.helpers:
+                self._ask_helpers(number, probe)
+        for number, relay in list(self._relays.items()):
+            self._poll_relay(number, relay, now)
+        for target, due in list(self._rechecks.items()):
+            if now >= due:
+                self._recheck(target, now)
+        if now >= self._next_probe:
+            self._start_probe(now)
+
+    def next_timer(self) -> float:
+        """Return when `poll` has something to do; infinity for never."""
+        due = self._next_probe
+        for probe in self._probes.values():
+            due = min(due, probe.final_deadline if probe.helpers else probe.direct_deadline)
+        for relay in self._relays.values():
+            due = min(due, relay.refusal_due, relay.expires)
+        return min(due, min(self._rechecks.values(), default=due))
+
+    def answer_ping(self, sender: NodeId, ping: Ping) -> None:
+        """Acknowledge a ping."""
+        self._send(sender, Acknowledge(ping.probe, self._tracker.updates_for(sender)))
+
+    def answer_request(self, sender: NodeId, request: PingRequest, now: float) -> None:
+        """Ping a target for another node."""
+        member = self._tracker.table.members.get(NodeId(request.target))
+        if member is None or not member.answers or len(self._relays) >= MAXIMUM_RELAYS:
+            return
+        number = self._new_number()
+        target = member.machine.node_id
+        refusal_due = now + self._round_trips.timeout(member.machine.zone.name)
+        expires = now + self._settings.probe_interval
+        self._relays[number] = _Relay(sender, request.probe, target, refusal_due, expires)
+        self._send(target, Ping(number, self._tracker.updates_for(target)))
+
+    def take_acknowledgement(self, sender: NodeId, message: Acknowledge, now: float) -> bool:
+        """Take in an answer; return False where no probe of this node waits for it."""
+        if message.probe == UNTRACKED_PROBE:
+            self._tracker.clear_quiet_suspicion(sender)
+            return True
+        relay = self._relays.get(message.probe)
+        if relay is not None and relay.target == sender:
+            del self._relays[message.probe]
+            answer = Acknowledge(relay.asker_probe, self._tracker.updates_for(relay.asker))
+            self._send(relay.asker, answer)
+            return True
+        probe = self._probes.get(message.probe)
+        if probe is None or sender not in {probe.target, *probe.helpers}:
+            return False
+        del self._probes[message.probe]
+        if sender == probe.target:
+            self._round_trips.observe(probe.zone, now - probe.started)
+        self._tracker.health.improve()
+        self._tracker.clear_quiet_suspicion(probe.target)
+        return True
+
+    def take_refusal(self, sender: NodeId, message: NegativeAcknowledge) -> bool:
+        """Note that a helper is well although the target did not answer it."""
+        probe = self._probes.get(message.probe)
+        if probe is None or sender not in probe.helpers:
+            return False
+        probe.refusals += 1
+        return True
+
+    def _start_probe(self, now: float) -> None:
+        interval = self._settings.probe_interval * self._tracker.health.factor
+        self._next_probe = now + interval
+        target = self._ring.next_target(self._tracker.table)
+        if target is None:
+            return
+        machine = target.machine
+        patience = self._round_trips.timeout(machine.zone.name) * self._tracker.health.factor
+        number = self._new_number()
+        self._probes[number] = _Probe(
+            machine.node_id,
+            machine.zone.name,
+            target.incarnation,
+            now,
+            now + patience,
+            now + interval,
+        )
+        self._tracker.counters.probes_sent += 1
+        self._send(machine.node_id, Ping(number, self._tracker.updates_for(machine.node_id)))
+
+    def _ask_helpers(self, number: int, probe: _Probe) -> None:
+        probe.helpers = self._choose_helpers(probe)
+        probe.direct_deadline = IMPROBABLE_FUTURE
+        self._send(probe.target, Ping(number, self._tracker.updates_for(probe.target)))
+        for helper in probe.helpers:
+            updates = self._tracker.updates_for(helper)
+            self._send(helper, PingRequest(number, probe.target, updates))
+
+    def _choose_helpers(self, probe: _Probe) -> tuple[NodeId, ...]:
+        peers = self._tracker.table.peers
+        drawn = self._random.sample(peers, min(HELPER_CANDIDATES, len(peers)))
+        own_zone = self._tracker.own_machine.zone.name
+
+        def rank(member: Member) -> tuple[bool, bool]:
+            return (member.state is not MemberState.ALIVE, member.machine.zone.name == own_zone)
+
+        fit = [member for member in drawn if member.machine.node_id != probe.target]
+        best = sorted(fit, key=rank)[: self._settings.indirect_probes]
+        return tuple(member.machine.node_id for member in best)
+
+    def _fail(self, number: int, probe: _Probe, now: float) -> None:
+        del self._probes[number]
+        self._tracker.counters.probes_failed += 1
+        missing = len(probe.helpers) - probe.refusals if probe.helpers else 1
+        self._tracker.health.worsen(max(0, missing))
+        member = self._tracker.table.members.get(probe.target)
+        if member is not None and member.incarnation == probe.incarnation:
+            self._tracker.suspect(probe.target, now)
+            self._rechecks[probe.target] = now
+
+    def _recheck(self, target: NodeId, now: float) -> None:
+        """Tell a member that this node suspects it, until it refutes or its time is over."""
+        if target not in self._tracker.suspicions:
+            del self._rechecks[target]
+            return
+        self._rechecks[target] = now + self._settings.gossip_interval
+        self._send(target, Ping(UNTRACKED_PROBE, self._tracker.updates_for(target)))
+
+    def _poll_relay(self, number: int, relay: _Relay, now: float) -> None:
+        if now >= relay.expires:
+            del self._relays[number]
+        elif now >= relay.refusal_due:
+            relay.refusal_due = IMPROBABLE_FUTURE
+            self._send(relay.asker, NegativeAcknowledge(relay.asker_probe))
+
+    def _new_number(self) -> int:
+        self._last_number += 1
+        return self._last_number
+
+    def _send(
+        self,
+        destination: NodeId,
+        message: Ping | Acknowledge | PingRequest | NegativeAcknowledge,
+    ) -> None:
+        self._tracker.outbox.append(SendMessage(destination, message))
--- /dev/null
+++ b/src/beamloom/membership/snapshot.py
@@ -0,0 +1,42 @@
+"""Counters and snapshot of the membership component, for status and explanations."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from beamloom.world.machines import MemberState
+
+
+@dataclass(slots=True)
+class MembershipCounters:
+    """What has happened since the start; each field only rises."""
+
+    probes_sent: int = 0
+    probes_failed: int = 0
+    suspicions_raised: int = 0
+    deaths_declared: int = 0
+    refutations: int = 0
+    pauses: int = 0
+    malformed_updates: int = 0
+    unexpected_messages: int = 0
+    unknown_senders: int = 0
+    unknown_members: int = 0
+    pages_sent: int = 0
+    pages_refused: int = 0
+    exchanges: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSnapshot:
+    """The component at one moment; `health_score` is 0 when this node trusts itself."""
+
+    state: MemberState
+    incarnation: int
+    view_version: int
+    synchronized: bool
+    members_by_state: Mapping[MemberState, int]
+    health_score: int
+    suspicions: int
+    updates_queued: int
+    counters: MembershipCounters
--- /dev/null
+++ b/src/beamloom/membership/view.py
@@ -0,0 +1,31 @@
+"""The member list as the rest of a node sees it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from beamloom.world.machines import Member, NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipView:
+    """One version of the member list, the node itself included.
+
+    `version` rises with each visible change at this node; versions of two nodes are unrelated.
+    """
+
+    version: int
+    members: Mapping[NodeId, Member]
+
+    def may_be_home(self) -> Iterator[Member]:
+        """Yield the members that partitions may be assigned to."""
+        return (member for member in self.members.values() if member.may_be_home)
+
+    def answers(self) -> Iterator[Member]:
+        """Yield the members that packets and messages may be sent to."""
+        return (member for member in self.members.values() if member.answers)
+
+    def member(self, node_id: NodeId) -> Member | None:
+        """Return the member of that id, or None where it is not known."""
+        return self.members.get(node_id)
--- /dev/null
+++ b/tests/membership_harness.py
@@ -0,0 +1,163 @@
+"""A fleet of membership cores in one process: virtual clock, delay, loss, splits, pauses."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import defaultdict
+from collections.abc import Callable
+
+from beamloom.membership import MembershipCore, MembershipSettings
+from beamloom.protocol.codec import KeyRing, decode_datagram, encode_datagram
+from beamloom.protocol.commands import Command, SendMessage
+from beamloom.protocol.membership_messages import MemberUpdate, StatePage
+from beamloom.world.addresses import SocketAddress
+from beamloom.world.machines import Machine, MemberState, NodeId
+from beamloom.world.zones import Zone
+
+KEYS = KeyRing((b"k" * 32,))
+ZONES = [Zone(f"zone-{n}", "suva" if n < 3 else "nairobi") for n in range(5)]
+SAME_REGION_DELAY = 0.0015
+CROSS_REGION_DELAY = 0.08
+PAGE = 40
+
+
+def machine(number: int) -> Machine:
+    host = f"10.0.{number // 250}.{number % 250 + 1}"
+    addresses = [SocketAddress(host, port) for port in (7000, 7001, 7002)]
+    return Machine(NodeId(f"node-{number:04d}"), ZONES[number % len(ZONES)], *addresses)
+
+
+class Fleet:
+    """Cores by node id; `blocks(sender, receiver)` and `loss(sender, receiver)` are the faults."""
+
+    def __init__(self, seed: int, settings: MembershipSettings | None = None) -> None:
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.settings = settings or MembershipSettings()
+        self.cores: dict[NodeId, MembershipCore] = {}
+        self.machines: dict[NodeId, Machine] = {}
+        self.blocks: Callable[[NodeId, NodeId], bool] = lambda sender, receiver: False
+        self.loss: Callable[[NodeId, NodeId], float] = lambda sender, receiver: 0.0
+        self.paused_until: dict[NodeId, float] = {}
+        self.sent_bytes: dict[NodeId, dict[int, int]] = defaultdict(lambda: defaultdict(int))
+        self.longest_datagram = 0
+        self.largest_page_rate: dict[NodeId, dict[int, int]] = defaultdict(lambda: defaultdict(int))
+        self._by_address: dict[SocketAddress, NodeId] = {}
+        self._events: list[tuple[float, int, NodeId, bytes | None]] = []
+        self._count = 0
+        self._armed: dict[NodeId, float] = {}
+
+    @classmethod
+    def settled(cls, nodes: int, seed: int, settings: MembershipSettings | None = None) -> Fleet:
+        """A fleet in which everybody knows everybody as alive from the start."""
+        fleet = cls(seed, settings)
+        machines = [machine(number) for number in range(nodes)]
+        updates = [
+            MemberUpdate(item.node_id, MemberState.ALIVE, 0, None, item).encode()
+            for item in machines
+        ]
+        for item in machines:
+            fleet.add(item, [])
+            core = fleet.cores[item.node_id]
+            for first in range(0, nodes, PAGE):
+                others = updates[first : first + PAGE]
+                page = StatePage("", "", [u for u in others if u[0] != item.node_id])
+                core.handle_message(item.node_id, page, fleet.now)
+            fleet.do(item.node_id, core.become_alive(fleet.now))
+        return fleet
+
+    def add(self, item: Machine, seeds: list[Machine]) -> MembershipCore:
+        addresses = [seed.control_address for seed in seeds]
+        chance = random.Random(f"{self.random.random()}{item.node_id}")
+        core = MembershipCore(item, addresses, self.settings, chance)
+        self.cores[item.node_id] = core
+        self.machines[item.node_id] = item
+        self._by_address[item.control_address] = item.node_id
+        self.do(item.node_id, core.start(self.now))
+        return core
+
+    def crash(self, node_id: NodeId) -> None:
+        del self.cores[node_id]
+
+    def pause(self, node_id: NodeId, seconds: float) -> None:
+        self.paused_until[node_id] = self.now + seconds
+
+    def do(self, node_id: NodeId, commands: list[Command]) -> None:
+        for command in commands:
+            if isinstance(command, SendMessage):
+                self._send(node_id, command)
+        self._arm(node_id)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, node_id, data = heapq.heappop(self._events)
+            resume = self.paused_until.get(node_id, 0.0)
+            if resume > self.now:
+                self._push(resume, node_id, data)
+            elif node_id in self.cores:
+                self._happen(node_id, data)
+        self.now = end
+
+    def states(self, subject: NodeId) -> dict[NodeId, MemberState | None]:
+        """What each other node believes of a member."""
+        believed = {}
+        for node_id, core in self.cores.items():
+            member = core.view.member(subject)
+            if node_id != subject:
+                believed[node_id] = member.state if member else None
+        return believed
+
+    def deaths_seen(self) -> int:
+        """How many (node, running member) pairs have the member as dead."""
+        return sum(
+            state is MemberState.DEAD
+            for subject in self.cores
+            for state in self.states(subject).values()
+        )
+
+    def all_alive(self) -> bool:
+        return all(
+            state in {MemberState.ALIVE, MemberState.SUSPECT}
+            for subject in self.cores
+            for state in self.states(subject).values()
+        )
+
+    def _happen(self, node_id: NodeId, data: bytes | None) -> None:
+        core = self.cores[node_id]
+        if data is None:
+            self._armed.pop(node_id, None)
+            due = core.next_timer()
+            self.do(node_id, core.poll(self.now) if due is not None and due <= self.now else [])
+            return
+        envelope = decode_datagram(KEYS, data)
+        for message in envelope.messages:
+            self.do(node_id, core.handle_message(envelope.sender, message, self.now))
+
+    def _send(self, sender: NodeId, command: SendMessage) -> None:
+        data = encode_datagram(KEYS, sender, self._count, int(self.now * 1000), [command.message])
+        self.longest_datagram = max(self.longest_datagram, len(data))
+        self.sent_bytes[sender][int(self.now)] += len(data)
+        if isinstance(command.message, StatePage):
+            self.largest_page_rate[sender][int(self.now)] += len(data)
+        target = command.destination
+        receiver = self._by_address.get(target) if isinstance(target, SocketAddress) else target
+        if receiver is None or self.blocks(sender, receiver):
+            return
+        if self.random.random() < self.loss(sender, receiver):
+            return
+        near = self.machines[sender].zone.region == self.machines[receiver].zone.region
+        delay = (SAME_REGION_DELAY if near else CROSS_REGION_DELAY) * self.random.uniform(1, 1.3)
+        self._push(self.now + delay, receiver, data)
+
+    def _arm(self, node_id: NodeId) -> None:
+        due = self.cores[node_id].next_timer() if node_id in self.cores else None
+        if due is None or self._armed.get(node_id, float("inf")) <= due:
+            return
+        self._armed[node_id] = due
+        self._push(max(due, self.now), node_id, None)
+
+    def _push(self, time: float, node_id: NodeId, data: bytes | None) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (time, self._count, node_id, data))
