--- /dev/null
+++ b/src/beamloom/replication/applied_state.py
@@ -0,0 +1,45 @@
+"""The state in force together with the log of the steps that led to it."""
+
+from __future__ import annotations
+
+from beamloom.protocol.configuration_messages import ReplicatedChange
+from beamloom.protocol.events import StoredObject
+from beamloom.replication.change_log import ChangeLog
+from beamloom.replication.configuration_state import ConfigurationState
+
+
+class AppliedState:
+    """Applies steps and whole snapshots, and remembers what its consumers have not seen yet."""
+
+    def __init__(self) -> None:
+        self.state = ConfigurationState()
+        self.log = ChangeLog()
+        self.applied_steps = 0
+        self.loaded_snapshots = 0
+        self._unseen: list[StoredObject] = []
+
+    @property
+    def revision(self) -> int:
+        """The applied revision."""
+        return self.state.revision
+
+    def apply(self, step: ReplicatedChange) -> None:
+        """Apply one step that follows the applied revision."""
+        self.state.apply(step)
+        self.log.append(step)
+        self._unseen.extend(step.objects)
+        self.applied_steps += 1
+
+    def load(self, state: ConfigurationState) -> None:
+        """Take the place of everything before; `state` must be newer, and verified."""
+        if state.revision <= self.revision:
+            raise ValueError(f"snapshot {state.revision} is not newer; keep {self.revision}")
+        self._unseen.extend(self.state.difference(state.revision, state.objects.values()).objects)
+        self.state = state
+        self.log.clear()
+        self.loaded_snapshots += 1
+
+    def take_unseen(self) -> list[StoredObject]:
+        """Return the objects changed since the last call, in order."""
+        unseen, self._unseen = self._unseen, []
+        return unseen
--- /dev/null
+++ b/src/beamloom/replication/configuration_replica.py
@@ -0,0 +1,386 @@
+"""The node's replica of the configuration: gossip, anti-entropy and snapshots.
+
+Push gossip with anti-entropy follows Demers et al., "Epidemic Algorithms for Replicated Database
+Maintenance" (PODC 1987). Every step names the revision that it follows, so that steps are applied
+in the store's order whoever sends them, and what is in force only rises.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from beamloom.protocol.commands import Command, SendMessage
+from beamloom.protocol.configuration_messages import (
+    ChangesPushed,
+    ChangesRequested,
+    ChangesUnavailable,
+    DigestOffered,
+    ReplicatedChange,
+    SnapshotOffered,
+    SnapshotPartSent,
+    SnapshotPartsRequested,
+    SnapshotRequested,
+    change_from_list,
+)
+from beamloom.protocol.events import StoredObject
+from beamloom.protocol.messages import Message
+from beamloom.replication.applied_state import AppliedState
+from beamloom.replication.backend_history import BackendHistory
+from beamloom.replication.change_log import encoded_size
+from beamloom.replication.configuration_state import is_replicated
+from beamloom.replication.join_progress import JOIN_PEERS, JoinProgress
+from beamloom.replication.peer_selection import PeerSelection
+from beamloom.replication.peer_service import PeerService
+from beamloom.replication.reader_directory import ReaderDirectory
+from beamloom.replication.snapshot_fetch import SnapshotFetch
+from beamloom.world.machines import Member, NodeId
+
+GOSSIP_FANOUT = 4
+BULK_FANOUT = 2
+BULK_BYTES = 500
+"""Above this size a push goes to fewer peers, and anti-entropy does the rest."""
+FORWARD_INTERVAL = 0.05
+FORWARD_BYTES_PER_SECOND = 2000
+MAXIMUM_FORWARD_PAUSE = 2.0
+ANTI_ENTROPY_INTERVAL = 1.0
+PULL_RETRY = 0.4
+MAXIMUM_PULL_ATTEMPTS = 5
+PENDING_LIMIT = 256
+LISTING_PATIENCE = 2.0
+
+MessageHandler = Callable[[NodeId, Any, float], list[Command]]
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaSnapshot:
+    """Counters and state of a replica."""
+
+    applied_revision: int
+    ready: bool
+    object_count: int
+    log_length: int
+    pending_changes: int
+    applied_changes: int
+    duplicate_changes: int
+    malformed_changes: int
+    pulls: int
+    snapshots_loaded: int
+    corrupt_snapshots: int
+    readers: tuple[NodeId, ...]
+
+
+@dataclass(slots=True)
+class _Counters:
+    duplicate: int = 0
+    malformed: int = 0
+    pulls: int = 0
+    corrupt: int = 0
+
+
+@dataclass(slots=True)
+class _Pull:
+    target_revision: int
+    peer: NodeId
+    retry_at: float
+    attempts: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class _Listing:
+    """A listing that waits for peers who may hold the steps that led to it."""
+
+    revision: int
+    objects: tuple[StoredObject, ...]
+    apply_at: float
+
+
+class ConfigurationReplica:
+    """Holds all replicated objects and keeps them level with the other nodes."""
+
+    def __init__(self, node_id: NodeId, chance: random.Random, now: float) -> None:
+        self.directory = ReaderDirectory()
+        self._chance = chance
+        self._peers = PeerSelection(node_id, chance)
+        self._applied = AppliedState()
+        self._service = PeerService(self._applied)
+        self._join = JoinProgress()
+        self._fetch: SnapshotFetch | None = None
+        self._pull: _Pull | None = None
+        self._listing: _Listing | None = None
+        self._pending: dict[int, ReplicatedChange] = {}
+        self._forward: list[ReplicatedChange] = []
+        self._forward_to_every_zone = False
+        self._forward_at = now
+        self._digest_at = now + chance.random() * ANTI_ENTROPY_INTERVAL
+        self._counters = _Counters()
+        self._handlers: dict[type[Message], MessageHandler] = {
+            ChangesPushed: self._changes_pushed,
+            DigestOffered: self._digest_offered,
+            ChangesRequested: self._changes_requested,
+            ChangesUnavailable: self._changes_unavailable,
+            SnapshotRequested: self._snapshot_requested,
+            SnapshotOffered: self._snapshot_offered,
+            SnapshotPartsRequested: self._service.parts_requested,
+            SnapshotPartSent: self._snapshot_part,
+        }
+
+    @property
+    def applied_revision(self) -> int:
+        """The store revision whose state is in force here; it never falls."""
+        return self._applied.revision
+
+    @property
+    def objects(self) -> Mapping[str, StoredObject]:
+        """Every replicated object by key, as of `applied_revision`."""
+        return self._applied.state.objects
+
+    @property
+    def backend_histories(self) -> Mapping[str, BackendHistory]:
+        """The recent backend sets of each service `T/S`, oldest first."""
+        return self._applied.state.backend_histories
+
+    @property
+    def ready(self) -> bool:
+        """Whether this node has caught up with the highest of several peers, or the store."""
+        return self._join.ready
+
+    def take_applied_changes(self) -> list[StoredObject]:
+        """Return the objects applied since the last call, in order; deleted ones have no value."""
+        return self._applied.take_unseen()
+
+    def update_members(self, members: Sequence[Member], now: float) -> None:
+        """Learn who is a member."""
+        self._peers.update(members)
+
+    def accept_change(self, stored: StoredObject, now: float) -> list[Command]:
+        """Take one change from a watch that began at or below `applied_revision`."""
+        if not is_replicated(stored.key) or stored.revision <= self.applied_revision:
+            return []
+        step = ReplicatedChange(self.applied_revision, stored.revision, (stored,))
+        self._forward_to_every_zone = True
+        self._apply(step)
+        self._apply_pending()
+        return self.poll(now)
+
+    def accept_listing(
+        self, revision: int, objects: Iterable[StoredObject], now: float, lease_number: int = 0
+    ) -> list[Command]:
+        """Take a listing of the store.
+
+        A node that lags first asks its peers, who may hold the steps between, and applies the
+        listing when they do not. Readers of higher lease numbers wait longer, so that one listing
+        spreads instead of several.
+        """
+        if revision <= self.applied_revision:
+            self._join.level_with_store()
+            return []
+        patience = LISTING_PATIENCE * (lease_number + (1 if self.applied_revision else 0))
+        self._listing = _Listing(revision, tuple(objects), now + patience)
+        request = ChangesRequested(self.applied_revision)
+        peers = self._peers.some(JOIN_PEERS) if patience else []
+        return [*(SendMessage(peer, request) for peer in peers), *self.poll(now)]
+
+    def handle_message(self, sender: NodeId, message: Message, now: float) -> list[Command]:
+        """Take one message of this component; others are ignored."""
+        handler = self._handlers.get(type(message))
+        return [] if handler is None else handler(sender, message, now)
+
+    def poll(self, now: float) -> list[Command]:
+        """Do whatever is due."""
+        commands = self._service.poll(now)
+        if self._listing is not None and now >= self._listing.apply_at:
+            self._apply_listing(self._listing)
+        if self._forward and now >= self._forward_at:
+            commands += self._forward_changes(now)
+        if now >= self._digest_at:
+            commands += self._offer_digests(now)
+        if self._pull is not None and now >= self._pull.retry_at:
+            commands += self._retry_pull(self._pull, now)
+        if self._fetch is not None:
+            commands += self._fetch.poll(self._peers.all, now)
+            self._fetch = None if self._fetch.abandoned else self._fetch
+        return commands
+
+    def next_timer(self) -> float | None:
+        """Return when `poll` has something to do."""
+        timers = [self._digest_at]
+        part_timer = self._service.next_timer()
+        if part_timer is not None:
+            timers.append(part_timer)
+        if self._forward:
+            timers.append(self._forward_at)
+        if self._pull is not None:
+            timers.append(self._pull.retry_at)
+        if self._fetch is not None:
+            timers.append(self._fetch.next_timer())
+        if self._listing is not None:
+            timers.append(self._listing.apply_at)
+        return min(timers)
+
+    def snapshot(self) -> ReplicaSnapshot:
+        """Return counters and state for status and explanations."""
+        return ReplicaSnapshot(
+            applied_revision=self.applied_revision,
+            ready=self.ready,
+            object_count=len(self.objects),
+            log_length=len(self._applied.log),
+            pending_changes=len(self._pending),
+            applied_changes=self._applied.applied_steps,
+            duplicate_changes=self._counters.duplicate,
+            malformed_changes=self._counters.malformed,
+            pulls=self._counters.pulls,
+            snapshots_loaded=self._applied.loaded_snapshots,
+            corrupt_snapshots=self._counters.corrupt,
+            readers=self.directory.holders,
+        )
+
+    def _apply(self, step: ReplicatedChange) -> None:
+        self._applied.apply(step)
+        self._forward.append(step)
+
+    def _apply_pending(self) -> None:
+        for revision in sorted(self._pending):
+            step = self._pending[revision]
+            if step.follows(self.applied_revision):
+                self._apply(step)
+            if revision <= self.applied_revision:
+                del self._pending[revision]
+        self._settle()
+
+    def _settle(self) -> None:
+        """End a pull, a fetch or a listing that the applied revision has overtaken."""
+        applied = self.applied_revision
+        if self._pull is not None and applied >= self._pull.target_revision:
+            self._pull = None
+        if self._listing is not None and applied >= self._listing.revision:
+            self._listing = None
+            self._join.level_with_store()
+        name = self._fetch.name if self._fetch is not None else None
+        if name is not None and applied >= name[0]:
+            self._fetch = None
+        self._join.reached(applied)
+
+    def _apply_listing(self, listing: _Listing) -> None:
+        self._forward_to_every_zone = True
+        self._apply(self._applied.state.difference(listing.revision, listing.objects))
+        self._apply_pending()
+
+    def _changes_pushed(self, sender: NodeId, message: ChangesPushed, now: float) -> list[Command]:
+        for parts in message.changes:
+            try:
+                self._take_step(change_from_list(parts))
+            except ValueError:
+                self._counters.malformed += 1
+        self._apply_pending()
+        commands = self._pull_from(sender, message.applied_revision, now)
+        return commands + self.poll(now)
+
+    def _take_step(self, step: ReplicatedChange) -> None:
+        if step.revision <= self.applied_revision:
+            self._counters.duplicate += 1
+        elif step.follows(self.applied_revision):
+            self._apply(step)
+        elif len(self._pending) < PENDING_LIMIT:
+            self._pending[step.revision] = step
+
+    def _pull_from(self, peer: NodeId, revision: int, now: float) -> list[Command]:
+        if revision <= self.applied_revision or self._fetch is not None:
+            return []
+        if self._pull is not None and now < self._pull.retry_at and self._pull.peer != peer:
+            self._pull.target_revision = max(self._pull.target_revision, revision)
+            return []
+        self._pull = _Pull(revision, peer, now + PULL_RETRY)
+        self._counters.pulls += 1
+        return [SendMessage(peer, ChangesRequested(self.applied_revision))]
+
+    def _retry_pull(self, pull: _Pull, now: float) -> list[Command]:
+        """Ask another peer; after some attempts leave it to anti-entropy."""
+        peers = self._peers.some(1)
+        if not peers or pull.attempts >= MAXIMUM_PULL_ATTEMPTS:
+            self._pull = None
+            return []
+        pull.attempts += 1
+        pull.peer = peers[0]
+        pull.retry_at = now + PULL_RETRY
+        return [SendMessage(pull.peer, ChangesRequested(self.applied_revision))]
+
+    def _changes_requested(
+        self, sender: NodeId, message: ChangesRequested, now: float
+    ) -> list[Command]:
+        return self._service.changes_after(sender, message.after_revision)
+
+    def _changes_unavailable(
+        self, sender: NodeId, message: ChangesUnavailable, now: float
+    ) -> list[Command]:
+        if message.applied_revision <= self.applied_revision or self._fetch is not None:
+            return []
+        self._pull = None
+        self._fetch = SnapshotFetch(self.applied_revision, self._chance, now)
+        return self._fetch.ask(self._peers.all)
+
+    def _snapshot_requested(
+        self, sender: NodeId, message: SnapshotRequested, now: float
+    ) -> list[Command]:
+        return self._service.snapshot_requested(sender, message)
+
+    def _snapshot_offered(
+        self, sender: NodeId, message: SnapshotOffered, now: float
+    ) -> list[Command]:
+        return [] if self._fetch is None else self._fetch.offered(sender, message, now)
+
+    def _snapshot_part(
+        self, sender: NodeId, message: SnapshotPartSent, now: float
+    ) -> list[Command]:
+        fetch = self._fetch
+        if fetch is None:
+            return []
+        corrupt_before = fetch.corrupt_snapshots
+        state, commands = fetch.received(sender, message, now)
+        self._counters.corrupt += fetch.corrupt_snapshots - corrupt_before
+        if state is None:
+            return commands
+        self._fetch = None
+        if state.revision > self.applied_revision:
+            self._applied.load(state)
+        self._apply_pending()
+        return commands + self._pull_from(sender, self._join.target_revision, now)
+
+    def _forward_changes(self, now: float) -> list[Command]:
+        """Push what was applied; the next push waits so that pushes keep to their rate."""
+        steps, self._forward = self._forward, []
+        size = sum(encoded_size(step) for step in steps)
+        peers = self._peers.some(GOSSIP_FANOUT if size <= BULK_BYTES else BULK_FANOUT)
+        if self._forward_to_every_zone:
+            self._forward_to_every_zone = False
+            peers = self._peers.with_every_zone(peers)
+        messages = self._service.push(steps)
+        pause = size * len(peers) / FORWARD_BYTES_PER_SECOND
+        self._forward_at = now + max(FORWARD_INTERVAL, min(pause, MAXIMUM_FORWARD_PAUSE))
+        return [SendMessage(peer, message) for peer in peers for message in messages]
+
+    def _offer_digests(self, now: float) -> list[Command]:
+        self._digest_at = now + ANTI_ENTROPY_INTERVAL
+        digest = self._digest(wants_answer=not self.ready)
+        peers = self._peers.some(1 if self.ready else JOIN_PEERS)
+        return [SendMessage(peer, digest) for peer in peers]
+
+    def _digest(self, wants_answer: bool) -> DigestOffered:
+        leases = self.directory.to_lists()
+        return DigestOffered(self.applied_revision, self.ready, wants_answer, leases)
+
+    def _digest_offered(self, sender: NodeId, message: DigestOffered, now: float) -> list[Command]:
+        leases_differ = self.directory.merge(message.leases)
+        commands: list[Command] = []
+        if message.ready and not self.ready:
+            peer_count = len(self._peers.all)
+            self._join.answered(sender, message.applied_revision, peer_count, now)
+            self._join.reached(self.applied_revision)
+        commands += self._pull_from(sender, message.applied_revision, now)
+        if message.ready and message.applied_revision < self.applied_revision:
+            commands += self._service.changes_after(sender, message.applied_revision)
+        if message.wants_answer or leases_differ:
+            commands.append(SendMessage(sender, self._digest(wants_answer=False)))
+        return commands
--- /dev/null
+++ b/src/beamloom/replication/peer_selection.py
@@ -0,0 +1,39 @@
+"""Random choice of the peers that gossip goes to."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+from beamloom.world.machines import Member, NodeId
+
+
+class PeerSelection:
+    """The members that answer, other than this node, and random picks of them."""
+
+    def __init__(self, node_id: NodeId, chance: random.Random) -> None:
+        self._node_id = node_id
+        self._chance = chance
+        self._zones: dict[str, list[NodeId]] = {}
+        self.all: list[NodeId] = []
+
+    def update(self, members: Sequence[Member]) -> None:
+        """Learn who is a member."""
+        others = [item for item in members if item.answers]
+        others = [item for item in others if item.machine.node_id != self._node_id]
+        self.all = [item.machine.node_id for item in others]
+        self._zones = {}
+        for item in others:
+            self._zones.setdefault(item.machine.zone.name, []).append(item.machine.node_id)
+
+    def some(self, count: int) -> list[NodeId]:
+        """Return up to `count` different random peers."""
+        return self._chance.sample(self.all, min(count, len(self.all)))
+
+    def with_every_zone(self, chosen: Sequence[NodeId]) -> list[NodeId]:
+        """Return the chosen peers and one of each zone that has none among them."""
+        extended = list(chosen)
+        for zone in sorted(self._zones):
+            if not set(self._zones[zone]) & set(extended):
+                extended.append(self._chance.choice(self._zones[zone]))
+        return extended
--- /dev/null
+++ b/src/beamloom/replication/peer_service.py
@@ -0,0 +1,86 @@
+"""Answers peers that lag: with the changes they lack, or with a snapshot."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from beamloom.protocol.commands import Command, SendMessage
+from beamloom.protocol.configuration_messages import (
+    ChangesPushed,
+    ChangesUnavailable,
+    ReplicatedChange,
+    SnapshotPartsRequested,
+    SnapshotRequested,
+    change_to_list,
+)
+from beamloom.replication.applied_state import AppliedState
+from beamloom.replication.change_log import fits_one_message, pack_changes
+from beamloom.replication.snapshot_sender import REUSE_REVISIONS, SnapshotSender
+from beamloom.world.machines import NodeId
+
+PULL_MESSAGES = 3
+
+
+class PeerService:
+    """The serving side of replication."""
+
+    def __init__(self, applied: AppliedState) -> None:
+        self._applied = applied
+        self._sender = SnapshotSender()
+
+    def push(self, steps: Sequence[ReplicatedChange]) -> list[ChangesPushed]:
+        """Return the messages that carry `steps`.
+
+        A step too long for a message is left out: its revision makes the receiver ask.
+        """
+        sendable = [step for step in steps if fits_one_message(step)]
+        return [self._message(group) for group in pack_changes(sendable)] or [self._message(())]
+
+    def changes_after(self, peer: NodeId, revision: int) -> list[Command]:
+        """Return the first changes after `revision`, or say that the log lacks them."""
+        if revision >= self._applied.revision:
+            return []
+        steps = self._applied.log.after(revision)
+        if not steps or not fits_one_message(steps[0]):
+            return [SendMessage(peer, ChangesUnavailable(self._applied.revision))]
+        sendable: list[ReplicatedChange] = []
+        for step in steps:
+            if not fits_one_message(step):
+                break
+            sendable.append(step)
+        groups = pack_changes(sendable)[:PULL_MESSAGES]
+        messages = [self._message(group, group is groups[-1]) for group in groups]
+        return [SendMessage(peer, message) for message in messages]
+
+    def snapshot_requested(self, peer: NodeId, message: SnapshotRequested) -> list[Command]:
+        """Offer the snapshot asked for, or the newest one that the log still continues."""
+        revision = self._applied.revision
+        if revision == 0:
+            return []
+        oldest = revision - REUSE_REVISIONS
+        if self._applied.log.after(oldest) is None:
+            oldest = revision
+        state = self._applied.state
+        offer = self._sender.offer(state, message.revision, message.digest, oldest)
+        return [SendMessage(peer, offer)]
+
+    def parts_requested(
+        self, peer: NodeId, message: SnapshotPartsRequested, now: float
+    ) -> list[Command]:
+        """Queue parts of a snapshot."""
+        name = (message.revision, message.digest)
+        self._sender.request(peer, name, message.indexes, now)
+        return self.poll(now)
+
+    def poll(self, now: float) -> list[Command]:
+        """Send the snapshot part that is due."""
+        return self._sender.poll(now)
+
+    def next_timer(self) -> float | None:
+        """Return when the next snapshot part is due."""
+        return self._sender.next_timer()
+
+    def _message(self, steps: Sequence[ReplicatedChange], last: bool = True) -> ChangesPushed:
+        """Return a push; only the last of several names the newest, so that one pull follows."""
+        newest = self._applied.revision if last else steps[-1].revision
+        return ChangesPushed([change_to_list(step) for step in steps], newest)
--- /dev/null
+++ b/src/beamloom/replication/snapshot_sender.py
@@ -0,0 +1,81 @@
+"""Serves snapshots to joining nodes, in parts, at a pace that leaves room for other traffic."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from beamloom.protocol.commands import Command, SendMessage
+from beamloom.protocol.configuration_messages import SnapshotOffered, SnapshotPartSent
+from beamloom.replication.configuration_state import ConfigurationState, snapshot_digest
+from beamloom.world.machines import NodeId
+
+PART_SIZE = 1000
+PART_INTERVAL = 0.55
+"""Seconds between parts: about 2 KB/s with headers, over all who fetch from this node."""
+KEPT_SNAPSHOTS = 2
+REUSE_REVISIONS = 256
+QUEUE_LIMIT = 64
+
+SnapshotName = tuple[int, bytes]
+"""The revision and the digest of a snapshot."""
+
+
+class SnapshotSender:
+    """Keeps the last snapshots built and sends the parts that peers ask for, one at a time."""
+
+    def __init__(self) -> None:
+        self._snapshots: OrderedDict[SnapshotName, bytes] = OrderedDict()
+        self._queue: OrderedDict[tuple[NodeId, SnapshotName, int], None] = OrderedDict()
+        self._next_part_at = 0.0
+        self.sent_parts = 0
+
+    def offer(
+        self, state: ConfigurationState, revision: int, digest: bytes, oldest_useful: int
+    ) -> SnapshotOffered:
+        """Return the snapshot named, if this node has or can build it, else its newest one."""
+        name = (revision, digest)
+        if name not in self._snapshots:
+            name = self._newest(state, oldest_useful, revision)
+        part_count = -(-len(self._snapshots[name]) // PART_SIZE)
+        return SnapshotOffered(name[0], name[1], part_count)
+
+    def request(
+        self, sender: NodeId, name: SnapshotName, indexes: Sequence[int], now: float
+    ) -> None:
+        """Queue parts for a peer; what does not fit is asked for again by the peer."""
+        if name not in self._snapshots:
+            return
+        if not self._queue:
+            self._next_part_at = max(self._next_part_at, now)
+        for index in indexes:
+            if len(self._queue) < QUEUE_LIMIT:
+                self._queue[sender, name, index] = None
+
+    def poll(self, now: float) -> list[Command]:
+        """Return the part that is due."""
+        if not self._queue or now < self._next_part_at:
+            return []
+        (sender, name, index), _ = self._queue.popitem(last=False)
+        self._next_part_at = now + PART_INTERVAL
+        data = self._snapshots.get(name, b"")[index * PART_SIZE : (index + 1) * PART_SIZE]
+        if index < 0 or not data:
+            return []
+        self.sent_parts += 1
+        return [SendMessage(sender, SnapshotPartSent(name[0], name[1], index, data))]
+
+    def next_timer(self) -> float | None:
+        """Return when the next part is due."""
+        return self._next_part_at if self._queue else None
+
+    def _newest(self, state: ConfigurationState, oldest_useful: int, wanted: int) -> SnapshotName:
+        latest = next(reversed(self._snapshots), None)
+        if latest is not None and wanted != state.revision and latest[0] >= oldest_useful:
+            return latest
+        data = state.encode()
+        name = (state.revision, snapshot_digest(data))
+        self._snapshots[name] = data
+        self._snapshots.move_to_end(name)
+        while len(self._snapshots) > KEPT_SNAPSHOTS:
+            self._snapshots.popitem(last=False)
+        return name
--- /dev/null
+++ b/tests/unit/test_configuration_replica.py
@@ -0,0 +1,171 @@
+"""A replica applies steps in the store's order only, however they arrive."""
+
+import random
+import unittest
+from typing import Any
+
+from beamloom.protocol.commands import Command, SendMessage
+from beamloom.protocol.configuration_messages import (
+    ChangesPushed,
+    ChangesRequested,
+    ChangesUnavailable,
+    ReplicatedChange,
+    SnapshotOffered,
+    SnapshotPartSent,
+    SnapshotRequested,
+    change_to_list,
+)
+from beamloom.protocol.events import StoredObject
+from beamloom.protocol.messages import Message
+from beamloom.replication.backend_history import HISTORY_LENGTH
+from beamloom.replication.change_log import ChangeLog
+from beamloom.replication.configuration_replica import ConfigurationReplica
+from beamloom.replication.configuration_state import (
+    ConfigurationState,
+    SnapshotCorruptError,
+    snapshot_digest,
+)
+from beamloom.replication.snapshot_fetch import SnapshotFetch
+from beamloom.replication.snapshot_sender import SnapshotSender
+from beamloom.world.machines import NodeId
+
+PEER = NodeId("peer")
+HONEST = NodeId("honest")
+
+
+def stored(key: str, revision: int, value: dict[str, Any] | None = None) -> StoredObject:
+    return StoredObject(key, {"n": revision} if value is None else value, revision, revision)
+
+
+def step(previous: int, revision: int, key: str = "tenant/t") -> ReplicatedChange:
+    return ReplicatedChange(previous, revision, (stored(key, revision),))
+
+
+def pushed(*steps: ReplicatedChange, applied: int = 0) -> ChangesPushed:
+    return ChangesPushed([change_to_list(item) for item in steps], applied)
+
+
+def make_replica(name: str = "node") -> ConfigurationReplica:
+    return ConfigurationReplica(NodeId(name), random.Random(1), 0.0)
+
+
+def messages(commands: list[Command], kind: type[Message]) -> list[Message]:
+    sent = [item.message for item in commands if isinstance(item, SendMessage)]
+    return [message for message in sent if isinstance(message, kind)]
+
+
+class OrderTest(unittest.TestCase):
+    def test_gap_waits_and_is_pulled_from_the_sender(self) -> None:
+        replica = make_replica()
+        replica.handle_message(PEER, pushed(step(0, 2)), 0.0)
+        commands = replica.handle_message(PEER, pushed(step(5, 9), applied=9), 0.0)
+        self.assertEqual(messages(commands, ChangesRequested), [ChangesRequested(2)])
+        self.assertEqual(replica.applied_revision, 2)
+        replica.handle_message(PEER, pushed(step(2, 5)), 0.1)
+        self.assertEqual(replica.applied_revision, 9)
+        self.assertEqual([item.revision for item in replica.take_applied_changes()], [2, 5, 9])
+
+    def test_reorder_and_duplicates_apply_each_step_once(self) -> None:
+        replica = make_replica()
+        order = [step(3, 4), step(1, 3), step(0, 1), step(1, 3), step(0, 1)]
+        for item in order:
+            replica.handle_message(PEER, pushed(item), 0.0)
+        self.assertEqual([item.revision for item in replica.take_applied_changes()], [1, 3, 4])
+        self.assertEqual(replica.snapshot().duplicate_changes, 2)
+
+    def test_malformed_change_is_counted_and_changes_nothing(self) -> None:
+        replica = make_replica()
+        for parts in ([], [1, 1, [], False], [0, 1, [["k", 3, 1, 1]], False], [0, 1, [7], 0]):
+            replica.handle_message(PEER, ChangesPushed([parts], 0), 0.0)
+        self.assertEqual(replica.snapshot().malformed_changes, 4)
+        self.assertEqual(replica.applied_revision, 0)
+
+    def test_leases_stay_out_of_the_order_and_the_chain_goes_on(self) -> None:
+        replica, other = make_replica(), make_replica("other")
+        for item in (stored("tenant/t", 1), stored("lease/reader/0", 2), stored("tenant/t", 3)):
+            replica.accept_change(item, 0.0)
+        answer = replica.handle_message(PEER, ChangesRequested(1), 0.0)
+        self.assertEqual(messages(answer, ChangesPushed), [pushed(step(1, 3), applied=3)])
+        other.handle_message(PEER, pushed(step(0, 1), step(1, 3)), 0.0)
+        self.assertEqual(dict(other.objects), dict(replica.objects))
+
+    def test_listing_step_applies_only_to_the_very_state_it_was_made_from(self) -> None:
+        listing = ReplicatedChange(1, 9, (stored("tenant/t", 9),), from_listing=True)
+        self.assertTrue(listing.follows(1))
+        self.assertFalse(listing.follows(4))
+        log = ChangeLog()
+        log.append(step(0, 1))
+        log.append(listing)
+        self.assertEqual(log.after(0), [step(0, 1), listing])
+        log.clear()
+        log.append(listing)
+        self.assertIsNone(log.after(0))
+
+    def test_change_too_long_to_push_travels_by_snapshot(self) -> None:
+        replica = make_replica()
+        value = {"values": {f"name-{n}": "x" * 50 for n in range(40)}}
+        replica.accept_change(stored("settings/global", 1, value), 0.0)
+        answer = replica.handle_message(PEER, ChangesRequested(0), 0.0)
+        self.assertEqual(messages(answer, ChangesUnavailable), [ChangesUnavailable(1)])
+        offers = replica.handle_message(PEER, SnapshotRequested(0, b""), 0.0)
+        self.assertEqual(len(messages(offers, SnapshotOffered)), 1)
+
+
+class SnapshotTest(unittest.TestCase):
+    def state(self, revisions: int = 200) -> ConfigurationState:
+        state, chance = ConfigurationState(), random.Random(3)
+        for revision in range(1, revisions + 1):
+            key = f"backend/t/s{chance.randrange(3)}/b{chance.randrange(6)}"
+            item = StoredObject(key, {"operation": chance.randbytes(30)}, revision, revision)
+            if key in state.objects and chance.random() < 0.3:
+                item = StoredObject(key, None, revision, revision)
+            state.apply(ReplicatedChange(revision - 1, revision, (item,)))
+        return state
+
+    def test_snapshot_carries_the_very_same_histories(self) -> None:
+        state = self.state()
+        data = state.encode()
+        loaded = ConfigurationState.decode(data, snapshot_digest(data))
+        self.assertEqual(loaded.objects, state.objects)
+        self.assertEqual(loaded.backend_histories, state.backend_histories)
+        self.assertEqual(loaded.encode(), data)
+        history = loaded.backend_histories["t/s0"]
+        self.assertEqual(len(history), HISTORY_LENGTH)
+        current = {key: item for key, item in state.objects.items() if "/s0/" in key}
+        self.assertEqual({item.key: item for item in history[-1].objects}, current)
+
+    def test_altered_or_truncated_snapshots_are_refused(self) -> None:
+        data = self.state().encode()
+        digest = snapshot_digest(data)
+        for altered in (data[:-1], data[:40] + b"!" + data[41:], b""):
+            with self.assertRaises(SnapshotCorruptError):
+                ConfigurationState.decode(altered, digest)
+            with self.assertRaises(SnapshotCorruptError):
+                ConfigurationState.decode(altered, snapshot_digest(altered))
+
+    def test_tampered_part_is_found_out_and_the_fetch_starts_again(self) -> None:
+        state, sender = self.state(400), SnapshotSender()
+        fetch = SnapshotFetch(0, random.Random(1), 0.0)
+        offer = sender.offer(state, 0, b"", 0)
+        self.assertGreater(offer.part_count, 1)
+        name, now = (offer.revision, offer.digest), 0.0
+        for peer, tampered in ((PEER, True), (HONEST, False)):
+            commands = fetch.ask([PEER, HONEST])
+            asked = {item.destination for item in commands if isinstance(item, SendMessage)}
+            self.assertEqual(asked, {PEER, HONEST} if tampered else {HONEST})
+            fetch.offered(peer, offer, now)
+            fetch.poll([PEER, HONEST], now := now + 1.0)
+            loaded = None
+            sender.request(peer, name, range(offer.part_count), now)
+            for _ in range(offer.part_count):
+                (command,) = sender.poll(now := now + 1.0)
+                assert isinstance(command, SendMessage)
+                part = command.message
+                assert isinstance(part, SnapshotPartSent)
+                data = bytes(len(part.data)) if tampered and part.index == 1 else part.data
+                part = SnapshotPartSent(part.revision, part.digest, part.index, data)
+                loaded, _ = fetch.received(peer, part, now)
+            self.assertEqual(loaded is None, tampered)
+        self.assertEqual(fetch.corrupt_snapshots, 1)
+        assert loaded is not None
+        self.assertEqual(loaded.backend_histories, state.backend_histories)
