--- /dev/null
+++ b/src/beamloom/replication/reader_election.py
@@ -0,0 +1,144 @@
+"""Chooses the two or three nodes that read the store, without a controller.
+
+Candidates of each lease are ordered by rendezvous hashing (Thaler and Ravishankar, 1998), so that
+only the first few of the fleet ever ask the store.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from beamloom.protocol.commands import Command
+from beamloom.protocol.events import Event
+from beamloom.protocol.messages import Message
+from beamloom.replication.configuration_replica import ConfigurationReplica
+from beamloom.replication.reader_lease import HOLDING, LAPSED, LeaseSnapshot, ReaderLease
+from beamloom.replication.store_watch import StoreWatch
+from beamloom.world.machines import Member, MemberState, NodeId
+
+CANDIDATES_PER_LEASE = 3
+
+
+@dataclass(frozen=True, slots=True)
+class ElectionSnapshot:
+    """Whether this node is a reader, and the state of each lease."""
+
+    is_reader: bool
+    leases: tuple[LeaseSnapshot, ...]
+    watch_failures: int
+    listings: int
+
+
+class ReaderElection:
+    """Holds at most one reader lease, and runs the store watch while it does."""
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        replica: ConfigurationReplica,
+        chance: random.Random,
+        request_ids: Iterator[int],
+        *,
+        reader_count: int = 3,
+        lease_duration: float = 10.0,
+    ) -> None:
+        self._node_id = node_id
+        self._replica = replica
+        self._leases = [
+            ReaderLease(number, node_id, lease_duration, chance, request_ids)
+            for number in range(reader_count)
+        ]
+        self._watch = StoreWatch(replica, chance, request_ids)
+        self._leaving = False
+        self._scores: dict[tuple[int, NodeId], int] = {}
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this node acts as a reader."""
+        return self._watch.active
+
+    def update_members(self, members: Sequence[Member], now: float) -> list[Command]:
+        """Learn who may hold a lease; a node that leaves gives its own back."""
+        alive = {item.machine.node_id for item in members if item.state is MemberState.ALIVE}
+        own = [item.state for item in members if item.machine.node_id == self._node_id]
+        self._leaving = any(state >= MemberState.LEAVING for state in own)
+        alive.discard(self._node_id)
+        for lease in self._leases:
+            lease.rank = self._rank(lease.number, alive)
+        self._scores = {key: score for key, score in self._scores.items() if key[1] in alive}
+        return self._release(now) if self._leaving else []
+
+    def handle(self, event: Event, now: float) -> list[Command]:
+        """Take an answer of the store; the expiry of the lease is looked at first."""
+        commands = self._check_expiry(now)
+        for lease in self._leases:
+            commands += lease.handle(event, now)
+        commands += self._watch.handle(event, now)
+        return commands + self._follow_leases()
+
+    def handle_message(self, sender: NodeId, message: Message, now: float) -> list[Command]:
+        """Only look at the lease's expiry: the election sends no messages between nodes."""
+        return self._check_expiry(now)
+
+    def poll(self, now: float) -> list[Command]:
+        """Do whatever is due; the expiry of the lease is looked at first."""
+        commands = self._check_expiry(now)
+        busy = [lease for lease in self._leases if lease.state not in {"candidate", LAPSED}]
+        for lease in self._leases:
+            may_acquire = not self._leaving and not [item for item in busy if item is not lease]
+            commands += lease.poll(now, may_acquire)
+            if lease.state not in {"candidate", LAPSED} and lease not in busy:
+                busy.append(lease)
+        commands += self._watch.poll(now)
+        return commands + self._follow_leases()
+
+    def next_timer(self) -> float | None:
+        """Return when `poll` has something to do."""
+        busy = [lease for lease in self._leases if lease.state not in {"candidate", LAPSED}]
+        idle = [] if self._leaving else self._leases
+        timers = [lease.next_timer() for lease in busy or idle]
+        timers.append(self._watch.next_timer())
+        return min((timer for timer in timers if timer is not None), default=None)
+
+    def snapshot(self) -> ElectionSnapshot:
+        """Return the state for status and explanations."""
+        leases = tuple(lease.snapshot() for lease in self._leases)
+        return ElectionSnapshot(self.is_reader, leases, self._watch.failures, self._watch.listings)
+
+    def _check_expiry(self, now: float) -> list[Command]:
+        for lease in self._leases:
+            lease.check_expiry(now)
+        return self._follow_leases()
+
+    def _follow_leases(self) -> list[Command]:
+        """Start or stop the watch to match the leases."""
+        held = [lease for lease in self._leases if lease.state == HOLDING]
+        if held and not self._watch.active:
+            lease = held[0]
+            self._replica.directory.learn(lease.number, self._node_id, lease.acquired_revision)
+            return self._watch.start(lease.number)
+        if not held and self._watch.active:
+            return self._watch.stop()
+        return []
+
+    def _release(self, now: float) -> list[Command]:
+        commands: list[Command] = []
+        for lease in self._leases:
+            commands += lease.release(now)
+        return commands + self._follow_leases()
+
+    def _rank(self, number: int, alive: set[NodeId]) -> int | None:
+        own = xxhash.xxh3_64_intdigest(f"{number}/{self._node_id}")
+        rank = sum(1 for node_id in alive if self._score(number, node_id) > own)
+        return rank if rank < CANDIDATES_PER_LEASE else None
+
+    def _score(self, number: int, node_id: NodeId) -> int:
+        score = self._scores.get((number, node_id))
+        if score is None:
+            score = xxhash.xxh3_64_intdigest(f"{number}/{node_id}")
+            self._scores[number, node_id] = score
+        return score
