Tell truthfully where a revision is in force

Cause: an operator at any node must learn how far a change has come, without a controller and at next to no cost at rest. A member counts only by its own word.

--- /dev/null
+++ b/src/beamloom/protocol/status_messages.py
@@ -0,0 +1,60 @@
+"""Messages of fleet status: which node has which revision in force (kinds 60 to 64)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from beamloom.protocol.messages import Message, Priority, register_message
+from beamloom.world.machines import NodeId
+
+
+def _require(condition: bool, reason: str) -> None:
+    if not condition:
+        raise ValueError(reason)
+
+
+@register_message(60, Priority.STATUS)
+@dataclass(frozen=True, slots=True)
+class RevisionReported(Message):
+    """A node tells the aggregator of its group which revision it has in force."""
+
+    applied_revision: int
+
+    def __post_init__(self) -> None:
+        """Raise ValueError when a field has the wrong type."""
+        _require(isinstance(self.applied_revision, int), "applied_revision is not a number")
+
+
+@register_message(61, Priority.STATUS)
+@dataclass(frozen=True, slots=True)
+class RevisionRequested(Message):
+    """An aggregator asks a member of its group for a report."""
+
+
+@register_message(62, Priority.STATUS)
+@dataclass(frozen=True, slots=True)
+class GroupStatusRequested(Message):
+    """A node asks an aggregator who of its group has `revision` in force."""
+
+    revision: int
+
+    def __post_init__(self) -> None:
+        """Raise ValueError when a field has the wrong type."""
+        _require(isinstance(self.revision, int), "revision is not a number")
+
+
+@register_message(63, Priority.STATUS)
+@dataclass(frozen=True, slots=True)
+class GroupStatusReported(Message):
+    """The members of a group that said they have `revision` in force, and those still behind."""
+
+    revision: int
+    in_force: list[NodeId]
+    behind: list[NodeId]
+
+    def __post_init__(self) -> None:
+        """Raise ValueError when a field has the wrong type."""
+        _require(isinstance(self.revision, int), "revision is not a number")
+        for names in (self.in_force, self.behind):
+            _require(isinstance(names, list), "a list of nodes is not an array")
+            _require(all(isinstance(name, str) for name in names), "a node is not a name")
