--- a/src/beamloom/settings/configuration.py
+++ b/src/beamloom/settings/configuration.py
@@ -13,61 +13,31 @@
 from types import MappingProxyType
 
 from beamloom.protocol.events import StoredObject
-from beamloom.settings.declarations import split_values
+from beamloom.settings.configuration_changes import (
+    ConfigurationDelta,
+    ConfigurationProblem,
+    orphaned_backend,
+    refused_service,
+)
 from beamloom.settings.errors import (
-    DuplicateVirtualAddressError,
-    MissingParentError,
     SettingsError,
 )
 from beamloom.settings.policies import service_policy, tenant_limits
+from beamloom.settings.service_records import AddressClaims, ServiceRecord
 from beamloom.settings.stored_objects import (
     ObjectKey,
     ObjectKind,
+    parents_first,
     read_backend,
     read_setting_values,
     read_virtual_address,
 )
 from beamloom.settings.tree import EffectiveSetting, Scope, SettingsTree
+from beamloom.settings.validation import split_values
 from beamloom.world.addresses import VirtualAddress
 from beamloom.world.contracts import Backend, Generation, ServiceContract, TenantContract
 
-GENERATIONS_KEPT = 16
-
-
-@dataclass(frozen=True, slots=True)
-class ConfigurationDelta:
-    """What one change altered; removed contracts are given as they last were."""
-
-    services_changed: tuple[ServiceContract, ...] = ()
-    services_removed: tuple[ServiceContract, ...] = ()
-    tenants_changed: tuple[TenantContract, ...] = ()
-    tenants_removed: tuple[TenantContract, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class ConfigurationProblem:
-    """A stored object, or a part of it, that is not in force: why, and what an operator can do."""
-
-    key: str
-    revision: int
-    error: SettingsError
-
-    def __str__(self) -> str:
-        """Return one line for people."""
-        return f"{self.key} at revision {self.revision}: {self.error}"
-
-
-@dataclass(slots=True)
-class _Service:
-    """A service object with its generations, in force or not.
-
-    `address` is None while the object cannot be read; `claim` is the address that it competes for.
-    """
-
-    stored: StoredObject
-    address: VirtualAddress | None = None
-    claim: VirtualAddress | None = None
-    generations: tuple[Generation, ...] = ()
+__all__ = ["Configuration", "ConfigurationDelta", "ConfigurationProblem"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,10 +59,10 @@
     _tenant_names: set[str] = field(default_factory=set)
     _tenants: dict[str, TenantContract] = field(default_factory=dict)
     _by_address: dict[VirtualAddress, ServiceContract] = field(default_factory=dict)
-    _records: dict[str, _Service] = field(default_factory=dict)
+    _records: dict[str, ServiceRecord] = field(default_factory=dict)
     _services_of: dict[str, set[str]] = field(default_factory=dict)
     _backends: dict[str, dict[str, Backend]] = field(default_factory=dict)
-    _claims: dict[VirtualAddress, set[str]] = field(default_factory=dict)
+    _claims: AddressClaims = field(default_factory=AddressClaims)
     _problems: dict[str, tuple[ConfigurationProblem, ...]] = field(default_factory=dict)
 
     @property
@@ -147,14 +117,15 @@
         """
         configuration = cls()
         known = {} if histories is None else histories
-        for stored in sorted(objects, key=_parents_first):
+        for stored in sorted(objects, key=parents_first):
             configuration._take(stored)
             record = configuration._records.get(stored.key.removeprefix("service/"))
             if record is not None and record.stored is stored:
                 record.generations = tuple(known.get(stored.key.removeprefix("service/"), ()))
             configuration.revision = max(configuration.revision, stored.revision)
-        for name in configuration._records:
-            configuration._update_generation(name, configuration._newest_revision(name))
+        for name, record in configuration._records.items():
+            backends = configuration._backends.get(name, {}).values()
+            record.update_generation(backends, _oldest_possible_revision(record, backends))
         configuration._refresh(_Affected(configuration._records, configuration._tenant_names))
         return configuration
 
@@ -168,7 +139,8 @@
         self.revision = change.revision
         affected = self._take(change)
         for name in affected.regenerated:
-            self._update_generation(name, change.revision)
+            backends = self._backends.get(name, {}).values()
+            self._records[name].update_generation(backends, change.revision)
         return self._refresh(affected)
 
     def _take(self, change: StoredObject) -> _Affected:
@@ -206,7 +178,7 @@
         if change.value is None:
             return _Affected({name, *competitors})
         if record is None:
-            record = self._records[name] = _Service(change)
+            record = self._records[name] = ServiceRecord(change)
             self._services_of.setdefault(_tenant_of(name), set()).add(name)
         record.stored = change
         try:
@@ -216,7 +188,7 @@
             self._report(change, error)
         return _Affected({name, *competitors}, regenerated=(name,))
 
-    def _forget_service(self, name: str, record: _Service) -> set[str]:
+    def _forget_service(self, name: str, record: ServiceRecord) -> set[str]:
         """Forget a service object and return the services that may take over its address."""
         del self._records[name]
         self._services_of[_tenant_of(name)].discard(name)
@@ -224,9 +196,10 @@
         for backend_id in list(siblings):
             if f"backend/{name}/{backend_id}" in self._problems:
                 del siblings[backend_id]
-        return self._move_claim(name, record, None)
+        return self._claims.move(name, record, None)
 
     def _take_backend(self, name: str, backend_id: str, change: StoredObject) -> _Affected:
+        record = self._records.get(name)
         siblings = self._backends.setdefault(name, {})
         siblings.pop(backend_id, None)
         if change.value is not None:
@@ -234,15 +207,11 @@
                 siblings[backend_id] = read_backend(change)
             except SettingsError as error:
                 self._report(change, error)
-                self._keep_last_good(name, backend_id, change.created_revision)
-        return _Affected((name,), regenerated=(name,)) if name in self._records else _Affected()
-
-    def _keep_last_good(self, name: str, backend_id: str, backend_number: int) -> None:
-        record = self._records.get(name)
-        generations = () if record is None else record.generations
-        for backend in generations[-1].backends if generations else ():
-            if (backend.backend_id, backend.backend_number) == (backend_id, backend_number):
-                self._backends[name][backend_id] = backend
+                number = change.created_revision
+                last = None if record is None else record.last_known(backend_id, number)
+                if last is not None:
+                    siblings[backend_id] = last
+        return _Affected() if record is None else _Affected((name,), regenerated=(name,))
 
     def _take_settings(self, scope: Scope, change: StoredObject) -> _Affected:
         if change.value is None:
@@ -265,25 +234,6 @@
             found = (ConfigurationProblem(change.key, change.revision, error) for error in errors)
             self._problems[change.key] = tuple(found)
 
-    def _newest_revision(self, name: str) -> int:
-        """Return a revision for a generation whose true one is not known.
-
-        Backend numbers are revisions as well.
-        """
-        numbers = (backend.backend_number for backend in self._backends.get(name, {}).values())
-        return max(self._records[name].stored.created_revision, *numbers, 0)
-
-    def _update_generation(self, name: str, revision: int) -> None:
-        """Give a service a new generation where its backends differ from the last one's."""
-        record = self._records.get(name)
-        if record is None:
-            return
-        siblings = self._backends.get(name, {}).values()
-        backends = tuple(sorted(siblings, key=lambda backend: backend.backend_number))
-        if not record.generations or record.generations[-1].backends != backends:
-            generations = (*record.generations, Generation(revision, backends))
-            record.generations = generations[-GENERATIONS_KEPT:]
-
     def _refresh(self, affected: _Affected) -> ConfigurationDelta:
         """Compile what is affected, and whoever gains or loses an address by it."""
         names = set(affected.services)
@@ -326,33 +276,11 @@
         if record is None:
             return set()
         wanted = record.address if _tenant_of(name) in self._tenant_names else None
-        return self._move_claim(name, record, wanted)
-
-    def _move_claim(self, name: str, record: _Service, wanted: VirtualAddress | None) -> set[str]:
-        """Let a service compete for another address; return the other services concerned."""
-        if record.claim == wanted:
-            return set()
-        concerned: set[str] = set()
-        if record.claim is not None:
-            self._claims[record.claim].discard(name)
-            concerned |= self._claims[record.claim]
-        record.claim = wanted
-        if wanted is not None:
-            competitors = self._claims.setdefault(wanted, set())
-            concerned |= competitors
-            competitors.add(name)
-        return concerned
-
-    def _holder(self, address: VirtualAddress) -> str:
-        """Return the service that keeps an address which several claim: the oldest."""
-        return min(
-            self._claims[address],
-            key=lambda name: (self._records[name].stored.created_revision, name),
-        )
+        return self._claims.move(name, record, wanted)
 
     def _compile(self, name: str) -> ServiceContract | None:
         record = self._records.get(name)
-        if record is None or record.claim is None or self._holder(record.claim) != name:
+        if record is None or record.claim is None or self._claims.holder(record.claim) != name:
             return None
         tenant, service = name.split("/")
         scope = Scope(tenant, service)
@@ -369,42 +297,20 @@
 
     def _refused_services(self) -> Iterator[ConfigurationProblem]:
         for name, record in self._records.items():
-            if record.address is None or name in self._contracts:
-                continue
-            error: SettingsError = MissingParentError(
-                f"service {name} has no tenant", f"create tenant {_tenant_of(name)}"
-            )
-            if record.claim is not None:
-                error = DuplicateVirtualAddressError(
-                    f"{record.claim} belongs to service {self._holder(record.claim)} already",
-                    f"give service {name} another address or delete the older service",
-                )
-            yield ConfigurationProblem(record.stored.key, record.stored.revision, error)
+            if record.address is not None and name not in self._contracts:
+                holder = None if record.claim is None else self._claims.holder(record.claim)
+                yield refused_service(name, record, holder)
 
     def _orphaned_backends(self) -> Iterator[ConfigurationProblem]:
-        for name, siblings in self._backends.items():
-            if name in self._records:
-                continue
-            for backend in siblings.values():
-                error = MissingParentError(
-                    f"backend {backend.backend_id} has no service", f"create service {name}"
-                )
-                key = f"backend/{name}/{backend.backend_id}"
-                yield ConfigurationProblem(key, backend.backend_number, error)
-
-
-_LOAD_ORDER = (
-    ObjectKind.SETTINGS.value,
-    ObjectKind.TENANT.value,
-    ObjectKind.SERVICE.value,
-    ObjectKind.BACKEND.value,
-)
+        for name in self._backends.keys() - self._records.keys():
+            for backend in self._backends[name].values():
+                yield orphaned_backend(name, backend)
 
 
-def _parents_first(stored: StoredObject) -> tuple[int, str]:
-    kind = stored.key.split("/", 1)[0]
-    rank = _LOAD_ORDER.index(kind) if kind in _LOAD_ORDER else len(_LOAD_ORDER)
-    return rank, stored.key
+def _oldest_possible_revision(record: ServiceRecord, backends: Iterable[Backend]) -> int:
+    """Return a revision for a generation whose true one is not known; numbers are revisions."""
+    numbers = (backend.backend_number for backend in backends)
+    return max(record.stored.created_revision, *numbers, 0)
 
 
 def _tenant_of(name: str) -> str:
--- /dev/null
+++ b/src/beamloom/settings/configuration_changes.py
@@ -0,0 +1,58 @@
+"""What a change of the configuration altered, and what stays out of force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from beamloom.settings.errors import (
+    DuplicateVirtualAddressError,
+    MissingParentError,
+    SettingsError,
+)
+from beamloom.settings.service_records import ServiceRecord
+from beamloom.world.contracts import Backend, ServiceContract, TenantContract
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationDelta:
+    """What one change altered; removed contracts are given as they last were."""
+
+    services_changed: tuple[ServiceContract, ...] = ()
+    services_removed: tuple[ServiceContract, ...] = ()
+    tenants_changed: tuple[TenantContract, ...] = ()
+    tenants_removed: tuple[TenantContract, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationProblem:
+    """A stored object, or a part of it, that is not in force: why, and what an operator can do."""
+
+    key: str
+    revision: int
+    error: SettingsError
+
+    def __str__(self) -> str:
+        """Return one line for people."""
+        return f"{self.key} at revision {self.revision}: {self.error}"
+
+
+def refused_service(name: str, record: ServiceRecord, holder: str | None) -> ConfigurationProblem:
+    """Return why a readable service is not in force: another holds its address, or no tenant."""
+    error: SettingsError = MissingParentError(
+        f"service {name} has no tenant", f"create tenant {name.split('/', maxsplit=1)[0]}"
+    )
+    if holder is not None:
+        error = DuplicateVirtualAddressError(
+            f"{record.address} belongs to service {holder} already",
+            f"give service {name} another address or delete the older service",
+        )
+    return ConfigurationProblem(record.stored.key, record.stored.revision, error)
+
+
+def orphaned_backend(service: str, backend: Backend) -> ConfigurationProblem:
+    """Return the problem of a readable backend whose service does not exist."""
+    error = MissingParentError(
+        f"backend {backend.backend_id} has no service", f"create service {service}"
+    )
+    key = f"backend/{service}/{backend.backend_id}"
+    return ConfigurationProblem(key, backend.backend_number, error)
--- a/src/beamloom/settings/declarations.py
+++ b/src/beamloom/settings/declarations.py
@@ -2,19 +2,14 @@
 
 from __future__ import annotations
 
-import difflib
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from types import MappingProxyType
-from typing import Any
 
 from beamloom.settings.errors import (
     OutOfBoundsError,
-    SettingsError,
-    UnknownSettingError,
-    WrongLevelError,
     WrongTypeError,
 )
 from beamloom.world.contracts import (
@@ -53,15 +48,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SettingDeclaration:
-    """Everything that is known of one setting; bounds are inclusive and None where absent."""
+    """Everything that is known of one setting; bounds are inclusive."""
 
     name: str
     value_type: SettingType
     unit: str
     default: SettingValue
     summary: str
-    minimum: float | None = None
-    maximum: float | None = None
+    minimum: float = -math.inf
+    maximum: float = math.inf
     choices: tuple[str, ...] = ()
     levels: tuple[SettingLevel, ...] = ALL_LEVELS
 
@@ -82,8 +77,6 @@
             return " or ".join(self.choices)
         if self.value_type is SettingType.BOOLEAN:
             return "true or false"
-        if self.maximum is None:
-            return f"at least {self.minimum:g}"
         return f"{self.minimum:g} to {self.maximum:g}"
 
     def check(self, value: object) -> SettingValue:
@@ -130,9 +123,7 @@
             raise self._wrong_type(value)
         if self.value_type is SettingType.INTEGER and not isinstance(value, int):
             raise self._wrong_type(value)
-        too_low = self.minimum is not None and value < self.minimum
-        too_high = self.maximum is not None and value > self.maximum
-        if too_low or too_high or not math.isfinite(value):
+        if not self.minimum <= value <= self.maximum or math.isinf(value):
             raise self._out_of_bounds(value)
         return value if self.value_type is SettingType.INTEGER else float(value)
 
@@ -151,6 +142,7 @@
 _POLICY = ServicePolicy()
 _LIMITS = TenantLimits()
 _DAY = 86_400.0
+MAXIMUM_LIMIT = 1e12
 
 _DECLARATIONS = (
     SettingDeclaration(
@@ -241,6 +233,7 @@
         _LIMITS.new_flows_per_second,
         "New flows per second of one tenant across the fleet; 0 means unlimited.",
         minimum=0.0,
+        maximum=MAXIMUM_LIMIT,
         levels=TENANT_LEVELS,
     ),
     SettingDeclaration(
@@ -250,6 +243,7 @@
         _LIMITS.open_flows,
         "Open flows of one tenant across the fleet; 0 means unlimited.",
         minimum=0.0,
+        maximum=MAXIMUM_LIMIT,
         levels=TENANT_LEVELS,
     ),
     SettingDeclaration(
@@ -259,6 +253,7 @@
         _LIMITS.packets_per_second,
         "Packets per second of one tenant across the fleet; 0 means unlimited.",
         minimum=0.0,
+        maximum=MAXIMUM_LIMIT,
         levels=TENANT_LEVELS,
     ),
     SettingDeclaration(
@@ -277,49 +272,3 @@
     {declaration.name: declaration for declaration in _DECLARATIONS}
 )
 """Every setting of the tree by name, in the order of the reference page."""
-
-
-def find_declaration(name: str) -> SettingDeclaration:
-    """Return a setting's declaration; raises UnknownSettingError with the nearest name."""
-    declaration = DECLARATIONS.get(name)
-    if declaration is not None:
-        return declaration
-    nearest = difflib.get_close_matches(name, DECLARATIONS, n=1, cutoff=0.4)
-    remedy = f"did you mean {nearest[0]}?" if nearest else "see `beamloom settings tree`"
-    raise UnknownSettingError(f"there is no setting {name!r}", remedy)
-
-
-def check_setting(level: SettingLevel, name: str, value: object) -> SettingValue:
-    """Return the checked value of a setting that is set at a level.
-
-    Raises UnknownSettingError, WrongLevelError, WrongTypeError or OutOfBoundsError.
-    """
-    declaration = find_declaration(name)
-    if level not in declaration.levels:
-        allowed = " or ".join(allowed.value for allowed in declaration.levels)
-        raise WrongLevelError(
-            f"{name} cannot be set at level {level.value}", f"set it at level {allowed}"
-        )
-    return declaration.check(value)
-
-
-def split_values(
-    level: SettingLevel, values: Mapping[str, Any]
-) -> tuple[dict[str, SettingValue], tuple[SettingsError, ...]]:
-    """Return the good values of one level and the errors of the others."""
-    good: dict[str, SettingValue] = {}
-    errors: list[SettingsError] = []
-    for name, value in values.items():
-        try:
-            good[name] = check_setting(level, name, value)
-        except SettingsError as error:
-            errors.append(error)
-    return good, tuple(errors)
-
-
-def check_values(level: SettingLevel, values: Mapping[str, Any]) -> dict[str, SettingValue]:
-    """Return the checked values of one level; raises an ExceptionGroup of all SettingsErrors."""
-    good, errors = split_values(level, values)
-    if errors:
-        raise ExceptionGroup(f"{len(errors)} faults at level {level.value}", errors)
-    return good
--- a/src/beamloom/settings/deployment.py
+++ b/src/beamloom/settings/deployment.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from beamloom.settings.declarations import SettingValue, check_setting
+from beamloom.settings.declarations import SettingValue
 from beamloom.settings.deployment_model import (
     BackendTable,
     DeploymentTables,
@@ -26,6 +26,7 @@
 )
 from beamloom.settings.toml_source import KeyPath, TomlSource, load_toml
 from beamloom.settings.tree import GLOBAL_SCOPE, Scope
+from beamloom.settings.validation import check_setting
 from beamloom.world.zones import Link, Zone
 
 
--- a/src/beamloom/settings/stored_objects.py
+++ b/src/beamloom/settings/stored_objects.py
@@ -58,6 +58,21 @@
         return cls(kind, tuple(names))
 
 
+_LOAD_ORDER = (
+    ObjectKind.SETTINGS.value,
+    ObjectKind.TENANT.value,
+    ObjectKind.SERVICE.value,
+    ObjectKind.BACKEND.value,
+)
+
+
+def parents_first(stored: StoredObject) -> tuple[int, str]:
+    """Sort objects so that each comes after those it stands under, settings first."""
+    kind = stored.key.split("/", 1)[0]
+    rank = _LOAD_ORDER.index(kind) if kind in _LOAD_ORDER else len(_LOAD_ORDER)
+    return rank, stored.key
+
+
 def read_virtual_address(stored: StoredObject) -> VirtualAddress:
     """Read the value of a service object; raises MalformedObjectError."""
     value = _require_value(stored)
--- a/src/beamloom/settings/toml_source.py
+++ b/src/beamloom/settings/toml_source.py
@@ -62,6 +62,8 @@
     """Read TOML; raises SettingsFileError when it is none."""
     try:
         data = tomllib.loads(text)
+    except RecursionError:
+        raise SettingsFileError(0, "", "arrays are nested too deep", "flatten them") from None
     except tomllib.TOMLDecodeError as error:
         found = _SYNTAX_LINE.search(str(error))
         line = int(found.group(1)) if found else len(text.splitlines())
--- a/src/beamloom/settings/tree.py
+++ b/src/beamloom/settings/tree.py
@@ -11,9 +11,9 @@
     SettingDeclaration,
     SettingLevel,
     SettingValue,
-    find_declaration,
 )
 from beamloom.settings.errors import InvalidScopeError, WrongLevelError
+from beamloom.settings.validation import find_declaration
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}")
 """Names of tenants, services and backends."""
--- /dev/null
+++ b/src/beamloom/settings/validation.py
@@ -0,0 +1,61 @@
+"""Checks of settings by name and level against their declarations."""
+
+from __future__ import annotations
+
+import difflib
+from collections.abc import Mapping
+from typing import Any
+
+from beamloom.settings.declarations import (
+    DECLARATIONS,
+    SettingDeclaration,
+    SettingLevel,
+    SettingValue,
+)
+from beamloom.settings.errors import SettingsError, UnknownSettingError, WrongLevelError
+
+
+def find_declaration(name: str) -> SettingDeclaration:
+    """Return a setting's declaration; raises UnknownSettingError with the nearest name."""
+    declaration = DECLARATIONS.get(name)
+    if declaration is not None:
+        return declaration
+    nearest = difflib.get_close_matches(name, DECLARATIONS, n=1, cutoff=0.4)
+    remedy = f"did you mean {nearest[0]}?" if nearest else "see `beamloom settings tree`"
+    raise UnknownSettingError(f"there is no setting {name!r}", remedy)
+
+
+def check_setting(level: SettingLevel, name: str, value: object) -> SettingValue:
+    """Return the checked value of a setting that is set at a level.
+
+    Raises UnknownSettingError, WrongLevelError, WrongTypeError or OutOfBoundsError.
+    """
+    declaration = find_declaration(name)
+    if level not in declaration.levels:
+        allowed = " or ".join(allowed.value for allowed in declaration.levels)
+        raise WrongLevelError(
+            f"{name} cannot be set at level {level.value}", f"set it at level {allowed}"
+        )
+    return declaration.check(value)
+
+
+def split_values(
+    level: SettingLevel, values: Mapping[str, Any]
+) -> tuple[dict[str, SettingValue], tuple[SettingsError, ...]]:
+    """Return the good values of one level and the errors of the others."""
+    good: dict[str, SettingValue] = {}
+    errors: list[SettingsError] = []
+    for name, value in values.items():
+        try:
+            good[name] = check_setting(level, name, value)
+        except SettingsError as error:
+            errors.append(error)
+    return good, tuple(errors)
+
+
+def check_values(level: SettingLevel, values: Mapping[str, Any]) -> dict[str, SettingValue]:
+    """Return the checked values of one level; raises an ExceptionGroup of all SettingsErrors."""
+    good, errors = split_values(level, values)
+    if errors:
+        raise ExceptionGroup(f"{len(errors)} faults at level {level.value}", errors)
+    return good
--- a/tests/unit/settings/test_configuration.py
+++ b/tests/unit/settings/test_configuration.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from beamloom.protocol.events import StoredObject
-from beamloom.settings.configuration import GENERATIONS_KEPT, Configuration, ConfigurationDelta
+from beamloom.settings.configuration import Configuration, ConfigurationDelta
 from beamloom.settings.errors import (
     DuplicateVirtualAddressError,
     MalformedObjectError,
@@ -17,6 +17,7 @@
     UnknownSettingError,
     WrongLevelError,
 )
+from beamloom.settings.service_records import GENERATIONS_KEPT
 from beamloom.settings.tree import Scope
 from beamloom.world.contracts import PlacementPreference
 from tests.unit.settings.objects import backend, service, stored, values
