Take a watch's changes from the newest end of the history

Cause: each look of a watch skipped through the whole kept history. Change: take_changes walks back from the newest change as far as the watch lags.

--- a/src/beamloom/standins/platform_store.py
+++ b/src/beamloom/standins/platform_store.py
@@ -135,8 +135,8 @@
         """
         self._refuse_when_down()
         self._require_history(watch.revision)
-        oldest = self._revision - len(self._history)
-        pending = islice(self._history, watch.revision - oldest, None)
+        newest_first = islice(reversed(self._history), self._revision - watch.revision)
+        pending = reversed(tuple(newest_first))
         changes = tuple(change for change in pending if change.key.startswith(watch.prefix))
         watch.revision = self._revision
         return ChangeBatch(self._revision, changes)
