Point at the certificates when a TLS handshake fails

Cause: a refused certificate was reported as an unavailable store, whose remedy does not help. Change: TLS failures on connecting raise TlsConfigurationError and are not retried. Conclusion: the suite itself holds no certificate, so a successful handshake is not tested there.

--- a/src/beamloom/platform/errors.py
+++ b/src/beamloom/platform/errors.py
@@ -95,7 +95,7 @@
 
 
 class TlsConfigurationError(PlatformError):
-    """A certificate or key file that cannot be loaded."""
+    """A certificate or key file that cannot be loaded, or a connection refused for its sake."""
 
     def __init__(self, detail: str) -> None:
         super().__init__(f"TLS: {detail}; check the certificate and key files in the settings")
--- a/src/beamloom/platform/transport.py
+++ b/src/beamloom/platform/transport.py
@@ -4,7 +4,11 @@
 
 import aiohttp
 
-from beamloom.platform.errors import OutcomeUnknownError, StoreUnavailableError
+from beamloom.platform.errors import (
+    OutcomeUnknownError,
+    StoreUnavailableError,
+    TlsConfigurationError,
+)
 from beamloom.platform.options import PlatformOptions, client_tls_context
 
 
@@ -17,6 +21,8 @@
     """
     try:
         return await handler(request)
+    except aiohttp.ClientSSLError as error:
+        raise TlsConfigurationError(str(error)) from error
     except aiohttp.ClientConnectorError as error:
         raise StoreUnavailableError(str(error)) from error
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
--- a/tests/functional/platform_case.py
+++ b/tests/functional/platform_case.py
@@ -49,9 +49,13 @@
         return Retrier(RetryPolicy(attempts=ATTEMPTS, base_seconds=0.001), Random(1), self.pause)
 
     async def make_client(
-        self, token: str = TOKEN, timeout: float = 5.0, silence: float = 5.0
+        self,
+        token: str = TOKEN,
+        timeout: float = 5.0,
+        silence: float = 5.0,
+        scheme: str = "http",
     ) -> PlatformClient:
-        options = PlatformOptions(f"http://{self.address}", token, timeout, silence)
+        options = PlatformOptions(f"{scheme}://{self.address}", token, timeout, silence)
         client = PlatformClient(options, self.make_retrier())
         await client.start()
         self.addAsyncCleanup(client.close)
--- a/tests/functional/test_platform_http.py
+++ b/tests/functional/test_platform_http.py
@@ -160,6 +160,13 @@
         await self.client.leave_machine(machine.node_id)
         self.assertEqual((await self.client.list_machines()).leaving, (machine,))
 
+    async def test_failed_handshake_points_at_the_certificates_without_retry(self) -> None:
+        client = await self.make_client(scheme="https")
+        for request in (client.write(KEY, {}, 0), anext(client.watch(0))):
+            with self.assertRaises(TlsConfigurationError):
+                await request
+        self.assertEqual(self.pauses, [])
+
     async def test_port_in_use_is_reported(self) -> None:
         with self.assertRaises(OSError):
             await PlatformServer(self.store, TOKEN, self.address).start()
