Join membership, configuration gossip, reader leases and the budget into the core

Cause: balancers had a static peer list and each watched the store, which tolerates few readers. Ruled out: letting Configuration make its own generations, since batches differ between nodes. Conclusion: the fleet chooses its readers itself; planned stop does not hand flows over yet.

--- a/src/beamloom/bench/forwarding.py
+++ b/src/beamloom/bench/forwarding.py
@@ -18,7 +18,8 @@
 import dpkt
 import numpy as np
 
-from beamloom.node.core import NodeCore, NodeOptions
+from beamloom.node.core import NodeCore
+from beamloom.node.options import NodeOptions
 from beamloom.protocol.codec import KeyRing
 from beamloom.routing.flow_table import FlowFlag, FlowTable
 from beamloom.routing.hashing import FLOW_KEY_MASK
@@ -170,8 +171,10 @@
         self._source = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sockets = MachineSockets.bind_any(LOOPBACK)
         machine = self._machine = self._sockets.machine(NodeId("bench"), Zone("zone", "region"))
-        options = NodeOptions(machine, (), KeyRing((HASH_KEY,)), HASH_KEY, (self._sink_address,))
-        self.core = NodeCore(options)
+        options = NodeOptions(
+            machine, (), KeyRing((HASH_KEY,)), HASH_KEY, (self._sink_address,), seed=1
+        )
+        self.core = NodeCore(options, now=0.0)
         self._counter = _BatchCounter()
         self._process = _CountingBalancer(self.core, self._sockets, self._counter)
         step = max(1, flows // (BATCH_PACKETS * 64))
--- a/src/beamloom/demo/fleet.py
+++ b/src/beamloom/demo/fleet.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from typing import Any
 
-from beamloom.node.core import NodeCore, NodeOptions
+from beamloom.node.core import NodeCore
+from beamloom.node.options import NodeOptions
 from beamloom.platform.adapter import StoreAdapter
 from beamloom.platform.client import PlatformClient
 from beamloom.platform.options import PlatformOptions
@@ -27,10 +29,22 @@
 
 LOOPBACK = "127.0.0.1"
 ANY_ADDRESS = SocketAddress(LOOPBACK, ANY_PORT)
+READY_TIMEOUT_SECONDS = 30.0
+READY_CHECK_SECONDS = 0.05
 TOKEN = "demo-token"
 FLEET_KEY = b"demo fleet key, for loopback only"
 
 
+class FleetNotReadyError(Exception):
+    """The balancers did not find each other or the configuration in time."""
+
+    def __init__(self, expected: int) -> None:
+        super().__init__(
+            f"not all of {expected} balancers were ready within {READY_TIMEOUT_SECONDS:.0f} s; "
+            "run fewer balancers or stop other work on this machine"
+        )
+
+
 @dataclass(slots=True)
 class RunningBalancer:
     """One balancer of the demo with what belongs to it."""
@@ -124,9 +138,10 @@
             opened.machine(NodeId(f"balancer-{number}"), zones[number % len(zones)])
             for number, opened in enumerate(sockets)
         ]
+        seeds = tuple(machine.control_address for machine in machines)
         for opened, machine in zip(sockets, machines, strict=True):
-            peers = tuple(peer for peer in machines if peer is not machine)
-            await self._start_balancer(stack, opened, machine, peers)
+            await self._start_balancer(stack, opened, machine, seeds)
+        await self._wait_until_ready()
         self.fabric.set_balancers([machine.data_address for machine in machines])
 
     async def _start_balancer(
@@ -134,11 +149,12 @@
         stack: AsyncExitStack,
         sockets: MachineSockets,
         machine: Machine,
-        peers: tuple[Machine, ...],
+        seeds: tuple[SocketAddress, ...],
     ) -> None:
         keys = KeyRing((FLEET_KEY,))
         gateways = (self.fabric.balancer_address,)
-        core = NodeCore(NodeOptions(machine, peers, keys, FLEET_KEY, gateways))
+        options = NodeOptions(machine, seeds, keys, FLEET_KEY, gateways, self._seed)
+        core = NodeCore(options, asyncio.get_running_loop().time())
         client = PlatformClient(
             PlatformOptions(f"http://{self._platform_address}", TOKEN),
             Retrier(RetryPolicy(), random.Random(f"{self._seed}/{machine.node_id}")),
@@ -152,3 +168,19 @@
         stack.callback(process.close)
         process.start()
         self.balancers[machine.node_id] = RunningBalancer(machine, process, client, adapter)
+
+    async def _wait_until_ready(self) -> None:
+        """Wait until every balancer has the configuration and knows every other one."""
+        expected = len(self.balancers)
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_SECONDS):
+                while not all(self._is_ready(item, expected) for item in self.balancers.values()):
+                    await asyncio.sleep(READY_CHECK_SECONDS)
+        except TimeoutError as error:
+            raise FleetNotReadyError(expected) from error
+
+    @staticmethod
+    def _is_ready(balancer: RunningBalancer, expected: int) -> bool:
+        core = balancer.process.core
+        homes = sum(1 for _ in core.membership.view.may_be_home())
+        return core.ready and homes == expected
--- /dev/null
+++ b/src/beamloom/node/configuration_follower.py
@@ -0,0 +1,62 @@
+"""Follows the replica: compiles what was applied into contracts, the same on every node."""
+
+from __future__ import annotations
+
+from beamloom.replication.backend_history import BackendHistory, BackendSet, service_of_backend
+from beamloom.replication.configuration_replica import ConfigurationReplica
+from beamloom.settings.configuration import Configuration
+from beamloom.settings.configuration_changes import ConfigurationDelta
+from beamloom.settings.errors import SettingsError
+from beamloom.settings.stored_objects import read_backend
+from beamloom.world.contracts import Backend, Generation
+
+
+class ConfigurationFollower:
+    """Keeps the compiled configuration level with the replica."""
+
+    def __init__(self, replica: ConfigurationReplica) -> None:
+        self.configuration = Configuration()
+        self._replica = replica
+
+    def catch_up(self) -> ConfigurationDelta | None:
+        """Compile what was applied since the last call; None when nothing was."""
+        changes = self._replica.take_applied_changes()
+        if not changes:
+            return None
+        touched = {service_of_backend(change.key) for change in changes}
+        touched.update(
+            change.key.removeprefix("service/")
+            for change in changes
+            if change.key.startswith("service/")
+        )
+        histories = {
+            name: read_generations(self._replica.backend_histories.get(name, ()))
+            for name in sorted(name for name in touched if name is not None)
+        }
+        return self.configuration.apply_batch(changes, histories)
+
+
+def read_generations(history: BackendHistory) -> tuple[Generation, ...]:
+    """Return the generations of a service; equal neighbours are one.
+
+    A backend object that cannot be read stays as the generation before had it.
+    """
+    generations: list[Generation] = []
+    for backend_set in history:
+        known = generations[-1].backends if generations else ()
+        backends = _read_backends(backend_set, known)
+        if not generations or generations[-1].backends != backends:
+            generations.append(Generation(backend_set.revision, backends))
+    return tuple(generations)
+
+
+def _read_backends(backend_set: BackendSet, known: tuple[Backend, ...]) -> tuple[Backend, ...]:
+    last_good = {backend.backend_number: backend for backend in known}
+    backends: list[Backend] = []
+    for stored in backend_set.objects:
+        try:
+            backends.append(read_backend(stored))
+        except SettingsError:
+            if stored.created_revision in last_good:
+                backends.append(last_good[stored.created_revision])
+    return tuple(sorted(backends, key=lambda backend: backend.backend_number))
--- a/src/beamloom/node/core.py
+++ b/src/beamloom/node/core.py
@@ -5,82 +5,85 @@
 
 from __future__ import annotations
 
-from collections import Counter
+import itertools
+import random
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from typing import Protocol
 
+from beamloom.membership.core import MembershipCore
+from beamloom.node.configuration_follower import ConfigurationFollower
+from beamloom.node.control_channel import ControlChannel
 from beamloom.node.errors import UnknownEventError
-from beamloom.protocol.codec import KeyRing, decode_datagram, encode_datagram
-from beamloom.protocol.commands import (
-    Command,
-    ListStore,
-    SendControl,
-    SendMessage,
-    StopNode,
-    WatchStore,
-)
-from beamloom.protocol.errors import ProtocolError
+from beamloom.node.options import NodeOptions
+from beamloom.protocol.commands import Command, StopNode
 from beamloom.protocol.events import (
+    BackendChecked,
     ControlDatagramReceived,
     Event,
+    MachinesListed,
     StopRequested,
-    StoreChanged,
-    StoredObject,
-    StoreFailed,
-    StoreListed,
+    StoreAnswer,
     TimerExpired,
 )
+from beamloom.protocol.messages import Message
+from beamloom.replication.configuration_replica import ConfigurationReplica
+from beamloom.replication.fleet_status import FleetStatus
+from beamloom.replication.reader_election import ReaderElection
 from beamloom.routing.forwarder import Forwarder
-from beamloom.settings.configuration import Configuration
 from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, Member, MemberState
-
-STORE_RETRY_SECONDS = 1.0
-LIST_REQUEST = 1
-WATCH_REQUEST = 2
-
+from beamloom.world.machines import MemberState, NodeId
 
-@dataclass(frozen=True, slots=True)
-class NodeOptions:
-    """What a node is told at start: who it is, whom it knows, its keys and its gateways."""
 
-    machine: Machine
-    peers: tuple[Machine, ...]
-    fleet_keys: KeyRing
-    hash_key: bytes
-    gateways: tuple[SocketAddress, ...]
+class Component(Protocol):
+    """What every component of the core offers; see docs/design/core.md."""
 
+    def handle_message(self, sender: NodeId, message: Message, now: float) -> list[Command]:
+        """Take one message."""
 
-@dataclass(slots=True)
-class _StoreReading:
-    """Where this node stands with the platform's store."""
+    def poll(self, now: float) -> list[Command]:
+        """Do whatever is due."""
 
-    listed: bool = False
-    retry_at: float | None = None
-    revision: int = 0
-    problems: Counter[str] = field(default_factory=Counter)
+    def next_timer(self) -> float | None:
+        """Return when `poll` has something to do."""
 
 
 class NodeCore:
     """One balancer without sockets or clock: events in, commands out."""
 
-    def __init__(self, options: NodeOptions) -> None:
+    def __init__(self, options: NodeOptions, now: float) -> None:
         self.options = options
-        self.configuration = Configuration()
-        self.forwarder = Forwarder(options.machine, options.hash_key, options.gateways)
-        self.counters: Counter[str] = Counter()
-        self._sequence = 0
-        self._store = _StoreReading()
-        self._members = tuple(
-            Member(machine, MemberState.ALIVE, 0) for machine in (options.machine, *options.peers)
+        machine = options.machine
+        node_id = machine.node_id
+        chance = random.Random(f"{options.seed}/{node_id}")
+        self.membership = MembershipCore(machine, options.seeds, options.membership, chance)
+        self.replica = ConfigurationReplica(node_id, chance, now)
+        self.election = ReaderElection(node_id, self.replica, chance, itertools.count(1))
+        self.fleet_status = FleetStatus(node_id, lambda: self.replica.applied_revision, chance, now)
+        self.forwarder = Forwarder(machine, options.hash_key, options.gateways)
+        self.channel = ControlChannel(
+            node_id,
+            options.fleet_keys,
+            self._control_address,
+            now,
+            options.control_bytes_per_second,
+        )
+        self._follower = ConfigurationFollower(self.replica)
+        self._components: tuple[Component, ...] = (
+            self.election,
+            self.membership,
+            self.replica,
+            self.fleet_status,
+            self.forwarder,
         )
+        self._view_version = -1
+        self._stop_by: float | None = None
+        self._stopped = False
 
     # -- the adapter's calls -------------------------------------------------------------------
 
     def start(self, now: float) -> list[Command]:
         """Begin: returns the first commands."""
-        self.forwarder.update_members(self._members, now)
-        return [ListStore(LIST_REQUEST)]
+        return self._finish(self.membership.start(now), now)
 
     def packet_received(
         self, data: bytes, source: SocketAddress, from_peer: bool, now: float
@@ -95,107 +98,117 @@
 
     def take_commands(self, now: float) -> list[Command]:
         """Return and clear the commands that packets gave rise to."""
-        return self._encoded(self.forwarder.take_commands(), now)
+        return self.channel.send(self.forwarder.take_commands(), now)
 
     def handle(self, event: Event, now: float) -> list[Command]:
         """Take one event; raises UnknownEventError for what is not in protocol/events.py."""
-        match event:
-            case TimerExpired():
-                commands = self._poll(now)
-            case ControlDatagramReceived(data):
-                commands = self._control_received(data, now)
-            case StoreListed(_, revision, objects):
-                commands = self._store_listed(revision, objects, now)
-            case StoreChanged(_, revision, changes):
-                commands = self._store_changed(revision, changes)
-            case StoreFailed():
-                commands = self._store_failed(now)
-            case StopRequested():
-                commands = [StopNode(complete=True, reason="stop requested")]
-            case _:
-                raise UnknownEventError(event)
-        return self._encoded(commands, now)
+        return self._finish(self._dispatch(event, now), now)
 
     def next_timer(self) -> float | None:
         """Return when `TimerExpired` is wanted."""
-        times = [self.forwarder.next_timer(), self._store.retry_at]
+        times = [component.next_timer() for component in self._components]
+        times.extend((self.channel.next_timer(), self._stop_by))
         return min((time for time in times if time is not None), default=None)
 
+    # -- state for adapters and operators ------------------------------------------------------
+
+    @property
+    def configuration(self) -> ConfigurationFollower:
+        """The compiled configuration in force."""
+        return self._follower
+
     @property
     def ready(self) -> bool:
-        """Whether this node has a configuration in force."""
-        return self._store.listed
+        """Whether packets may be sent to this node: configured, and not on its way out."""
+        return self.replica.ready and self._stop_by is None
+
+    def ask_in_force(self, revision: int, now: float) -> list[Command]:
+        """Begin to find out where a revision is in force; `fleet_status.in_force` tells."""
+        return self._finish(self.fleet_status.ask(revision, now), now)
 
     # -- events --------------------------------------------------------------------------------
 
+    def _dispatch(self, event: Event, now: float) -> list[Command]:
+        match event:
+            case TimerExpired():
+                return self._poll(now)
+            case ControlDatagramReceived(data):
+                return self._control_received(data, now)
+            case MachinesListed(live, leaving):
+                return self.membership.machines_listed(live, leaving, now)
+            case BackendChecked():
+                return []
+            case StopRequested():
+                return self._begin_stop(now)
+            case StoreAnswer():
+                return self.election.handle(event, now)
+            case _:
+                raise UnknownEventError(event)
+
     def _poll(self, now: float) -> list[Command]:
-        commands = self.forwarder.poll(now)
-        if self._store.retry_at is not None and self._store.retry_at <= now:
-            self._store.retry_at = None
-            commands.append(self._next_store_command())
+        commands: list[Command] = []
+        for component in self._components:
+            due = component.next_timer()
+            if due is not None and due <= now:
+                commands.extend(component.poll(now))
         return commands
 
-    def _next_store_command(self) -> Command:
-        if self._store.listed:
-            return WatchStore(WATCH_REQUEST, self._store.revision)
-        return ListStore(LIST_REQUEST)
-
     def _control_received(self, data: bytes, now: float) -> list[Command]:
-        try:
-            envelope = decode_datagram(self.options.fleet_keys, data)
-            commands: list[Command] = []
-            for message in envelope.messages:
-                commands.extend(self.forwarder.handle_message(envelope.sender, message, now))
-        except ProtocolError as error:
-            self.counters[f"control_{error.reason}"] += 1
+        envelope = self.channel.receive(data)
+        if envelope is None:
             return []
+        commands: list[Command] = []
+        for message in envelope.messages:
+            for component in self._components:
+                commands.extend(component.handle_message(envelope.sender, message, now))
         return commands
 
-    def _store_listed(
-        self, revision: int, objects: Sequence[StoredObject], now: float
-    ) -> list[Command]:
-        self._store.listed = True
-        self._store.revision = revision
-        self._apply(sorted(objects, key=lambda item: item.revision))
-        return [WatchStore(WATCH_REQUEST, revision)]
-
-    def _store_changed(self, revision: int, changes: Sequence[StoredObject]) -> list[Command]:
-        self._apply([change for change in changes if change.revision > self._store.revision])
-        self._store.revision = max(revision, self._store.revision)
-        return []
-
-    def _store_failed(self, now: float) -> list[Command]:
-        self.counters["store_failed"] += 1
-        self._store.retry_at = now + STORE_RETRY_SECONDS
-        return []
-
-    def _apply(self, changes: Sequence[StoredObject]) -> None:
-        for change in changes:
-            delta = self.configuration.apply(change)
+    def _begin_stop(self, now: float) -> list[Command]:
+        if self._stop_by is not None:
+            return []
+        self._stop_by = now + self.options.stop_timeout
+        return self.membership.leave(now)
+
+    # -- after each event ----------------------------------------------------------------------
+
+    def _finish(self, commands: Sequence[Command], now: float) -> list[Command]:
+        """Carry changes of one component to the others, then pace the messages."""
+        all_commands = list(commands)
+        all_commands.extend(self._follow_configuration(now))
+        all_commands.extend(self._follow_members(now))
+        all_commands.extend(self._complete_stop(now))
+        return self.channel.send(all_commands, now)
+
+    def _follow_members(self, now: float) -> list[Command]:
+        view = self.membership.view
+        if view.version == self._view_version:
+            return []
+        self._view_version = view.version
+        members = [view.members[node_id] for node_id in sorted(view.members)]
+        answering = [member for member in members if member.answers]
+        self.replica.update_members(answering, now)
+        self.fleet_status.update_members(answering, now)
+        self.forwarder.update_members(answering, now)
+        return self.election.update_members(answering, now)
+
+    def _follow_configuration(self, now: float) -> list[Command]:
+        delta = self._follower.catch_up()
+        if delta is not None:
             removed = [service.service_number for service in delta.services_removed]
             self.forwarder.update_services(delta.services_changed, removed)
+            self.fleet_status.revision_applied(now)
+        own = self.membership.view.member(self.options.machine.node_id)
+        if self.replica.ready and own is not None and own.state is MemberState.JOINING:
+            return self.membership.become_alive(now)
+        return []
 
-    # -- encoding ------------------------------------------------------------------------------
-
-    def _encoded(self, commands: Sequence[Command], now: float) -> list[Command]:
-        return [
-            self._encode(command, now) if isinstance(command, SendMessage) else command
-            for command in commands
-        ]
+    def _complete_stop(self, now: float) -> list[Command]:
+        if self._stop_by is None or self._stopped:
+            return []
+        self._stopped = True
+        commands = self.membership.leave_complete(now)
+        return [*commands, StopNode(complete=True, reason="planned stop")]
 
-    def _encode(self, command: SendMessage, now: float) -> Command:
-        self._sequence += 1
-        address = next(
-            member.machine.control_address
-            for member in self._members
-            if member.machine.node_id == command.destination
-        )
-        machine = self.options.machine
-        data = encode_datagram(
-            self.options.fleet_keys,
-            machine.node_id,
-            self._sequence,
-            int(now * 1000),
-            [command.message],
-        )
-        return SendControl(address, data)
+    def _control_address(self, node_id: NodeId) -> SocketAddress | None:
+        member = self.membership.view.member(node_id)
+        return None if member is None else member.machine.control_address
--- /dev/null
+++ b/src/beamloom/node/options.py
@@ -0,0 +1,31 @@
+"""What a node is told at start."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from beamloom.membership.settings import MembershipSettings
+from beamloom.protocol.codec import KeyRing
+from beamloom.world.addresses import SocketAddress
+from beamloom.world.machines import Machine
+
+DEFAULT_CONTROL_BYTES_PER_SECOND = 4096
+DEFAULT_STOP_TIMEOUT_SECONDS = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class NodeOptions:
+    """Who the node is, whom it may ask first, its keys, its gateways and its budget.
+
+    `hash_key` must be the same on every node; `seed` feeds the node's own random choices.
+    """
+
+    machine: Machine
+    seeds: tuple[SocketAddress, ...]
+    fleet_keys: KeyRing
+    hash_key: bytes
+    gateways: tuple[SocketAddress, ...]
+    seed: int | str
+    control_bytes_per_second: int = DEFAULT_CONTROL_BYTES_PER_SECOND
+    stop_timeout: float = DEFAULT_STOP_TIMEOUT_SECONDS
+    membership: MembershipSettings = field(default_factory=MembershipSettings)
--- a/src/beamloom/protocol/events.py
+++ b/src/beamloom/protocol/events.py
@@ -47,52 +47,53 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoreListed(Event):
-    """The answer to `ListStore`: every object, as of `revision`."""
+class StoreAnswer(Event):
+    """Base of every answer of the platform's store; `request_id` is that of the command."""
 
     request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreListed(StoreAnswer):
+    """The answer to `ListStore`: every object, as of `revision`."""
+
     revision: int
     objects: tuple[StoredObject, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class StoreChanged(Event):
+class StoreChanged(StoreAnswer):
     """The watch delivered changes, in store order; `revision` is the store's newest known."""
 
-    request_id: int
     revision: int
     changes: tuple[StoredObject, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class StoreObjectRead(Event):
+class StoreObjectRead(StoreAnswer):
     """The answer to `ReadObject`; `found` is None where there is no such object."""
 
-    request_id: int
     found: StoredObject | None
 
 
 @dataclass(frozen=True, slots=True)
-class StoreWritten(Event):
+class StoreWritten(StoreAnswer):
     """A conditional write took effect at `revision`."""
 
-    request_id: int
     revision: int
 
 
 @dataclass(frozen=True, slots=True)
-class StoreConflict(Event):
+class StoreConflict(StoreAnswer):
     """A conditional write was refused: the object is now `current` (None: it does not exist)."""
 
-    request_id: int
     current: StoredObject | None
 
 
 @dataclass(frozen=True, slots=True)
-class StoreFailed(Event):
+class StoreFailed(StoreAnswer):
     """A store request failed or its answer was lost; `gone` says the watch must start anew."""
 
-    request_id: int
     reason: str
     gone: bool = False
 
--- a/src/beamloom/settings/configuration.py
+++ b/src/beamloom/settings/configuration.py
@@ -143,6 +143,34 @@
             self._records[name].update_generation(backends, change.revision)
         return self._refresh(affected)
 
+    def apply_batch(
+        self, changes: Iterable[StoredObject], histories: Mapping[str, Sequence[Generation]]
+    ) -> ConfigurationDelta:
+        """Take several changes in at once, in order, and compile what they altered once.
+
+        `histories` holds the generations, by `T/S`, of each service whose backends changed; they
+        come from the replica, so that nodes which saw other batches have the same generations.
+        """
+        services: set[str] = set()
+        tenants: set[str] = set()
+        for change in changes:
+            self.revision = max(self.revision, change.revision)
+            affected = self._take(change)
+            services.update(affected.services)
+            tenants.update(affected.tenants)
+            self._adopt_generations(affected.regenerated, histories, change.revision)
+        return self._refresh(_Affected(services, tenants))
+
+    def _adopt_generations(
+        self, names: Iterable[str], histories: Mapping[str, Sequence[Generation]], revision: int
+    ) -> None:
+        for name in names:
+            record = self._records[name]
+            if histories.get(name):
+                record.generations = tuple(histories[name])
+            else:
+                record.update_generation(self._backends.get(name, {}).values(), revision)
+
     def _take(self, change: StoredObject) -> _Affected:
         """Enter one object, or its deletion, and return what must be compiled anew."""
         self._problems.pop(change.key, None)
