--- /dev/null
+++ b/src/beamloom/cli/check.py
@@ -0,0 +1,101 @@
+"""`beamloom check`: all faults of a settings or deployment file at once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import App, Parameter
+
+from beamloom.cli.errors import FileKindError
+from beamloom.cli.output import OutputFormat, flatten, write_json, write_line
+from beamloom.settings.deployment import Deployment, check_deployment
+from beamloom.settings.file_faults import SettingsFileError
+from beamloom.settings.node_file import check_node_settings
+from beamloom.settings.toml_source import TomlSource, load_toml
+
+EXIT_GOOD = 0
+EXIT_FAULTS = 1
+
+
+@dataclass(frozen=True, slots=True)
+class CheckResult:
+    """What a file is, and its faults in the order of their lines."""
+
+    summary: str
+    faults: tuple[SettingsFileError, ...]
+
+
+def register(app: App) -> None:
+    """Add the command."""
+    app.command(check)
+
+
+def check(
+    file: Path,
+    /,
+    *,
+    output_format: Annotated[OutputFormat, Parameter(name="--format")] = OutputFormat.TABLE,
+) -> int:
+    """Check a node's settings file or a deployment file, and tell all its faults at once.
+
+    Exit status: 0 the file is good, 1 it has faults.
+
+    Parameters
+    ----------
+    file
+        The TOML file.
+    output_format
+        A line per fault, or JSON.
+
+    """
+    result = check_file(file)
+    if output_format is OutputFormat.JSON:
+        write_json({"file": str(file), "faults": [_to_row(fault) for fault in result.faults]})
+    else:
+        _write_lines(file, result)
+    return EXIT_FAULTS if result.faults else EXIT_GOOD
+
+
+def check_file(file: Path) -> CheckResult:
+    """Return what a file is and its faults; raises FileKindError where it is neither kind."""
+    try:
+        return CheckResult(_check_source(load_toml(file)), ())
+    except SettingsFileError as fault:
+        return CheckResult("", (fault,))
+    except ExceptionGroup as group:
+        faults = (fault for fault in flatten(group) if isinstance(fault, SettingsFileError))
+        return CheckResult("", tuple(faults))
+
+
+def _check_source(source: TomlSource) -> str:
+    if "node" in source.data:
+        settings = check_node_settings(source)
+        return f"settings of node {settings.node.id} in zone {settings.node.zone}"
+    if "tenants" in source.data:
+        return _summarize(check_deployment(source))
+    raise FileKindError
+
+
+def _summarize(deployment: Deployment) -> str:
+    services = [service for tenant in deployment.tenants for service in tenant.services]
+    backends = sum(len(service.backends) for service in services)
+    counts = f"{len(deployment.tenants)} tenants, {len(services)} services, {backends} backends"
+    return f"deployment of {counts} in {len(deployment.zones)} zones"
+
+
+def _write_lines(file: Path, result: CheckResult) -> None:
+    for fault in result.faults:
+        write_line(f"{file}: {fault}")
+    if not result.faults:
+        write_line(f"{file}: good, {result.summary}")
+
+
+def _to_row(fault: SettingsFileError) -> dict[str, object]:
+    return {
+        "line": fault.line,
+        "key": fault.key,
+        "reason": fault.reason,
+        "remedy": fault.remedy,
+    }
--- /dev/null
+++ b/src/beamloom/cli/output.py
@@ -0,0 +1,71 @@
+"""Output of commands: tables for people, JSON for programs, errors in one line each."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from enum import StrEnum
+
+from rich.console import Console
+from rich.table import Table
+from rich.text import Text
+
+
+class OutputFormat(StrEnum):
+    """Forms of a command's output."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+Row = Mapping[str, object]
+"""One line of output by column name; values are what JSON can hold."""
+
+
+def write_rows(columns: Sequence[str], rows: Iterable[Row], output_format: OutputFormat) -> None:
+    """Write rows to standard output as a table, or as a JSON array of objects."""
+    if output_format is OutputFormat.JSON:
+        write_json([{column: row[column] for column in columns} for row in rows])
+        return
+    table = Table(*columns, box=None, pad_edge=False)
+    for row in rows:
+        table.add_row(*(Text(_cell(row[column])) for column in columns))
+    _console().print(table)
+
+
+def write_json(value: object) -> None:
+    """Write a value to standard output as JSON."""
+    sys.stdout.write(json.dumps(value, indent=2, default=str) + "\n")
+
+
+def write_line(text: str) -> None:
+    """Write a line to standard output."""
+    sys.stdout.write(text + "\n")
+
+
+def write_error(error: BaseException) -> None:
+    """Write one line per error to standard error; groups are taken apart."""
+    for single in flatten(error):
+        text = " ".join(str(single).split()) or type(single).__name__
+        sys.stderr.write(f"error: {text}\n")
+
+
+def flatten(error: BaseException) -> Iterator[BaseException]:
+    """Yield the errors of a group, however deep; another error is yielded itself."""
+    if isinstance(error, BaseExceptionGroup):
+        for inner in error.exceptions:
+            yield from flatten(inner)
+    else:
+        yield error
+
+
+def _console() -> Console:
+    """Return a console that does not cut off what is piped to a program."""
+    return Console(soft_wrap=not sys.stdout.isatty(), highlight=False)
+
+
+def _cell(value: object) -> str:
+    if value is None:
+        return ""
+    return json.dumps(value) if isinstance(value, bool | dict | list) else str(value)
--- /dev/null
+++ b/src/beamloom/cli/platform_access.py
@@ -0,0 +1,74 @@
+"""How commands reach the platform's store: flags, environment, client and writer."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from random import SystemRandom
+from typing import Annotated
+
+from cyclopts import Parameter
+
+from beamloom.cli.errors import PlatformNotNamedError, UnreadableTokenError
+from beamloom.platform.client import PlatformClient
+from beamloom.platform.operator import OperatorWriter
+from beamloom.platform.options import PlatformOptions, TlsFiles
+from beamloom.platform.retry import Retrier
+
+URL_VARIABLE = "BEAMLOOM_PLATFORM"
+TOKEN_VARIABLE = "BEAMLOOM_PLATFORM_TOKEN_FILE"
+
+
+@Parameter(name="*")
+@dataclass(frozen=True, slots=True)
+class PlatformAccess:
+    """Flags that every command on the platform's store takes."""
+
+    platform: Annotated[str | None, Parameter(name="--platform", env_var=URL_VARIABLE)] = None
+    """Address of the platform's object API, such as http://127.0.0.1:7900."""
+    token_file: Annotated[
+        Path | None, Parameter(name="--platform-token-file", env_var=TOKEN_VARIABLE)
+    ] = None
+    """File that holds the token for the platform."""
+    authority_file: Annotated[Path | None, Parameter(name="--platform-authority-file")] = None
+    """Certificate of the authority that signed the platform's, for https."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSession:
+    """An open client and the writer that operators' commands use."""
+
+    client: PlatformClient
+    writer: OperatorWriter
+
+
+@asynccontextmanager
+async def open_platform(access: PlatformAccess | None) -> AsyncIterator[PlatformSession]:
+    """Open a session; raises PlatformNotNamedError, UnreadableTokenError or PlatformError."""
+    options = _read_options(access or PlatformAccess())
+    retrier = Retrier(options.retry, SystemRandom())
+    async with PlatformClient(options, retrier) as client:
+        yield PlatformSession(client, OperatorWriter(client, SystemRandom(), retrier))
+
+
+def _read_options(access: PlatformAccess) -> PlatformOptions:
+    if access.platform is None:
+        raise PlatformNotNamedError("--platform", URL_VARIABLE)
+    if access.token_file is None:
+        raise PlatformNotNamedError("--platform-token-file", TOKEN_VARIABLE)
+    tls = None if access.authority_file is None else TlsFiles(authority=access.authority_file)
+    return PlatformOptions(access.platform, _read_token(access.token_file), tls=tls)
+
+
+def _read_token(path: Path) -> str:
+    try:
+        token = path.read_text(encoding="utf-8").strip()
+    except OSError as error:
+        raise UnreadableTokenError(str(path), str(error.strerror)) from error
+    except UnicodeDecodeError:
+        raise UnreadableTokenError(str(path), "not UTF-8") from None
+    if not token:
+        raise UnreadableTokenError(str(path), "the file is empty")
+    return token
--- /dev/null
+++ b/src/beamloom/cli/settings_commands.py
@@ -0,0 +1,240 @@
+"""`beamloom settings`: look at the tree of settings in the platform's store, and change it."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
+from dataclasses import asdict
+from typing import Annotated, Any
+
+from cyclopts import App, Parameter
+
+from beamloom.cli.output import OutputFormat, write_line, write_rows
+from beamloom.cli.platform_access import PlatformAccess, PlatformSession, open_platform
+from beamloom.platform.errors import WatchGoneError
+from beamloom.platform.operator import AcceptedWrite
+from beamloom.platform.wire import ChangeBatch
+from beamloom.protocol.events import StoredObject
+from beamloom.settings.configuration import Configuration
+from beamloom.settings.errors import MissingParentError
+from beamloom.settings.tree import Scope, TreeNode, settings_at
+from beamloom.settings.validation import find_declaration
+
+Format = Annotated[OutputFormat, Parameter(name="--format")]
+At = Annotated[str, Parameter(name="--at")]
+Values = dict[str, Any]
+
+TREE_COLUMNS = ("scope", "setting", "value", "unit")
+GET_COLUMNS = ("setting", "value", "unit", "level", "scope_key", "since_revision")
+HISTORY_COLUMNS = ("revision", "operation", "values")
+
+settings_app = App(name="settings", help="Look at the tree of settings and change it.")
+
+
+def register(app: App) -> None:
+    """Add the group of commands."""
+    app.command(settings_app)
+
+
+@settings_app.command
+async def tree(
+    *, access: PlatformAccess | None = None, output_format: Format = OutputFormat.TABLE
+) -> None:
+    """Show what every scope sets, from the root down; what none sets has its default.
+
+    Parameters
+    ----------
+    access
+        Where the platform is.
+    output_format
+        A table, or JSON.
+
+    """
+    async with open_platform(access) as session:
+        configuration = await _read_configuration(session)
+    rows: list[Values] = []
+    _add_rows(configuration.tree.render(), rows)
+    write_rows(TREE_COLUMNS, rows, output_format)
+
+
+@settings_app.command
+async def get(
+    name: str | None = None,
+    /,
+    *,
+    at: At = "global",
+    access: PlatformAccess | None = None,
+    output_format: Format = OutputFormat.TABLE,
+) -> None:
+    """Show the value of a setting in force at a scope and where it comes from.
+
+    Parameters
+    ----------
+    name
+        The setting; without it, all that have a value at the scope.
+    at
+        global, tenant/T or tenant/T/service/S.
+    access
+        Where the platform is.
+    output_format
+        A table, or JSON.
+
+    """
+    scope = Scope.parse(at)
+    names = [made.name for made in settings_at(scope.level)] if name is None else [name]
+    declarations = [find_declaration(wanted) for wanted in names]
+    async with open_platform(access) as session:
+        configuration = await _read_configuration(session)
+    rows = [
+        {
+            "setting": declaration.name,
+            "unit": declaration.unit,
+            **asdict(configuration.effective_setting(scope, declaration.name)),
+        }
+        for declaration in declarations
+    ]
+    write_rows(GET_COLUMNS, rows, output_format)
+
+
+@settings_app.command(name="set")
+async def set_value(
+    name: str, value: str, /, *, at: At = "global", access: PlatformAccess | None = None
+) -> None:
+    """Set a value at a scope; it applies to everything beneath that does not set its own.
+
+    Parameters
+    ----------
+    name
+        The setting, see `beamloom settings get`.
+    value
+        The value in the setting's unit.
+    at
+        global, tenant/T or tenant/T/service/S.
+    access
+        Where the platform is.
+
+    """
+    scope = Scope.parse(at)
+    declaration = find_declaration(name)
+    declaration.require_level(scope.level)
+    checked = declaration.parse(value)
+    async with open_platform(access) as session:
+        await _require_owner(session, scope)
+        accepted = await _edit(session, scope, lambda values: {**values, name: checked})
+    write_line(f"{name} = {checked} at {scope} accepted at revision {accepted.revision}")
+
+
+@settings_app.command
+async def unset(name: str, /, *, at: At = "global", access: PlatformAccess | None = None) -> None:
+    """Remove a value from a scope, so that it is inherited again.
+
+    Parameters
+    ----------
+    name
+        The setting; a name that this version does not know can be removed too.
+    at
+        global, tenant/T or tenant/T/service/S.
+    access
+        Where the platform is.
+
+    """
+    scope = Scope.parse(at)
+    async with open_platform(access) as session:
+        found = (await session.client.read(scope.object_key)).found
+        if found is None or name not in _values_of(found.value):
+            find_declaration(name)
+            write_line(f"{name} was not set at {scope}; nothing was changed")
+            return
+        accepted = await _edit(session, scope, lambda values: _without(values, name))
+    write_line(f"{name} at {scope} removed at revision {accepted.revision}")
+
+
+@settings_app.command
+async def history(
+    *,
+    at: At = "global",
+    access: PlatformAccess | None = None,
+    output_format: Format = OutputFormat.TABLE,
+) -> None:
+    """Show the changes of a scope that the store still keeps, oldest first.
+
+    Parameters
+    ----------
+    at
+        global, tenant/T or tenant/T/service/S.
+    access
+        Where the platform is.
+    output_format
+        A table, or JSON.
+
+    """
+    scope = Scope.parse(at)
+    async with open_platform(access) as session:
+        changes = await _read_history(session, scope.object_key)
+    write_rows(HISTORY_COLUMNS, [_history_row(change) for change in changes], output_format)
+
+
+async def _read_configuration(session: PlatformSession) -> Configuration:
+    listing = await session.client.list_objects()
+    return Configuration.load(listing.objects)
+
+
+async def _require_owner(session: PlatformSession, scope: Scope) -> None:
+    """Raise MissingParentError where the scope's tenant or service does not exist."""
+    key = scope.owner_key
+    if key is not None and (await session.client.read(key)).found is None:
+        raise MissingParentError(f"there is no {key}", "check the name or create it first")
+
+
+async def _edit(
+    session: PlatformSession, scope: Scope, change: Callable[[Values], Values]
+) -> AcceptedWrite:
+    """Write a scope's values as `change` makes them of those there now."""
+    key = scope.object_key
+    if (await session.client.read(key)).found is None:
+        return await session.writer.create_object(key, {"values": change({})})
+    return await session.writer.update_object(
+        key, lambda value: {**value, "values": change(_values_of(value))}
+    )
+
+
+async def _read_history(session: PlatformSession, key: str) -> list[StoredObject]:
+    """Return the changes of a key that the store keeps, or its present state alone."""
+    reading = await session.client.read(key)
+    if reading.found is None:
+        return []
+    start = reading.found.created_revision - 1
+    try:
+        async with aclosing(_watch(session, start, key)) as batches:
+            async for batch in batches:
+                return [change for change in batch.changes if change.key == key]
+    except WatchGoneError:
+        return [reading.found]
+    return []
+
+
+def _watch(session: PlatformSession, start: int, key: str) -> AsyncGenerator[ChangeBatch, None]:
+    return session.client.watch(start, key)
+
+
+def _values_of(value: Values | None) -> Values:
+    values = (value or {}).get("values")
+    return dict(values) if isinstance(values, dict) else {}
+
+
+def _without(values: Values, name: str) -> Values:
+    return {other: value for other, value in values.items() if other != name}
+
+
+def _history_row(change: StoredObject) -> Values:
+    operation = (change.value or {}).get("operation")
+    values = None if change.value is None else _values_of(change.value)
+    return {"revision": change.revision, "operation": operation, "values": values}
+
+
+def _add_rows(node: TreeNode, rows: list[Values]) -> None:
+    for name, value in sorted(node.overrides.items()):
+        unit = find_declaration(name).unit
+        rows.append({"scope": str(node.scope), "setting": name, "value": value, "unit": unit})
+    for child in node.children:
+        _add_rows(child, rows)
--- a/src/beamloom/settings/declarations.py
+++ b/src/beamloom/settings/declarations.py
@@ -10,6 +10,7 @@
 
 from beamloom.settings.errors import (
     OutOfBoundsError,
+    WrongLevelError,
     WrongTypeError,
 )
 from beamloom.world.contracts import (
@@ -79,6 +80,14 @@
             return "true or false"
         return f"{self.minimum:g} to {self.maximum:g}"
 
+    def require_level(self, level: SettingLevel) -> None:
+        """Raise WrongLevelError where the setting has no meaning at a level."""
+        if level not in self.levels:
+            allowed = " or ".join(allowed.value for allowed in self.levels)
+            raise WrongLevelError(
+                f"{self.name} has no value at level {level.value}", f"use level {allowed}"
+            )
+
     def check(self, value: object) -> SettingValue:
         """Return the value in the setting's own type.
 
--- a/src/beamloom/settings/tree.py
+++ b/src/beamloom/settings/tree.py
@@ -12,7 +12,7 @@
     SettingLevel,
     SettingValue,
 )
-from beamloom.settings.errors import InvalidScopeError, WrongLevelError
+from beamloom.settings.errors import InvalidScopeError
 from beamloom.settings.validation import find_declaration
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}")
@@ -46,6 +46,13 @@
             return f"{SETTINGS_PREFIX}tenant/{self.tenant}"
         return f"{SETTINGS_PREFIX}global"
 
+    @property
+    def owner_key(self) -> str | None:
+        """The key of the tenant or service object itself; None for global."""
+        if self.service is not None:
+            return f"service/{self.tenant}/{self.service}"
+        return None if self.tenant is None else f"tenant/{self.tenant}"
+
     @property
     def parent(self) -> Scope | None:
         """The scope from which this one inherits; None for global."""
@@ -155,7 +162,7 @@
         Raises UnknownSettingError, and WrongLevelError where the setting has no meaning there.
         """
         declaration = find_declaration(name)
-        _require_level(declaration, scope)
+        declaration.require_level(scope.level)
         for ancestor in scope.path():
             overrides = self._overrides.get(ancestor)
             if overrides is not None and name in overrides.values:
@@ -192,11 +199,3 @@
 def is_name(text: str) -> bool:
     """Whether the text can name a tenant, service or backend."""
     return NAME_PATTERN.fullmatch(text) is not None
-
-
-def _require_level(declaration: SettingDeclaration, scope: Scope) -> None:
-    if scope.level not in declaration.levels:
-        levels = " or ".join(level.value for level in declaration.levels)
-        raise WrongLevelError(
-            f"{declaration.name} has no value at {scope}", f"ask for it at level {levels}"
-        )
--- a/src/beamloom/settings/validation.py
+++ b/src/beamloom/settings/validation.py
@@ -12,7 +12,7 @@
     SettingLevel,
     SettingValue,
 )
-from beamloom.settings.errors import SettingsError, UnknownSettingError, WrongLevelError
+from beamloom.settings.errors import SettingsError, UnknownSettingError
 
 
 def find_declaration(name: str) -> SettingDeclaration:
@@ -31,11 +31,7 @@
     Raises UnknownSettingError, WrongLevelError, WrongTypeError or OutOfBoundsError.
     """
     declaration = find_declaration(name)
-    if level not in declaration.levels:
-        allowed = " or ".join(allowed.value for allowed in declaration.levels)
-        raise WrongLevelError(
-            f"{name} cannot be set at level {level.value}", f"set it at level {allowed}"
-        )
+    declaration.require_level(level)
     return declaration.check(value)
 
 
