Tell faults between values also where single values are malformed

Cause: a file with one malformed value hid addresses outside their zone and doubled names until the next try, so faults did not come all at once. Change: read_tables gives what can be read along with the faults; cross checks run on that. Conclusion: one run of check is enough.

--- a/src/beamloom/settings/deployment.py
+++ b/src/beamloom/settings/deployment.py
@@ -19,8 +19,9 @@
 from beamloom.settings.file_models import (
     address_faults,
     fault_at,
+    key_text,
     raise_faults,
-    validate,
+    read_tables,
     zone_faults,
     zones_by_name,
 )
@@ -71,10 +72,11 @@
 
 def check_deployment(source: TomlSource) -> Deployment:
     """Return a checked deployment; raises an ExceptionGroup of SettingsFileErrors."""
-    tables = validate(DeploymentTables, source)
+    reading = read_tables(DeploymentTables, source)
+    tables = reading.tables
     checker = _DeploymentChecker(source, tables)
     checker.check()
-    raise_faults(checker.faults)
+    raise_faults([*reading.faults, *checker.faults])
     return Deployment(
         zones=tuple(table.zone for table in tables.zones),
         links=tuple(table.link for table in tables.links),
@@ -101,38 +103,42 @@
         """Check the whole file."""
         self.faults.extend(zone_faults(self._source, self._tables.zones))
         for index, link in enumerate(self._tables.links):
-            for zone in link.zones:
+            for zone in link.zones or ():
                 self._check_zone(("links", index, "zones"), zone)
         self._check_settings(GLOBAL_SCOPE, ("settings",), self._tables.settings)
         for index, tenant in enumerate(self._tables.tenants):
             self._check_tenant(("tenants", index), tenant)
 
     def _check_tenant(self, path: KeyPath, tenant: TenantTable) -> None:
-        self._check_name(path, "tenant", (tenant.name,))
-        self._check_settings(Scope(tenant.name), (*path, "settings"), tenant.settings)
+        name = _name_of(tenant, path)
+        self._check_name(path, "tenant", (name,))
+        self._check_settings(Scope(name), (*path, "settings"), tenant.settings)
         for index, service in enumerate(tenant.services):
-            self._check_service((*path, "services", index), tenant.name, service)
+            self._check_service((*path, "services", index), name, service)
 
     def _check_service(self, path: KeyPath, tenant: str, service: ServiceTable) -> None:
-        self._check_name(path, "service", (tenant, service.name))
-        scope = Scope(tenant, service.name)
+        scope = Scope(tenant, _name_of(service, path))
+        self._check_name(path, "service", (tenant, str(scope.service)))
         self._check_settings(scope, (*path, "settings"), service.settings)
         address = (service.ip, service.protocol, service.port)
         owner = self._virtual_addresses.setdefault(address, str(scope))
-        if owner != str(scope):
+        if owner != str(scope) and None not in address:
             reason = f"{service.protocol} {service.ip} port {service.port} belongs to {owner}"
             self._add((*path, "ip"), reason, "give the service an address or port of its own")
         for index, backend in enumerate(service.backends):
             self._check_backend((*path, "backends", index), scope, backend)
 
     def _check_backend(self, path: KeyPath, scope: Scope, backend: BackendTable) -> None:
-        names = (str(scope.tenant), str(scope.service), backend.name)
+        names = (str(scope.tenant), str(scope.service), _name_of(backend, path))
         self._check_name(path, "backend", names)
         self._check_zone((*path, "zone"), backend.zone)
         for key, address in (("address", backend.address), ("health", backend.health)):
             where = (*path, key)
-            host = address.host
-            self.faults.extend(address_faults(self._source, self._zones, backend.zone, where, host))
+            self.faults.extend(
+                address_faults(self._source, self._zones, backend.zone, where, address)
+            )
+        if backend.address is None:
+            return
         name = "/".join(names)
         owner = self._backend_addresses.setdefault(backend.address, name)
         if owner != name:
@@ -146,12 +152,12 @@
         self._names.add(names)
 
     def _check_zone(self, path: KeyPath, zone: str) -> None:
-        if zone not in self._zones:
+        if zone is not None and zone not in self._zones:
             self._add(path, f"there is no zone {zone}", f"give one of {', '.join(self._zones)}")
 
     def _check_settings(self, scope: Scope, path: KeyPath, table: Mapping[str, Any]) -> None:
         checked = self.settings.setdefault(scope, {})
-        for keys, value in _flatten(table):
+        for keys, value in _flatten(table or {}):
             name = ".".join(keys)
             try:
                 checked[name] = check_setting(scope.level, name, value)
@@ -162,6 +168,11 @@
         self.faults.append(fault_at(self._source, path, reason, remedy))
 
 
+def _name_of(table: TenantTable | ServiceTable | BackendTable, path: KeyPath) -> str:
+    """Return a table's name; where that cannot be read, its place, which no other table has."""
+    return table.name or key_text(path)
+
+
 def _flatten(table: Mapping[str, Any]) -> Iterator[tuple[tuple[str, ...], Any]]:
     """Yield each value of nested tables with the keys that lead to it."""
     for key, value in table.items():
--- a/src/beamloom/settings/file_models.py
+++ b/src/beamloom/settings/file_models.py
@@ -6,10 +6,19 @@
 import re
 import reprlib
 from collections.abc import Iterator, Mapping, Sequence
-from typing import Annotated, Any, TypeVar, get_args
-
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, StringConstraints
+from dataclasses import dataclass
+from typing import Annotated, Any, Generic, TypeVar, get_args
+
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    TypeAdapter,
+)
 from pydantic import ValidationError as ModelError
+from pydantic.fields import FieldInfo
 
 from beamloom.settings.file_faults import (
     SettingsFileError,
@@ -29,12 +38,13 @@
 _URL = re.compile(r"https?://[^/\s]+/?")
 
 
+FIELD_CONFIGURATION = ConfigDict(strict=True, arbitrary_types_allowed=True)
+
+
 class FileModel(BaseModel):
     """Base of every table of a settings file: immutable, strict types, no unknown keys."""
 
-    model_config = ConfigDict(
-        extra="forbid", frozen=True, strict=True, arbitrary_types_allowed=True
-    )
+    model_config = ConfigDict(extra="forbid", frozen=True, **FIELD_CONFIGURATION)
 
 
 def _parse_address(value: object) -> SocketAddress:
@@ -96,14 +106,52 @@
         return not self.networks or any(address in network for network in self.networks)
 
 
-def validate(model: type[Model], source: TomlSource) -> Model:
-    """Return the file as a model; raises an ExceptionGroup of SettingsFileErrors, all at once."""
+@dataclass(frozen=True, slots=True)
+class FileReading(Generic[Model]):
+    """A file's model and the faults of single values.
+
+    With faults, a field that cannot be read is None whatever its type says, so that the checks that
+    concern several values can still run and all faults be told at once.
+    """
+
+    tables: Model
+    faults: tuple[SettingsFileError, ...]
+
+
+def read_tables(model: type[Model], source: TomlSource) -> FileReading[Model]:
+    """Return a file as a model, with the faults of single values."""
     try:
-        return model.model_validate(source.data)
+        return FileReading(model.model_validate(source.data), ())
     except ModelError as error:
         faults = [_to_fault(model, source, details) for details in _root_errors(error)]
-    raise_faults(faults)
-    raise AssertionError("pydantic refused a file without an error")
+        return FileReading(_read_partially(model, source.data), tuple(faults))
+
+
+def _read_partially(model: type[Model], data: object) -> Model:
+    """Return a model with whatever of the data can be read."""
+    given = data if isinstance(data, Mapping) else {}
+    fields: dict[str, Any] = {
+        name: _read_field(field, given.get(name)) for name, field in model.model_fields.items()
+    }
+    return model.model_construct(**fields)
+
+
+def _read_field(field: FieldInfo, value: object) -> object:
+    nested = _nested_model(field.annotation)
+    if nested is not None:
+        if get_args(field.annotation):
+            items = value if isinstance(value, list) else []
+            return tuple(_read_partially(nested, item) for item in items)
+        return _read_partially(nested, value)
+    if value is None:
+        return None if field.is_required() else field.get_default(call_default_factory=True)
+    kind: Any = field.annotation
+    if field.metadata:
+        kind = Annotated[kind, *field.metadata]
+    try:
+        return TypeAdapter(kind, config=FIELD_CONFIGURATION).validate_python(value)
+    except ModelError:
+        return None
 
 
 def _root_errors(error: ModelError) -> list[Any]:
@@ -136,7 +184,7 @@
     seen: dict[str, ZoneTable] = {}
     for index, zone in enumerate(zones):
         path: KeyPath = ("zones", index)
-        if zone.name in seen:
+        if zone.name is not None and zone.name in seen:
             reason = f"zone {zone.name} is given twice"
             yield fault_at(source, (*path, "name"), reason, "give each zone one name of its own")
         for other in seen.values():
@@ -149,18 +197,22 @@
 
 def zones_by_name(zones: Sequence[ZoneTable]) -> dict[str, ZoneTable]:
     """Return the zones by name; of two with one name, which is a fault, the first."""
-    return {zone.name: zone for zone in reversed(zones)}
+    return {zone.name: zone for zone in reversed(zones) if zone.name is not None}
 
 
 def address_faults(
-    source: TomlSource, zones: Mapping[str, ZoneTable], zone: str, path: KeyPath, host: str
+    source: TomlSource,
+    zones: Mapping[str, ZoneTable],
+    zone: str,
+    path: KeyPath,
+    address: SocketAddress | None,
 ) -> Iterator[SettingsFileError]:
     """Yield a fault where an address lies outside its zone."""
     table = zones.get(zone)
-    if table is None or table.contains(host):
+    if address is None or table is None or table.contains(address.host):
         return
     networks = ", ".join(map(str, table.networks))
-    reason = f"{host} lies outside zone {zone}"
+    reason = f"{address.host} lies outside zone {zone}"
     yield fault_at(source, path, reason, f"give an address in {networks}, or the right zone")
 
 
@@ -180,8 +232,8 @@
 def _overlap(networks: Sequence[IpNetwork], others: Sequence[IpNetwork]) -> bool:
     return any(
         network.version == other.version and network.overlaps(other)
-        for network in networks
-        for other in others
+        for network in networks or ()
+        for other in others or ()
     )
 
 
--- a/src/beamloom/settings/node_file.py
+++ b/src/beamloom/settings/node_file.py
@@ -20,7 +20,7 @@
     address_faults,
     fault_at,
     raise_faults,
-    validate,
+    read_tables,
     zone_faults,
     zones_by_name,
 )
@@ -133,23 +133,25 @@
 
 def check_node_settings(source: TomlSource) -> NodeSettings:
     """Return a checked file; raises an ExceptionGroup of SettingsFileErrors."""
-    settings = validate(NodeSettings, source)
-    raise_faults([*zone_faults(source, settings.zones), *_node_faults(source, settings)])
+    reading = read_tables(NodeSettings, source)
+    settings = reading.tables
+    zones = zone_faults(source, settings.zones)
+    raise_faults([*reading.faults, *zones, *_node_faults(source, settings)])
     return settings
 
 
 def _node_faults(source: TomlSource, settings: NodeSettings) -> Iterator[SettingsFileError]:
     node = settings.node
     zones = zones_by_name(settings.zones)
-    if node.zone not in zones:
+    if node.zone is not None and node.zone not in zones:
         reason = f"there is no zone {node.zone}"
         yield fault_at(source, ("node", "zone"), reason, f"give one of {', '.join(zones)}")
-    elif zones[node.zone].region != node.region:
+    elif node.zone in zones and zones[node.zone].region != node.region:
         reason = f"zone {node.zone} lies in region {zones[node.zone].region}"
         yield fault_at(source, ("node", "region"), reason, "give the zone's region")
     for name in ADDRESSES:
         path: KeyPath = ("node", name)
-        yield from address_faults(source, zones, node.zone, path, getattr(node, name).host)
+        yield from address_faults(source, zones, node.zone, path, getattr(node, name))
     yield from _shared_address_faults(source, node)
     if (settings.admin.certificate_file is None) != (settings.admin.key_file is None):
         reason = "TLS needs a certificate and its key"
@@ -160,6 +162,8 @@
     seen: dict[object, str] = {}
     for name in UDP_ADDRESSES:
         address = getattr(node, name)
+        if address is None:
+            continue
         if address.port and address in seen:
             reason = f"{address} is also the {seen[address]}"
             yield fault_at(source, ("node", name), reason, "give each UDP address its own port")
--- a/tests/unit/settings/test_files.py
+++ b/tests/unit/settings/test_files.py
@@ -86,7 +86,18 @@
 
     def test_all_faults_come_at_once(self) -> None:
         text = NODE.replace("7000", "x").replace("4096", "true").replace('"json"', '"xml"')
-        self.assertEqual(len(faults_of(check_node_settings, text)), 3)
+        text = text.replace("127.10.1.1:7001", "127.10.2.1:7001").replace('"nabua"', '"walu-bay"')
+        faults = faults_of(check_node_settings, text)
+        self.assertEqual(
+            [fault.key for fault in faults],
+            [
+                "node.data_address",
+                "node.peer_address",
+                "fleet.control_budget_bytes_per_second",
+                "log.format",
+                "zones[3].name",
+            ],
+        )
 
     def test_unreadable_files_are_faults_too(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
@@ -158,9 +169,65 @@
                 for words in expected:
                     self.assertIn(words, str(faults[0]))
 
+    def test_all_faults_come_at_once(self) -> None:
+        text = VAKATALE.replace('"tcp"', "7", 1).replace("127.10.2.11", "127.10.1.11")
+        text = text.replace('name = "vakatale"', 'name = "a b"').replace("stickiness", "sticky")
+        text = text.replace('"tracker-4"', '"tracker-3"').replace('"labeller-1"', "1")
+        keys = {fault.key for fault in faults_of(check_deployment, text)}
+        service, other = "tenants[1].services[1]", "tenants[1].services[2]"
+        self.assertEqual(
+            keys,
+            {
+                "tenants[1].name",
+                "tenants[1].settings.placement.prefer",
+                f"{service}.protocol",
+                f"{service}.backends[2].address",
+                f"{service}.backends[2].health",
+                f"{service}.backends[4].name",
+                f"{other}.backends[1].name",
+            },
+        )
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(
+        st.sampled_from([NODE, VAKATALE]),
+        st.lists(
+            st.tuples(
+                st.integers(1, 60),
+                st.sampled_from(
+                    [
+                        "x = 1",
+                        "zone = []",
+                        "name = {}",
+                        "[node]",
+                        "[[zones]]",
+                        "[[tenants]]",
+                        "zones = 3",
+                        "[[tenants.services]]",
+                        "settings = 4",
+                        'networks = "x"',
+                        "address = 1",
+                        "tenants = []",
+                    ]
+                ),
+            ),
+            max_size=4,
+        ),
+    )
+    def test_any_damage_raises_only_file_errors(
+        self, text: str, damages: list[tuple[int, str]]
+    ) -> None:
+        lines = text.splitlines()
+        for number, damage in damages:
+            lines[number % len(lines)] = damage
+        self.assert_only_file_errors("\n".join(lines))
+
     @settings(derandomize=True, max_examples=300, deadline=None)
     @given(st.text(alphabet="[]{}=\"'.,\n tenants1zo-", max_size=60))
     def test_any_text_raises_only_file_errors(self, text: str) -> None:
+        self.assert_only_file_errors(text)
+
+    def assert_only_file_errors(self, text: str) -> None:
         for check in (check_deployment, check_node_settings):
             try:
                 check(parse_toml(text))
