State each flag's help once and name the exit statuses

Change: help stands with the flags' types, FormatFlag is shared by all commands, ExitStatus names the statuses.

--- a/src/beamloom/cli/check.py
+++ b/src/beamloom/cli/check.py
@@ -9,15 +9,13 @@
 from cyclopts import App, Parameter
 
 from beamloom.cli.errors import FileKindError
-from beamloom.cli.output import OutputFormat, flatten, write_json, write_line
+from beamloom.cli.exit_status import ExitStatus
+from beamloom.cli.output import FormatFlag, OutputFormat, flatten, write_json, write_line
 from beamloom.settings.deployment import Deployment, check_deployment
 from beamloom.settings.file_faults import SettingsFileError
 from beamloom.settings.node_file import check_node_settings
 from beamloom.settings.toml_source import TomlSource, load_toml
 
-EXIT_GOOD = 0
-EXIT_FAULTS = 1
-
 
 @dataclass(frozen=True, slots=True)
 class CheckResult:
@@ -33,29 +31,21 @@
 
 
 def check(
-    file: Path,
+    file: Annotated[Path, Parameter(help="The TOML file.")],
     /,
     *,
-    output_format: Annotated[OutputFormat, Parameter(name="--format")] = OutputFormat.TABLE,
-) -> int:
+    output_format: FormatFlag = OutputFormat.TABLE,
+) -> ExitStatus:
     """Check a node's settings file or a deployment file, and tell all its faults at once.
 
     Exit status: 0 the file is good, 1 it has faults.
-
-    Parameters
-    ----------
-    file
-        The TOML file.
-    output_format
-        A line per fault, or JSON.
-
     """
     result = check_file(file)
     if output_format is OutputFormat.JSON:
         write_json({"file": str(file), "faults": [_to_row(fault) for fault in result.faults]})
     else:
         _write_lines(file, result)
-    return EXIT_FAULTS if result.faults else EXIT_GOOD
+    return ExitStatus.FAILED if result.faults else ExitStatus.GOOD
 
 
 def check_file(file: Path) -> CheckResult:
--- a/src/beamloom/cli/main.py
+++ b/src/beamloom/cli/main.py
@@ -10,15 +10,11 @@
 
 from beamloom.cli.commands import register_commands
 from beamloom.cli.errors import CommandError, UsageError
+from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.output import write_error
 from beamloom.platform.errors import PlatformError
 from beamloom.settings.errors import SettingsError
 
-EXIT_GOOD = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-EXIT_INTERRUPTED = 130
-
 EXPECTED_ERRORS = (CommandError, SettingsError, PlatformError, OSError)
 """Errors whose message is for the user; any other is a fault of the program and keeps its trace."""
 
@@ -42,15 +38,15 @@
         result = make_app()(tokens, exit_on_error=False, print_error=False)
     except CycloptsError as error:
         write_error(UsageError(str(error)))
-        return EXIT_USAGE
+        return ExitStatus.USAGE
     except KeyboardInterrupt:
-        return EXIT_INTERRUPTED
+        return ExitStatus.INTERRUPTED
     except EXPECTED_ERRORS as error:
         write_error(error)
-        return EXIT_FAILED
+        return ExitStatus.FAILED
     except ExceptionGroup as group:
         if group.split(EXPECTED_ERRORS)[1] is not None:
             raise
         write_error(group)
-        return EXIT_FAILED
-    return result if isinstance(result, int) else EXIT_GOOD
+        return ExitStatus.FAILED
+    return result if isinstance(result, int) else ExitStatus.GOOD
--- a/src/beamloom/cli/output.py
+++ b/src/beamloom/cli/output.py
@@ -6,7 +6,9 @@
 import sys
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from enum import StrEnum
+from typing import Annotated
 
+from cyclopts import Parameter
 from rich.console import Console
 from rich.table import Table
 from rich.text import Text
@@ -19,6 +21,9 @@
     JSON = "json"
 
 
+FormatFlag = Annotated[OutputFormat, Parameter(name="--format", help="For people, or JSON.")]
+"""The flag of every command that has output."""
+
 Row = Mapping[str, object]
 """One line of output by column name; values are what JSON can hold."""
 
--- a/src/beamloom/cli/settings_commands.py
+++ b/src/beamloom/cli/settings_commands.py
@@ -9,7 +9,7 @@
 
 from cyclopts import App, Parameter
 
-from beamloom.cli.output import OutputFormat, write_line, write_rows
+from beamloom.cli.output import FormatFlag, OutputFormat, write_line, write_rows
 from beamloom.cli.platform_access import PlatformAccess, PlatformSession, open_platform
 from beamloom.platform.errors import WatchGoneError
 from beamloom.platform.operator import AcceptedWrite
@@ -20,8 +20,9 @@
 from beamloom.settings.tree import Scope, TreeNode, settings_at
 from beamloom.settings.validation import find_declaration
 
-Format = Annotated[OutputFormat, Parameter(name="--format")]
-At = Annotated[str, Parameter(name="--at")]
+At = Annotated[str, Parameter(name="--at", help="global, tenant/T or tenant/T/service/S.")]
+Name = Annotated[str, Parameter(help="The setting, see `beamloom settings get`.")]
+Value = Annotated[str, Parameter(help="The value in the setting's unit.")]
 Values = dict[str, Any]
 
 TREE_COLUMNS = ("scope", "setting", "value", "unit")
@@ -38,18 +39,9 @@
 
 @settings_app.command
 async def tree(
-    *, access: PlatformAccess | None = None, output_format: Format = OutputFormat.TABLE
+    *, access: PlatformAccess | None = None, output_format: FormatFlag = OutputFormat.TABLE
 ) -> None:
-    """Show what every scope sets, from the root down; what none sets has its default.
-
-    Parameters
-    ----------
-    access
-        Where the platform is.
-    output_format
-        A table, or JSON.
-
-    """
+    """Show what every scope sets, from the root down; what none sets has its default."""
     async with open_platform(access) as session:
         configuration = await _read_configuration(session)
     rows: list[Values] = []
@@ -59,27 +51,14 @@
 
 @settings_app.command
 async def get(
-    name: str | None = None,
+    name: Name | None = None,
     /,
     *,
     at: At = "global",
     access: PlatformAccess | None = None,
-    output_format: Format = OutputFormat.TABLE,
+    output_format: FormatFlag = OutputFormat.TABLE,
 ) -> None:
-    """Show the value of a setting in force at a scope and where it comes from.
-
-    Parameters
-    ----------
-    name
-        The setting; without it, all that have a value at the scope.
-    at
-        global, tenant/T or tenant/T/service/S.
-    access
-        Where the platform is.
-    output_format
-        A table, or JSON.
-
-    """
+    """Show the settings in force at a scope and where each value comes from; NAME picks one."""
     scope = Scope.parse(at)
     names = [made.name for made in settings_at(scope.level)] if name is None else [name]
     declarations = [find_declaration(wanted) for wanted in names]
@@ -98,22 +77,9 @@
 
 @settings_app.command(name="set")
 async def set_value(
-    name: str, value: str, /, *, at: At = "global", access: PlatformAccess | None = None
+    name: Name, value: Value, /, *, at: At = "global", access: PlatformAccess | None = None
 ) -> None:
-    """Set a value at a scope; it applies to everything beneath that does not set its own.
-
-    Parameters
-    ----------
-    name
-        The setting, see `beamloom settings get`.
-    value
-        The value in the setting's unit.
-    at
-        global, tenant/T or tenant/T/service/S.
-    access
-        Where the platform is.
-
-    """
+    """Set a value at a scope; it applies to everything beneath that does not set its own."""
     scope = Scope.parse(at)
     declaration = find_declaration(name)
     declaration.require_level(scope.level)
@@ -125,18 +91,10 @@
 
 
 @settings_app.command
-async def unset(name: str, /, *, at: At = "global", access: PlatformAccess | None = None) -> None:
+async def unset(name: Name, /, *, at: At = "global", access: PlatformAccess | None = None) -> None:
     """Remove a value from a scope, so that it is inherited again.
 
-    Parameters
-    ----------
-    name
-        The setting; a name that this version does not know can be removed too.
-    at
-        global, tenant/T or tenant/T/service/S.
-    access
-        Where the platform is.
-
+    A name that this version does not know can be removed too.
     """
     scope = Scope.parse(at)
     async with open_platform(access) as session:
@@ -154,20 +112,9 @@
     *,
     at: At = "global",
     access: PlatformAccess | None = None,
-    output_format: Format = OutputFormat.TABLE,
+    output_format: FormatFlag = OutputFormat.TABLE,
 ) -> None:
-    """Show the changes of a scope that the store still keeps, oldest first.
-
-    Parameters
-    ----------
-    at
-        global, tenant/T or tenant/T/service/S.
-    access
-        Where the platform is.
-    output_format
-        A table, or JSON.
-
-    """
+    """Show the changes of a scope that the store still keeps, oldest first."""
     scope = Scope.parse(at)
     async with open_platform(access) as session:
         changes = await _read_history(session, scope.object_key)
