End a silent stream at its limit whatever the rounding

Cause: the simulator stood still at second 136 of a rolling replacement: a stream's timer was due at sent + limit, but its check compared now - sent with the limit, which rounds differently, so the poll did nothing and was due again at the same instant for ever. Change: compare with the same sum that the timer names. Measured: the new test fails without the change and passes with it; 19 stand-in tests pass. Conclusion: timers and checks must use one expression.

--- a/src/beamloom/standins/client_stream.py
+++ b/src/beamloom/standins/client_stream.py
@@ -80,7 +80,7 @@
 
     def _do_due(self, now: float) -> None:
         oldest = next(iter(self._unanswered.values()), now)
-        if now - oldest >= self._options.unanswered_limit:
+        if now >= oldest + self._options.unanswered_limit:
             self._conclude_silence("updates unanswered", now)
             self._connection.abort()
             return
--- a/tests/unit/test_standins.py
+++ b/tests/unit/test_standins.py
@@ -202,6 +202,17 @@
         self.assertEqual((truth.updates_answered, truth.pushes), (truth.updates_sent, 1))
         self.assertGreaterEqual(truth.updates_sent, 719)
 
+    def test_poll_at_the_silence_limit_ends_the_flow_at_any_start(self) -> None:
+        for start in (0.1, 56.133782192566436, 91.99245395243423):
+            flow = stream()
+            flow.start(start)
+            while flow.outcome is None:
+                due = flow.next_timer()
+                self.assertIsNotNone(due)
+                flow.poll(due or 0.0)
+                later = flow.next_timer()
+                self.assertTrue(later is None or due is None or later > due)
+
     def test_mid_flow_segment_to_another_backend_breaks_the_flow(self) -> None:
         right, wrong = make_backend("b1"), make_backend("b2")
         network = Network(right, wrong)
