--- /dev/null
+++ b/src/beamloom/simulation/deployment.py
@@ -0,0 +1,158 @@
+"""The deployments of the two users: their zones, delays, services and stored objects."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.world.zones import Link, Zone
+
+DATA_PORT = 5555
+HEALTH_PORT = 8080
+SERVICE_PORT = 443
+PLATFORM_ZONE = "platform"
+PLATFORM_DELAY = 0.002
+"""One-way delay from a zone to the platform's store, in seconds."""
+REGION_DELAY = 0.030
+"""One-way delay between zones of two regions, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShape:
+    """A service of a site: how many backends it has and what may be done with its requests."""
+
+    tenant: str
+    name: str
+    ip: str
+    backend_count: int
+    repeatable: bool = True
+    protocol: TransportProtocol = TransportProtocol.TCP
+
+    @property
+    def service_id(self) -> str:
+        """Return `tenant/name`."""
+        return f"{self.tenant}/{self.name}"
+
+    @property
+    def virtual_address(self) -> VirtualAddress:
+        """The address that clients use."""
+        return VirtualAddress(self.ip, self.protocol, SERVICE_PORT)
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """One user's region: zones, one-way delays in seconds, and the services exposed there."""
+
+    region: str
+    zone_names: tuple[str, ...]
+    zone_delay: float
+    client_delay: float
+    number: int
+    services: tuple[ServiceShape, ...]
+
+    @property
+    def zones(self) -> tuple[Zone, ...]:
+        """The zones of the region."""
+        return tuple(Zone(name, self.region) for name in self.zone_names)
+
+    @property
+    def client_zone(self) -> Zone:
+        """Where the clients and the fabric's edge are."""
+        return Zone(f"clients-{self.region}", f"clients-{self.region}")
+
+
+@dataclass(frozen=True, slots=True)
+class BackendSite:
+    """Where one backend of a service listens."""
+
+    key: str
+    backend_id: str
+    service: ServiceShape
+    zone: Zone
+    data_address: SocketAddress
+    health_address: SocketAddress
+
+    def value(self, state: str = "active") -> dict[str, Any]:
+        """Return the stored object."""
+        return {
+            "address": str(self.data_address),
+            "health": str(self.health_address),
+            "zone": self.zone.name,
+            "weight": 100,
+            "state": state,
+        }
+
+
+VAKATALE = Site(
+    "suva",
+    ("laucala", "walu-bay", "nabua"),
+    0.0015,
+    0.001,
+    1,
+    (
+        ServiceShape("vakatale", "tracker", "198.51.100.1", 7, repeatable=False),
+        ServiceShape("vakatale", "labeller", "198.51.100.2", 3),
+    ),
+)
+TAIRI = Site(
+    "nairobi",
+    ("westlands", "industrial-area", "upper-hill"),
+    0.0015,
+    0.003,
+    2,
+    (
+        ServiceShape("tairi", "bay-desk", "203.0.113.1", 7, repeatable=False),
+        ServiceShape("tairi", "catalogue", "203.0.113.2", 3),
+    ),
+)
+
+
+def backend_site(site: Site, service: ServiceShape, index: int) -> BackendSite:
+    """Return where backend `index` (from 1) of a service listens."""
+    zone = site.zones[(index - 1) % len(site.zones)]
+    service_index = site.services.index(service) + 1
+    host = f"10.{site.number}.{service_index + 100}.{index}"
+    backend_id = f"{service.name}-{index}"
+    return BackendSite(
+        f"backend/{service.service_id}/{backend_id}",
+        backend_id,
+        service,
+        zone,
+        SocketAddress(host, DATA_PORT),
+        SocketAddress(host, HEALTH_PORT),
+    )
+
+
+def links_of(sites: tuple[Site, ...]) -> Iterator[Link]:
+    """Yield the links within and between sites, to their clients and to the platform."""
+    for site in sites:
+        for first in site.zone_names:
+            yield Link(first, site.client_zone.name, site.client_delay)
+            yield Link(first, PLATFORM_ZONE, PLATFORM_DELAY)
+            for second in site.zone_names:
+                if first < second:
+                    yield Link(first, second, site.zone_delay)
+
+
+def initial_objects(site: Site) -> Iterator[tuple[str, dict[str, Any]]]:
+    """Yield keys and values of the objects that the site's operators created, parents first."""
+    for tenant in sorted({service.tenant for service in site.services}):
+        yield f"tenant/{tenant}", {}
+        yield f"settings/tenant/{tenant}", {"values": {}}
+    for service in site.services:
+        address = service.virtual_address
+        yield (
+            f"service/{service.service_id}",
+            {
+                "ip": address.ip,
+                "protocol": address.protocol.name.lower(),
+                "port": address.port,
+            },
+        )
+        values = {} if service.repeatable else {"request.repeat": "never"}
+        yield f"settings/service/{service.service_id}", {"values": values}
+        for index in range(1, service.backend_count + 1):
+            placed = backend_site(site, service, index)
+            yield placed.key, placed.value()
--- /dev/null
+++ b/src/beamloom/simulation/measurements.py
@@ -0,0 +1,98 @@
+"""What a run is measured by: commands' digest, control bytes, configuration in force."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, field
+
+import xxhash
+
+from beamloom.protocol.commands import Command
+from beamloom.simulation.clock import VirtualClock
+from beamloom.world.addresses import SocketAddress
+
+CONTROL_WINDOW = 10
+"""Seconds over which control traffic is averaged."""
+_TIME = struct.Struct("!d")
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """A node was seen to have a revision in force at a time."""
+
+    node: str
+    revision: int
+    time: float
+
+
+@dataclass(slots=True)
+class ControlTraffic:
+    """Control bytes of one node by whole second of the run."""
+
+    started_at: float
+    bytes_by_second: dict[int, int] = field(default_factory=dict)
+
+    def windows(self, end: float) -> list[float]:
+        """Return bytes per second over each `CONTROL_WINDOW`, moved on by whole seconds."""
+        first = int(self.started_at)
+        seconds = [self.bytes_by_second.get(second, 0) for second in range(first, int(end))]
+        if len(seconds) < CONTROL_WINDOW:
+            return [sum(seconds) / CONTROL_WINDOW]
+        total = sum(seconds[:CONTROL_WINDOW])
+        windows = [total / CONTROL_WINDOW]
+        for index in range(CONTROL_WINDOW, len(seconds)):
+            total += seconds[index] - seconds[index - CONTROL_WINDOW]
+            windows.append(total / CONTROL_WINDOW)
+        return windows
+
+
+class Measurements:
+    """Collected while the run goes on, read when it has ended."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self._clock = clock
+        self._hash = xxhash.xxh3_128()
+        self._control: dict[str, ControlTraffic] = {}
+        self._revisions: dict[str, int] = {}
+        self.in_force: list[InForce] = []
+        self.packets = 0
+
+    @property
+    def digest(self) -> str:
+        """Hash over all commands and forwarded packets of all nodes so far, with their times."""
+        return self._hash.hexdigest()
+
+    def node_started(self, node: str) -> None:
+        """Begin to count a node's control traffic."""
+        self._control[node] = ControlTraffic(self._clock.now)
+
+    def packet_sent(self, node: str, destination: SocketAddress, data: bytes) -> None:
+        """Note a packet that a core answered with a destination."""
+        self.packets += 1
+        update = self._hash.update
+        update(_TIME.pack(self._clock.now))
+        update(f"{node}>{destination.host}:{destination.port}".encode())
+        update(data)
+
+    def command(self, node: str, command: Command) -> None:
+        """Note a command."""
+        update = self._hash.update
+        update(_TIME.pack(self._clock.now))
+        update(f"{node}!{command!r}".encode())
+
+    def control_sent(self, node: str, size: int) -> None:
+        """Count one control datagram of `size` bytes."""
+        seconds = self._control[node].bytes_by_second
+        second = int(self._clock.now)
+        seconds[second] = seconds.get(second, 0) + size
+
+    def configuration_in_force(self, node: str, revision: int) -> None:
+        """Note the revision that a node's status shows, whenever it changes."""
+        if self._revisions.get(node) != revision:
+            self._revisions[node] = revision
+            self.in_force.append(InForce(node, revision, self._clock.now))
+
+    def control_windows(self) -> list[float]:
+        """Return the control bytes per second of every node in every window."""
+        end = self._clock.now
+        return [window for traffic in self._control.values() for window in traffic.windows(end)]
--- a/src/beamloom/simulation/network.py
+++ b/src/beamloom/simulation/network.py
@@ -153,6 +153,11 @@
             return CROSS_REGION_DELAY, 0.0
         return link.one_way_delay, link.loss
 
+    def delay_between(self, source: Host, destination: Host) -> float | None:
+        """Return the one-way delay for a reliable exchange, or None where nothing passes."""
+        path = self._path(source, destination)
+        return None if path.blocked or not destination.running else path.delay
+
     def add_condition(self, label: str, condition: PathCondition) -> None:
         """Put faults on every path from or to hosts with `label` (empty: on all paths)."""
         self._conditions.append((label, condition))
--- /dev/null
+++ b/src/beamloom/simulation/scenario.py
@@ -0,0 +1,72 @@
+"""What a scenario is: a schedule of operations and faults, and the goals of the run."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from beamloom.simulation.deployment import VAKATALE, Site
+from beamloom.simulation.faults import FaultInjector
+from beamloom.simulation.fleet import Fleet
+from beamloom.simulation.operations import Operations
+from beamloom.simulation.report import SimulationResult
+from beamloom.simulation.workload import Workload
+
+
+@dataclass(frozen=True, slots=True)
+class World:
+    """What a schedule can act on."""
+
+    fleet: Fleet
+    operations: Operations
+    faults: FaultInjector
+    workload: Workload
+    duration: float
+    random: random.Random
+
+    def at(self, share: float, act: Callable[[], object]) -> None:
+        """Call `act` when `share` (0 to 1) of the run's duration has passed."""
+        self.fleet.clock.call_at(share * self.duration, act)
+
+    def any_node(self) -> str:
+        """Draw the name of a balancer that runs and is not leaving."""
+        return self.random.choice(self.fleet.running_nodes()).name
+
+
+@dataclass(frozen=True, slots=True)
+class Goal:
+    """A figure that the run must reach; `met` looks at the result."""
+
+    name: str
+    met: Callable[[SimulationResult], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """One named scenario; `duration` is the default one, in seconds."""
+
+    name: str
+    summary: str
+    schedule: Callable[[World], None]
+    goals: tuple[Goal, ...] = ()
+    sites: tuple[Site, ...] = (VAKATALE,)
+    duration: float = 120.0
+
+
+def broken_share_at_most(share: float) -> Goal:
+    """Return the goal that at most a share of the flows breaks."""
+    return Goal(
+        f"broken flows <= {share:.2%}", lambda result: result.broken_flows <= share * result.flows
+    )
+
+
+def imbalance_at_most(limit: float) -> Goal:
+    """Return the goal that no backend holds more than `limit` times the mean of its service."""
+    return Goal(f"imbalance <= {limit:.2f}", lambda result: result.imbalance <= limit)
+
+
+NO_BROKEN_FLOW = broken_share_at_most(0.0)
+CONTROL_BUDGET = Goal(
+    "control <= 4096 bytes/s", lambda result: result.control_bytes_per_second.max <= 4096
+)
--- /dev/null
+++ b/src/beamloom/simulation/scenarios/failures.py
@@ -0,0 +1,76 @@
+"""Scenarios in which machines end without a word or lose each other."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from beamloom.simulation.deployment import PLATFORM_ZONE, TAIRI, VAKATALE
+from beamloom.simulation.scenario import (
+    CONTROL_BUDGET,
+    NO_BROKEN_FLOW,
+    Scenario,
+    World,
+    broken_share_at_most,
+)
+
+TRACKER = VAKATALE.services[0]
+CRASH_GOALS = (broken_share_at_most(0.0001), CONTROL_BUDGET)
+
+
+def _crash_any_node(world: World) -> None:
+    world.faults.crash_node(world.any_node())
+
+
+def _balancer_crash(world: World) -> None:
+    world.at(0.4, partial(world.operations.add_backend, VAKATALE, TRACKER))
+    world.fleet.clock.call_at(
+        0.4 * world.duration + 1.0, partial(world.operations.drain_backend, "tracker-2")
+    )
+    world.fleet.clock.call_at(0.4 * world.duration + 1.5, partial(_crash_any_node, world))
+
+
+def _double_crash(world: World) -> None:
+    world.at(0.3, partial(world.operations.drain_backend, "tracker-2"))
+    for _ in range(2):
+        world.at(0.4, partial(_crash_any_node, world))
+    world.at(0.5, world.operations.start_node)
+    world.at(0.55, world.operations.start_node)
+
+
+def _zone_loss(world: World) -> None:
+    zone = world.random.choice(VAKATALE.zone_names)
+    world.at(0.3, partial(world.operations.drain_backend, "tracker-2"))
+    world.at(0.4, partial(world.faults.lose_zone, zone))
+
+
+def _region_split(world: World) -> None:
+    length = 0.3 * world.duration
+    split = world.faults.split_regions
+    world.at(0.4, partial(split, TAIRI.region, VAKATALE.region, PLATFORM_ZONE, length))
+    world.at(0.5, partial(world.operations.drain_backend, "tracker-2"))
+    world.at(0.8, partial(world.operations.drain_backend, "bay-desk-2"))
+
+
+BALANCER_CRASH = Scenario(
+    "balancer-crash",
+    "One balancer crashes while a backend is added and another drained.",
+    _balancer_crash,
+    CRASH_GOALS,
+)
+DOUBLE_CRASH = Scenario(
+    "double-crash", "Two balancers crash at the same moment.", _double_crash, CRASH_GOALS
+)
+ZONE_LOSS = Scenario(
+    "zone-loss",
+    "A whole zone is lost, with its balancers and backends.",
+    _zone_loss,
+    (broken_share_at_most(0.001), CONTROL_BUDGET),
+)
+REGION_SPLIT = Scenario(
+    "region-split",
+    "Two regions lose each other, and one of them the platform, for a third of the run.",
+    _region_split,
+    (NO_BROKEN_FLOW, CONTROL_BUDGET),
+    sites=(VAKATALE, TAIRI),
+    duration=180.0,
+)
--- /dev/null
+++ b/src/beamloom/simulation/scenarios/load.py
@@ -0,0 +1,62 @@
+"""Scenarios about load: cold backends, false reports, and a tenant out of bounds."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from beamloom.simulation.deployment import TAIRI, VAKATALE
+from beamloom.simulation.scenario import (
+    CONTROL_BUDGET,
+    NO_BROKEN_FLOW,
+    Scenario,
+    World,
+    imbalance_at_most,
+)
+from beamloom.standins.backend_health import HealthFaults
+
+TRACKER = VAKATALE.services[0]
+LIMIT = "limit.new_flows_per_second"
+COLD_SECONDS = 30.0
+NOISY_FLOWS_PER_SECOND = 50
+NOISY_SECONDS = 30
+
+
+def _cold_start(world: World) -> None:
+    add = partial(world.operations.add_backend, VAKATALE, TRACKER, COLD_SECONDS)
+    world.at(0.3, add)
+    world.at(0.5, add)
+
+
+def _lying_load(world: World) -> None:
+    frozen = HealthFaults(frozen=True)
+    idle = HealthFaults(load=0.0)
+    world.at(0.0, partial(world.faults.mislead_health, "tracker-1", frozen))
+    world.at(0.0, partial(world.faults.mislead_health, "tracker-2", idle))
+
+
+def _noisy_tenant(world: World) -> None:
+    limit = (LIMIT, NOISY_FLOWS_PER_SECOND / 10)
+    world.at(0.1, partial(world.operations.change_setting, "tenant/tairi", *limit))
+    edge, service = world.workload.target("tairi")
+    start = 0.3 * world.duration
+    for number in range(NOISY_FLOWS_PER_SECOND * NOISY_SECONDS):
+        time = start + number / NOISY_FLOWS_PER_SECOND
+        world.fleet.clock.call_at(time, partial(world.workload.send_request, edge, service))
+
+
+COLD_START = Scenario(
+    "cold-start", "Two cold backends join a service.", _cold_start, (NO_BROKEN_FLOW, CONTROL_BUDGET)
+)
+LYING_LOAD = Scenario(
+    "lying-load",
+    "Two of seven backends report a frozen and a false load.",
+    _lying_load,
+    (NO_BROKEN_FLOW, imbalance_at_most(1.25), CONTROL_BUDGET),
+)
+NOISY_TENANT = Scenario(
+    "noisy-tenant",
+    "One tenant opens ten times the flows that it may.",
+    _noisy_tenant,
+    (NO_BROKEN_FLOW, CONTROL_BUDGET),
+    sites=(VAKATALE, TAIRI),
+)
--- /dev/null
+++ b/src/beamloom/simulation/scenarios/planned.py
@@ -0,0 +1,94 @@
+"""Scenarios in which nothing fails: operators change the fleet on purpose."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import cbor2
+
+from beamloom.protocol.codec import ENVELOPE_VERSION, KeyRing
+from beamloom.simulation.deployment import VAKATALE
+from beamloom.simulation.fleet import FLEET_KEY
+from beamloom.simulation.scenario import (
+    CONTROL_BUDGET,
+    NO_BROKEN_FLOW,
+    Scenario,
+    World,
+    imbalance_at_most,
+)
+
+TRACKER = VAKATALE.services[0]
+SETTING = "placement.imbalance_bound"
+UNKNOWN_KIND = 60_000
+"""The kind number of a message that this version does not know."""
+
+
+def _steady(world: World) -> None:
+    world.at(0.5, partial(world.operations.change_setting, "tenant/vakatale", SETTING, 0.1))
+
+
+def _backend_drain(world: World) -> None:
+    world.at(0.3, partial(world.operations.drain_backend, "tracker-1"))
+    world.at(0.6, partial(world.operations.drain_backend, "labeller-2"))
+
+
+def _rolling_replacement(world: World) -> None:
+    _replace_every_node(world)
+    world.at(0.25, partial(world.operations.drain_backend, "tracker-3"))
+    world.at(0.4, partial(world.operations.add_backend, VAKATALE, TRACKER))
+    world.at(0.6, partial(world.operations.drain_backend, "tracker-5"))
+    world.at(0.7, partial(world.operations.add_backend, VAKATALE, TRACKER))
+
+
+def _replace_every_node(world: World) -> None:
+    names = list(world.fleet.nodes)
+    for index, name in enumerate(names):
+        share = 0.2 + 0.6 * index / len(names)
+        world.at(share, partial(world.operations.replace_node, name))
+
+
+def _upgrade(world: World) -> None:
+    _replace_every_node(world)
+    for index in range(20):
+        world.at(0.2 + 0.035 * index, partial(_send_newer_message, world, index))
+
+
+def _send_newer_message(world: World, sequence: int) -> None:
+    """Send each balancer a message that only a newer version knows."""
+    milliseconds = int(world.fleet.clock.now * 1000)
+    nodes = world.fleet.running_nodes()
+    sender = nodes[-1]
+    body = cbor2.dumps([ENVELOPE_VERSION, "newer", sequence, milliseconds, [[UNKNOWN_KIND, 1]]])
+    datagram = body + KeyRing((FLEET_KEY,)).sign(body)
+    source = sender.machine.control_address
+    for node in nodes[:-1]:
+        destination = node.machine.control_address
+        world.fleet.network.send(sender.host, source, destination, datagram)
+
+
+STEADY = Scenario(
+    "steady",
+    "Nothing fails; one setting is changed.",
+    _steady,
+    (NO_BROKEN_FLOW, imbalance_at_most(1.10), CONTROL_BUDGET),
+)
+ROLLING_REPLACEMENT = Scenario(
+    "rolling-replacement",
+    "Every balancer is replaced while backends are drained and added.",
+    _rolling_replacement,
+    (NO_BROKEN_FLOW, CONTROL_BUDGET),
+    duration=240.0,
+)
+BACKEND_DRAIN = Scenario(
+    "backend-drain",
+    "Two backends drain; their flows go on and no new one comes after 3 s.",
+    _backend_drain,
+    (NO_BROKEN_FLOW, CONTROL_BUDGET),
+)
+UPGRADE = Scenario(
+    "upgrade",
+    "Every balancer is replaced by a newer one that sends messages the older ones do not know.",
+    _upgrade,
+    (NO_BROKEN_FLOW, CONTROL_BUDGET),
+    duration=240.0,
+)
--- /dev/null
+++ b/src/beamloom/simulation/scenarios/platform.py
@@ -0,0 +1,80 @@
+"""Scenarios in which the platform's store fails its clients, or operators race."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from beamloom.protocol.events import StoredObject
+from beamloom.simulation.scenario import CONTROL_BUDGET, NO_BROKEN_FLOW, Scenario, World
+from beamloom.standins.platform_faults import FaultPlan
+
+SETTING = "placement.imbalance_bound"
+SCOPES = ("global", "tenant/vakatale", "service/vakatale/tracker")
+LEASE_PREFIX = "lease/reader/"
+GOALS = (NO_BROKEN_FLOW, CONTROL_BUDGET)
+
+
+def _store_outage(world: World) -> None:
+    down = partial(world.faults.disturb_store, FaultPlan(down=True), 0.5 * world.duration)
+    world.at(0.2, partial(world.operations.drain_backend, "tracker-1"))
+    world.at(0.25, down)
+    world.at(0.4, partial(world.operations.drain_backend, "tracker-2"))
+    world.at(0.45, partial(world.operations.replace_node, "node-2"))
+    world.at(0.8, partial(world.operations.drain_backend, "tracker-3"))
+
+
+def _lost_answer(world: World) -> None:
+    losing = FaultPlan(lost_answer_probability=0.5)
+    world.at(0.2, partial(world.faults.disturb_store, losing, 0.6 * world.duration))
+    for index in range(12):
+        scope = SCOPES[1 + index % 2]
+        change = partial(world.operations.change_setting, scope, SETTING, 0.05 + index / 100)
+        world.at(0.2 + 0.05 * index, change)
+    world.at(0.5, partial(world.operations.drain_backend, "labeller-1"))
+
+
+def _racing_operators(world: World) -> None:
+    for index in range(10):
+        for operator in range(3):
+            bound = 0.05 + (index * 3 + operator) / 200
+            change = partial(world.operations.change_setting, SCOPES[2], SETTING, bound)
+            world.at(0.2 + 0.06 * index, change)
+    world.at(0.5, partial(world.operations.drain_backend, "tracker-1"))
+    world.at(0.5, partial(world.operations.drain_backend, "tracker-1"))
+
+
+def _paused_lease(world: World) -> None:
+    world.at(0.3, partial(_pause_reader, world, 0.3 * world.duration))
+    for share in (0.35, 0.5, 0.59):
+        world.at(share, partial(world.operations.change_setting, SCOPES[1], SETTING, share / 10))
+    world.at(0.45, partial(world.operations.drain_backend, "tracker-1"))
+
+
+def _pause_reader(world: World, duration: float) -> None:
+    """Pause a balancer that holds a lease, or any one where none does."""
+    leases = world.fleet.store.list_objects(LEASE_PREFIX).objects
+    holders = [name for name in map(_holder, leases) if name in world.fleet.nodes]
+    name = world.random.choice(holders) if holders else world.any_node()
+    world.faults.pause_node(name, duration)
+
+
+def _holder(lease: StoredObject) -> str:
+    return str((lease.value or {}).get("holder", ""))
+
+
+STORE_OUTAGE = Scenario(
+    "store-outage",
+    "The store is down for half of the run; a balancer is replaced meanwhile.",
+    _store_outage,
+    GOALS,
+    duration=180.0,
+)
+LOST_ANSWER = Scenario(
+    "lost-answer", "Half of the writes take effect without an answer.", _lost_answer, GOALS
+)
+RACING_OPERATORS = Scenario(
+    "racing-operators", "Three operators change one setting at once.", _racing_operators, GOALS
+)
+PAUSED_LEASE = Scenario(
+    "paused-lease", "A lease holder stands still past its lease, unaware.", _paused_lease, GOALS
+)
--- /dev/null
+++ b/tests/unit/simulation/test_oracle.py
@@ -0,0 +1,98 @@
+import unittest
+from functools import partial
+
+from beamloom.simulation.deployment import ServiceShape, Site
+from beamloom.simulation.fleet import CoreFactory
+from beamloom.simulation.oracle import Invariant, Violation
+from beamloom.simulation.scenario import Scenario, World
+from beamloom.simulation.scenarios.planned import STEADY
+from beamloom.simulation.simulation import RunOptions, simulate
+from beamloom.world.addresses import TransportProtocol
+from tests.unit.simulation import broken_cores
+
+UDP_SITE = Site(
+    "suva",
+    ("laucala", "walu-bay", "nabua"),
+    0.0015,
+    0.001,
+    1,
+    (ServiceShape("vakatale", "scans", "198.51.100.1", 3, False, TransportProtocol.UDP),),
+)
+
+
+def _drain_one(world: World) -> None:
+    world.at(0.5, partial(world.operations.drain_backend, "labeller-1"))
+
+
+DRAIN = Scenario("drain", "One backend drains.", _drain_one)
+UDP = Scenario("udp", "Single datagrams.", lambda world: None, sites=(UDP_SITE,))
+
+
+class OracleTest(unittest.TestCase):
+    def _violations(
+        self,
+        scenario: Scenario,
+        core_factory: CoreFactory,
+        document_seconds: float,
+    ) -> list[Violation]:
+        options = RunOptions(
+            nodes=2,
+            flows=20,
+            duration=40.0,
+            requests_per_second=4.0,
+            core_factory=core_factory,
+            document_seconds=document_seconds,
+        )
+        return list(simulate(scenario, options).violations)
+
+    def _assert_caught(
+        self,
+        invariant: Invariant,
+        core_factory: CoreFactory,
+        scenario: Scenario = STEADY,
+        document_seconds: float = 0.005,
+    ) -> None:
+        found = self._violations(scenario, core_factory, document_seconds)
+        self.assertIn(invariant, {violation.invariant for violation in found})
+
+    def test_whole_core_violates_nothing(self) -> None:
+        for scenario in (STEADY, DRAIN):
+            options = RunOptions(nodes=2, flows=20, duration=40.0)
+            result = simulate(scenario, options)
+            self.assertGreater(result.flows, 20)
+            self.assertEqual(result.violations, ())
+
+    def test_core_that_forgets_flows_is_caught(self) -> None:
+        self._assert_caught(Invariant.ESTABLISHED_FLOW_SURVIVES, broken_cores.ForgetsFlows)
+
+    def test_core_that_mixes_services_is_caught(self) -> None:
+        self._assert_caught(Invariant.SERVICES_ARE_ISOLATED, broken_cores.MixesServices)
+
+    def test_core_that_drops_long_answers_is_caught(self) -> None:
+        self._assert_caught(Invariant.ANSWER_IS_WHOLE, broken_cores.TruncatesAnswers)
+
+    def test_core_that_denies_what_ran_is_caught(self) -> None:
+        self._assert_caught(Invariant.NOT_RUN_MEANS_NOT_RUN, broken_cores.DeniesRuns)
+
+    def test_core_that_runs_twice_is_caught(self) -> None:
+        self._assert_caught(Invariant.AT_MOST_ONCE, broken_cores.RunsTwice, UDP)
+
+    def test_core_that_ignores_drains_is_caught(self) -> None:
+        self._assert_caught(
+            Invariant.LEAVING_BACKEND_GETS_NO_NEW_WORK, broken_cores.IgnoresDrains, DRAIN
+        )
+
+    def test_core_that_cuts_requests_at_a_drain_is_caught(self) -> None:
+        self._assert_caught(
+            Invariant.PLANNED_STOP_CUTS_NOTHING, broken_cores.CutsOnDrain, DRAIN, 3.0
+        )
+
+    def test_core_that_puts_nothing_in_force_is_caught(self) -> None:
+        self._assert_caught(Invariant.CONFIGURATION_IN_FORCE, broken_cores.HearsNothing, DRAIN)
+
+    def test_core_that_goes_back_is_caught(self) -> None:
+        self._assert_caught(Invariant.CONFIGURATION_IN_FORCE, broken_cores.GoesBack, DRAIN)
+
+
+if __name__ == "__main__":
+    unittest.main()
