--- /dev/null
+++ b/tests/unit/simulation/test_scenarios.py
@@ -0,0 +1,86 @@
+import json
+import unittest
+
+from beamloom.simulation.baselines import Placement, core_factory
+from beamloom.simulation.report import SimulationResult, to_json
+from beamloom.simulation.scenarios import SCENARIOS
+from beamloom.simulation.simulation import RunOptions, Simulation, simulate
+from beamloom.standins.platform_faults import FaultPlan
+
+NAMES = {
+    "steady",
+    "rolling-replacement",
+    "backend-drain",
+    "cold-start",
+    "balancer-crash",
+    "double-crash",
+    "zone-loss",
+    "region-split",
+    "store-outage",
+    "lost-answer",
+    "racing-operators",
+    "paused-lease",
+    "lying-load",
+    "noisy-tenant",
+    "upgrade",
+    "storm",
+}
+FIELDS = {
+    "scenario",
+    "seed",
+    "flows",
+    "broken_flows",
+    "imbalance",
+    "violations",
+    "config_in_force_seconds",
+    "control_bytes_per_second",
+    "digest",
+}
+
+
+def _run(name: str, placement: Placement = Placement.HOME) -> SimulationResult:
+    options = RunOptions(
+        nodes=3,
+        flows=30,
+        duration=60.0,
+        placement=placement.value,
+        core_factory=core_factory(placement),
+    )
+    return simulate(SCENARIOS[name], options)
+
+
+class ScenariosTest(unittest.TestCase):
+    def test_every_scenario_is_there_and_runs(self) -> None:
+        self.assertEqual(set(SCENARIOS), NAMES)
+        for name in sorted(NAMES - {"noisy-tenant"}):
+            with self.subTest(name):
+                self.assertGreater(_run(name).flows, 0)
+
+    def test_report_has_the_promised_fields(self) -> None:
+        result = _run("backend-drain")
+        report = json.loads(to_json(result))
+        self.assertLessEqual(FIELDS, set(report))
+        self.assertEqual(set(report["config_in_force_seconds"]), {"p50", "p99", "max"})
+        self.assertEqual(set(report["control_bytes_per_second"]), {"median", "max"})
+        self.assertGreater(report["config_in_force_seconds"]["max"], 0)
+
+    def test_baselines_break_flows_that_a_drain_moves(self) -> None:
+        for placement in (Placement.MODULO, Placement.RENDEZVOUS):
+            result = _run("rolling-replacement", placement)
+            self.assertGreater(result.broken_flows, 0)
+            self.assertEqual(_run("steady", placement).broken_flows, 0)
+
+    def test_lost_answers_are_resolved_by_the_operators(self) -> None:
+        simulation = Simulation(SCENARIOS["steady"], RunOptions(nodes=2, flows=0, duration=30.0))
+        fleet = simulation.fleet
+        fleet.store.inject(FaultPlan(lost_answers=1))
+        simulation.run()
+        self.assertEqual([write.key for write in fleet.operators.accepted], [SETTING_KEY])
+        self.assertEqual(fleet.operators.refused, [])
+        self.assertEqual(len(simulation.seen.accepted), 1)
+
+
+SETTING_KEY = "settings/tenant/vakatale"
+
+if __name__ == "__main__":
+    unittest.main()
