Drive the joined core in the simulator and list simulate among the commands

Cause: the core now joins membership, gossip and reader leases, and takes its start time and seeds. Change: the core factory passes the local start time; revision_in_force on NodeCore names what operators' status shows; simulate.register stands in the command line.

--- a/src/beamloom/cli/commands.py
+++ b/src/beamloom/cli/commands.py
@@ -4,9 +4,9 @@
 
 from cyclopts import App
 
-from beamloom.cli import check, settings_commands
+from beamloom.cli import check, settings_commands, simulate
 
-COMMAND_GROUPS = (check.register, settings_commands.register)
+COMMAND_GROUPS = (check.register, settings_commands.register, simulate.register)
 
 
 def register_commands(app: App) -> None:
--- a/src/beamloom/cli/simulate.py
+++ b/src/beamloom/cli/simulate.py
@@ -9,14 +9,13 @@
 from cyclopts.validators import Number
 from rich.console import Console
 
+from beamloom.cli.exit_status import ExitStatus
 from beamloom.simulation.baselines import Placement, core_factory
 from beamloom.simulation.report import to_json, to_table
 from beamloom.simulation.scenarios import SCENARIOS
 from beamloom.simulation.simulation import RunOptions
 from beamloom.simulation.simulation import simulate as run_simulation
 
-EXIT_GOOD = 0
-EXIT_FAILED = 1
 MAXIMUM_NODES = 250
 MAXIMUM_FLOWS = 1_000_000
 
@@ -80,4 +79,4 @@
         sys.stdout.write(to_json(result) + "\n")
     else:
         Console().print(to_table(result))
-    return EXIT_GOOD if result.passed else EXIT_FAILED
+    return ExitStatus.GOOD if result.passed else ExitStatus.FAILED
--- a/src/beamloom/node/core.py
+++ b/src/beamloom/node/core.py
@@ -117,6 +117,11 @@
         """The compiled configuration in force."""
         return self._follower
 
+    @property
+    def revision_in_force(self) -> int:
+        """The store's revision up to which every change is in force at this node."""
+        return self.replica.applied_revision
+
     @property
     def ready(self) -> bool:
         """Whether packets may be sent to this node: configured, and not on its way out."""
--- a/src/beamloom/simulation/baselines.py
+++ b/src/beamloom/simulation/baselines.py
@@ -7,14 +7,13 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable, Sequence
 from enum import StrEnum
 from functools import partial
 
 import xxhash
 
-from beamloom.node.core import NodeOptions
+from beamloom.node.options import NodeOptions
 from beamloom.protocol.commands import Command, ListStore, StopNode, WatchStore
 from beamloom.protocol.events import (
     Event,
@@ -74,6 +73,11 @@
         self._flows: dict[FlowTuple, SocketAddress] = {}
         self._retry_at: float | None = None
 
+    @property
+    def revision_in_force(self) -> int:
+        """The revision of the last change that was read."""
+        return self.configuration.revision
+
     def start(self, now: float) -> list[Command]:
         """Begin by reading the store."""
         return [ListStore(LIST_REQUEST)]
@@ -160,7 +164,7 @@
     modulo = placement is Placement.MODULO
     choose = choose_by_modulo if modulo else choose_by_rendezvous
 
-    def make(options: NodeOptions, chance: random.Random) -> DecisionCore:
+    def make(options: NodeOptions, now: float) -> DecisionCore:
         return BaselineCore(options, choose)
 
     return make
--- a/src/beamloom/simulation/fleet.py
+++ b/src/beamloom/simulation/fleet.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from beamloom.node.core import NodeCore, NodeOptions
+from beamloom.node.core import NodeCore
+from beamloom.node.options import NodeOptions
 from beamloom.protocol.codec import KeyRing
 from beamloom.protocol.events import MachinesListed
 from beamloom.simulation.clock import LocalClock, VirtualClock
@@ -25,7 +26,7 @@
 from beamloom.simulation.network import Network
 from beamloom.simulation.node_adapter import DecisionCore, NodeSurroundings, SimulatedNode
 from beamloom.simulation.operators import Operators
-from beamloom.simulation.randomness import random_stream
+from beamloom.simulation.randomness import derive_seed, random_stream
 from beamloom.simulation.store_link import StoreLink
 from beamloom.simulation.traffic import (
     ClientEdge,
@@ -46,13 +47,16 @@
 MACHINE_LIST_SECONDS = 2.0
 SEED_COUNT = 3
 """How many machines a node is told of at its start."""
+MAXIMUM_CLOCK_OFFSET = 1000.0
+"""Machines' clocks show up to this many seconds at the start of a run."""
 
-CoreFactory = Callable[[NodeOptions, random.Random], DecisionCore]
+CoreFactory = Callable[[NodeOptions, float], DecisionCore]
+"""Makes a core that starts at a time on its machine's own clock, in seconds."""
 
 
-def product_core(options: NodeOptions, chance: random.Random) -> DecisionCore:
+def product_core(options: NodeOptions, now: float) -> DecisionCore:
     """Return the core that runs on sockets as well."""
-    return NodeCore(options)
+    return NodeCore(options, now)
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,12 +128,20 @@
         return machine
 
     def _start_machine(self, machine: Machine, known: tuple[Machine, ...]) -> None:
-        peers = tuple(item for item in known if item.node_id != machine.node_id)
+        seeds = tuple(item.control_address for item in known if item.node_id != machine.node_id)
         gateway = self.edges[machine.zone.region].fabric_address
-        node_options = NodeOptions(machine, peers, KeyRing((FLEET_KEY,)), HASH_KEY, (gateway,))
-        core = self.options.core_factory(node_options, self.random("core", machine.node_id))
+        node_options = NodeOptions(
+            machine,
+            seeds[:SEED_COUNT],
+            KeyRing((FLEET_KEY,)),
+            HASH_KEY,
+            (gateway,),
+            derive_seed(self.options.seed, "core", machine.node_id),
+        )
         host = Host(self.clock, machine.node_id, machine.zone)
-        local_clock = LocalClock(self.clock, self.random("clock", machine.node_id).random() * 1000)
+        offset = self.random("clock", machine.node_id).random() * MAXIMUM_CLOCK_OFFSET
+        local_clock = LocalClock(self.clock, offset)
+        core = self.options.core_factory(node_options, local_clock.now)
         surroundings = NodeSurroundings(
             self.clock, self.network, self.measurements, self._health.check
         )
@@ -150,7 +162,7 @@
     def start_node(self) -> SimulatedNode:
         """Start one more balancer, which knows a few of the running ones."""
         machine = self._new_machine()
-        known = [node.machine for node in self.running_nodes()][:SEED_COUNT]
+        known = [node.machine for node in self.running_nodes()]
         self._start_machine(machine, tuple(known))
         return self.nodes[machine.node_id]
 
--- a/src/beamloom/simulation/node_adapter.py
+++ b/src/beamloom/simulation/node_adapter.py
@@ -27,7 +27,6 @@
     StopRequested,
     TimerExpired,
 )
-from beamloom.settings.configuration import Configuration
 from beamloom.simulation.clock import LocalClock, ScheduledCall, VirtualClock
 from beamloom.simulation.hosts import Host
 from beamloom.simulation.measurements import Measurements
@@ -43,7 +42,9 @@
 class DecisionCore(Protocol):
     """What the adapter needs of `node.NodeCore` and of the baselines."""
 
-    configuration: Configuration
+    @property
+    def revision_in_force(self) -> int:
+        """The revision up to which every change is in force."""
 
     def start(self, now: float) -> list[Command]:
         """Begin."""
@@ -176,7 +177,7 @@
             self._measurements.command(self.name, command)
             self._execute_one(command)
         if not self.stopped:
-            self._measurements.configuration_in_force(self.name, self.core.configuration.revision)
+            self._measurements.configuration_in_force(self.name, self.core.revision_in_force)
             self._arm_timer()
 
     def _execute_one(self, command: Command) -> None:
--- a/tests/unit/simulation/broken_cores.py
+++ b/tests/unit/simulation/broken_cores.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import replace
 
-from beamloom.node.core import NodeCore, NodeOptions
+from beamloom.node.core import NodeCore
+from beamloom.node.options import NodeOptions
 from beamloom.protocol.commands import Command, LocalSocket, SendPacket
 from beamloom.protocol.events import (
     ControlDatagramReceived,
     Event,
     StoreChanged,
 )
-from beamloom.settings.configuration import Configuration
 from beamloom.standins.application import (
     Answer,
     AnswerStatus,
@@ -32,8 +31,8 @@
 class BrokenCore(NodeCore):
     """Behaves for a while, so that flows are established."""
 
-    def __init__(self, options: NodeOptions, chance: random.Random) -> None:
-        super().__init__(options)
+    def __init__(self, options: NodeOptions, now: float) -> None:
+        super().__init__(options, now)
         self._started_at: float | None = None
 
     def start(self, now: float) -> list[Command]:
@@ -46,7 +45,7 @@
     def contract_of(self, data: bytes) -> ServiceContract | None:
         """Return the service that a client's packet is for."""
         packet = parse_packet(data)
-        for contract in self.configuration.services.values():
+        for contract in self.configuration.configuration.services.values():
             address = contract.virtual_address
             if (address.ip, address.port) == packet.destination:
                 return contract
@@ -76,7 +75,11 @@
         contract = self.contract_of(data)
         if not self.broken(now) or contract is None:
             return destination
-        others = [item for item in self.configuration.services.values() if item is not contract]
+        others = [
+            item
+            for item in self.configuration.configuration.services.values()
+            if item is not contract
+        ]
         return others[0].backends[0].data_address
 
 
@@ -106,8 +109,8 @@
             return None
         return destination
 
-    def __init__(self, options: NodeOptions, chance: random.Random) -> None:
-        super().__init__(options, chance)
+    def __init__(self, options: NodeOptions, now: float) -> None:
+        super().__init__(options, now)
         self.denials: list[tuple[SocketAddress, bytes]] = []
 
     @property
@@ -135,8 +138,8 @@
 class RunsTwice(BrokenCore):
     """Sends each datagram to two backends."""
 
-    def __init__(self, options: NodeOptions, chance: random.Random) -> None:
-        super().__init__(options, chance)
+    def __init__(self, options: NodeOptions, now: float) -> None:
+        super().__init__(options, now)
         self._copies: list[Command] = []
 
     def packet_received(
@@ -184,7 +187,7 @@
         destination = super().packet_received(data, source, from_peer, now)
         draining = {
             backend.data_address
-            for contract in self.configuration.services.values()
+            for contract in self.configuration.configuration.services.values()
             for backend in contract.backends
             if backend.state is BackendAdministrativeState.DRAINING
         }
@@ -202,8 +205,13 @@
 class GoesBack(BrokenCore):
     """Shows an earlier configuration again."""
 
+    _shown: int | None = None
+
     def handle(self, event: Event, now: float) -> list[Command]:
-        commands = super().handle(event, now)
-        if self.broken(now):
-            self.configuration = Configuration()
-        return commands
+        if self._shown is None and self.broken(now):
+            self._shown = self.revision_in_force - 1
+        return super().handle(event, now)
+
+    @property
+    def revision_in_force(self) -> int:
+        return super().revision_in_force if self._shown is None else self._shown
