--- a/src/beamloom/protocol/configuration_messages.py
+++ b/src/beamloom/protocol/configuration_messages.py
@@ -147,17 +147,22 @@
 @register_message(25, Priority.CONFIGURATION)
 @dataclass(frozen=True, slots=True)
 class SnapshotOffered(Message):
-    """A snapshot that can be fetched: its revision, BLAKE2 digest and number of parts."""
+    """A snapshot that can be fetched: its revision, BLAKE2 digest and number of parts.
+
+    `held` is a bitmap of the parts that the sender has, lowest bit first; empty means all.
+    """
 
     revision: int
     digest: bytes
     part_count: int
+    held: bytes = b""
 
     def __post_init__(self) -> None:
         """Raise ValueError when a field has the wrong type."""
         _require(isinstance(self.revision, int), "revision is not a number")
         _require(isinstance(self.digest, bytes), "digest is not bytes")
         _require(isinstance(self.part_count, int), "part_count is not a number")
+        _require(isinstance(self.held, bytes), "held is not bytes")
         _require(0 < self.part_count <= MAXIMUM_PART_COUNT, "part_count is out of bounds")
 
 
--- a/src/beamloom/replication/configuration_replica.py
+++ b/src/beamloom/replication/configuration_replica.py
@@ -9,7 +9,7 @@
 
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from beamloom.protocol.commands import Command, SendMessage
@@ -50,6 +50,7 @@
 MAXIMUM_PULL_ATTEMPTS = 5
 PENDING_LIMIT = 256
 LISTING_PATIENCE = 2.0
+FETCH_PATIENCE = 60.0
 
 MessageHandler = Callable[[NodeId, Any, float], list[Command]]
 
@@ -95,6 +96,7 @@
     revision: int
     objects: tuple[StoredObject, ...]
     apply_at: float
+    apply_by: float
 
 
 class ConfigurationReplica:
@@ -107,7 +109,6 @@
         self._applied = AppliedState()
         self._service = PeerService(self._applied)
         self._join = JoinProgress()
-        self._fetch: SnapshotFetch | None = None
         self._pull: _Pull | None = None
         self._listing: _Listing | None = None
         self._pending: dict[int, ReplicatedChange] = {}
@@ -151,6 +152,11 @@
         """Return the objects applied since the last call, in order; deleted ones have no value."""
         return self._applied.take_unseen()
 
+    @property
+    def awaits_listing(self) -> bool:
+        """Whether a listing waits to be applied, or this node has nothing yet."""
+        return self._listing is not None or self.applied_revision == 0
+
     def update_members(self, members: Sequence[Member], now: float) -> None:
         """Learn who is a member."""
         self._peers.update(members)
@@ -178,7 +184,9 @@
             self._join.level_with_store()
             return []
         patience = LISTING_PATIENCE * (lease_number + (1 if self.applied_revision else 0))
-        self._listing = _Listing(revision, tuple(objects), now + patience)
+        self._listing = _Listing(
+            revision, tuple(objects), now + patience, now + patience + FETCH_PATIENCE
+        )
         request = ChangesRequested(self.applied_revision)
         peers = self._peers.some(JOIN_PEERS) if patience else []
         return [*(SendMessage(peer, request) for peer in peers), *self.poll(now)]
@@ -192,16 +200,16 @@
         """Do whatever is due."""
         commands = self._service.poll(now)
         if self._listing is not None and now >= self._listing.apply_at:
-            self._apply_listing(self._listing)
+            self._listing_due(self._listing, now)
         if self._forward and now >= self._forward_at:
             commands += self._forward_changes(now)
         if now >= self._digest_at:
             commands += self._offer_digests(now)
         if self._pull is not None and now >= self._pull.retry_at:
             commands += self._retry_pull(self._pull, now)
-        if self._fetch is not None:
-            commands += self._fetch.poll(self._peers.all, now)
-            self._fetch = None if self._fetch.abandoned else self._fetch
+        if self._service.fetch is not None:
+            commands += self._service.fetch.poll(self._peers.all, now)
+            self._service.fetch = None if self._service.fetch.abandoned else self._service.fetch
         return commands
 
     def next_timer(self) -> float | None:
@@ -214,8 +222,8 @@
             timers.append(self._forward_at)
         if self._pull is not None:
             timers.append(self._pull.retry_at)
-        if self._fetch is not None:
-            timers.append(self._fetch.next_timer())
+        if self._service.fetch is not None:
+            timers.append(self._service.fetch.next_timer())
         if self._listing is not None:
             timers.append(self._listing.apply_at)
         return min(timers)
@@ -258,12 +266,17 @@
         if self._listing is not None and applied >= self._listing.revision:
             self._listing = None
             self._join.level_with_store()
-        name = self._fetch.name if self._fetch is not None else None
+        name = self._service.fetch.name if self._service.fetch is not None else None
         if name is not None and applied >= name[0]:
-            self._fetch = None
+            self._service.fetch = None
         self._join.reached(applied)
 
-    def _apply_listing(self, listing: _Listing) -> None:
+    def _listing_due(self, listing: _Listing, now: float) -> None:
+        """Apply a listing, unless this node is empty and is getting a ready peer's snapshot."""
+        fetching = self.applied_revision == 0 and self._join.target_revision > 0
+        if fetching and not self._counters.corrupt and now < listing.apply_by:
+            self._listing = replace(listing, apply_at=now + LISTING_PATIENCE)
+            return
         self._forward_to_every_zone = True
         self._apply(self._applied.state.difference(listing.revision, listing.objects))
         self._apply_pending()
@@ -287,7 +300,7 @@
             self._pending[step.revision] = step
 
     def _pull_from(self, peer: NodeId, revision: int, now: float) -> list[Command]:
-        if revision <= self.applied_revision or self._fetch is not None:
+        if revision <= self.applied_revision or self._service.fetch is not None:
             return []
         if self._pull is not None and now < self._pull.retry_at and self._pull.peer != peer:
             self._pull.target_revision = max(self._pull.target_revision, revision)
@@ -315,11 +328,11 @@
     def _changes_unavailable(
         self, sender: NodeId, message: ChangesUnavailable, now: float
     ) -> list[Command]:
-        if message.applied_revision <= self.applied_revision or self._fetch is not None:
+        if message.applied_revision <= self.applied_revision or self._service.fetch is not None:
             return []
         self._pull = None
-        self._fetch = SnapshotFetch(self.applied_revision, self._chance, now)
-        return self._fetch.ask(self._peers.all)
+        self._service.fetch = SnapshotFetch(self.applied_revision, self._chance, now)
+        return self._service.fetch.ask(self._peers.all)
 
     def _snapshot_requested(
         self, sender: NodeId, message: SnapshotRequested, now: float
@@ -329,12 +342,14 @@
     def _snapshot_offered(
         self, sender: NodeId, message: SnapshotOffered, now: float
     ) -> list[Command]:
-        return [] if self._fetch is None else self._fetch.offered(sender, message, now)
+        return (
+            [] if self._service.fetch is None else self._service.fetch.offered(sender, message, now)
+        )
 
     def _snapshot_part(
         self, sender: NodeId, message: SnapshotPartSent, now: float
     ) -> list[Command]:
-        fetch = self._fetch
+        fetch = self._service.fetch
         if fetch is None:
             return []
         corrupt_before = fetch.corrupt_snapshots
@@ -342,7 +357,8 @@
         self._counters.corrupt += fetch.corrupt_snapshots - corrupt_before
         if state is None:
             return commands
-        self._fetch = None
+        self._service.keep_fetched(fetch)
+        self._service.fetch = None
         if state.revision > self.applied_revision:
             self._applied.load(state)
         self._apply_pending()
--- a/src/beamloom/replication/peer_service.py
+++ b/src/beamloom/replication/peer_service.py
@@ -15,6 +15,7 @@
 )
 from beamloom.replication.applied_state import AppliedState
 from beamloom.replication.change_log import fits_one_message, pack_changes
+from beamloom.replication.snapshot_fetch import SnapshotFetch
 from beamloom.replication.snapshot_sender import REUSE_REVISIONS, SnapshotSender
 from beamloom.world.machines import NodeId
 
@@ -27,6 +28,7 @@
     def __init__(self, applied: AppliedState) -> None:
         self._applied = applied
         self._sender = SnapshotSender()
+        self.fetch: SnapshotFetch | None = None
 
     def push(self, steps: Sequence[ReplicatedChange]) -> list[ChangesPushed]:
         """Return the messages that carry `steps`.
@@ -53,8 +55,18 @@
         return [SendMessage(peer, message) for message in messages]
 
     def snapshot_requested(self, peer: NodeId, message: SnapshotRequested) -> list[Command]:
-        """Offer the snapshot asked for, or the newest one that the log still continues."""
+        """Offer the snapshot asked for, or the newest one that the log still continues.
+
+        A node that is still fetching offers the parts it has; a busy one offers nothing.
+        """
         revision = self._applied.revision
+        if self._sender.busy:
+            return []
+        partial = self.fetch.partial_offer() if self.fetch is not None else None
+        if partial is not None and self.fetch is not None:
+            self._sender.share((partial.revision, partial.digest), self.fetch.parts)
+            if revision == 0 or message.digest == partial.digest:
+                return [SendMessage(peer, partial)]
         if revision == 0:
             return []
         oldest = revision - REUSE_REVISIONS
@@ -64,6 +76,11 @@
         offer = self._sender.offer(state, message.revision, message.digest, oldest)
         return [SendMessage(peer, offer)]
 
+    def keep_fetched(self, fetch: SnapshotFetch) -> None:
+        """Go on offering a snapshot that was fetched and verified."""
+        if fetch.name is not None:
+            self._sender.keep(fetch.name, fetch.data)
+
     def parts_requested(
         self, peer: NodeId, message: SnapshotPartsRequested, now: float
     ) -> list[Command]:
--- a/src/beamloom/replication/snapshot_fetch.py
+++ b/src/beamloom/replication/snapshot_fetch.py
@@ -19,163 +19,188 @@
 
 SOURCE_COUNT = 3
 OFFER_TIMEOUT = 0.5
+LOOK_INTERVAL = 1.0
 REQUEST_WINDOW = 4
-PART_TIMEOUT = 4.0
-MAXIMUM_STALLS = 5
+PART_TIMEOUT = 10.0
+"""Seconds without a part after which a source is given up; longer than a sender's full queue."""
 MAXIMUM_ROUNDS = 10
 """Rounds of asking without an offer before the fetch is given up; a digest starts the next."""
+MAXIMUM_LOOKS = 60
+"""Looks for more sources without any before another snapshot is chosen."""
 
 
 @dataclass(slots=True)
 class _Source:
+    held: set[int] | None
+    deadline: float
     outstanding: set[int] = field(default_factory=set)
-    deadline: float = 0.0
-    stalls: int = 0
 
 
 class SnapshotFetch:
     """One attempt to fetch a snapshot newer than `minimum_revision`.
 
-    After corrupt bytes it goes on with one source at a time, and leaves out each that is at fault.
+    Parts come from up to `SOURCE_COUNT` peers at once, also from peers that are still fetching.
+    After corrupt bytes it goes on with one complete source at a time, and leaves out each that is
+    at fault.
     """
 
     def __init__(self, minimum_revision: int, chance: random.Random, now: float) -> None:
         self._minimum_revision = minimum_revision
         self._chance = chance
         self._offers: dict[NodeId, SnapshotOffered] = {}
-        self._name: SnapshotName | None = None
-        self._part_count = 0
-        self._parts: dict[int, bytes] = {}
         self._sources: dict[NodeId, _Source] = {}
+        self._distrusted: set[NodeId] = set()
+        self._suppliers: set[NodeId] = set()
+        self._careful = False
         self._timer = now + OFFER_TIMEOUT
         self._rounds = 0
-        self._distrusted: set[NodeId] = set()
-        self._source_count = SOURCE_COUNT
+        self._looks = 0
+        self.name: SnapshotName | None = None
+        self.part_count = 0
+        self.parts: dict[int, bytes] = {}
         self.corrupt_snapshots = 0
 
     @property
     def abandoned(self) -> bool:
         """Whether no peer offered anything newer."""
-        return self._name is None and self._rounds > MAXIMUM_ROUNDS
+        return self.name is None and self._rounds > MAXIMUM_ROUNDS
 
     @property
-    def name(self) -> SnapshotName | None:
-        """The snapshot that is being fetched."""
-        return self._name
+    def data(self) -> bytes:
+        """The parts so far, joined."""
+        return b"".join(self.parts[index] for index in sorted(self.parts))
+
+    def partial_offer(self) -> SnapshotOffered | None:
+        """Return what this node can pass on while it is still fetching."""
+        if self.name is None or not self.parts or self._careful:
+            return None
+        bitmap = sum(1 << index for index in self.parts)
+        held = bitmap.to_bytes(-(-self.part_count // 8), "little")
+        return SnapshotOffered(self.name[0], self.name[1], self.part_count, held)
 
     def ask(self, peers: Sequence[NodeId]) -> list[Command]:
         """Ask some peers what they can send."""
-        wanted = SnapshotRequested(*(self._name or (0, b"")))
-        trusted = [peer for peer in peers if peer not in self._distrusted]
-        chosen = self._chance.sample(trusted, min(SOURCE_COUNT, len(trusted)))
+        wanted = SnapshotRequested(*(self.name or (0, b"")))
+        unasked = [peer for peer in peers if peer not in self._distrusted | self._sources.keys()]
+        chosen = self._chance.sample(unasked, min(SOURCE_COUNT, len(unasked)))
         return [SendMessage(peer, wanted) for peer in chosen]
 
     def offered(self, sender: NodeId, offer: SnapshotOffered, now: float) -> list[Command]:
         """Take an offer; the first ones decide which snapshot it is to be."""
         if offer.revision <= self._minimum_revision or sender in self._distrusted:
             return []
-        if self._name is None:
+        if self._careful and offer.held:
+            return []
+        if self.name is None:
             self._offers[sender] = offer
             return self._choose(now) if len(self._offers) >= SOURCE_COUNT else []
-        room = len(self._sources) < self._source_count
-        if room and (offer.revision, offer.digest) == self._name:
-            self._sources.setdefault(sender, _Source())
-            return self._request(sender, now)
-        return []
+        return self._add_source(sender, offer, now)
 
     def received(
         self, sender: NodeId, part: SnapshotPartSent, now: float
     ) -> tuple[ConfigurationState | None, list[Command]]:
         """Take a part; returns the verified state once the last one is there."""
-        known = (part.revision, part.digest) == self._name and 0 <= part.index < self._part_count
-        if not known:
-            return None, []
         source = self._sources.get(sender)
-        if source is None:
+        known = (part.revision, part.digest) == self.name and 0 <= part.index < self.part_count
+        if source is None or not known:
             return None, []
-        self._parts.setdefault(part.index, part.data)
+        self.parts.setdefault(part.index, part.data)
+        self._suppliers.add(sender)
         source.outstanding.discard(part.index)
         source.deadline = now + PART_TIMEOUT
-        source.stalls = 0
-        if len(self._parts) < self._part_count:
-            return None, [] if source.outstanding else self._request(sender, now)
-        return self._complete(now), []
+        self._looks = 0
+        if len(self.parts) == self.part_count:
+            return self._complete(now), []
+        return None, [] if source.outstanding else self._request(sender, now)
 
     def poll(self, peers: Sequence[NodeId], now: float) -> list[Command]:
-        """Choose an offer, ask again for parts that did not come, and look for more sources."""
+        """Choose an offer, give up silent sources, and look for more."""
         if now < self._timer:
             return []
         self._timer = now + OFFER_TIMEOUT
-        if self._name is None:
+        if self.name is None:
             self._rounds += 1
             return self._choose(now) if self._offers else self.ask(peers)
-        commands = self._retry(now)
-        if len(self._sources) < self._source_count:
-            self._timer = now + PART_TIMEOUT / 2
-            others = [peer for peer in peers if peer not in self._sources]
-            commands += self.ask(others)
-        return commands
+        self._timer = now + LOOK_INTERVAL
+        self._drop_silent_sources(now)
+        if self.name is None or len(self._sources) >= self._source_limit:
+            return []
+        self._looks += 1
+        return self.ask(peers)
 
     def next_timer(self) -> float:
         """Return when `poll` has something to do."""
         return self._timer
 
+    @property
+    def _source_limit(self) -> int:
+        return 1 if self._careful else SOURCE_COUNT
+
     def _choose(self, now: float) -> list[Command]:
-        offers = list(self._offers.values())
-        best = max(offers, key=lambda item: (item.revision, offers.count(item), item.digest))
-        self._name = (best.revision, best.digest)
-        self._part_count = best.part_count
+        names = [(item.revision, item.digest) for item in self._offers.values()]
+        best = max(names, key=lambda name: (name[0], names.count(name), name[1]))
+        offering = {peer: item for peer, item in self._offers.items() if item.digest == best[1]}
+        self.name = best
+        self.part_count = next(iter(offering.values())).part_count
         commands: list[Command] = []
-        offering = [peer for peer, offer in self._offers.items() if offer == best]
-        for peer in offering[: self._source_count]:
-            self._sources[peer] = _Source()
-            commands += self._request(peer, now)
+        for peer, offer in offering.items():
+            commands += self._add_source(peer, offer, now)
         return commands
 
+    def _add_source(self, peer: NodeId, offer: SnapshotOffered, now: float) -> list[Command]:
+        room = len(self._sources) < self._source_limit and peer not in self._sources
+        same = (offer.revision, offer.digest, offer.part_count) == (*self._named, self.part_count)
+        if not room or not same:
+            return []
+        bitmap = int.from_bytes(offer.held, "little")
+        held = {index for index in range(self.part_count) if bitmap >> index & 1}
+        self._sources[peer] = _Source(held if offer.held else None, now + PART_TIMEOUT)
+        return self._request(peer, now)
+
+    @property
+    def _named(self) -> SnapshotName:
+        assert self.name is not None
+        return self.name
+
     def _request(self, peer: NodeId, now: float) -> list[Command]:
-        assert self._name is not None
+        """Ask a source for parts that nobody else was asked for, in random order."""
         source = self._sources[peer]
         asked = {index for item in self._sources.values() for index in item.outstanding}
-        missing = [index for index in range(self._part_count) if index not in self._parts]
-        free = [index for index in missing if index not in asked]
-        source.outstanding = set((free or missing)[:REQUEST_WINDOW])
-        source.deadline = now + PART_TIMEOUT
-        if not source.outstanding:
+        missing = [index for index in range(self.part_count) if index not in self.parts]
+        if source.held is not None:
+            missing = [index for index in missing if index in source.held]
+        useful = [index for index in missing if index not in asked] or missing
+        if not useful:
+            del self._sources[peer]
             return []
-        indexes = sorted(source.outstanding)
-        return [SendMessage(peer, SnapshotPartsRequested(*self._name, indexes))]
+        chosen = self._chance.sample(useful, min(REQUEST_WINDOW, len(useful)))
+        source.outstanding = set(chosen)
+        source.deadline = now + PART_TIMEOUT
+        return [SendMessage(peer, SnapshotPartsRequested(*self._named, sorted(chosen)))]
 
-    def _retry(self, now: float) -> list[Command]:
-        commands: list[Command] = []
-        for peer, source in list(self._sources.items()):
-            if now < source.deadline:
-                continue
-            source.stalls += 1
-            source.outstanding.clear()
-            if source.stalls > MAXIMUM_STALLS:
-                del self._sources[peer]
-            else:
-                commands += self._request(peer, now)
-        if not self._sources:
+    def _drop_silent_sources(self, now: float) -> None:
+        silent = [peer for peer, source in self._sources.items() if now >= source.deadline]
+        for peer in silent:
+            del self._sources[peer]
+        if self._looks >= MAXIMUM_LOOKS or (silent and self._careful):
             self._restart(now)
-        return commands
 
     def _complete(self, now: float) -> ConfigurationState | None:
-        assert self._name is not None
-        data = b"".join(self._parts[index] for index in range(self._part_count))
         try:
-            return ConfigurationState.decode(data, self._name[1])
+            return ConfigurationState.decode(self.data, self._named[1])
         except SnapshotCorruptError:
             self.corrupt_snapshots += 1
-            if len(self._sources) == 1:
-                self._distrusted.update(self._sources)
-            self._source_count = 1
+            if len(self._suppliers) == 1:
+                self._distrusted.update(self._suppliers)
+            self._careful = True
             self._restart(now)
             return None
 
     def _restart(self, now: float) -> None:
-        self._name = None
+        self.name = None
+        self._looks = 0
         self._offers.clear()
-        self._parts.clear()
+        self.parts = {}
+        self._suppliers.clear()
         self._sources.clear()
         self._timer = now
--- a/src/beamloom/replication/snapshot_sender.py
+++ b/src/beamloom/replication/snapshot_sender.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.configuration_messages import SnapshotOffered, SnapshotPartSent
@@ -15,7 +15,7 @@
 """Seconds between parts: about 2 KB/s with headers, over all who fetch from this node."""
 KEPT_SNAPSHOTS = 2
 REUSE_REVISIONS = 256
-QUEUE_LIMIT = 64
+QUEUE_LIMIT = 16
 
 SnapshotName = tuple[int, bytes]
 """The revision and the digest of a snapshot."""
@@ -28,6 +28,7 @@
         self._snapshots: OrderedDict[SnapshotName, bytes] = OrderedDict()
         self._queue: OrderedDict[tuple[NodeId, SnapshotName, int], None] = OrderedDict()
         self._next_part_at = 0.0
+        self._partial: tuple[SnapshotName, Mapping[int, bytes]] | None = None
         self.sent_parts = 0
 
     def offer(
@@ -40,11 +41,28 @@
         part_count = -(-len(self._snapshots[name]) // PART_SIZE)
         return SnapshotOffered(name[0], name[1], part_count)
 
+    @property
+    def busy(self) -> bool:
+        """Whether the queue is so long that peers had better ask others."""
+        return len(self._queue) >= QUEUE_LIMIT
+
+    def keep(self, name: SnapshotName, data: bytes) -> None:
+        """Keep a verified snapshot that was fetched, so that peers can have the very same one."""
+        self._snapshots[name] = data
+        self._snapshots.move_to_end(name)
+        while len(self._snapshots) > KEPT_SNAPSHOTS:
+            self._snapshots.popitem(last=False)
+
+    def share(self, name: SnapshotName, parts: Mapping[int, bytes]) -> None:
+        """Pass on parts of a snapshot that this node is still fetching."""
+        self._partial = (name, parts)
+
     def request(
         self, sender: NodeId, name: SnapshotName, indexes: Sequence[int], now: float
     ) -> None:
         """Queue parts for a peer; what does not fit is asked for again by the peer."""
-        if name not in self._snapshots:
+        shared = self._partial is not None and self._partial[0] == name
+        if name not in self._snapshots and not shared:
             return
         if not self._queue:
             self._next_part_at = max(self._next_part_at, now)
@@ -58,8 +76,8 @@
             return []
         (sender, name, index), _ = self._queue.popitem(last=False)
         self._next_part_at = now + PART_INTERVAL
-        data = self._snapshots.get(name, b"")[index * PART_SIZE : (index + 1) * PART_SIZE]
-        if index < 0 or not data:
+        data = self._part(name, index)
+        if not data:
             return []
         self.sent_parts += 1
         return [SendMessage(sender, SnapshotPartSent(name[0], name[1], index, data))]
@@ -68,14 +86,20 @@
         """Return when the next part is due."""
         return self._next_part_at if self._queue else None
 
+    def _part(self, name: SnapshotName, index: int) -> bytes:
+        if index < 0:
+            return b""
+        if name in self._snapshots:
+            return self._snapshots[name][index * PART_SIZE : (index + 1) * PART_SIZE]
+        if self._partial is not None and self._partial[0] == name:
+            return self._partial[1].get(index, b"")
+        return b""
+
     def _newest(self, state: ConfigurationState, oldest_useful: int, wanted: int) -> SnapshotName:
         latest = next(reversed(self._snapshots), None)
         if latest is not None and wanted != state.revision and latest[0] >= oldest_useful:
             return latest
         data = state.encode()
         name = (state.revision, snapshot_digest(data))
-        self._snapshots[name] = data
-        self._snapshots.move_to_end(name)
-        while len(self._snapshots) > KEPT_SNAPSHOTS:
-            self._snapshots.popitem(last=False)
+        self.keep(name, data)
         return name
--- a/src/beamloom/replication/store_watch.py
+++ b/src/beamloom/replication/store_watch.py
@@ -71,7 +71,7 @@
         """Try again when the pause after a failure is over."""
         if self._retry_at is None or now < self._retry_at:
             return []
-        if self._replica.applied_revision < self._awaited_revision:
+        if self._awaited_revision and self._replica.awaits_listing:
             self._retry_at = now + LISTING_CHECK_INTERVAL
             return []
         self._retry_at = None
