Spread the readers over zones and regions, and let few ask while all join

Cause: candidates were ordered by node alone, so that one zone could hold every reader and, cut off from the rest but not from the store, keep the leases; and while every node was still joining, each one saw no other candidate and asked the store itself. Change: reader_candidates orders the zones in turn from each region, begins each lease at another zone, and ranks joining nodes only while no node is alive. Conclusion: three candidates a lease, in up to three zones, also at a cold start.

--- a/src/beamloom/replication/reader_election.py
+++ b/src/beamloom/replication/reader_election.py
@@ -1,7 +1,7 @@
 """Chooses the two or three nodes that read the store, without a controller.
 
-Candidates of each lease are ordered by rendezvous hashing (Thaler and Ravishankar, 1998), so that
-only the first few of the fleet ever ask the store.
+Every node orders the candidates of each lease alike (`reader_candidates`), so that only the first
+few of the fleet ever ask the store.
 """
 
 from __future__ import annotations
@@ -10,18 +10,15 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
-import xxhash
-
 from beamloom.protocol.commands import Command
 from beamloom.protocol.events import Event
 from beamloom.protocol.messages import Message
 from beamloom.replication.configuration_replica import ConfigurationReplica
+from beamloom.replication.reader_candidates import candidate_rank
 from beamloom.replication.reader_lease import HOLDING, LAPSED, LeaseSnapshot, ReaderLease
 from beamloom.replication.store_watch import StoreWatch
 from beamloom.world.machines import Member, MemberState, NodeId
 
-CANDIDATES_PER_LEASE = 3
-
 
 @dataclass(frozen=True, slots=True)
 class ElectionSnapshot:
@@ -54,7 +51,6 @@
         ]
         self._watch = StoreWatch(replica, chance, request_ids)
         self._leaving = False
-        self._scores: dict[tuple[int, NodeId], int] = {}
 
     @property
     def is_reader(self) -> bool:
@@ -63,13 +59,10 @@
 
     def update_members(self, members: Sequence[Member], now: float) -> list[Command]:
         """Learn who may hold a lease; a node that leaves gives its own back."""
-        alive = {item.machine.node_id for item in members if item.state is MemberState.ALIVE}
         own = [item.state for item in members if item.machine.node_id == self._node_id]
         self._leaving = any(state >= MemberState.LEAVING for state in own)
-        alive.discard(self._node_id)
         for lease in self._leases:
-            lease.rank = self._rank(lease.number, alive)
-        self._scores = {key: score for key, score in self._scores.items() if key[1] in alive}
+            lease.rank = candidate_rank(lease.number, self._node_id, members)
         return self._release(now) if self._leaving else []
 
     def handle(self, event: Event, now: float) -> list[Command]:
@@ -130,15 +123,3 @@
         for lease in self._leases:
             commands += lease.release(now)
         return commands + self._follow_leases()
-
-    def _rank(self, number: int, alive: set[NodeId]) -> int | None:
-        own = xxhash.xxh3_64_intdigest(f"{number}/{self._node_id}")
-        rank = sum(1 for node_id in alive if self._score(number, node_id) > own)
-        return rank if rank < CANDIDATES_PER_LEASE else None
-
-    def _score(self, number: int, node_id: NodeId) -> int:
-        score = self._scores.get((number, node_id))
-        if score is None:
-            score = xxhash.xxh3_64_intdigest(f"{number}/{node_id}")
-            self._scores[number, node_id] = score
-        return score
