Recompute only the partitions that a join or leave can touch

Cause: every change of members rebuilt the scores of all nodes for all partitions. Change: PartitionMap takes the previous map and fills only the touched columns, in pieces of 1,024.

--- a/src/beamloom/routing/hashing.py
+++ b/src/beamloom/routing/hashing.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import numpy as np
 import numpy.typing as npt
 import xxhash
@@ -50,13 +52,19 @@
 
 
 def rendezvous_scores(item_count: int, seed: int) -> Scores:
-    """Return one candidate's score for each of the items 0 to item_count - 1.
+    """Return one candidate's score for each of the items 0 to item_count - 1."""
+    return rendezvous_matrix(np.arange(item_count), np.uint64(seed))
+
+
+def rendezvous_matrix(items: npt.NDArray[Any], seeds: Scores | np.uint64) -> Scores:
+    """Return the scores of items under candidates' seeds; the two arrays are broadcast.
 
-    The finalizer is splitmix64's (Steele, Lea and Flood 2014), vectorised over the items.
+    The finalizer is splitmix64's (Steele, Lea and Flood 2014), vectorised.
     """
     with np.errstate(over="ignore"):
-        mixed = np.arange(1, item_count + 1, dtype=np.uint64) * _MIX_INCREMENT
-        mixed ^= np.uint64(seed)
+        mixed = (items.astype(np.uint64) + np.uint64(1)) * _MIX_INCREMENT
+        mixed = mixed ^ seeds
         mixed = (mixed ^ (mixed >> np.uint64(30))) * _MIX_FIRST
         mixed = (mixed ^ (mixed >> np.uint64(27))) * _MIX_SECOND
-        return mixed ^ (mixed >> np.uint64(31))
+        scores: Scores = mixed ^ (mixed >> np.uint64(31))
+        return scores
--- a/src/beamloom/routing/partitions.py
+++ b/src/beamloom/routing/partitions.py
@@ -3,6 +3,9 @@
 Rendezvous hashing over the members that may be home. The overall second is the first replica, so
 that after a crash the next home is the node that holds the replicas already; the second replica
 is the best node of another zone than the home's, so that a zone's loss leaves one copy.
+
+A map built from a previous one recomputes only the partitions that a change can touch: about
+`3 * PARTITION_COUNT / nodes` for each node that came or went.
 """
 
 from __future__ import annotations
@@ -13,10 +16,17 @@
 import numpy as np
 import numpy.typing as npt
 
-from beamloom.routing.hashing import PARTITION_COUNT, name_seed, rendezvous_scores
+from beamloom.routing.hashing import (
+    PARTITION_COUNT,
+    Scores,
+    name_seed,
+    rendezvous_matrix,
+    rendezvous_scores,
+)
 from beamloom.world.machines import Machine, NodeId
 
 NO_NODE = -1
+COLUMNS_AT_ONCE = 1024
 _Indices = npt.NDArray[np.int32]
 
 
@@ -28,37 +38,83 @@
     first_replica: NodeId | None
     second_replica: NodeId | None
 
+    @property
+    def replicas(self) -> tuple[NodeId, ...]:
+        """The replica holders that there are, the first one first."""
+        pair = (self.first_replica, self.second_replica)
+        return tuple(node_id for node_id in pair if node_id is not None)
+
 
 class PartitionMap:
-    """Home and replicas of all partitions over one set of machines; never changed once built."""
+    """Home and replicas of all partitions over one set of machines; never changed once built.
 
-    def __init__(self, machines: Sequence[Machine]) -> None:
+    `previous` saves work where the machines are nearly the same; it does not affect the result.
+    """
+
+    def __init__(self, machines: Sequence[Machine], previous: PartitionMap | None = None) -> None:
         self.machines = tuple(sorted(machines, key=lambda machine: machine.node_id))
         self._node_ids: tuple[NodeId, ...] = tuple(item.node_id for item in self.machines)
+        self._seeds = np.array([name_seed(node_id) for node_id in self._node_ids], dtype=np.uint64)
+        zone_names = {machine.zone.name for machine in self.machines}
+        zone_numbers = {name: number for number, name in enumerate(sorted(zone_names))}
+        self._zones = np.array([zone_numbers[machine.zone.name] for machine in self.machines])
         self.homes = _no_nodes()
         self.first_replicas = _no_nodes()
         self.second_replicas = _no_nodes()
         if self.machines:
-            self._fill()
-
-    def _fill(self) -> None:
-        scores = np.stack(
-            [rendezvous_scores(PARTITION_COUNT, name_seed(node_id)) for node_id in self._node_ids]
+            self._fill(self._take_over(previous))
+
+    def _take_over(self, previous: PartitionMap | None) -> _Indices:
+        """Copy what cannot have changed and return the partitions to compute."""
+        everything = np.arange(PARTITION_COUNT, dtype=np.int32)
+        if previous is None or len(previous.machines) < 3 or len(self.machines) < 3:
+            return everything
+        old = {machine.node_id: machine for machine in previous.machines}
+        positions = {node_id: index for index, node_id in enumerate(self._node_ids)}
+        if any(item.zone != old.get(item.node_id, item).zone for item in self.machines):
+            return everything
+        joined = [node_id for node_id in self._node_ids if node_id not in old]
+        renumbered = np.array([positions.get(node_id, NO_NODE) for node_id in previous._node_ids])
+        columns = [previous.homes, previous.first_replicas, previous.second_replicas]
+        self.homes, self.first_replicas, self.second_replicas = (
+            renumbered[column].astype(np.int32) for column in columns
         )
-        self.homes = scores.argmax(axis=0).astype(np.int32)
-        columns = np.arange(PARTITION_COUNT)
-        scores[self.homes, columns] = 0
+        touched = (self.homes < 0) | (self.first_replicas < 0) | (self.second_replicas < 0)
+        if joined:
+            touched |= self._zones[self.homes] == self._zones[self.second_replicas]
+            lowest = previous._lowest_scores()
+            for node_id in joined:
+                touched |= rendezvous_scores(PARTITION_COUNT, name_seed(node_id)) > lowest
+        return np.flatnonzero(touched).astype(np.int32)
+
+    def _lowest_scores(self) -> Scores:
+        """Return the lowest score among the three holders of each partition."""
+        partitions = np.arange(PARTITION_COUNT)
+        columns = (self.homes, self.first_replicas, self.second_replicas)
+        scores = [rendezvous_matrix(partitions, self._seeds[column]) for column in columns]
+        lowest: Scores = np.minimum(np.minimum(scores[0], scores[1]), scores[2])
+        return lowest
+
+    def _fill(self, partitions: _Indices) -> None:
+        for start in range(0, len(partitions), COLUMNS_AT_ONCE):
+            self._fill_columns(partitions[start : start + COLUMNS_AT_ONCE])
+
+    def _fill_columns(self, partitions: _Indices) -> None:
+        scores = rendezvous_matrix(partitions[None, :], self._seeds[:, None])
+        columns = np.arange(len(partitions))
+        homes = scores.argmax(axis=0)
+        self.homes[partitions] = homes
+        scores[homes, columns] = 0
         if len(self.machines) > 1:
-            self.first_replicas = scores.argmax(axis=0).astype(np.int32)
-            scores[self.first_replicas, columns] = 0
+            first = scores.argmax(axis=0)
+            self.first_replicas[partitions] = first
+            scores[first, columns] = 0
         if len(self.machines) > 2:
-            self.second_replicas = self._best_elsewhere(scores)
+            self.second_replicas[partitions] = self._best_elsewhere(scores, homes)
 
-    def _best_elsewhere(self, scores: npt.NDArray[np.uint64]) -> _Indices:
+    def _best_elsewhere(self, scores: Scores, homes: npt.NDArray[np.intp]) -> _Indices:
         """Pick the best remaining node outside the home's zone, or the best of all."""
-        zone_names = sorted({machine.zone.name for machine in self.machines})
-        zones = np.array([zone_names.index(machine.zone.name) for machine in self.machines])
-        same_zone = zones[:, None] == zones[self.homes][None, :]
+        same_zone = self._zones[:, None] == self._zones[homes][None, :]
         elsewhere = np.where(same_zone, np.uint64(0), scores)
         best = elsewhere.argmax(axis=0).astype(np.int32)
         none_elsewhere = elsewhere.max(axis=0) == 0
--- a/tests/unit/test_partitions.py
+++ b/tests/unit/test_partitions.py
@@ -1,5 +1,6 @@
 """Partitions: after a crash the next home holds the replicas, and a zone's loss leaves one copy."""
 
+import random
 import unittest
 
 from beamloom.routing.hashing import PARTITION_COUNT
@@ -40,6 +41,27 @@
             assert holders.home and holders.second_replica
             self.assertNotEqual(zones[holders.home], zones[holders.second_replica])
 
+    def test_a_map_built_from_another_equals_one_built_anew(self) -> None:
+        chance = random.Random(1)
+        members = list(FLEET)
+        placed = PartitionMap(members)
+        for step in range(12):
+            leaving = chance.sample(members, chance.randrange(3))
+            joining = [machine(100 + 3 * step + n, f"zone-{n}") for n in range(chance.randrange(3))]
+            members = [item for item in members if item not in leaving] + joining
+            placed, anew = PartitionMap(members, placed), PartitionMap(members)
+            self.assertEqual(placed.homes.tolist(), anew.homes.tolist())
+            self.assertEqual(placed.first_replicas.tolist(), anew.first_replicas.tolist())
+            self.assertEqual(placed.second_replicas.tolist(), anew.second_replicas.tolist())
+
+    def test_a_fleet_of_one_zone_that_gains_a_second(self) -> None:
+        single = PartitionMap([machine(number, "zone-0") for number in range(5)])
+        members = [*single.machines, machine(9, "zone-1")]
+        self.assertEqual(
+            PartitionMap(members, single).second_replicas.tolist(),
+            PartitionMap(members).second_replicas.tolist(),
+        )
+
     def test_empty_and_single_fleets(self) -> None:
         self.assertIsNone(PartitionMap([]).home(0))
         holders = PartitionMap(FLEET[:1]).holders(0)
