--- /dev/null
+++ b/src/beamloom/routing/bindings.py
@@ -0,0 +1,112 @@
+"""Bindings: requests that may not be repeated are noted at a replica before they leave.
+
+The flow's opening packets wait here, bounded in number and bytes, until a replica holder has
+acknowledged the binding. See docs/design/requests.md.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from beamloom.protocol.commands import Command, SendMessage
+from beamloom.protocol.flow_messages import BindFlow
+from beamloom.world.machines import NodeId
+
+RESEND_SECONDS = 0.3
+HOLDER_SECONDS = 1.0
+MAXIMUM_FLOWS = 4096
+MAXIMUM_BYTES = 4 << 20
+PACKETS_PER_FLOW = 4
+
+
+@dataclass(slots=True)
+class PendingBinding:
+    """A binding that no holder has acknowledged; `holders` are still to be tried, in order."""
+
+    backend_number: int
+    holders: list[NodeId]
+    resend_at: float
+    next_holder_at: float
+    packets: list[bytes] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class ReleasedFlow:
+    """A flow whose packets may leave now."""
+
+    key: int
+    backend_number: int
+    packets: tuple[bytes, ...]
+
+
+class Bindings:
+    """All bindings of this home that wait for an acknowledgement."""
+
+    def __init__(self) -> None:
+        self._pending: dict[int, PendingBinding] = {}
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    @property
+    def full(self) -> bool:
+        """Whether no further flow can be held."""
+        return len(self._pending) >= MAXIMUM_FLOWS or self._bytes >= MAXIMUM_BYTES
+
+    def begin(
+        self, key: int, backend_number: int, holders: Sequence[NodeId], now: float
+    ) -> list[Command]:
+        """Ask the first holder to note a binding; `holders` must not be empty."""
+        pending = PendingBinding(
+            backend_number, list(holders), now + RESEND_SECONDS, now + HOLDER_SECONDS
+        )
+        self.forget(key)
+        self._pending[key] = pending
+        return [SendMessage(pending.holders[0], BindFlow(key, backend_number))]
+
+    def hold(self, key: int, packet: bytes) -> bool:
+        """Keep a packet of a flow that waits; returns whether there was room."""
+        pending = self._pending.get(key)
+        if pending is None or len(pending.packets) >= PACKETS_PER_FLOW:
+            return False
+        if self._bytes + len(packet) > MAXIMUM_BYTES:
+            return False
+        pending.packets.append(packet)
+        self._bytes += len(packet)
+        return True
+
+    def acknowledged(self, key: int, backend_number: int) -> ReleasedFlow | None:
+        """Take an acknowledgement; returns the flow whose packets may leave."""
+        pending = self._pending.get(key)
+        if pending is None or pending.backend_number != backend_number:
+            return None
+        return self._release(key)
+
+    def forget(self, key: int) -> None:
+        """Drop a flow that waits, with its packets."""
+        if key in self._pending:
+            self._release(key)
+
+    def _release(self, key: int) -> ReleasedFlow:
+        pending = self._pending.pop(key)
+        self._bytes -= sum(len(packet) for packet in pending.packets)
+        return ReleasedFlow(key, pending.backend_number, tuple(pending.packets))
+
+    def poll(self, now: float) -> tuple[list[Command], list[ReleasedFlow]]:
+        """Resend, go on to the next holder, and release flows whose holders were all silent."""
+        commands: list[Command] = []
+        released: list[ReleasedFlow] = []
+        for key, pending in list(self._pending.items()):
+            if pending.next_holder_at <= now:
+                pending.holders.pop(0)
+                pending.next_holder_at = pending.resend_at = now + HOLDER_SECONDS
+                if not pending.holders:
+                    released.append(self._release(key))
+                    continue
+            elif pending.resend_at > now:
+                continue
+            pending.resend_at = now + RESEND_SECONDS
+            commands.append(SendMessage(pending.holders[0], BindFlow(key, pending.backend_number)))
+        return commands, released
--- /dev/null
+++ b/src/beamloom/routing/deciding.py
@@ -0,0 +1,302 @@
+"""What a home does with one packet: place, bind, refuse, offer again.
+
+See docs/design/requests.md.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+from beamloom.protocol.commands import Command, LocalSocket, SendPacket
+from beamloom.routing.bindings import Bindings, ReleasedFlow
+from beamloom.routing.flow_table import FlowFlag
+from beamloom.routing.hashing import partition_of
+from beamloom.routing.home import BOTH_CLOSED, Home
+from beamloom.routing.openings import KeptOpenings
+from beamloom.routing.ownership import Acquisition
+from beamloom.routing.packet import PROTOCOL_TCP, TCP_RST, DropReason, PacketView
+from beamloom.routing.placement import NO_CANDIDATE
+from beamloom.routing.replica_sender import ReplicaSender
+from beamloom.routing.selection import Choice, PlacementReason
+from beamloom.routing.services import ServiceRoute
+from beamloom.routing.transfers import Transfers
+from beamloom.world.contracts import RepeatPolicy
+from beamloom.world.machines import NodeId
+
+CLOSED_SECONDS = 10.0
+TAKEOVER_SECONDS = 3.0
+UNKNOWN_BINDING_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class FlowPacket:
+    """A client's packet with its flow's key and service; `relay` is the node it came by, if any."""
+
+    key: int
+    data: bytes
+    view: PacketView
+    service: ServiceRoute
+    relay: NodeId | None
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Where a packet goes (`backend_number`), or what becomes of it instead.
+
+    `refusal` is a packet for the client; `drop` says why the packet goes nowhere; neither set and
+    no backend: it is held. `swallowed` says that an answer is not to reach the client.
+    """
+
+    backend_number: int | None = None
+    commands: tuple[Command, ...] = ()
+    refusal: bytes | None = None
+    drop: DropReason | None = None
+    swallowed: bool = False
+
+
+class Deciding:
+    """The decisions about flows of the partitions that this node owns."""
+
+    def __init__(
+        self,
+        home: Home,
+        sender: ReplicaSender,
+        transfers: Transfers,
+        counters: Counter[str],
+    ) -> None:
+        self._home = home
+        self._table = home.table
+        self._routes = home.routes
+        self._hooks = home.hooks
+        self._sender = sender
+        self._transfers = transfers
+        self._counters = counters
+        self._bindings = Bindings()
+        self._openings = KeptOpenings()
+
+    @property
+    def bindings_waiting(self) -> int:
+        """How many flows wait for a replica holder."""
+        return len(self._bindings)
+
+    def predecessor_to_ask(self, packet: FlowPacket, now: float) -> NodeId | None:
+        """Return the former owner when it may have placed this opening packet's flow already."""
+        owned = self._home.ownership.owned[partition_of(packet.key)]
+        former = owned.predecessor
+        if not packet.view.opens_flow or owned.grace_until <= now or former == packet.relay:
+            return None
+        if self._home.known_row(packet.key, packet.service, now) is not None:
+            return None
+        return former if self._home.ownership.answers(former) else None
+
+    # -- packets of clients ----------------------------------------------------------------------
+
+    def decide(self, packet: FlowPacket, now: float) -> Decision:
+        """Decide on one packet of a client."""
+        key, view = packet.key, packet.view
+        row = self._home.known_row(key, packet.service, now)
+        if row is not None and view.opens_flow and self._is_over(row):
+            self._home.forget(key)
+            row = None
+        if row is None:
+            if view.is_error:
+                return Decision(drop=DropReason.UNKNOWN_FLOW)
+            return self._place(packet, now)
+        if self._table.flags[row] & FlowFlag.HELD:
+            held = self._bindings.hold(key, packet.data)
+            return Decision(drop=None if held else DropReason.UNKNOWN_BINDING)
+        if not view.is_error:
+            self._note_progress(packet, row, now)
+        return Decision(self._table.backend[row])
+
+    def _is_over(self, row: int) -> bool:
+        return bool(self._table.flags[row] & BOTH_CLOSED)
+
+    def _place(self, packet: FlowPacket, now: float) -> Decision:
+        if packet.view.flow.protocol == PROTOCOL_TCP:
+            if packet.view.opens_flow:
+                return self._place_new(packet, now)
+            return self._place_by_base(packet, now)
+        if self._binding_may_be_lost(packet, now):
+            return Decision(drop=DropReason.UNKNOWN_BINDING)
+        base = self._base_in_force(packet)
+        partition = partition_of(packet.key)
+        if base is None or self._home.knows_every_flow(packet.service, partition, now):
+            return self._place_new(packet, now)
+        self._hooks.admission.flow_taken_over(packet.service.contract)
+        return self._enter(packet, Choice(base, PlacementReason.BASE_GENERATION), now)
+
+    def _base_in_force(self, packet: FlowPacket) -> int | None:
+        number = self._home.base_backend(packet.service, packet.key)
+        return number if self._routes.has_backend(number) else None
+
+    def _place_by_base(self, packet: FlowPacket, now: float) -> Decision:
+        """Enter a TCP flow that began before this node knew of it: unknown means base.
+
+        It may be wrong after a crash; then the backend has no such connection and answers with a
+        reset, so that nothing runs twice.
+        """
+        number = self._base_in_force(packet)
+        if number is None:
+            return Decision(drop=DropReason.NO_BACKEND)
+        owned = self._home.ownership.owned[partition_of(packet.key)]
+        flags = FlowFlag.PAYLOAD_SENT
+        if owned.acquisition is Acquisition.CRASH:
+            flags |= FlowFlag.GUESSED
+        self._hooks.admission.flow_taken_over(packet.service.contract)
+        choice = Choice(number, PlacementReason.BASE_GENERATION)
+        row = self._home.enter(packet.key, choice, packet.service, flags, now)
+        self._counters["flows_by_base"] += 1
+        self._note_progress(packet, row, now)
+        return Decision(number)
+
+    def _binding_may_be_lost(self, packet: FlowPacket, now: float) -> bool:
+        policy = packet.service.contract.policy
+        if policy.request_repeat is not RepeatPolicy.NEVER:
+            return False
+        partition = partition_of(packet.key)
+        owned = self._home.ownership.owned[partition]
+        wait = policy.request_deadline or UNKNOWN_BINDING_SECONDS
+        if owned.acquisition is not Acquisition.CRASH or now - owned.since >= wait:
+            return False
+        return not self._transfers.bindings_known(partition)
+
+    def _place_new(self, packet: FlowPacket, now: float) -> Decision:
+        contract = packet.service.contract
+        verdict = self._hooks.admission.admit_flow(contract, now)
+        if not verdict.admitted:
+            refusal = self._hooks.refusals.build(packet.data, verdict.retry_after, False)
+            return Decision(refusal=refusal, drop=DropReason.REFUSED)
+        choice = self._home.choose(packet.key, packet.service)
+        if choice.backend_number == NO_CANDIDATE:
+            self._hooks.admission.flow_ended(contract)
+            refusal = self._hooks.refusals.build(packet.data, verdict.retry_after, True)
+            return Decision(refusal=refusal, drop=DropReason.NO_BACKEND)
+        self._counters["flows_placed"] += 1
+        return self._enter(packet, choice, now)
+
+    def _enter(self, packet: FlowPacket, choice: Choice, now: float) -> Decision:
+        """Enter an admitted flow; its packet leaves at once or waits for the binding."""
+        key, service, view = packet.key, packet.service, packet.view
+        commands = self._bind(key, choice.backend_number, service, now)
+        if commands is None:
+            self._hooks.admission.flow_ended(service.contract)
+            return Decision(drop=DropReason.UNKNOWN_BINDING)
+        flags = FlowFlag.HELD if commands else FlowFlag(0)
+        row = self._home.enter(key, choice, service, flags, now)
+        self._note_progress(packet, row, now)
+        if view.opens_flow and not view.payload_size:
+            self._openings.keep(key, packet.data)
+        if commands:
+            self._bindings.hold(key, packet.data)
+            return Decision(commands=tuple(commands))
+        return Decision(choice.backend_number)
+
+    def _bind(
+        self, key: int, number: int, service: ServiceRoute, now: float
+    ) -> list[Command] | None:
+        """Begin to bind where the service asks for it; None when no more flows can be held."""
+        if service.contract.policy.request_repeat is not RepeatPolicy.NEVER:
+            return []
+        holders = self._sender.holders(partition_of(key))
+        if not holders:
+            return []
+        if self._bindings.full:
+            return None
+        return self._bindings.begin(key, number, holders, now)
+
+    def binding_acknowledged(self, key: int, number: int, now: float) -> list[Command]:
+        """Let the packets of a bound flow go."""
+        released = self._bindings.acknowledged(key, number)
+        return [] if released is None else self._release(released)
+
+    def _release(self, released: ReleasedFlow) -> list[Command]:
+        row = self._table.rows.get(released.key)
+        route = self._routes.backends.get(released.backend_number)
+        if row is None or route is None or not self._table.flags[row] & FlowFlag.HELD:
+            return []
+        self._table.flags[row] &= ~FlowFlag.HELD & 0xFF
+        self._table.flags[row] |= FlowFlag.REPLICATED
+        return [SendPacket(LocalSocket.DATA, route.address, packet) for packet in released.packets]
+
+    def _note_progress(self, packet: FlowPacket, row: int, now: float) -> None:
+        table, view = self._table, packet.view
+        if view.payload_size:
+            table.flags[row] |= FlowFlag.PAYLOAD_SENT
+        if not view.opens_flow:
+            self._openings.take(packet.key)
+        table.deadline[row] = now + packet.service.idle_timeout
+        if view.closes_flow:
+            self._note_closing(row, view, FlowFlag.CLIENT_CLOSED, now)
+
+    def _note_closing(self, row: int, view: PacketView, side: FlowFlag, now: float) -> None:
+        self._table.flags[row] |= BOTH_CLOSED if view.tcp_flags & TCP_RST else side
+        if self._table.flags[row] & BOTH_CLOSED == BOTH_CLOSED:
+            self._table.deadline[row] = now + CLOSED_SECONDS
+
+    def payload_may_be_sent(self, key: int) -> None:
+        """Note that another node is given this flow's answer and may forward payload unseen."""
+        row = self._table.rows.get(key)
+        if row is not None:
+            self._table.flags[row] |= FlowFlag.PAYLOAD_SENT
+            self._openings.take(key)
+
+    # -- answers of backends ---------------------------------------------------------------------
+
+    def answer_closes(
+        self, key: int, view: PacketView, service: ServiceRoute, now: float
+    ) -> Decision:
+        """Take a FIN or RST of a backend; a refused opening may be offered to another backend."""
+        row = self._home.known_row(key, service, now)
+        if row is None:
+            return Decision()
+        if view.tcp_flags & TCP_RST:
+            if self._may_be_wrong_guess(key, row, now):
+                return Decision(swallowed=True)
+            retried = self._offer_again(key, row, service, now)
+            if retried is not None:
+                return retried
+        self._note_closing(row, view, FlowFlag.BACKEND_CLOSED, now)
+        return Decision()
+
+    def _may_be_wrong_guess(self, key: int, row: int, now: float) -> bool:
+        """Whether a holder of replicas may still tell where this flow belongs."""
+        owned = self._home.ownership.owned[partition_of(key)]
+        guessed = self._table.flags[row] & FlowFlag.GUESSED
+        return bool(guessed) and now - owned.since < TAKEOVER_SECONDS
+
+    def _offer_again(
+        self, key: int, row: int, service: ServiceRoute, now: float
+    ) -> Decision | None:
+        if self._table.flags[row] & (FlowFlag.PAYLOAD_SENT | FlowFlag.HELD):
+            return None
+        opening = self._openings.take(key)
+        choice = self._home.choose(key, service, excluded=self._table.backend[row])
+        if opening is None or choice.backend_number == NO_CANDIDATE:
+            return None
+        if not self._hooks.admission.take_retry(service.contract, now):
+            return None
+        number = choice.backend_number
+        bind = self._bind(key, number, service, now)
+        if bind is None:
+            return None
+        self._hooks.admission.flow_taken_over(service.contract)
+        flags = FlowFlag.HELD if bind else FlowFlag(0)
+        retried = Choice(number, PlacementReason.RETRIED_AFTER_REFUSAL)
+        self._home.enter(key, retried, service, flags, now)
+        self._counters["flows_offered_again"] += 1
+        if bind:
+            self._bindings.hold(key, opening)
+            return Decision(commands=tuple(bind), swallowed=True)
+        address = self._routes.backends[number].address
+        again = SendPacket(LocalSocket.DATA, address, opening)
+        return Decision(commands=(again,), swallowed=True)
+
+    def poll(self, now: float) -> list[Command]:
+        """Go on with bindings whose holder is silent."""
+        commands, released = self._bindings.poll(now)
+        for flow in released:
+            self._counters["bound_alone"] += 1
+            commands.extend(self._release(flow))
+        return commands
--- a/src/beamloom/routing/flow_table.py
+++ b/src/beamloom/routing/flow_table.py
@@ -7,21 +7,29 @@
 from __future__ import annotations
 
 from array import array
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from enum import IntFlag
 
+import numpy as np
+
+from beamloom.routing.hashing import PARTITION_COUNT, PARTITION_MASK
+
 SWEEP_ROWS = 2048
 
 
 class FlowFlag(IntFlag):
-    """What is known of one flow's entry."""
+    """What is known of one flow's entry.
+
+    `PAYLOAD_SENT` is also set when payload may have been sent by another node. `GUESSED` marks an
+    entry that a home made after a crash for a flow it did not know.
+    """
 
     HOME = 1
     PAYLOAD_SENT = 2
     CLIENT_CLOSED = 4
     BACKEND_CLOSED = 8
     REPLICATED = 16
-    REPLICA = 32
+    GUESSED = 32
     HELD = 64
 
 
@@ -80,6 +88,15 @@
         """Yield (key, row) of every entry; the table must not change meanwhile."""
         return iter(self.rows.items())
 
+    def rows_in(self, partitions: Iterable[int]) -> list[tuple[int, int]]:
+        """Return (key, row) of every entry in some partitions, by one scan of the columns."""
+        wanted = np.zeros(PARTITION_COUNT, dtype=np.bool_)
+        wanted[list(partitions)] = True
+        keys = np.array(self._keys, dtype=np.uint64)
+        found = np.flatnonzero(wanted[keys & np.uint64(PARTITION_MASK)]).tolist()
+        pairs = ((self._keys[row], row) for row in found)
+        return [(key, row) for key, row in pairs if self.rows.get(key) == row]
+
     def expired(self, now: float) -> list[int]:
         """Look at the next rows in turn and return the keys of those whose deadline passed.
 
--- a/src/beamloom/routing/forwarder.py
+++ b/src/beamloom/routing/forwarder.py
@@ -1,26 +1,32 @@
-"""Forwarding: where one packet goes, and what the home of a flow decides.
+"""Forwarding: where one packet goes. The entry of routing for the node and its adapters.
 
 The fast path serves mid-flow IPv4 packets of flows with an entry at this node; everything else
-takes the slow path, which parses with every check. See docs/design/core.md.
+takes the slow path, which parses with every check. See docs/design/core.md and
+docs/design/flows.md.
 """
 
 from __future__ import annotations
 
 import struct
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import xxhash
 
 from beamloom.protocol.commands import Command, LocalSocket, SendMessage, SendPacket
+from beamloom.protocol.errors import ProtocolError
 from beamloom.protocol.flow_messages import (
     RECORDS_PER_MESSAGE,
+    BindAcknowledged,
+    BindFlow,
     CacheAnswers,
     FlowRecord,
     pack_records,
     unpack_records,
 )
 from beamloom.protocol.messages import Message
+from beamloom.routing.deciding import Deciding, FlowPacket
+from beamloom.routing.explanation import FlowExplanation, FlowRole, RoutingSnapshot
 from beamloom.routing.flow_table import FlowFlag, FlowTable
 from beamloom.routing.hashing import (
     FLOW_KEY_MASK,
@@ -28,8 +34,11 @@
     flow_key,
     flow_seed,
     partition_of,
-    slot_of,
 )
+from beamloom.routing.home import Home, lease_seconds
+from beamloom.routing.hooks import RoutingHooks, permissive_hooks
+from beamloom.routing.openings import AwaitingPackets
+from beamloom.routing.ownership import Acquired, Ownership
 from beamloom.routing.packet import (
     PROTOCOL_TCP,
     PROTOCOL_UDP,
@@ -43,17 +52,19 @@
     parse_packet,
     with_hop_limit_decremented,
 )
-from beamloom.routing.partitions import PartitionMap
-from beamloom.routing.selection import choose_backend
+from beamloom.routing.replica_sender import ReplicaSender
+from beamloom.routing.replicas import ReplicaStore
+from beamloom.routing.selection import PlacementReason
 from beamloom.routing.services import RouteTable, ServiceRoute
+from beamloom.routing.transfers import Transfers
 from beamloom.world.addresses import SocketAddress
 from beamloom.world.contracts import ServiceContract
 from beamloom.world.machines import Machine, Member, NodeId
 
-CACHE_LEASE_SECONDS = 30.0
-CLOSED_SECONDS = 10.0
 ANSWER_BATCH_SECONDS = 0.2
-SWEEP_SECONDS = 0.1
+TICK_SECONDS = 0.1
+RELAY_HOPS = 6
+RELAY_HOPS_OF_ANSWERS = 255
 IPV4_FAST_SIZE = 40
 IPV4_NO_OPTIONS = 0x45
 FRAGMENT_BITS = 0x3FFF
@@ -62,38 +73,56 @@
 
 _FAST_HEADER = struct.Struct("!BxHxxHBBxx12s")
 _HOME = int(FlowFlag.HOME)
+_PAYLOAD_SENT = int(FlowFlag.PAYLOAD_SENT)
+_FAST_MASK = int(FlowFlag.PAYLOAD_SENT | FlowFlag.HELD)
 
 
 class Forwarder:
     """The data path of one node.
 
-    `gateways` are the fabric addresses that answers are sent to.
+    `gateways` are the fabric addresses that answers are sent to; `hooks` are the neighbours that
+    admit flows, build refusals and know the health of backends.
     """
 
     def __init__(
-        self, machine: Machine, hash_key: bytes, gateways: Sequence[SocketAddress]
+        self,
+        machine: Machine,
+        hash_key: bytes,
+        gateways: Sequence[SocketAddress],
+        hooks: RoutingHooks | None = None,
     ) -> None:
         self.machine = machine
         self.node_id: NodeId = machine.node_id
+        self.hooks = hooks or permissive_hooks()
         self.routes = RouteTable()
         self.table = FlowTable()
-        self.partitions = PartitionMap(())
         self.counters: Counter[str] = Counter()
+        self.ownership = Ownership(self.node_id)
+        self.replicas = ReplicaStore()
+        self.home = Home(self.table, self.routes, self.ownership, self.hooks)
+        self._sender = ReplicaSender(self.ownership, self.home)
+        self._transfers = Transfers(
+            self.ownership, self.home, self.replicas, self._sender, self._partition_acquired
+        )
+        self.home.listeners.extend((self._sender, self._transfers))
+        self._deciding = Deciding(self.home, self._sender, self._transfers, self.counters)
+        self._awaiting = AwaitingPackets()
         self._gateways = tuple(gateways)
         self._seeds = {
             protocol: flow_seed(hash_key, protocol) for protocol in (PROTOCOL_TCP, PROTOCOL_UDP)
         }
-        self._homes: list[NodeId | None] = self.partitions.homes_by_partition()
-        self._members: dict[NodeId, Member] = {}
         self._peers: dict[SocketAddress, NodeId] = {}
         self._commands: list[Command] = []
         self._answers: dict[NodeId, list[FlowRecord]] = {}
         self._answers_due: float | None = None
-        self._sweep_due = 0.0
+        self._tick_due = 0.0
+        self._leave_complete = False
 
     # -- what the node tells -------------------------------------------------------------------
 
-    def update_services(self, changed: Sequence[ServiceContract], removed: Sequence[int]) -> None:
+    def update_services(
+        self, changed: Sequence[ServiceContract], removed: Sequence[int], now: float = 0.0
+    ) -> None:
         """Put configuration changes in force; `removed` holds service numbers."""
         self.routes.update(changed)
         for service_number in removed:
@@ -101,15 +130,22 @@
 
     def update_members(self, members: Sequence[Member], now: float) -> None:
         """Take over a new member list and reassign partitions."""
-        self._members = {member.machine.node_id: member for member in members}
         self._peers = {
             member.machine.peer_address: member.machine.node_id
             for member in members
             if member.machine.node_id != self.node_id
         }
-        homes = [member.machine for member in members if member.may_be_home]
-        self.partitions = PartitionMap(homes)
-        self._homes = self.partitions.homes_by_partition()
+        self._transfers.members_changed(self.ownership.update(members, now), now)
+
+    def begin_leave(self, now: float) -> None:
+        """Begin to hand every partition over; see `leave_complete`."""
+        self.ownership.leaving = True
+        self._transfers.members_changed(self.ownership.reassign(now), now)
+
+    @property
+    def leave_complete(self) -> bool:
+        """Whether this node, which is leaving, has handed over all and relayed for the grace."""
+        return self._leave_complete
 
     def take_commands(self) -> list[Command]:
         """Return and clear what forwarding asked for besides the answered address."""
@@ -137,25 +173,31 @@
             self.counters[error.reason.value] += 1
             return None
 
-    def _forward_fast(self, data: bytes, now: float) -> SocketAddress | None:
+    def _forward_fast(  # noqa: PLR0911 - one flat function: each call more costs every packet
+        self, data: bytes, now: float
+    ) -> SocketAddress | None:
         _, total, fragment, hop_limit, protocol, hash_input = _FAST_HEADER.unpack_from(data)
         seed = self._seeds.get(protocol)
         if seed is None or total != len(data) or fragment & FRAGMENT_BITS or not hop_limit:
             return None
+        table = self.table
         if protocol == PROTOCOL_TCP and data[TCP_FLAGS_AT] & TCP_CONTROL_FLAGS:
             return None
-        table = self.table
         row = table.rows.get(xxhash.xxh3_64_intdigest(hash_input, seed) & FLOW_KEY_MASK)
         route = None if row is None else self.routes.backends.get(table.backend[row])
         if row is None or route is None:
             return None
-        service = route.service
+        service, flags = route.service, table.flags[row]
         if service.destination_key != hash_input[4:8] + hash_input[10:12] + data[9:10]:
             return None
-        if table.flags[row] & _HOME:
-            table.deadline[row] = now + service.contract.policy.flow_idle_timeout
+        meter = service.meter
+        if meter.blocked or flags & _FAST_MASK != _PAYLOAD_SENT:
+            return None
+        if flags & _HOME:
+            table.deadline[row] = now + service.idle_timeout
         elif table.deadline[row] <= now:
             return None
+        meter.packets += 1
         return route.address
 
     # -- every other packet --------------------------------------------------------------------
@@ -167,13 +209,15 @@
         view = parse_packet(data)
         service = self.routes.by_destination.get(view.flow.destination_key)
         if service is not None:
+            if relay is None:
+                _count_packet(service)
             return self._forward_request(data, view, service, relay, now)
         service = self.routes.by_destination.get(view.flow.source_key)
         if service is None:
             raise PacketError(DropReason.UNKNOWN_SERVICE)
         if relay is None and source not in service.senders:
             raise PacketError(DropReason.FOREIGN_SENDER)
-        return self._forward_answer(data, view, relay, now)
+        return self._forward_answer(data, view, service, relay, now)
 
     def _relaying_node(self, source: SocketAddress) -> NodeId:
         relay = self._peers.get(source)
@@ -188,22 +232,31 @@
         self, data: bytes, view: PacketView, service: ServiceRoute, relay: NodeId | None, now: float
     ) -> SocketAddress | None:
         key = self._key(view.flow)
-        home = self._homes[partition_of(key)]
-        if home == self.node_id:
-            return self._decide_as_home(key, view, service, relay, now)
-        address = self._address_by_cache(key, view, service, now)
-        if address is None:
-            self._relay(data, home)
-        return address
+        partition = partition_of(key)
+        decider = self.ownership.deciders[partition]
+        if decider == self.node_id:
+            return self._forward_as_home(FlowPacket(key, data, view, service, relay), now)
+        address = self._address_by_cache(key, view, service, relay, now)
+        if address is not None:
+            return address
+        if relay is not None and relay == decider and partition not in self.ownership.handed:
+            self._hold_until_handover(partition, data, relay)
+        else:
+            self._relay(data, decider, RELAY_HOPS)
+        return None
 
     def _address_by_cache(
-        self, key: int, view: PacketView, service: ServiceRoute, now: float
+        self, key: int, view: PacketView, service: ServiceRoute, relay: NodeId | None, now: float
     ) -> SocketAddress | None:
-        """Return the cached backend unless the home must see the packet or the lease is over."""
+        """Return the cached backend unless the home must see the packet or the lease is over.
+
+        A node that has just handed the partition over still vouches for flows it has placed, so
+        that a retransmitted SYN ends where the first one did.
+        """
         row = self.table.rows.get(key)
         if row is None:
             return None
-        if view.opens_flow or view.closes_flow:
+        if view.closes_flow or (view.opens_flow and not self._vouches(key, row)):
             self.table.remove(key)
             return None
         route = self.routes.backends.get(self.table.backend[row])
@@ -211,90 +264,80 @@
             return None
         return route.address
 
-    def _relay(self, data: bytes, home: NodeId | None) -> None:
-        member = self._members.get(home) if home is not None else None
-        if member is None:
+    def _vouches(self, key: int, row: int) -> bool:
+        closed = self.table.flags[row] & (FlowFlag.CLIENT_CLOSED | FlowFlag.BACKEND_CLOSED)
+        ownership, partition = self.ownership, partition_of(key)
+        return not closed and (partition in ownership.handed or partition in ownership.frozen)
+
+    def _hold_until_handover(self, partition: int, data: bytes, relay: NodeId) -> None:
+        """Keep what a frozen owner passes on while its HANDOVER is under way."""
+        awaited = partition in self.ownership.awaited
+        if not awaited or not self._awaiting.hold(partition, data, relay):
+            raise PacketError(DropReason.HANDOVER_PENDING)
+
+    def _partition_acquired(self, item: Acquired, now: float) -> None:
+        """Decide the packets that waited for this partition."""
+        for packet in self._awaiting.release(item.partition):
+            member = self.ownership.members.get(packet.relay)
+            if member is None:
+                continue
+            address = self.forward(packet.data, member.machine.peer_address, True, now)
+            if address is not None:
+                self._commands.append(SendPacket(LocalSocket.DATA, address, packet.data))
+
+    def _relay(self, data: bytes, decider: NodeId | None, maximum_hops: int) -> None:
+        member = self.ownership.members.get(decider) if decider is not None else None
+        if member is None or decider == self.node_id:
             raise PacketError(DropReason.NO_HOME)
+        packet = with_hop_limit_decremented(data, maximum_hops)
         self.counters["relayed"] += 1
-        packet = with_hop_limit_decremented(data)
         self._commands.append(SendPacket(LocalSocket.PEER, member.machine.peer_address, packet))
 
-    # -- the home's decisions ------------------------------------------------------------------
-
-    def _decide_as_home(
-        self, key: int, view: PacketView, service: ServiceRoute, relay: NodeId | None, now: float
-    ) -> SocketAddress:
-        row = self.table.rows.get(key)
-        if row is not None and (self._is_over(row) and view.opens_flow):
-            self._forget(key)
-            row = None
-        if row is None or not self._belongs(row, service):
-            row = self._place(key, view, service, now)
-        self._note_progress(row, view, service, now)
-        number = self.table.backend[row]
-        if relay is not None and not view.closes_flow:
-            self._queue_answer(relay, FlowRecord(key, number), now)
+    def _forward_as_home(self, packet: FlowPacket, now: float) -> SocketAddress | None:
+        predecessor = self._deciding.predecessor_to_ask(packet, now)
+        if predecessor is not None:
+            self._relay(packet.data, predecessor, RELAY_HOPS)
+            return None
+        decision = self._deciding.decide(packet, now)
+        self._commands.extend(decision.commands)
+        if decision.refusal is not None:
+            self._send_to_client(packet.key, decision.refusal)
+        if decision.drop is not None:
+            raise PacketError(decision.drop)
+        number = decision.backend_number
+        if number is None:
+            return None
+        if packet.relay is not None and not (packet.view.opens_flow or packet.view.closes_flow):
+            self._deciding.payload_may_be_sent(packet.key)
+            self._queue_answer(packet.relay, FlowRecord(packet.key, number), now)
         return self.routes.backends[number].address
 
-    def _is_over(self, row: int) -> bool:
-        return bool(self.table.flags[row] & (FlowFlag.CLIENT_CLOSED | FlowFlag.BACKEND_CLOSED))
-
-    def _belongs(self, row: int, service: ServiceRoute) -> bool:
-        route = self.routes.backends.get(self.table.backend[row])
-        return route is not None and route.service is service
-
-    def _place(self, key: int, view: PacketView, service: ServiceRoute, now: float) -> int:
-        """Choose a backend for a flow without an entry and enter it; raises PacketError."""
-        if view.flow.protocol == PROTOCOL_TCP and not view.opens_flow:
-            number = service.current_table.first[slot_of(key)]
-        else:
-            number = choose_backend(service, slot_of(key), self.routes)
-            self.counters["flows_placed"] += 1
-        if not self.routes.has_backend(number):
-            raise PacketError(DropReason.NO_BACKEND)
-        service.open_flows[number] = service.open_flows.get(number, 0) + 1
-        deadline = now + service.contract.policy.flow_idle_timeout
-        return self.table.insert(key, number, _HOME, deadline, now)
-
-    def _note_progress(self, row: int, view: PacketView, service: ServiceRoute, now: float) -> None:
-        table = self.table
-        if view.payload_size:
-            table.flags[row] |= FlowFlag.PAYLOAD_SENT
-        table.deadline[row] = now + service.contract.policy.flow_idle_timeout
-        if view.closes_flow:
-            self._note_closing(row, view, FlowFlag.CLIENT_CLOSED, now)
-
-    def _note_closing(self, row: int, view: PacketView, side: FlowFlag, now: float) -> None:
-        both = FlowFlag.CLIENT_CLOSED | FlowFlag.BACKEND_CLOSED
-        self.table.flags[row] |= both if view.tcp_flags & TCP_RST else side
-        if self.table.flags[row] & both == both:
-            self.table.deadline[row] = now + CLOSED_SECONDS
-
-    def _forget(self, key: int) -> None:
-        row = self.table.rows.get(key)
-        if row is None:
-            return
-        if self.table.flags[row] & _HOME:
-            route = self.routes.backends.get(self.table.backend[row])
-            if route is not None:
-                route.service.open_flows[self.table.backend[row]] -= 1
-        self.table.remove(key)
+    def _send_to_client(self, key: int, packet: bytes) -> None:
+        self._commands.append(SendPacket(LocalSocket.DATA, self._gateway(key), packet))
 
     # -- answers -------------------------------------------------------------------------------
 
     def _forward_answer(
-        self, data: bytes, view: PacketView, relay: NodeId | None, now: float
+        self,
+        data: bytes,
+        view: PacketView,
+        service: ServiceRoute,
+        relay: NodeId | None,
+        now: float,
     ) -> SocketAddress | None:
         key = self._key(view.flow.reversed())
-        if view.closes_flow:
-            home = self._homes[partition_of(key)]
-            if home == self.node_id:
-                row = self.table.rows.get(key)
-                if row is not None:
-                    self._note_closing(row, view, FlowFlag.BACKEND_CLOSED, now)
-            elif relay is None:
-                self._relay(data, home)
-                return None
+        if not view.closes_flow:
+            return self._gateway(key)
+        decider = self.ownership.deciders[partition_of(key)]
+        if decider == self.node_id:
+            decision = self._deciding.answer_closes(key, view, service, now)
+            self._commands.extend(decision.commands)
+            return None if decision.swallowed else self._gateway(key)
+        if decider is not None and decider != relay:
+            self._relay(data, decider, RELAY_HOPS_OF_ANSWERS)
+            return None
+        if view.tcp_flags & TCP_RST:
+            raise PacketError(DropReason.HANDOVER_PENDING)
         return self._gateway(key)
 
     def _gateway(self, key: int) -> SocketAddress:
@@ -309,33 +352,44 @@
 
     def handle_message(self, sender: NodeId, message: Message, now: float) -> list[Command]:
         """Take one message about flows; kinds of other components are ignored."""
-        handlers: dict[type[Message], Callable[[NodeId, Message, float], None]] = {
-            CacheAnswers: self._take_cache_answers,
-        }
-        handler = handlers.get(type(message))
-        if handler is not None:
-            handler(sender, message, now)
-        return []
-
-    def _take_cache_answers(self, sender: NodeId, message: Message, now: float) -> None:
-        assert isinstance(message, CacheAnswers)
-        for record in unpack_records(message.packed_records):
-            if self._homes[partition_of(record.key)] != sender:
+        try:
+            match message:
+                case CacheAnswers(packed_records):
+                    self._take_cache_answers(sender, packed_records, now)
+                case BindFlow(key, number):
+                    self.replicas.put(sender, partition_of(key), key, number)
+                    return [SendMessage(sender, BindAcknowledged(key, number))]
+                case BindAcknowledged(key, number):
+                    self._commands.extend(self._deciding.binding_acknowledged(key, number, now))
+                case _:
+                    commands = self._transfers.handle(sender, message, now)
+                    return commands + self.take_commands()
+        except (ProtocolError, TypeError, OverflowError):
+            self.counters["malformed_message"] += 1
+        return self.take_commands()
+
+    def _take_cache_answers(self, sender: NodeId, packed_records: bytes, now: float) -> None:
+        for record in unpack_records(packed_records):
+            route = self.routes.backends.get(record.backend_number)
+            if self.ownership.deciders[partition_of(record.key)] != sender or route is None:
                 continue
-            if self.routes.has_backend(record.backend_number):
-                deadline = now + CACHE_LEASE_SECONDS
-                self.table.insert(record.key, record.backend_number, 0, deadline, now)
+            deadline = now + lease_seconds(route.service)
+            self.table.insert(record.key, record.backend_number, _PAYLOAD_SENT, deadline, now)
 
     def poll(self, now: float) -> list[Command]:
-        """Send due answers and forget flows that ended or fell silent."""
+        """Do what is due: answers, replicas, transfers, bindings, entries that have ended."""
         commands: list[Command] = []
         if self._answers_due is not None and self._answers_due <= now:
             commands.extend(self._flush_answers())
-        if self._sweep_due <= now:
-            self._sweep_due = now + SWEEP_SECONDS
+        if self._tick_due <= now:
+            self._tick_due = now + TICK_SECONDS
             for key in self.table.expired(now):
-                self._forget(key)
-        return commands
+                self.home.forget(key)
+            commands.extend(self._transfers.poll(now))
+            commands.extend(self._sender.poll(now))
+            commands.extend(self._deciding.poll(now))
+            self._leave_complete = self.ownership.leaving and self._transfers.nothing_left(now)
+        return commands + self.take_commands()
 
     def _flush_answers(self) -> list[Command]:
         commands: list[Command] = []
@@ -350,5 +404,82 @@
     def next_timer(self) -> float | None:
         """Return when `poll` has something to do."""
         if self._answers_due is None:
-            return self._sweep_due
-        return min(self._answers_due, self._sweep_due)
+            return self._tick_due
+        return min(self._answers_due, self._tick_due)
+
+    # -- explanations --------------------------------------------------------------------------
+
+    def explain(self, flow: FlowTuple) -> FlowExplanation:
+        """Return what this node knows of a flow, given from the client's side."""
+        key = self._key(flow)
+        partition = partition_of(key)
+        service = self.routes.by_destination.get(flow.destination_key)
+        service_id = None if service is None else service.contract.service_id
+        decider = self.ownership.deciders[partition]
+        row = self.table.rows.get(key)
+        if row is not None:
+            return self._explain_row(key, row, service_id, decider)
+        held = self.replicas.get(partition)
+        number = None if held is None else held.records.get(key)
+        if held is None or number is None:
+            return FlowExplanation(service_id, partition, FlowRole.NONE, decider)
+        backend_id = self._backend_id(number)
+        return FlowExplanation(
+            service_id,
+            partition,
+            FlowRole.REPLICA,
+            decider,
+            backend_id,
+            reason=PlacementReason.REPLICA,
+            is_exception=True,
+            base_revision=held.base,
+        )
+
+    def _explain_row(
+        self, key: int, row: int, service_id: str | None, decider: NodeId | None
+    ) -> FlowExplanation:
+        partition = partition_of(key)
+        is_home = bool(self.table.flags[row] & _HOME)
+        owned = self.ownership.owned.get(partition)
+        found = self.home.exceptions.get(partition, {}).get(key)
+        reason = PlacementReason.BASE_GENERATION if found is None else found
+        return FlowExplanation(
+            service_id,
+            partition,
+            FlowRole.HOME if is_home else FlowRole.CACHED,
+            decider,
+            self._backend_id(self.table.backend[row]),
+            self.table.created[row],
+            reason if is_home else PlacementReason.CACHED_ANSWER,
+            found is not None,
+            None if owned is None else owned.base,
+            None if is_home else self.table.deadline[row],
+        )
+
+    def _backend_id(self, number: int) -> str | None:
+        route = self.routes.backends.get(number)
+        return None if route is None else route.backend.backend_id
+
+    def snapshot(self) -> RoutingSnapshot:
+        """Return counts of this forwarder's state."""
+        open_flows: dict[int, int] = {}
+        for service in self.routes.by_service_number.values():
+            open_flows.update(service.open_flows)
+        return RoutingSnapshot(
+            flows=len(self.table),
+            partitions_owned=len(self.ownership.owned),
+            partitions_awaited=len(self.ownership.awaited),
+            partitions_frozen=len(self.ownership.frozen),
+            exceptions=sum(len(found) for found in self.home.exceptions.values()),
+            replicas_held=self.replicas.record_count,
+            records_waiting=self._sender.streams.waiting_records,
+            bindings_waiting=self._deciding.bindings_waiting,
+            open_flows=open_flows,
+            counters=dict(self.counters),
+        )
+
+
+def _count_packet(service: ServiceRoute) -> None:
+    if service.meter.blocked:
+        raise PacketError(DropReason.PACKET_LIMIT)
+    service.meter.packets += 1
--- /dev/null
+++ b/src/beamloom/routing/home.py
@@ -0,0 +1,213 @@
+"""Decisions of a home: entries of flows, exceptions to the base generation, and their reasons.
+
+*Unknown means base*: for each partition that it owns, a home holds every live flow that is not
+where the generation at the partition's base revision places it. These are the exceptions.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Protocol
+
+from beamloom.routing.flow_table import FlowFlag, FlowTable
+from beamloom.routing.hashing import partition_of, slot_of
+from beamloom.routing.hooks import RoutingHooks
+from beamloom.routing.ownership import Acquisition, Ownership
+from beamloom.routing.placement import NO_CANDIDATE
+from beamloom.routing.selection import Choice, PlacementReason, choose_backend
+from beamloom.routing.services import RouteTable, ServiceRoute
+from beamloom.world.contracts import RepeatPolicy
+
+CACHE_LEASE_SECONDS = 30.0
+BOTH_CLOSED = FlowFlag.CLIENT_CLOSED | FlowFlag.BACKEND_CLOSED
+_UNSET = 0xFF
+_OPEN_HOME = int(FlowFlag.HOME)
+
+
+class ExceptionListener(Protocol):
+    """Who must hear of exceptions: replicas and transfers."""
+
+    def exception_noted(self, key: int, backend_number: int, now: float) -> None:
+        """Take a flow that is not where the base places it."""
+
+    def exception_ended(self, key: int, replicated: bool) -> None:
+        """Take the end of such a flow."""
+
+
+class Home:
+    """The flows of the partitions that this node owns."""
+
+    def __init__(
+        self, table: FlowTable, routes: RouteTable, ownership: Ownership, hooks: RoutingHooks
+    ) -> None:
+        self.table = table
+        self.routes = routes
+        self.ownership = ownership
+        self.hooks = hooks
+        self.exceptions: dict[int, dict[int, PlacementReason]] = {}
+        self.listeners: list[ExceptionListener] = []
+
+    # -- what the base says ----------------------------------------------------------------------
+
+    def base_backend(self, service: ServiceRoute, key: int) -> int:
+        """Return where the base generation of the flow's partition places it."""
+        owned = self.ownership.owned.get(partition_of(key))
+        revision = self.routes.revision if owned is None else owned.base
+        return service.placed_by(revision, slot_of(key))
+
+    def knows_every_flow(self, service: ServiceRoute, partition: int, now: float) -> bool:
+        """Whether each live flow of a service in an owned partition must have an entry here.
+
+        A flow shows itself to its home at least once a lease; a silent one ends at its timeout.
+        """
+        owned = self.ownership.owned[partition]
+        if owned.acquisition is Acquisition.FRESH:
+            return True
+        return now - owned.since >= knowledge_seconds(service)
+
+    # -- entries ---------------------------------------------------------------------------------
+
+    def known_row(self, key: int, service: ServiceRoute, now: float) -> int | None:
+        """Return the row of a known flow of this service; a leased copy becomes the home's own."""
+        row = self.table.rows.get(key)
+        if row is None:
+            return None
+        route = self.routes.backends.get(self.table.backend[row])
+        if route is None or route.service is not service:
+            self.forget(key)
+            return None
+        if self.table.flags[row] & _OPEN_HOME:
+            return row
+        if self.table.deadline[row] <= now:
+            self.table.remove(key)
+            return None
+        number = self.table.backend[row]
+        choice = Choice(number, PlacementReason.CACHED_ANSWER)
+        self.hooks.admission.flow_taken_over(service.contract)
+        return self.enter(key, choice, service, FlowFlag.PAYLOAD_SENT, now)
+
+    def choose(self, key: int, service: ServiceRoute, excluded: int = NO_CANDIDATE) -> Choice:
+        """Choose the backend of a new flow."""
+        return choose_backend(service, slot_of(key), self.routes, self.hooks.health, excluded)
+
+    def enter(self, key: int, choice: Choice, service: ServiceRoute, flags: int, now: float) -> int:
+        """Enter a flow at its home and return its row."""
+        self.forget(key)
+        number = choice.backend_number
+        deadline = now + service.contract.policy.flow_idle_timeout
+        row = self.table.insert(key, number, _OPEN_HOME | flags, deadline, now)
+        service.open_flows[number] = service.open_flows.get(number, 0) + 1
+        if self._is_exception(key, number, service):
+            self.exceptions.setdefault(partition_of(key), {})[key] = choice.reason
+            for listener in self.listeners:
+                listener.exception_noted(key, number, now)
+        return row
+
+    def _is_exception(self, key: int, number: int, service: ServiceRoute) -> bool:
+        bound = service.contract.policy.request_repeat is RepeatPolicy.NEVER
+        return bound or number != self.base_backend(service, key)
+
+    def forget(self, key: int) -> None:
+        """Remove a flow's entry, counting it as ended where it was the home's."""
+        row = self.table.rows.get(key)
+        if row is None:
+            return
+        flags = self.table.flags[row]
+        if flags & _OPEN_HOME:
+            self._count_ended(self.table.backend[row])
+            self._end_exception(key, bool(flags & FlowFlag.REPLICATED))
+        self.table.remove(key)
+
+    def _count_ended(self, number: int) -> None:
+        route = self.routes.backends.get(number)
+        if route is not None:
+            open_flows = route.service.open_flows
+            open_flows[number] = max(open_flows.get(number, 0) - 1, 0)
+            self.hooks.admission.flow_ended(route.service.contract)
+
+    def _end_exception(self, key: int, replicated: bool) -> None:
+        found = self.exceptions.get(partition_of(key))
+        if found is None or found.pop(key, None) is None:
+            return
+        for listener in self.listeners:
+            listener.exception_ended(key, replicated)
+
+    # -- whole partitions ------------------------------------------------------------------------
+
+    def records_of(self, partition: int) -> dict[int, int]:
+        """Return the exceptions of a partition: backend numbers by flow key."""
+        rows = self.table.rows
+        keys = self.exceptions.get(partition, {})
+        return {key: self.table.backend[rows[key]] for key in keys if key in rows}
+
+    def take_records(self, records: Mapping[int, int], reason: PlacementReason, now: float) -> None:
+        """Enter flows that another node told of, unless they are known here."""
+        for key, number in records.items():
+            route = self.routes.backends.get(number)
+            row = self.table.rows.get(key)
+            known = row is not None and self.table.flags[row] & _OPEN_HOME
+            guessed = row is not None and self.table.flags[row] & FlowFlag.GUESSED
+            if route is None or (known and not guessed):
+                continue
+            self.hooks.admission.flow_taken_over(route.service.contract)
+            self.enter(key, Choice(number, reason), route.service, FlowFlag.PAYLOAD_SENT, now)
+
+    def demote(self, partitions: Iterable[int], now: float) -> None:
+        """Turn the entries of partitions that are handed over into leased copies."""
+        for _, row in self.table.rows_in(partitions):
+            if not self.table.flags[row] & _OPEN_HOME:
+                continue
+            self._count_ended(self.table.backend[row])
+            self.table.flags[row] &= ~(FlowFlag.HOME | FlowFlag.REPLICATED | FlowFlag.HELD) & _UNSET
+            if self.table.flags[row] & BOTH_CLOSED != BOTH_CLOSED:
+                self.table.deadline[row] = now + CACHE_LEASE_SECONDS
+        for partition in partitions:
+            self.exceptions.pop(partition, None)
+
+    def move_bases(self, partitions: Iterable[int], now: float) -> list[int]:
+        """Move bases to the current revision where every live flow is known.
+
+        Only where that leaves no more exceptions than before. Returns the partitions moved; their
+        replicas must be sent anew.
+        """
+        services = list(self.routes.by_service_number.values())
+        ready = [
+            partition
+            for partition in partitions
+            if self.ownership.owned[partition].base != self.routes.revision
+            and all(self.knows_every_flow(service, partition, now) for service in services)
+        ]
+        if not ready:
+            return []
+        flows: dict[int, list[tuple[int, int]]] = {partition: [] for partition in ready}
+        for key, row in self.table.rows_in(ready):
+            flows[partition_of(key)].append((key, row))
+        return [item for item in ready if self._move_base(item, flows[item])]
+
+    def _move_base(self, partition: int, flows: list[tuple[int, int]]) -> bool:
+        owned = self.ownership.owned[partition]
+        before, known = owned.base, self.exceptions.get(partition, {})
+        owned.base = self.routes.revision
+        after: dict[int, PlacementReason] = {}
+        for key, row in flows:
+            number = self.table.backend[row]
+            route = self.routes.backends.get(number)
+            home_entry = self.table.flags[row] & _OPEN_HOME
+            if home_entry and route and self._is_exception(key, number, route.service):
+                after[key] = known.get(key, PlacementReason.BASE_GENERATION)
+        if len(after) > len(known):
+            owned.base = before
+            return False
+        self.exceptions[partition] = after
+        return True
+
+
+def knowledge_seconds(service: ServiceRoute) -> float:
+    """Return after how long a home knows every live flow of a service."""
+    policy = service.contract.policy
+    return min(policy.flow_idle_timeout + CACHE_LEASE_SECONDS, policy.flow_maximum_age)
+
+
+def lease_seconds(service: ServiceRoute) -> float:
+    """Return how long a cached copy may serve, so that the home sees a flow before it lapses."""
+    return min(CACHE_LEASE_SECONDS, service.contract.policy.flow_idle_timeout / 2)
--- /dev/null
+++ b/src/beamloom/routing/openings.py
@@ -0,0 +1,68 @@
+"""Opening packets that a home keeps: to offer them again, or until a hand-over is complete."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from beamloom.world.machines import NodeId
+
+KEPT_FLOWS = 2048
+KEPT_BYTES = 1 << 18
+AWAITING_PACKETS = 64
+AWAITING_BYTES = 1 << 16
+
+
+class KeptOpenings:
+    """The SYN of each recent flow that has sent no payload; the oldest give way."""
+
+    def __init__(self) -> None:
+        self._packets: dict[int, bytes] = {}
+        self._bytes = 0
+
+    def keep(self, key: int, packet: bytes) -> None:
+        """Keep a flow's opening packet."""
+        self.take(key)
+        self._packets[key] = packet
+        self._bytes += len(packet)
+        while len(self._packets) > KEPT_FLOWS or self._bytes > KEPT_BYTES:
+            self.take(next(iter(self._packets)))
+
+    def take(self, key: int) -> bytes | None:
+        """Remove and return a flow's opening packet, if it is still kept."""
+        packet = self._packets.pop(key, None)
+        if packet is not None:
+            self._bytes -= len(packet)
+        return packet
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitingPacket:
+    """A packet that a frozen owner passed on before its HANDOVER arrived."""
+
+    data: bytes
+    relay: NodeId
+
+
+@dataclass(slots=True)
+class AwaitingPackets:
+    """Packets that wait for the HANDOVER of their partition, bounded in number and bytes."""
+
+    _packets: dict[int, list[AwaitingPacket]] = field(default_factory=dict)
+    _count: int = 0
+    _bytes: int = 0
+
+    def hold(self, partition: int, data: bytes, relay: NodeId) -> bool:
+        """Keep a packet; returns whether there was room."""
+        if self._count >= AWAITING_PACKETS or self._bytes + len(data) > AWAITING_BYTES:
+            return False
+        self._packets.setdefault(partition, []).append(AwaitingPacket(data, relay))
+        self._count += 1
+        self._bytes += len(data)
+        return True
+
+    def release(self, partition: int) -> list[AwaitingPacket]:
+        """Remove and return the packets of one partition."""
+        packets = self._packets.pop(partition, [])
+        self._count -= len(packets)
+        self._bytes -= sum(len(packet.data) for packet in packets)
+        return packets
--- /dev/null
+++ b/src/beamloom/routing/ownership.py
@@ -0,0 +1,252 @@
+"""Who owns which partition, as one node knows it.
+
+The owner of a partition alone decides its new flows. Ownership passes by a HANDOVER mark from the
+owner, or by a crash. The view's home that does not own a partition *awaits* the node that does and
+relays to it. An owner that has sent the mark is *frozen* until it is acknowledged: it decides
+nothing, so that there is one decider at any time. See docs/design/flows.md.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from beamloom.routing.hashing import PARTITION_COUNT
+from beamloom.routing.partitions import PartitionMap
+from beamloom.world.machines import Machine, Member, NodeId
+
+REQUEST_SECONDS = 0.5
+AWAIT_SECONDS = 10.0
+GRACE_SECONDS = 15.0
+HANDED_SECONDS = 25.0
+DETOUR_SECONDS = 10.0
+
+
+class Acquisition(Enum):
+    """How a partition came to this node."""
+
+    FRESH = "fresh"
+    TRANSFER = "transfer"
+    CRASH = "crash"
+    RESUMED = "resumed"
+
+
+@dataclass(slots=True)
+class OwnedPartition:
+    """A partition that this node decides; `base` is a revision of the configuration.
+
+    While `grace_until` has not come, `predecessor` is asked about opening packets: it may have
+    placed the flow just before it handed the partition over.
+    """
+
+    base: int
+    since: float
+    acquisition: Acquisition
+    predecessor: NodeId | None = None
+    grace_until: float = 0.0
+
+
+@dataclass(slots=True)
+class Awaited:
+    """A partition that this node is to own: who owns it, and when that was last confirmed.
+
+    `disclaimed` holds the nodes that were asked and do not own it.
+    """
+
+    owner: NodeId
+    confirmed_at: float
+    ask_at: float
+    disclaimed: set[NodeId] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class Acquired:
+    """A partition that this node has just come to own, and from whom."""
+
+    partition: int
+    acquisition: Acquisition
+    predecessor: NodeId | None
+
+
+class Ownership:
+    """The ownership state of every partition at one node.
+
+    `deciders` names, for each partition, the node that packets of unknown flows go to.
+    """
+
+    def __init__(self, node_id: NodeId) -> None:
+        self.node_id = node_id
+        self.members: dict[NodeId, Member] = {}
+        self.map = PartitionMap(())
+        self.previous_map = self.map
+        self.homes: list[NodeId | None] = self.map.homes_by_partition()
+        self.deciders: list[NodeId | None] = list(self.homes)
+        self.owned: dict[int, OwnedPartition] = {}
+        self.awaited: dict[int, Awaited] = {}
+        self.frozen: dict[int, NodeId] = {}
+        self.handed: dict[int, float] = {}
+        self.former: dict[int, NodeId] = {}
+        self.detours: dict[int, float] = {}
+        self.leaving = False
+        self._started = False
+
+    def answers(self, node_id: NodeId | None) -> bool:
+        """Whether a node is a member that takes packets and messages."""
+        member = self.members.get(node_id) if node_id is not None else None
+        return member is not None and member.answers
+
+    def update(self, members: Sequence[Member], now: float) -> list[Acquired]:
+        """Take over a member list; returns the partitions that fall to this node at once."""
+        self.members = {member.machine.node_id: member for member in members}
+        return self.reassign(now)
+
+    def reassign(self, now: float) -> list[Acquired]:
+        """Reckon the homes anew from the members, this node left out while it leaves."""
+        machines = self._home_machines()
+        before = self.homes
+        self.previous_map = self.map
+        self.map = PartitionMap(machines, self.map)
+        self.homes = self.map.homes_by_partition()
+        without_self = None
+        if not self._started and any(item.node_id == self.node_id for item in machines):
+            others = [item for item in machines if item.node_id != self.node_id]
+            without_self = PartitionMap(others).homes_by_partition()
+        self._started = self._started or bool(machines)
+        acquired: list[Acquired] = []
+        for partition in range(PARTITION_COUNT):
+            if self.homes[partition] != before[partition]:
+                former = without_self[partition] if without_self else before[partition]
+                self._note_former(partition, before[partition])
+                acquired.extend(self._home_changed(partition, former, now))
+        acquired.extend(self._replace_dead_owners())
+        return acquired
+
+    def _note_former(self, partition: int, home: NodeId | None) -> None:
+        """Remember the home before, whom the next one may have to ask."""
+        if home is not None:
+            self.former[partition] = home
+
+    def _home_machines(self) -> list[Machine]:
+        return [
+            member.machine
+            for node_id, member in self.members.items()
+            if member.may_be_home and not (self.leaving and node_id == self.node_id)
+        ]
+
+    def _home_changed(self, partition: int, former: NodeId | None, now: float) -> list[Acquired]:
+        home = self.homes[partition]
+        if partition in self.owned or partition in self.frozen:
+            return []
+        if home != self.node_id:
+            self._follow(partition, home, now)
+            return []
+        if partition in self.awaited:
+            return []
+        owner = self.deciders[partition] if partition in self.detours else former
+        self.detours.pop(partition, None)
+        return self._await_or_acquire(partition, owner, now)
+
+    def _follow(self, partition: int, home: NodeId | None, now: float) -> None:
+        """Send packets to the home, or for a while to the owner that this node awaited."""
+        awaited = self.awaited.pop(partition, None)
+        if awaited is not None and self.answers(awaited.owner):
+            self.detours[partition] = now + DETOUR_SECONDS
+            return
+        self.detours.pop(partition, None)
+        self.deciders[partition] = home
+
+    def _await_or_acquire(self, partition: int, owner: NodeId | None, now: float) -> list[Acquired]:
+        if owner is None or owner == self.node_id:
+            return [Acquired(partition, Acquisition.FRESH, None)]
+        if not self.answers(owner):
+            return [Acquired(partition, Acquisition.CRASH, owner)]
+        self.await_owner(partition, owner, now)
+        return []
+
+    def await_owner(self, partition: int, owner: NodeId, now: float) -> None:
+        """Note who owns a partition that this node is to own."""
+        previous = self.awaited.get(partition)
+        awaited = Awaited(owner, now, now)
+        if previous is not None:
+            awaited.confirmed_at = previous.confirmed_at
+            awaited.disclaimed = previous.disclaimed
+        self.awaited[partition] = awaited
+        self.deciders[partition] = owner
+
+    def _replace_dead_owners(self) -> list[Acquired]:
+        acquired = [
+            Acquired(partition, Acquisition.CRASH, awaited.owner)
+            for partition, awaited in self.awaited.items()
+            if not self.answers(awaited.owner)
+        ]
+        acquired.extend(
+            Acquired(partition, Acquisition.RESUMED, successor)
+            for partition, successor in self.frozen.items()
+            if not self.answers(successor)
+        )
+        for partition in list(self.detours):
+            if not self.answers(self.deciders[partition]):
+                del self.detours[partition]
+                self.deciders[partition] = self.homes[partition]
+        return acquired
+
+    def own(self, acquired: Acquired, base: int, now: float) -> None:
+        """Make this node the decider of a partition."""
+        partition = acquired.partition
+        self.awaited.pop(partition, None)
+        self.frozen.pop(partition, None)
+        self.handed.pop(partition, None)
+        self.detours.pop(partition, None)
+        grace = now + GRACE_SECONDS if acquired.acquisition is Acquisition.TRANSFER else 0.0
+        owned = OwnedPartition(base, now, acquired.acquisition, acquired.predecessor, grace)
+        self.owned[partition] = owned
+        self.deciders[partition] = self.node_id
+
+    def freeze(self, partition: int, successor: NodeId) -> None:
+        """Stop deciding a partition whose HANDOVER mark is on its way."""
+        self.owned.pop(partition, None)
+        self.frozen[partition] = successor
+        self.deciders[partition] = successor
+
+    def release(self, partition: int, successor: NodeId, now: float) -> bool:
+        """Take the acknowledgement of a HANDOVER; returns whether it was awaited."""
+        if self.frozen.get(partition) != successor:
+            return False
+        del self.frozen[partition]
+        self.handed[partition] = now + HANDED_SECONDS
+        return True
+
+    def misplaced(self, now: float) -> dict[int, NodeId]:
+        """Return the owned partitions that belong to another live home, and to which."""
+        moves: dict[int, NodeId] = {}
+        for partition in self.owned:
+            home = self.homes[partition]
+            if home is not None and home != self.node_id and self.answers(home):
+                moves[partition] = home
+        return moves
+
+    def requests_due(self, now: float) -> dict[NodeId, list[int]]:
+        """Return which partitions to ask which owners for."""
+        due: dict[NodeId, list[int]] = {}
+        for partition, awaited in self.awaited.items():
+            if awaited.ask_at <= now:
+                awaited.ask_at = now + REQUEST_SECONDS
+                due.setdefault(awaited.owner, []).append(partition)
+        return due
+
+    def unconfirmed(self, now: float) -> list[Acquired]:
+        """Return awaited partitions whose owner has not said for long that it owns them."""
+        return [
+            Acquired(partition, Acquisition.CRASH, awaited.owner)
+            for partition, awaited in self.awaited.items()
+            if now - awaited.confirmed_at >= AWAIT_SECONDS
+        ]
+
+    def expire(self, now: float) -> None:
+        """Forget detours and hand-overs that are long past."""
+        for partition in [item for item, until in self.handed.items() if until <= now]:
+            del self.handed[partition]
+        for partition in [item for item, until in self.detours.items() if until <= now]:
+            del self.detours[partition]
+            self.deciders[partition] = self.homes[partition]
--- a/src/beamloom/routing/packet.py
+++ b/src/beamloom/routing/packet.py
@@ -33,6 +33,7 @@
 IPV4_TTL_OFFSET = 8
 IPV4_CHECKSUM_OFFSET = 10
 IPV6_HOP_LIMIT_OFFSET = 7
+MAXIMUM_HOP_LIMIT = 255
 
 ICMP_ERROR_TYPES = frozenset({3, 4, 5, 11, 12})
 ICMPV6_LAST_ERROR_TYPE = 127
@@ -60,6 +61,7 @@
     PACKET_LIMIT = "packet_limit"
     REFUSED = "refused"
     NOT_READY = "not_ready"
+    UNKNOWN_FLOW = "unknown_flow"
 
 
 class PacketError(Exception):
@@ -219,27 +221,29 @@
     return FlowTuple(source, destination, protocol, quoted[header_size : header_size + PORTS_SIZE])
 
 
-def with_hop_limit_decremented(data: bytes) -> bytes:
+def with_hop_limit_decremented(data: bytes, maximum: int = MAXIMUM_HOP_LIMIT) -> bytes:
     """Return the packet one hop on; raises PacketError(HOP_LIMIT) when it may not go further.
 
-    The IPv4 header checksum is updated incrementally (RFC 1624, equation 3).
+    The new hop limit is at most `maximum`, which bounds relaying among nodes. The IPv4 header
+    checksum is updated incrementally (RFC 1624, equation 3).
     """
-    if data[0] >> 4 == 6:
-        return _with_ipv6_hop_limit_decremented(data)
-    if data[IPV4_TTL_OFFSET] <= 1:
+    offset = IPV6_HOP_LIMIT_OFFSET if data[0] >> 4 == 6 else IPV4_TTL_OFFSET
+    before = data[offset]
+    if before <= 1:
         raise PacketError(DropReason.HOP_LIMIT)
+    after = min(before - 1, maximum)
     packet = bytearray(data)
-    packet[IPV4_TTL_OFFSET] -= 1
-    checksum = int.from_bytes(data[IPV4_CHECKSUM_OFFSET : IPV4_CHECKSUM_OFFSET + 2], "big")
-    total = (~checksum & 0xFFFF) + 0xFEFF
-    total = (total & 0xFFFF) + (total >> 16)
-    packet[IPV4_CHECKSUM_OFFSET : IPV4_CHECKSUM_OFFSET + 2] = (~total & 0xFFFF).to_bytes(2, "big")
+    packet[offset] = after
+    if offset == IPV4_TTL_OFFSET:
+        _update_ipv4_checksum(packet, before << 8, after << 8)
     return bytes(packet)
 
 
-def _with_ipv6_hop_limit_decremented(data: bytes) -> bytes:
-    if data[IPV6_HOP_LIMIT_OFFSET] <= 1:
-        raise PacketError(DropReason.HOP_LIMIT)
-    packet = bytearray(data)
-    packet[IPV6_HOP_LIMIT_OFFSET] -= 1
-    return bytes(packet)
+def _update_ipv4_checksum(packet: bytearray, before: int, after: int) -> None:
+    """Correct the header checksum for one 16-bit word that changed (RFC 1624, equation 3)."""
+    end = IPV4_CHECKSUM_OFFSET + 2
+    checksum = int.from_bytes(packet[IPV4_CHECKSUM_OFFSET:end], "big")
+    total = (~checksum & 0xFFFF) + (~before & 0xFFFF) + after
+    total = (total & 0xFFFF) + (total >> 16)
+    total = (total & 0xFFFF) + (total >> 16)
+    packet[IPV4_CHECKSUM_OFFSET:end] = (~total & 0xFFFF).to_bytes(2, "big")
--- /dev/null
+++ b/src/beamloom/routing/replica_sender.py
@@ -0,0 +1,111 @@
+"""A home's side of replicas: which holder has been sent what.
+
+Exceptions older than `EXCEPTION_AGE_SECONDS` go to both holders of their partition, in batches
+about every `FLUSH_SECONDS`; the end of a flow whose exception was sent follows as a removal. A
+holder that is new to a partition is sent all of it, between BEGIN and COMPLETE.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+
+from beamloom.protocol.commands import Command
+from beamloom.protocol.flow_messages import ENDED, PartitionMark, ReplicaRecords
+from beamloom.routing.flow_table import FlowFlag
+from beamloom.routing.hashing import partition_of
+from beamloom.routing.home import Home
+from beamloom.routing.ownership import Ownership
+from beamloom.routing.streams import PartitionNote, StreamSet
+from beamloom.world.machines import NodeId
+
+EXCEPTION_AGE_SECONDS = 1.5
+FLUSH_SECONDS = 0.5
+MAXIMUM_BATCHES_IN_FLIGHT = 4
+HOLDERS = 2
+
+
+class ReplicaSender:
+    """Keeps the holders of this node's partitions up to date."""
+
+    def __init__(self, ownership: Ownership, home: Home) -> None:
+        self.streams = StreamSet(ReplicaRecords, MAXIMUM_BATCHES_IN_FLIGHT)
+        self._ownership = ownership
+        self._home = home
+        self._holders: dict[int, tuple[NodeId, ...]] = {}
+        self._young: deque[tuple[float, int]] = deque()
+        self._flush_due = 0.0
+
+    def holders(self, partition: int) -> tuple[NodeId, ...]:
+        """Return the live nodes that hold, or are to hold, the replicas of an owned partition."""
+        placed = self._ownership.map.holders(partition)
+        nodes = (placed.home, placed.first_replica, placed.second_replica)
+        others = [node for node in nodes if node is not None and node != self._ownership.node_id]
+        return tuple(node for node in others[:HOLDERS] if self._ownership.answers(node))
+
+    def members_changed(self) -> None:
+        """Send all of a partition to each holder that is new to it."""
+        for peer in {peer for holders in self._holders.values() for peer in holders}:
+            if not self._ownership.answers(peer):
+                self.streams.forget(peer)
+        owned = self._ownership.owned
+        self._holders = {key: value for key, value in self._holders.items() if key in owned}
+        for partition in owned:
+            self.synchronize(partition)
+
+    def synchronize(self, partition: int, anew: bool = False) -> None:
+        """Bring the holders of a partition up to date; `anew` sends it also to those that were."""
+        holders = self.holders(partition)
+        before = () if anew else self._holders.get(partition, ())
+        self._holders[partition] = holders
+        new = [holder for holder in holders if holder not in before]
+        if not new:
+            return
+        base = self._ownership.owned[partition].base
+        records = self._home.records_of(partition)
+        for holder in new:
+            stream = self.streams.stream(holder)
+            stream.openings[partition] = PartitionNote(PartitionMark.BEGIN, base)
+            stream.records.update(records)
+            stream.closings[partition] = PartitionNote(PartitionMark.COMPLETE, base)
+        self._mark_replicated(records)
+
+    def _mark_replicated(self, keys: Iterable[int]) -> None:
+        table = self._home.table
+        for key in keys:
+            table.flags[table.rows[key]] |= FlowFlag.REPLICATED
+
+    def exception_noted(self, key: int, backend_number: int, now: float) -> None:
+        """Remember a new exception until it is old enough to be worth a record."""
+        self._young.append((now + EXCEPTION_AGE_SECONDS, key))
+
+    def exception_ended(self, key: int, replicated: bool) -> None:
+        """Send the removal of an exception that holders were told of."""
+        if replicated:
+            for holder in self._holders.get(partition_of(key), ()):
+                self.streams.put(holder, key, ENDED)
+
+    def poll(self, now: float) -> list[Command]:
+        """Queue exceptions that have come of age and send what is due."""
+        while self._young and self._young[0][0] <= now:
+            self._replicate(self._young.popleft()[1])
+        if self._flush_due > now:
+            return []
+        self._flush_due = now + FLUSH_SECONDS
+        return self.streams.flush(now)
+
+    def _replicate(self, key: int) -> None:
+        partition = partition_of(key)
+        if partition not in self._ownership.owned:
+            return
+        if key not in self._home.exceptions.get(partition, {}):
+            return
+        row = self._home.table.rows[key]
+        for holder in self._holders.get(partition, ()):
+            self.streams.put(holder, key, self._home.table.backend[row])
+        self._mark_replicated((key,))
+
+    def acknowledged(self, peer: NodeId, number: int, now: float) -> list[Command]:
+        """Take an acknowledgement; what waits for this peer goes at once."""
+        self.streams.acknowledge(peer, number)
+        return self.streams.flush(now)
--- a/src/beamloom/routing/services.py
+++ b/src/beamloom/routing/services.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from beamloom.routing.hooks import TrafficMeter
 from beamloom.routing.placement import NO_CANDIDATE, PlacementTable, build_placement_table
 from beamloom.world.addresses import SocketAddress
 from beamloom.world.contracts import Backend, Generation, ServiceContract
@@ -15,13 +16,15 @@
     """One service: its contract, the tables of its generations and its senders' addresses.
 
     Tables are built when first asked for; `open_flows` counts, by backend number, the flows that
-    this node is home of.
+    this node is home of; `meter` is the tenant's.
     """
 
     contract: ServiceContract
     destination_key: bytes
     senders: frozenset[SocketAddress]
     open_flows: dict[int, int] = field(default_factory=dict)
+    meter: TrafficMeter = field(default_factory=TrafficMeter)
+    idle_timeout: float = 0.0
     _tables: dict[int, PlacementTable] = field(default_factory=dict)
 
     def table(self, generation: Generation) -> PlacementTable:
@@ -66,6 +69,8 @@
         self.by_destination: dict[bytes, ServiceRoute] = {}
         self.by_service_number: dict[int, ServiceRoute] = {}
         self.backends: dict[int, BackendRoute] = {}
+        self.meters: dict[str, TrafficMeter] = {}
+        self.revision = 0
 
     def update(self, contracts: Iterable[ServiceContract]) -> None:
         """Put new or changed services in force."""
@@ -74,6 +79,9 @@
 
     def _put(self, contract: ServiceContract) -> None:
         route = ServiceRoute(contract, _destination_key(contract), _senders(contract))
+        route.idle_timeout = contract.policy.flow_idle_timeout
+        route.meter = self.meters.setdefault(contract.tenant, TrafficMeter())
+        self.revision = max(self.revision, contract.current_generation.revision)
         previous = self.by_service_number.get(contract.service_number)
         if previous is not None:
             route.open_flows = previous.open_flows
--- /dev/null
+++ b/tests/unit/routing/test_forwarder.py
@@ -0,0 +1,128 @@
+"""Single packets: adversarial bytes, ICMP errors, tenancy, hop bounds, explanations."""
+
+from __future__ import annotations
+
+import struct
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from beamloom.protocol.flow_messages import ReplicaRecords, TransferRecords
+from beamloom.routing.explanation import FlowRole
+from beamloom.routing.packet import DropReason, parse_packet, with_hop_limit_decremented
+from beamloom.world.machines import NodeId
+from tests.unit.routing.fleet import (
+    ACK,
+    GATEWAY,
+    SYN,
+    Fleet,
+    answer,
+    backend,
+    flow_tuple,
+    service,
+    tcp,
+)
+
+BACKENDS = [[backend(number) for number in range(1, 5)]]
+
+
+def fleet_of(*numbers: int) -> Fleet:
+    fleet = Fleet()
+    fleet.configure(service(BACKENDS), service([[backend(8)]], number=2))
+    fleet.add(*numbers)
+    fleet.run(1.0)
+    return fleet
+
+
+def icmp_error(quoted: bytes, source: bytes, destination: bytes) -> bytes:
+    body = struct.pack("!BBHI", 3, 4, 0, 0) + quoted[:28]
+    head = struct.pack("!BBHHHBBH", 0x45, 0, 20 + len(body), 0, 0, 64, 1, 0)
+    return head + source + destination + body
+
+
+class AdversarialPacketsTest(unittest.TestCase):
+    fleet = fleet_of(0, 1)
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.binary(max_size=120), st.booleans())
+    def test_arbitrary_bytes_never_raise(self, data: bytes, from_peer: bool) -> None:
+        for source in (GATEWAY, self.fleet.members[NodeId("n1")].machine.peer_address):
+            self.fleet.nodes[NodeId("n0")].forward(data, source, from_peer, self.fleet.now)
+
+    @settings(derandomize=True, max_examples=500, deadline=None)
+    @given(st.integers(0, 300), st.lists(st.tuples(st.integers(0, 59), st.integers(0, 255))))
+    def test_damaged_packets_never_raise(self, client: int, damage: list[tuple[int, int]]) -> None:
+        packet = bytearray(tcp(client, SYN, b"x" * 20))
+        for position, value in damage:
+            packet[position] = value
+        node = self.fleet.nodes[NodeId("n0")]
+        node.forward(bytes(packet), GATEWAY, False, self.fleet.now)
+        node.take_commands()
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.recursive(st.none() | st.integers() | st.binary(max_size=20), st.lists))
+    def test_malformed_batches_are_counted_and_never_raise(self, content: object) -> None:
+        node = self.fleet.nodes[NodeId("n0")]
+        for message_type in (ReplicaRecords, TransferRecords):
+            message = message_type(10**6, content, content, content)  # type: ignore[arg-type]
+            node.handle_message(NodeId("n1"), message, self.fleet.now)
+
+
+class PacketsTest(unittest.TestCase):
+    def test_an_icmp_error_follows_its_flow_in_both_directions(self) -> None:
+        fleet = fleet_of(0, 1, 2)
+        address = fleet.open(5)
+        from_backend = answer(5, ACK)
+        error = icmp_error(from_backend, b"\x08\x08\x08\x08", from_backend[12:16])
+        self.assertEqual(fleet.send(error), address)
+        request = tcp(5, ACK)
+        backwards = icmp_error(request, request[16:20], request[12:16])
+        self.assertEqual(fleet.answer(backwards, address), [GATEWAY])
+
+    def test_an_icmp_error_about_no_flow_makes_none(self) -> None:
+        fleet = fleet_of(0)
+        quoted = answer(6, ACK)
+        self.assertIsNone(fleet.send(icmp_error(quoted, b"\x08\x08\x08\x08", quoted[12:16])))
+        node = fleet.nodes[NodeId("n0")]
+        self.assertEqual(node.counters[DropReason.UNKNOWN_FLOW.value], 1)
+        self.assertEqual(len(node.table), 0)
+
+    def test_an_entry_of_another_service_is_never_used(self) -> None:
+        fleet = fleet_of(0)
+        node = fleet.nodes[NodeId("n0")]
+        fleet.open(7)
+        fleet.reach(7)
+        row = node.table.rows[node._key(flow_tuple(7))]
+        node.table.backend[row] = 8
+        self.assertNotEqual(fleet.send(tcp(7, ACK, b"x")), backend(8).data_address)
+
+    def test_an_answer_from_another_tenants_backend_is_dropped(self) -> None:
+        fleet = fleet_of(0)
+        self.assertEqual(fleet.answer(answer(7, ACK), backend(8).data_address), [])
+        node = fleet.nodes[NodeId("n0")]
+        self.assertEqual(node.counters[DropReason.FOREIGN_SENDER.value], 1)
+
+    def test_relaying_is_bounded_and_keeps_the_header_checksum_right(self) -> None:
+        packet = bytearray(tcp(1, SYN))
+        total = sum(struct.unpack("!10H", packet[:20]))
+        packet[10:12] = (~(total % 0xFFFF) & 0xFFFF).to_bytes(2, "big")
+        relayed = with_hop_limit_decremented(bytes(packet), 6)
+        self.assertEqual(relayed[8], 6)
+        self.assertEqual(sum(struct.unpack("!10H", relayed[:20])) % 0xFFFF, 0)
+        self.assertEqual(parse_packet(relayed), parse_packet(bytes(packet)))
+
+    def test_explanations_name_the_role_of_each_node(self) -> None:
+        fleet = fleet_of(0, 1, 2)
+        address = fleet.open(3)
+        for node_id in fleet.nodes:
+            fleet.send(tcp(3, ACK), node_id)
+        fleet.run(0.5)
+        told = [node.explain(flow_tuple(3)) for node in fleet.nodes.values()]
+        self.assertEqual(sorted(item.role.value for item in told), ["cached", "cached", "home"])
+        self.assertEqual({item.backend_id for item in told}, {f"b{address.port - 2000}"})
+        self.assertTrue(all(item.lease_end for item in told if item.role is FlowRole.CACHED))
+
+
+if __name__ == "__main__":
+    unittest.main()
