Hand every flow over before a planned stop ends

Cause: a planned stop ended at once, whatever the node was home of. Change: NodeCore begins the forwarder's leave with the membership's and stops when it is complete, or when the time for a stop is over, and says which.

--- a/src/beamloom/node/core.py
+++ b/src/beamloom/node/core.py
@@ -107,7 +107,9 @@
     def next_timer(self) -> float | None:
         """Return when `TimerExpired` is wanted."""
         times = [component.next_timer() for component in self._components]
-        times.extend((self.channel.next_timer(), self._stop_by))
+        times.append(self.channel.next_timer())
+        if not self._stopped:
+            times.append(self._stop_by)
         return min((time for time in times if time is not None), default=None)
 
     # -- state for adapters and operators ------------------------------------------------------
@@ -172,6 +174,7 @@
         if self._stop_by is not None:
             return []
         self._stop_by = now + self.options.stop_timeout
+        self.forwarder.begin_leave(now)
         return self.membership.leave(now)
 
     # -- after each event ----------------------------------------------------------------------
@@ -210,9 +213,12 @@
     def _complete_stop(self, now: float) -> list[Command]:
         if self._stop_by is None or self._stopped:
             return []
+        complete = self.forwarder.leave_complete
+        if not complete and now < self._stop_by:
+            return []
         self._stopped = True
-        commands = self.membership.leave_complete(now)
-        return [*commands, StopNode(complete=True, reason="planned stop")]
+        reason = "every flow was handed over" if complete else "the time for a stop is over"
+        return [*self.membership.leave_complete(now), StopNode(complete, reason)]
 
     def _control_address(self, node_id: NodeId) -> SocketAddress | None:
         member = self.membership.view.member(node_id)
