Log no line for members that a joining node is told of

Cause: a node that joins 560 others recorded 560 changes of state, none of which was one. Change: members learned from a page are taken in silently; unit tests for suspicion and flaps. Conclusion: lines are for changes only.

--- a/src/beamloom/membership/tracker.py
+++ b/src/beamloom/membership/tracker.py
@@ -164,7 +164,6 @@
         doubted = {MemberState.SUSPECT, MemberState.DEAD}
         if change.before is not None and change.before.state in doubted and after.answers:
             self.flaps.record_return(node_id, now)
-        self._record(change, "heard")
 
     def _pass_on(self, change: MemberChange, update: MemberUpdate) -> None:
         after = change.after
@@ -172,6 +171,7 @@
         accuser = update.accuser if after.state is MemberState.SUSPECT else None
         news = MemberUpdate(update.node_id, after.state, after.incarnation, accuser, machine)
         self.queue.add(news)
+        self._record(change, "heard")
 
     def _new_suspicion(self, member: Member, accuser: NodeId | None, now: float) -> Suspicion:
         factor = self.flaps.factor(member.machine.node_id, now)
--- /dev/null
+++ b/tests/unit/test_suspicion.py
@@ -0,0 +1,50 @@
+"""Suspicion timers: confirmations shorten them, flaps, regions and ill health lengthen them."""
+
+import unittest
+
+from beamloom.membership.settings import MembershipSettings
+from beamloom.membership.suspicion import FlapHistory, Suspicion, suspicion_bounds
+from beamloom.world.machines import NodeId
+
+SETTINGS = MembershipSettings()
+FLAPPER = NodeId("flapper")
+
+
+class SuspicionTest(unittest.TestCase):
+    def test_independent_confirmations_shorten_the_timer_to_its_minimum(self) -> None:
+        suspicion = Suspicion(0, 100.0, 5.0, 20.0, needed=3, accusers={NodeId("a")})
+        deadlines = [suspicion.deadline(1)]
+        self.assertFalse(suspicion.confirm(NodeId("a")))
+        for accuser in ("b", "c", "d"):
+            self.assertTrue(suspicion.confirm(NodeId(accuser)))
+            deadlines.append(suspicion.deadline(1))
+        self.assertEqual(deadlines[0], 120.0)
+        self.assertAlmostEqual(deadlines[-1], 105.0)
+        self.assertEqual(deadlines, sorted(deadlines, reverse=True))
+        self.assertFalse(suspicion.confirm(NodeId("e")))
+
+    def test_a_node_in_doubt_of_itself_waits_longer(self) -> None:
+        suspicion = Suspicion(0, 100.0, 5.0, 20.0, needed=3, accusers={NodeId("a")})
+        self.assertEqual(suspicion.deadline(3), 160.0)
+
+    def test_bounds_grow_with_the_logarithm_of_the_fleet(self) -> None:
+        small, _ = suspicion_bounds(SETTINGS, 10, 1.0)
+        large, longest = suspicion_bounds(SETTINGS, 1000, 1.0)
+        self.assertAlmostEqual(large, 3 * small)
+        self.assertAlmostEqual(longest, large * SETTINGS.suspicion_maximum_factor)
+
+
+class FlapHistoryTest(unittest.TestCase):
+    def test_factor_rises_with_flaps_and_falls_after_the_window(self) -> None:
+        history = FlapHistory(SETTINGS)
+        for moment in range(SETTINGS.flap_threshold):
+            history.record_return(FLAPPER, float(moment))
+        self.assertEqual(history.factor(FLAPPER, 10.0), 1.0)
+        for moment in range(10, 20):
+            history.record_return(FLAPPER, float(moment))
+        self.assertEqual(history.factor(FLAPPER, 20.0), SETTINGS.flap_maximum_factor)
+        self.assertEqual(history.factor(FLAPPER, 20.0 + SETTINGS.flap_window), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
