Work out the next suspicion deadline only when suspicions change

Cause: each message took the least of all suspicion deadlines anew, three times, with logarithms. Change: the tracker keeps the next deadline until a suspicion or the node's own health changes.

--- a/src/beamloom/membership/tracker.py
+++ b/src/beamloom/membership/tracker.py
@@ -50,6 +50,8 @@
         self.suspicions: dict[NodeId, Suspicion] = {}
         self.flaps = FlapHistory(settings)
         self.refutation_pending = False
+        self._next_deadline: float | None = None
+        self._deadline_factor = 0
 
     def announce_self(self, now: float) -> None:
         """Store and gossip the node's own state at its incarnation."""
@@ -91,14 +93,13 @@
         member = self.table.members.get(node_id)
         if member is not None and member.state is MemberState.LEAVING:
             self.suspicions.pop(node_id, None)
+            self._deadlines_changed()
 
     def expire(self, now: float) -> None:
         """Declare dead whom nobody cleared in time, and forget the long gone."""
-        for node_id, suspicion in list(self.suspicions.items()):
-            if now >= suspicion.deadline(self.health.factor):
-                self._declare_dead(node_id, suspicion, now)
-            elif now >= suspicion.next_step(self.health.factor):
-                self._check(node_id, suspicion)
+        deadline = self.next_deadline()
+        if deadline is not None and now >= deadline:
+            self._expire_suspicions(now)
         self.table.forget_gone(now, self.settings.dead_retention, self.settings.left_retention)
         for node_id in self.flaps.known():
             if node_id not in self.table.members:
@@ -110,6 +111,7 @@
             suspicion.started = now
             suspicion.accusers.clear()
             suspicion.checked = False
+        self._deadlines_changed()
 
     def raise_incarnation(self, above: int, now: float) -> None:
         """Refute what is said of this node by a higher incarnation."""
@@ -132,8 +134,15 @@
     def next_deadline(self) -> float | None:
         """Return when the next suspicion is to be checked or ends."""
         factor = self.health.factor
-        deadlines: Iterable[float] = (item.next_step(factor) for item in self.suspicions.values())
-        return min(deadlines, default=None)
+        if factor != self._deadline_factor:
+            self._deadline_factor = factor
+            steps: Iterable[float] = (item.next_step(factor) for item in self.suspicions.values())
+            self._next_deadline = min(steps, default=None)
+        return self._next_deadline
+
+    def _deadlines_changed(self) -> None:
+        # No health factor is 0, so the next call works the deadline out anew.
+        self._deadline_factor = 0
 
     def _hear_of_self(self, update: MemberUpdate, now: float) -> UpdateOutcome:
         own_state = self.life_cycle.state
@@ -153,6 +162,7 @@
         same = (update.state, update.incarnation) == (known.state, suspicion.incarnation)
         if same and suspicion.confirm(update.accuser):
             self.queue.add(update)
+            self._deadlines_changed()
 
     def _follow(self, change: MemberChange, update: MemberUpdate, now: float) -> None:
         node_id = update.node_id
@@ -161,6 +171,7 @@
             self.suspicions[node_id] = self._new_suspicion(after, update.accuser, now)
         else:
             self.suspicions.pop(node_id, None)
+        self._deadlines_changed()
         doubted = {MemberState.SUSPECT, MemberState.DEAD}
         if change.before is not None and change.before.state in doubted and after.answers:
             self.flaps.record_return(node_id, now)
@@ -187,6 +198,15 @@
         # LEAVING outranks SUSPECT, so only this node's own timer runs, at its full length.
         if member.machine.node_id not in self.suspicions:
             self.suspicions[member.machine.node_id] = self._new_suspicion(member, self.own_id, now)
+            self._deadlines_changed()
+
+    def _expire_suspicions(self, now: float) -> None:
+        for node_id, suspicion in list(self.suspicions.items()):
+            if now >= suspicion.deadline(self.health.factor):
+                self._declare_dead(node_id, suspicion, now)
+            elif now >= suspicion.next_step(self.health.factor):
+                self._check(node_id, suspicion)
+        self._deadlines_changed()
 
     def _check(self, node_id: NodeId, suspicion: Suspicion) -> None:
         suspicion.checked = True
