--- a/src/beamloom/protocol/configuration_messages.py
+++ b/src/beamloom/protocol/configuration_messages.py
@@ -133,7 +133,7 @@
 @register_message(24, Priority.CONFIGURATION)
 @dataclass(frozen=True, slots=True)
 class SnapshotRequested(Message):
-    """Asks which snapshot a peer can send; revision 0 means: any."""
+    """Asks which snapshot a peer can send: the one named, or with no digest a newer one."""
 
     revision: int
     digest: bytes
--- a/src/beamloom/replication/configuration_replica.py
+++ b/src/beamloom/replication/configuration_replica.py
@@ -50,7 +50,8 @@
 MAXIMUM_PULL_ATTEMPTS = 5
 PENDING_LIMIT = 256
 LISTING_PATIENCE = 2.0
-FETCH_PATIENCE = 60.0
+FETCH_PATIENCE = 300.0
+MAXIMUM_CORRUPT_SNAPSHOTS = 2
 
 MessageHandler = Callable[[NodeId, Any, float], list[Command]]
 
@@ -176,19 +177,19 @@
     ) -> list[Command]:
         """Take a listing of the store.
 
-        A node that lags first asks its peers, who may hold the steps between, and applies the
-        listing when they do not. Readers of higher lease numbers wait longer, so that one listing
-        spreads instead of several.
+        The node first asks its peers, who may hold the steps between or a snapshot, and applies
+        the listing when they do not: others could not continue from it. Readers of higher lease
+        numbers wait longer, so that one listing spreads instead of several.
         """
         if revision <= self.applied_revision:
             self._join.level_with_store()
             return []
-        patience = LISTING_PATIENCE * (lease_number + (1 if self.applied_revision else 0))
+        patience = LISTING_PATIENCE * (lease_number + 1)
         self._listing = _Listing(
             revision, tuple(objects), now + patience, now + patience + FETCH_PATIENCE
         )
         request = ChangesRequested(self.applied_revision)
-        peers = self._peers.some(JOIN_PEERS) if patience else []
+        peers = self._peers.some(JOIN_PEERS) if self.applied_revision else []
         return [*(SendMessage(peer, request) for peer in peers), *self.poll(now)]
 
     def handle_message(self, sender: NodeId, message: Message, now: float) -> list[Command]:
@@ -274,11 +275,17 @@
     def _listing_due(self, listing: _Listing, now: float) -> None:
         """Apply a listing, unless this node is empty and is getting a ready peer's snapshot."""
         fetching = self.applied_revision == 0 and self._join.target_revision > 0
-        if fetching and not self._counters.corrupt and now < listing.apply_by:
+        trusted = self._counters.corrupt < MAXIMUM_CORRUPT_SNAPSHOTS
+        if fetching and trusted and now < listing.apply_by:
             self._listing = replace(listing, apply_at=now + LISTING_PATIENCE)
             return
-        self._forward_to_every_zone = True
-        self._apply(self._applied.state.difference(listing.revision, listing.objects))
+        self._listing = None
+        self._join.level_with_store()
+        step = self._applied.state.difference(listing.revision, listing.objects)
+        useful = bool(step.objects) or self.applied_revision == 0
+        if useful and listing.revision > self.applied_revision:
+            self._forward_to_every_zone = True
+            self._apply(step)
         self._apply_pending()
 
     def _changes_pushed(self, sender: NodeId, message: ChangesPushed, now: float) -> list[Command]:
--- a/src/beamloom/replication/snapshot_fetch.py
+++ b/src/beamloom/replication/snapshot_fetch.py
@@ -80,7 +80,7 @@
 
     def ask(self, peers: Sequence[NodeId]) -> list[Command]:
         """Ask some peers what they can send."""
-        wanted = SnapshotRequested(*(self.name or (0, b"")))
+        wanted = SnapshotRequested(*(self.name or (self._minimum_revision, b"")))
         unasked = [peer for peer in peers if peer not in self._distrusted | self._sources.keys()]
         chosen = self._chance.sample(unasked, min(SOURCE_COUNT, len(unasked)))
         return [SendMessage(peer, wanted) for peer in chosen]
--- a/src/beamloom/replication/snapshot_sender.py
+++ b/src/beamloom/replication/snapshot_sender.py
@@ -34,10 +34,15 @@
     def offer(
         self, state: ConfigurationState, revision: int, digest: bytes, oldest_useful: int
     ) -> SnapshotOffered:
-        """Return the snapshot named, if this node has or can build it, else its newest one."""
+        """Return the snapshot named, if this node has or can build it, else its newest one.
+
+        Without a digest, the snapshot is newer than `revision`.
+        """
         name = (revision, digest)
         if name not in self._snapshots:
-            name = self._newest(state, oldest_useful, revision)
+            wanted = state.revision if digest and revision == state.revision else 0
+            oldest = max(oldest_useful, wanted, 0 if digest else revision + 1)
+            name = self._newest(state, oldest)
         part_count = -(-len(self._snapshots[name]) // PART_SIZE)
         return SnapshotOffered(name[0], name[1], part_count)
 
@@ -95,9 +100,9 @@
             return self._partial[1].get(index, b"")
         return b""
 
-    def _newest(self, state: ConfigurationState, oldest_useful: int, wanted: int) -> SnapshotName:
+    def _newest(self, state: ConfigurationState, oldest: int) -> SnapshotName:
         latest = next(reversed(self._snapshots), None)
-        if latest is not None and wanted != state.revision and latest[0] >= oldest_useful:
+        if latest is not None and latest[0] >= oldest:
             return latest
         data = state.encode()
         name = (state.revision, snapshot_digest(data))
--- a/tests/functional/test_replication.py
+++ b/tests/functional/test_replication.py
@@ -141,6 +141,42 @@
         corrupt = sum(n.replica.snapshot().corrupt_snapshots for n in fleet.nodes.values())
         self.assertGreater(corrupt, 0)
 
+    def test_empty_store_still_gets_its_readers(self) -> None:
+        fleet = Fleet(6)
+        fleet.run(20.0)
+        self.assertTrue(all(node.replica.ready for node in fleet.nodes.values()))
+        fleet.store.write("tenant/first", {})
+        self.settle(fleet, 5.0)
+
+    def test_restarted_readers_do_not_send_the_fleet_to_snapshots(self) -> None:
+        fleet = filled(Fleet(8))
+        self.settle(fleet)
+        fleet.run(10.0)
+        for name in fleet.readers():
+            others = [node for other, node in fleet.nodes.items() if other != name]
+            before = [node.replica.snapshot().snapshots_loaded for node in others]
+            fleet.restart(name)
+            self.settle(fleet)
+            fleet.run(30.0)
+            after = [node.replica.snapshot().snapshots_loaded for node in others]
+            self.assertEqual(after, before)
+
+    def test_change_too_long_to_push_passes_an_older_snapshot_by(self) -> None:
+        fleet = filled(Fleet(6))
+        for number in range(1100):
+            fleet.store.write(f"tenant/t{number}", {})
+        self.settle(fleet, 120.0)
+        for number in range(300):
+            fleet.store.write(f"tenant/t{number}", {})
+            fleet.run(0.1)
+        self.settle(fleet)
+        fleet.restart(list(fleet.nodes)[5])
+        self.settle(fleet)
+        value = {"values": {f"name-{number}": "x" * 50 for number in range(40)}}
+        fleet.store.write("settings/global", value)
+        fleet.store.write("tenant/after", {})
+        self.settle(fleet, 60.0)
+
     def test_control_traffic_stays_in_budget_while_nodes_join(self) -> None:
         fleet = filled(Fleet(12), 400)
         self.settle(fleet)
--- a/tests/unit/test_configuration_replica.py
+++ b/tests/unit/test_configuration_replica.py
@@ -143,6 +143,14 @@
             with self.assertRaises(SnapshotCorruptError):
                 ConfigurationState.decode(altered, snapshot_digest(altered))
 
+    def test_offer_is_newer_than_the_revision_asked_for(self) -> None:
+        state, sender = self.state(20), SnapshotSender()
+        old = sender.offer(state, 0, b"", 0)
+        state.apply(step(20, 21))
+        self.assertEqual(sender.offer(state, 0, b"", 0), old)
+        self.assertEqual(sender.offer(state, 20, b"", 0).revision, 21)
+        self.assertEqual(sender.offer(state, 20, old.digest, 0), old)
+
     def test_tampered_part_is_found_out_and_the_fetch_starts_again(self) -> None:
         state, sender = self.state(400), SnapshotSender()
         fetch = SnapshotFetch(0, random.Random(1), 0.0)
