--- /dev/null
+++ b/src/beamloom/replication/backend_status/evidence.py
@@ -0,0 +1,69 @@
+"""What this node observes of backends as a home, set against what the backends report."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from statistics import median
+
+from beamloom.replication.backend_status.load_reports import NEUTRAL_CLASS
+
+REFUSAL_WINDOW = 10.0
+REFUSALS_TO_PAUSE = 3
+PAUSE_SECONDS = 5.0
+ANSWER_SMOOTHING = 0.05
+MINIMUM_SAMPLES = 20
+SLOW_FACTOR = 2.0
+SAMPLES_EXPIRE = 60.0
+
+
+@dataclass(slots=True)
+class BackendEvidence:
+    """Observations of one backend; `answer_seconds` is a moving average over `samples`."""
+
+    refusals: int = 0
+    refusals_since: float = 0.0
+    paused_until: float = 0.0
+    paused_since: float = 0.0
+    answer_seconds: float = 0.0
+    samples: int = 0
+    sampled_at: float = 0.0
+
+    def add_refusal(self, now: float) -> None:
+        """Count a refused connection; several within the window pause the backend here."""
+        if now - self.refusals_since > REFUSAL_WINDOW:
+            self.refusals_since = now
+            self.refusals = 0
+        self.refusals += 1
+        if self.refusals >= REFUSALS_TO_PAUSE:
+            if now >= self.paused_until:
+                self.paused_since = now
+            self.paused_until = now + PAUSE_SECONDS
+
+    def add_answer_time(self, seconds: float, now: float) -> None:
+        """Take the time from a flow's first packet to its first answer."""
+        if now - self.sampled_at > SAMPLES_EXPIRE:
+            self.samples = 0
+        weight = max(ANSWER_SMOOTHING, 1.0 / (self.samples + 1))
+        self.answer_seconds += weight * (seconds - self.answer_seconds)
+        self.samples += 1
+        self.sampled_at = now
+
+    def counts(self, now: float) -> bool:
+        """Return whether there are enough recent answer times to judge by."""
+        return self.samples >= MINIMUM_SAMPLES and now - self.sampled_at <= SAMPLES_EXPIRE
+
+    def contradicts(self, weight_class: int, usual_seconds: float, now: float) -> bool:
+        """Return whether the reported class is at odds with what is seen of the backend."""
+        refused_lately = self.refusals > 0 and now - self.refusals_since <= REFUSAL_WINDOW
+        if weight_class > NEUTRAL_CLASS:
+            return refused_lately or self.answer_seconds > SLOW_FACTOR * usual_seconds
+        if weight_class < NEUTRAL_CLASS:
+            return not refused_lately and self.answer_seconds <= usual_seconds
+        return False
+
+
+def usual_answer_seconds(evidence: Iterable[BackendEvidence], now: float) -> float | None:
+    """Return the median answer time of a service's backends, None when too few are known."""
+    times = [item.answer_seconds for item in evidence if item.counts(now)]
+    return median(times) if len(times) > 1 else None
--- /dev/null
+++ b/src/beamloom/replication/backend_status/gossip.py
@@ -0,0 +1,211 @@
+"""Spreads status records: news are pushed once to a few peers, digests repair what was missed.
+
+Push is rumour mongering that stops after one round (Demers et al., 1987), so that its cost is known
+beforehand; the digests reach whoever it missed, and bring a joining node up to date.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from itertools import chain, islice
+from typing import Final
+
+from beamloom.protocol.backend_messages import (
+    BUCKET_COUNT,
+    BUCKET_DIGEST_SIZE,
+    MAXIMUM_BATCH_RECORDS,
+    StatusBatch,
+    StatusBuckets,
+    StatusDigest,
+    StatusPull,
+)
+from beamloom.protocol.commands import Command, SendMessage
+from beamloom.protocol.messages import Message
+from beamloom.replication.backend_status.register import StatusRegister
+from beamloom.world.machines import NodeId
+
+URGENT_DELAY = 0.25
+PUSH_INTERVAL = 5.0
+PUSH_FANOUT = 4
+CROWDED_FANOUT = 2
+CROWDED_QUEUE = 60
+RETRY_INTERVAL = 1.0
+DIGEST_INTERVAL = 10.0
+CATCH_UP_INTERVAL = 0.5
+PULLED_BUCKETS = 32
+PULLED_RECORDS = 2 * MAXIMUM_BATCH_RECORDS
+RESERVED_FOR_REPAIR = 700.0
+BYTES_PER_SECOND = 350.0
+BURST_BYTES = 2100.0
+MESSAGE_OVERHEAD: Final = 56
+RECORD_BYTES: Final = 9
+QUEUE_CAPACITY = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class GossipStatus:
+    """Counters of status gossip; `deferred` are messages held back by the rate limit."""
+
+    queued: int
+    pushed_records: int
+    pulled_records: int
+    deferred: int
+    estimated_bytes: int
+    catching_up: bool
+
+
+class StatusGossip:
+    """Push and anti-entropy over one register; keeps itself under `BYTES_PER_SECOND`."""
+
+    def __init__(self, register: StatusRegister, chance: random.Random, now: float) -> None:
+        self._register = register
+        self._random = chance
+        self._peers: Sequence[NodeId] = ()
+        self._queue: dict[int, None] = {}
+        self._urgent: dict[int, None] = {}
+        self._tokens = BURST_BYTES
+        self._refilled_at = now
+        self._push_at = now + chance.random() * PUSH_INTERVAL
+        self._digest_at = now + chance.random() * CATCH_UP_INTERVAL
+        self._catching_up = True
+        self._pushed = 0
+        self._pulled = 0
+        self._deferred = 0
+        self._bytes = 0
+
+    def update_peers(self, peers: Sequence[NodeId]) -> None:
+        """Take the other nodes that answer."""
+        self._peers = peers
+
+    def publish(self, backend_number: int, now: float, *, urgent: bool) -> None:
+        """Queue a record as news: urgent ones go soon, the others gather for the next push.
+
+        When the queue is full, only digests carry the record.
+        """
+        queue = self._urgent if urgent else self._queue
+        if len(queue) >= QUEUE_CAPACITY:
+            return
+        queue[backend_number] = None
+        if urgent:
+            self._push_at = min(self._push_at, now + URGENT_DELAY)
+
+    def receive_digest(self, sender: NodeId, message: StatusDigest, now: float) -> list[Command]:
+        """Answer a digest that differs with the digests of the buckets."""
+        if message.root == self._register.root:
+            self._catching_up = False
+            return []
+        answer = StatusBuckets(self._register.bucket_digests())
+        size = MESSAGE_OVERHEAD + BUCKET_COUNT * BUCKET_DIGEST_SIZE
+        return self._send_within_rate([sender], answer, size, now)
+
+    def receive_buckets(self, sender: NodeId, message: StatusBuckets, now: float) -> list[Command]:
+        """Pull some of the buckets that differ."""
+        differing = self._register.differing_buckets(message.digests)
+        if len(differing) <= PULLED_BUCKETS:
+            self._catching_up = False
+        if not differing:
+            return []
+        wanted = self._random.sample(differing, min(PULLED_BUCKETS, len(differing)))
+        return self._send_within_rate([sender], StatusPull(wanted), MESSAGE_OVERHEAD, now)
+
+    def receive_pull(self, sender: NodeId, message: StatusPull, now: float) -> list[Command]:
+        """Answer with records of the buckets, in the order asked, as far as the limits allow."""
+        records = self._register.bucket_records(message.buckets[:PULLED_BUCKETS])[:PULLED_RECORDS]
+        commands: list[Command] = []
+        for start in range(0, len(records), MAXIMUM_BATCH_RECORDS):
+            part = records[start : start + MAXIMUM_BATCH_RECORDS]
+            batch = _batch(part, fresh=False)
+            commands += self._send_within_rate([sender], batch, _batch_size(len(part)), now)
+        return commands
+
+    def count_pulled(self, records: int) -> None:
+        """Count records that a pull brought."""
+        self._pulled += records
+
+    def poll(self, now: float) -> list[Command]:
+        """Push queued news and send a digest, each when due."""
+        commands: list[Command] = []
+        if now >= self._push_at:
+            commands += self._push(now)
+            self._push_at = now + (RETRY_INTERVAL if self._urgent else PUSH_INTERVAL)
+        if now >= self._digest_at:
+            interval = CATCH_UP_INTERVAL if self._catching_up else DIGEST_INTERVAL
+            self._digest_at = now + interval * self._random.uniform(0.8, 1.2)
+            commands += self._send_digest(now)
+        return commands
+
+    def next_timer(self) -> float:
+        """Return when `poll` has something to do."""
+        waiting = self._queue or self._urgent
+        return min(self._push_at, self._digest_at) if waiting else self._digest_at
+
+    def snapshot(self) -> GossipStatus:
+        """Return the counters."""
+        return GossipStatus(
+            queued=len(self._queue) + len(self._urgent),
+            pushed_records=self._pushed,
+            pulled_records=self._pulled,
+            deferred=self._deferred,
+            estimated_bytes=self._bytes,
+            catching_up=self._catching_up,
+        )
+
+    def _push(self, now: float) -> list[Command]:
+        waiting = len(self._urgent) + len(self._queue)
+        if not waiting or not self._peers:
+            self._urgent.clear()
+            self._queue.clear()
+            return []
+        fanout = CROWDED_FANOUT if waiting > CROWDED_QUEUE else PUSH_FANOUT
+        peers = self._random.sample(self._peers, min(fanout, len(self._peers)))
+        self._refill(now)
+        usable = (self._tokens - RESERVED_FOR_REPAIR) / len(peers)
+        room = int((usable - MESSAGE_OVERHEAD) // RECORD_BYTES)
+        count = min(room, waiting, MAXIMUM_BATCH_RECORDS)
+        if count <= 0:
+            self._deferred += 1
+            return []
+        numbers = list(dict.fromkeys(islice(chain(self._urgent, self._queue), count)))
+        for number in numbers:
+            self._urgent.pop(number, None)
+            self._queue.pop(number, None)
+        values = [(number, self._register.value(number)) for number in numbers]
+        records = [(number, value) for number, value in values if value]
+        self._pushed += len(records) * len(peers)
+        return self._send_within_rate(peers, _batch(records, fresh=True), _batch_size(count), now)
+
+    def _send_digest(self, now: float) -> list[Command]:
+        if not self._peers:
+            self._catching_up = False
+            return []
+        peer = self._random.choice(self._peers)
+        return self._send_within_rate(
+            [peer], StatusDigest(self._register.root), MESSAGE_OVERHEAD, now
+        )
+
+    def _send_within_rate(
+        self, peers: Sequence[NodeId], message: Message, size: int, now: float
+    ) -> list[Command]:
+        self._refill(now)
+        cost = size * len(peers)
+        if cost > self._tokens:
+            self._deferred += 1
+            return []
+        self._tokens -= cost
+        self._bytes += cost
+        return [SendMessage(peer, message) for peer in peers]
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._refilled_at)
+        self._refilled_at = now
+        self._tokens = min(BURST_BYTES, self._tokens + elapsed * BYTES_PER_SECOND)
+
+
+def _batch(records: Sequence[tuple[int, int]], *, fresh: bool) -> StatusBatch:
+    return StatusBatch([item for record in records for item in record], fresh)
+
+
+def _batch_size(records: int) -> int:
+    return MESSAGE_OVERHEAD + records * RECORD_BYTES
--- /dev/null
+++ b/tests/unit/backend_status/test_load_reports.py
@@ -0,0 +1,65 @@
+import itertools
+import math
+import unittest
+
+from beamloom.replication.backend_status.evidence import BackendEvidence
+from beamloom.replication.backend_status.load_reports import (
+    CLASS_COUNT,
+    MOVE_INTERVAL,
+    NEUTRAL_CLASS,
+    LoadReport,
+    class_factor,
+)
+
+
+def run_report(loads: list[float], *, others_move: bool = False) -> list[int]:
+    report = LoadReport(0.0)
+    classes = []
+    for step, load in enumerate(loads):
+        now = 2.0 * step
+        report.observe(load, now)
+        report.judge(others_move=others_move, now=now)
+        classes.append(report.weight_class)
+    return classes
+
+
+class LoadReportTest(unittest.TestCase):
+    def test_values_that_are_no_load_move_nothing(self) -> None:
+        loads = [math.nan, math.inf, -1.0, -math.inf] * 30
+        self.assertEqual(set(run_report(loads)), {NEUTRAL_CLASS})
+
+    def test_weight_stays_within_its_bounds_and_moves_one_class_at_a_time(self) -> None:
+        for load, bound in ((1e9, 0), (0.0, CLASS_COUNT - 1)):
+            classes = run_report([load] * 100)
+            self.assertEqual(classes[-1], bound)
+            steps = int(MOVE_INTERVAL / 2)
+            for earlier, later in zip(classes, classes[steps - 1 :], strict=False):
+                self.assertLessEqual(abs(later - earlier), 1)
+        self.assertEqual((class_factor(0), class_factor(NEUTRAL_CLASS)), (0.25, 1.0))
+
+    def test_noise_at_the_border_of_a_class_does_not_flap(self) -> None:
+        loads = [0.62 if step % 2 else 0.64 for step in range(500)]
+        classes = run_report(loads)
+        changes = sum(first != second for first, second in itertools.pairwise(classes))
+        self.assertLessEqual(changes, 1)
+
+    def test_frozen_report_returns_to_neutral_only_while_others_move(self) -> None:
+        self.assertEqual(run_report([2.0] * 200, others_move=True)[-1], NEUTRAL_CLASS)
+        self.assertEqual(run_report([2.0] * 200, others_move=False)[-1], 0)
+
+
+class BackendEvidenceTest(unittest.TestCase):
+    def test_report_at_odds_with_observations_is_contradicted(self) -> None:
+        slow, quick = BackendEvidence(), BackendEvidence()
+        for step in range(30):
+            slow.add_answer_time(0.5, float(step))
+            quick.add_answer_time(0.05, float(step))
+        self.assertTrue(slow.contradicts(NEUTRAL_CLASS + 1, 0.1, 30.0))
+        self.assertTrue(quick.contradicts(0, 0.1, 30.0))
+        self.assertFalse(slow.contradicts(0, 0.1, 30.0))
+        self.assertFalse(quick.contradicts(NEUTRAL_CLASS, 0.1, 30.0))
+        self.assertFalse(quick.counts(1000.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
