Add the measurement of status gossip in memory

Cause: the bytes and processor time of status gossip are to be known at 70 to 560 nodes. Change: tests.measurements.backend_status runs a whole fleet on virtual time with churn. Conclusion: one command gives one JSON line per size.

--- /dev/null
+++ b/tests/measurements/backend_status.py
@@ -0,0 +1,124 @@
+"""Measures status gossip of a fleet in memory: `python -m tests.measurements.backend_status NODES`.
+
+4,400 backends, with 21 node failures and 1,300 restarts of nodes and of backends a day (Poisson,
+the rate multiplied by the second argument). A third argument `drift` makes every load report
+wander by 0.3 an hour; otherwise reports only have noise. Prints one JSON line.
+"""
+
+import json
+import math
+import random
+import sys
+import time
+
+from beamloom.protocol.events import BackendChecked
+from beamloom.world.contracts import BackendOperatingStatus
+from beamloom.world.machines import NodeId
+from tests.unit.backend_status.fleet import Fleet, make_services
+
+DAY = 86_400.0
+WINDOW = 120.0
+LONG_ENOUGH = 600.0
+RESTART_SECONDS = 20.0
+
+
+class Churn:
+    """Restarts nodes and backends at the given number of times the daily rate."""
+
+    def __init__(self, fleet: Fleet, factor: float, *, drift: bool) -> None:
+        self.fleet = fleet
+        self.random = random.Random(5)
+        self.rate = factor / DAY
+        self.drift = drift
+        self.numbers = [b.backend_number for s in fleet.services for b in s.backends]
+        self.down: dict[int, float] = {}
+        self.next_index = len(fleet.nodes)
+        self.events = {"node_failures": 0, "node_restarts": 0, "backend_restarts": 0}
+
+    def answer(self, node_id: NodeId, number: int, now: float) -> BackendChecked | None:
+        if self.down.get(number, 0.0) > now:
+            return None
+        load = 0.5 + self.random.gauss(0.0, 0.05)
+        if self.drift:
+            load += 0.3 * math.sin(2 * math.pi * (now / 3600 + number * 0.618))
+        return BackendChecked(number, True, False, load, 0.005)
+
+    def step(self) -> None:
+        if self.random.random() < 21 * self.rate:
+            self._replace("node_failures")
+        if self.random.random() < 1300 * self.rate:
+            self._replace("node_restarts")
+        if self.random.random() < 1300 * self.rate:
+            self.events["backend_restarts"] += 1
+            number = self.random.choice(self.numbers)
+            self.down[number] = self.fleet.now + RESTART_SECONDS
+
+    def _replace(self, kind: str) -> None:
+        self.events[kind] += 1
+        self.fleet.remove(self.random.choice(list(self.fleet.nodes)))
+        self.fleet.add(self.next_index)
+        self.next_index += 1
+
+
+def run_window(fleet: Fleet, churn: Churn, seconds: float) -> None:
+    for _ in range(int(seconds)):
+        churn.step()
+        fleet.run(1.0)
+
+
+def cold_start_seconds(fleet: Fleet, backends: int) -> float:
+    while any(node.snapshot().records < backends for node in fleet.nodes.values()):
+        fleet.run(5.0)
+        if fleet.now > LONG_ENOUGH:
+            break
+    return fleet.now
+
+
+def spread_seconds(fleet: Fleet, churn: Churn) -> list[float]:
+    """Return when 50%, 99% and 100% of the nodes knew of a backend that stopped answering."""
+    number = churn.numbers[17]
+    churn.down[number] = fleet.now + DAY
+    start = fleet.now
+    times: list[float] = []
+    for share in (0.5, 0.99, 1.0):
+        while True:
+            views = [node.status(number, fleet.now) for node in fleet.nodes.values()]
+            offline = sum(view.status is BackendOperatingStatus.OFFLINE for view in views)
+            if offline >= share * len(views) or fleet.now - start > LONG_ENOUGH:
+                break
+            fleet.run(0.1)
+        times.append(round(fleet.now - start, 1))
+    return times
+
+
+def main() -> None:
+    nodes, factor = int(sys.argv[1]), float(sys.argv[2])
+    fleet = Fleet(nodes, make_services(440, 10))
+    churn = Churn(fleet, factor, drift="drift" in sys.argv)
+    fleet.checked = churn.answer
+    cold = cold_start_seconds(fleet, len(churn.numbers))
+    run_window(fleet, churn, 30.0)
+    fleet.sent_bytes.clear()
+    fleet.sent_messages.clear()
+    started = time.process_time()
+    run_window(fleet, churn, WINDOW)
+    spent = time.process_time() - started
+    rates = sorted(fleet.sent_bytes[node] / WINDOW for node in fleet.nodes)
+    report = {
+        "nodes": nodes,
+        "churn_factor": factor,
+        "drift": churn.drift,
+        "cold_start_seconds": cold,
+        "events": churn.events,
+        "bytes_per_second_mean": round(sum(rates) / len(rates), 1),
+        "bytes_per_second_maximum": round(rates[-1], 1),
+        "messages": dict(fleet.sent_messages),
+        "cpu_percent_per_node": round(100 * spent / WINDOW / nodes, 3),
+        "queued_maximum": max(node.snapshot().gossip.queued for node in fleet.nodes.values()),
+        "offline_known_by_50_99_100_percent": spread_seconds(fleet, churn),
+    }
+    print(json.dumps(report))
+
+
+if __name__ == "__main__":
+    main()
