Let urgent status news pass the bytes reserved for repair

Cause: under steady change the tokens stay below the reserve, so that pushes of OFFLINE waited. Change: urgent pushes use all tokens, repair leaves 400 bytes to them.

--- a/src/beamloom/replication/backend_status/gossip.py
+++ b/src/beamloom/replication/backend_status/gossip.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
-from itertools import chain, islice
+from itertools import islice
 from typing import Final
 
 from beamloom.protocol.backend_messages import (
@@ -38,6 +38,7 @@
 PULLED_BUCKETS = 32
 PULLED_RECORDS = 2 * MAXIMUM_BATCH_RECORDS
 RESERVED_FOR_REPAIR = 700.0
+RESERVED_FOR_URGENT = 400.0
 BYTES_PER_SECOND = 350.0
 BURST_BYTES = 2100.0
 MESSAGE_OVERHEAD: Final = 56
@@ -159,7 +160,7 @@
         return BEHIND_INTERVAL if self._behind else DIGEST_INTERVAL
 
     def _push(self, now: float) -> list[Command]:
-        waiting = len(self._urgent) + len(self._queue)
+        waiting = len(self._urgent) or len(self._queue)
         if not waiting or not self._peers:
             self._urgent.clear()
             self._queue.clear()
@@ -167,20 +168,22 @@
         fanout = CROWDED_FANOUT if waiting > CROWDED_QUEUE else PUSH_FANOUT
         peers = self._random.sample(self._peers, min(fanout, len(self._peers)))
         self._refill(now)
-        usable = (self._tokens - RESERVED_FOR_REPAIR) / len(peers)
+        reserved = 0.0 if self._urgent else RESERVED_FOR_REPAIR
+        usable = (self._tokens - reserved) / len(peers)
         room = int((usable - MESSAGE_OVERHEAD) // RECORD_BYTES)
         count = min(room, waiting, MAXIMUM_BATCH_RECORDS)
         if count <= 0:
             self._deferred += 1
             return []
-        numbers = list(dict.fromkeys(islice(chain(self._urgent, self._queue), count)))
+        numbers = list(islice(self._urgent or self._queue, count))
         for number in numbers:
             self._urgent.pop(number, None)
             self._queue.pop(number, None)
         values = [(number, self._register.value(number)) for number in numbers]
         records = [(number, value) for number, value in values if value]
         self._pushed += len(records) * len(peers)
-        return self._send_within_rate(peers, _batch(records, fresh=True), _batch_size(count), now)
+        batch = _batch(records, fresh=True)
+        return self._send_within_rate(peers, batch, _batch_size(count), now, reserved=0.0)
 
     def _send_digest(self, now: float) -> list[Command]:
         if not self._peers:
@@ -192,11 +195,16 @@
         )
 
     def _send_within_rate(
-        self, peers: Sequence[NodeId], message: Message, size: int, now: float
+        self,
+        peers: Sequence[NodeId],
+        message: Message,
+        size: int,
+        now: float,
+        reserved: float = RESERVED_FOR_URGENT,
     ) -> list[Command]:
         self._refill(now)
         cost = size * len(peers)
-        if cost > self._tokens:
+        if cost > self._tokens - reserved:
             self._deferred += 1
             return []
         self._tokens -= cost
