Tell a service that was created anew as removed and changed

Cause: a step can bring a service with another creation revision without its deletion; the delta then named only the new number, and whoever keeps services by number kept the old one. Change: services_removed holds the contract with the old number; two tests. Conclusion: consumers can drop services by number.

--- a/src/beamloom/settings/configuration.py
+++ b/src/beamloom/settings/configuration.py
@@ -279,7 +279,7 @@
         tenants = self._refresh_tenants(affected.tenants)
         return ConfigurationDelta(
             tuple(new for name, new in after.items() if new is not None and new != before[name]),
-            tuple(old for name, old in before.items() if old is not None and after[name] is None),
+            tuple(old for name, old in before.items() if old and _is_gone(old, after[name])),
             *tenants,
         )
 
@@ -347,3 +347,8 @@
 
 def _is_replaced(stored: StoredObject, change: StoredObject) -> bool:
     return change.value is None or stored.created_revision != change.created_revision
+
+
+def _is_gone(old: ServiceContract, new: ServiceContract | None) -> bool:
+    """Whether a service left, or was created anew under another number."""
+    return new is None or new.service_number != old.service_number
--- a/src/beamloom/settings/configuration_changes.py
+++ b/src/beamloom/settings/configuration_changes.py
@@ -15,7 +15,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationDelta:
-    """What one change altered; removed contracts are given as they last were."""
+    """What changes altered; removed contracts are given as they last were.
+
+    A service that was created anew is in both, with its old and its new number.
+    """
 
     services_changed: tuple[ServiceContract, ...] = ()
     services_removed: tuple[ServiceContract, ...] = ()
--- a/tests/unit/settings/test_configuration.py
+++ b/tests/unit/settings/test_configuration.py
@@ -63,6 +63,19 @@
         recreated.apply(backend("t/s/b", 6, address="nowhere"))
         self.assertEqual(recreated.services["t/s"].backends, ())
 
+    def test_service_created_anew_unseen_loses_its_address_to_an_older_claim(self) -> None:
+        tenant = stored("tenant/t", {}, 1)
+        configuration = applied(tenant, service("t/a", 2), service("t/b", 3))
+        delta = configuration.apply(service("t/a", 6))
+        self.assertEqual([new.service_id for new in delta.services_changed], ["t/b"])
+        self.assertEqual([old.service_number for old in delta.services_removed], [2])
+
+    def test_service_created_anew_unseen_is_removed_and_added(self) -> None:
+        configuration = applied(stored("tenant/t", {}, 1), service("t/a", 2))
+        delta = configuration.apply(service("t/a", 6))
+        self.assertEqual([old.service_number for old in delta.services_removed], [2])
+        self.assertEqual([new.service_number for new in delta.services_changed], [6])
+
     def test_unusable_objects_are_left_out_with_a_remedy(self) -> None:
         for change, expected in (
             (service("t/s", 2, ip="10.0.0"), MalformedObjectError),
