--- a/src/beamloom/node/configuration_follower.py
+++ b/src/beamloom/node/configuration_follower.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from beamloom.replication.backend_history import BackendHistory, BackendSet, service_of_backend
+from beamloom.replication.backend_history import BackendHistory, BackendSet
 from beamloom.replication.configuration_replica import ConfigurationReplica
 from beamloom.settings.configuration import Configuration
 from beamloom.settings.configuration_changes import ConfigurationDelta
@@ -17,24 +17,38 @@
     def __init__(self, replica: ConfigurationReplica) -> None:
         self.configuration = Configuration()
         self._replica = replica
+        self._source = replica.backend_histories
+        self._histories: dict[str, BackendHistory] = {}
 
     def catch_up(self) -> ConfigurationDelta | None:
         """Compile what was applied since the last call; None when nothing was."""
         changes = self._replica.take_applied_changes()
-        if not changes:
+        if not changes and self._replica.backend_histories is self._source:
             return None
-        touched = {service_of_backend(change.key) for change in changes}
-        touched.update(
+        touched = {
             change.key.removeprefix("service/")
             for change in changes
             if change.key.startswith("service/")
-        )
+        }
+        touched |= self._replaced_histories()
         histories = {
             name: read_generations(self._replica.backend_histories.get(name, ()))
-            for name in sorted(name for name in touched if name is not None)
+            for name in sorted(touched)
         }
         return self.configuration.apply_batch(changes, histories)
 
+    def _replaced_histories(self) -> set[str]:
+        """Return the services whose history is another than at the last call.
+
+        The changes alone do not tell: a snapshot can bring generations of a backend that came and
+        went in between.
+        """
+        self._source = self._replica.backend_histories
+        before, self._histories = self._histories, dict(self._source)
+        return {
+            name for name, history in self._histories.items() if before.get(name) is not history
+        }
+
 
 def read_generations(history: BackendHistory) -> tuple[Generation, ...]:
     """Return the generations of a service; equal neighbours are one.
--- a/src/beamloom/settings/configuration.py
+++ b/src/beamloom/settings/configuration.py
@@ -148,28 +148,28 @@
     ) -> ConfigurationDelta:
         """Take several changes in at once, in order, and compile what they altered once.
 
-        `histories` holds the generations, by `T/S`, of each service whose backends changed; they
-        come from the replica, so that nodes which saw other batches have the same generations.
+        `histories` holds the generations, by `T/S`, of each service that may have others than
+        before; they come from the replica, so that nodes which saw other batches have the same.
         """
-        services: set[str] = set()
-        tenants: set[str] = set()
+        services, tenants, regenerated = set[str](), set[str](), set(histories)
         for change in changes:
             self.revision = max(self.revision, change.revision)
             affected = self._take(change)
             services.update(affected.services)
             tenants.update(affected.tenants)
-            self._adopt_generations(affected.regenerated, histories, change.revision)
-        return self._refresh(_Affected(services, tenants))
-
-    def _adopt_generations(
-        self, names: Iterable[str], histories: Mapping[str, Sequence[Generation]], revision: int
-    ) -> None:
-        for name in names:
-            record = self._records[name]
-            if histories.get(name):
-                record.generations = tuple(histories[name])
-            else:
-                record.update_generation(self._backends.get(name, {}).values(), revision)
+            regenerated.update(affected.regenerated)
+        regenerated &= self._records.keys()
+        for name in regenerated:
+            self._adopt_generations(name, histories.get(name, ()))
+        return self._refresh(_Affected(services | regenerated, tenants))
+
+    def _adopt_generations(self, name: str, known: Sequence[Generation]) -> None:
+        """Give a service known generations; one without any has a single one."""
+        record = self._records[name]
+        record.generations = tuple(known)
+        if not known:
+            backends = self._backends.get(name, {}).values()
+            record.update_generation(backends, _oldest_possible_revision(record, backends))
 
     def _take(self, change: StoredObject) -> _Affected:
         """Enter one object, or its deletion, and return what must be compiled anew."""
