--- a/src/beamloom/settings/node_file.py
+++ b/src/beamloom/settings/node_file.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
-from enum import StrEnum
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -25,6 +24,7 @@
     zones_by_name,
 )
 from beamloom.settings.toml_source import KeyPath, TomlSource, load_toml
+from beamloom.telemetry.log_format import LogFormat
 from beamloom.world.machines import Machine, NodeId
 
 DEFAULT_CONTROL_BUDGET = 4096
@@ -35,13 +35,6 @@
 Addresses = Annotated[tuple[Address, ...], Field(strict=False)]
 
 
-class LogFormat(StrEnum):
-    """Forms of log lines."""
-
-    CONSOLE = "console"
-    JSON = "json"
-
-
 class NodeTable(FileModel):
     """`[node]`: the machine itself; data, peer and control are UDP, admin is TCP."""
 
@@ -65,9 +58,14 @@
 
 
 class FleetTable(FileModel):
-    """`[fleet]`: the other nodes; the first key signs, both are accepted."""
+    """`[fleet]`: the other nodes; the first key signs, both are accepted.
+
+    `hash_key_file` holds the key of the flow hash, the same on every node: it is never rotated
+    while flows live, since another key would place them anew.
+    """
 
     key_files: Annotated[tuple[str, ...], Field(strict=False, min_length=1, max_length=2)]
+    hash_key_file: str
     seeds: Addresses = ()
     control_budget_bytes_per_second: Annotated[int, Field(ge=512, le=1_000_000)] = (
         DEFAULT_CONTROL_BUDGET
