Run a node from its settings file, with admin API, checks and signals

Cause: the core ran on sockets only inside the demo; nothing told its state or caught its faults. Change: NodeProcess joins sockets, store, health checks, machine list and admin API; exceptions are counted and logged once per place, drop a packet or control datagram, and end a node whose component broke; key files are read anew on SIGHUP; a store request that fails unexpectedly is answered. Conclusion: a balancer can be started, watched and stopped by itself.

--- a/src/beamloom/node/control_channel.py
+++ b/src/beamloom/node/control_channel.py
@@ -37,6 +37,10 @@
         self._guard = ReplayGuard()
         self._sequence = 0
 
+    def replace_keys(self, keys: KeyRing) -> None:
+        """Sign and verify with other keys from now on: a rotation without a restart."""
+        self._keys = keys
+
     def receive(self, data: bytes) -> Envelope | None:
         """Return what a datagram holds, or None when it was dropped and counted."""
         try:
--- a/src/beamloom/platform/adapter.py
+++ b/src/beamloom/platform/adapter.py
@@ -83,6 +83,9 @@
         except PlatformError as error:
             gone = isinstance(error, WatchGoneError)
             self._answer(command.request_id, StoreFailed(command.request_id, str(error), gone))
+        except Exception as error:
+            self._report(error)
+            self._answer(command.request_id, StoreFailed(command.request_id, repr(error)))
         finally:
             if self._tasks.get(command.request_id) is task:
                 del self._tasks[command.request_id]
@@ -109,6 +112,11 @@
                 event = StoreChanged(command.request_id, batch.revision, batch.changes)
                 self._answer(command.request_id, event)
 
+    def _report(self, error: Exception) -> None:
+        """Hand a fault of this program to the loop's exception handler."""
+        context = {"message": "a store request failed unexpectedly", "exception": error}
+        asyncio.get_running_loop().call_exception_handler(context)
+
     def _answer(self, request_id: int, event: Event) -> None:
         if self._tasks.get(request_id) is asyncio.current_task():
             self._deliver(event)
--- /dev/null
+++ b/src/beamloom/runtime/admin.py
@@ -0,0 +1,196 @@
+"""The admin API of a node: health, metrics, status and explanations over HTTP or HTTPS.
+
+`/healthz` (the process lives) and `/readyz` (packets may be sent to it; 503 with the reason) are
+open. All else needs the bearer token (RFC 6750); without a token file nothing else is answered.
+Errors are `{"error": TEXT}` and the text names the remedy.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import ssl
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from beamloom.platform.statuses import HttpStatus
+from beamloom.runtime import node_status
+from beamloom.runtime.balancer import BalancerProcess
+from beamloom.runtime.faults import FaultSource
+from beamloom.runtime.readiness import Readiness
+from beamloom.settings.errors import SettingsError
+from beamloom.telemetry.counters import CONTENT_TYPE, ReadMetrics, make_registry, render
+from beamloom.world.addresses import SocketAddress
+
+HEALTH_PATH = "/healthz"
+READY_PATH = "/readyz"
+METRICS_PATH = "/metrics"
+STATUS_PATH = "/v1/status"
+IN_FORCE_PATH = "/v1/in-force"
+EXPLAIN_SETTING_PATH = "/v1/explain/setting"
+EXPLAIN_BACKEND_PATH = "/v1/explain/backend"
+OPEN_PATHS = frozenset({HEALTH_PATH, READY_PATH})
+
+IN_FORCE_WAIT_SECONDS = 1.0
+IN_FORCE_CHECK_SECONDS = 0.02
+SHUTDOWN_SECONDS = 1.0
+NO_TOKEN = "this node has no admin token; set admin.token_file in its settings"
+WRONG_TOKEN = "send Authorization: Bearer TOKEN with the token of this node's admin.token_file"
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class BadParameterError(Exception):
+    """A query parameter is missing or cannot be read."""
+
+    def __init__(self, name: str, expected: str) -> None:
+        super().__init__(f"query parameter {name} is missing or unreadable; give {expected}")
+
+
+class AdminServer:
+    """Serves one node; `start` returns the bound address (port 0 takes any free port)."""
+
+    def __init__(
+        self,
+        balancer: BalancerProcess,
+        readiness: Callable[[], Readiness],
+        read_metrics: ReadMetrics,
+        token: str | None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.counters: Counter[str] = Counter()
+        self._balancer = balancer
+        self._readiness = readiness
+        self._registry = make_registry(read_metrics)
+        self._authorization = None if token is None else f"Bearer {token}".encode()
+        self._tls = tls
+        self._question = asyncio.Lock()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, address: SocketAddress) -> SocketAddress:
+        """Listen; raises OSError when the address is taken."""
+        runner = web.AppRunner(
+            self._application(), access_log=None, shutdown_timeout=SHUTDOWN_SECONDS
+        )
+        await runner.setup()
+        try:
+            await web.TCPSite(runner, address.host, address.port, ssl_context=self._tls).start()
+        except OSError:
+            await runner.cleanup()
+            raise
+        self._runner = runner
+        host, port = runner.addresses[0][:2]
+        return SocketAddress(host, port)
+
+    async def close(self) -> None:
+        """Stop listening; a second call does nothing."""
+        runner, self._runner = self._runner, None
+        if runner is not None:
+            await runner.cleanup()
+
+    def _application(self) -> web.Application:
+        application = web.Application(middlewares=[self._guard])
+        for path, handler in (
+            (HEALTH_PATH, self._health),
+            (READY_PATH, self._ready),
+            (METRICS_PATH, self._metrics),
+            (STATUS_PATH, self._status),
+            (IN_FORCE_PATH, self._in_force),
+            (EXPLAIN_SETTING_PATH, self._explain_setting),
+            (EXPLAIN_BACKEND_PATH, self._explain_backend),
+        ):
+            application.router.add_get(path, handler)
+        return application
+
+    @web.middleware
+    async def _guard(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        if request.path not in OPEN_PATHS and (refusal := self._refusal(request)) is not None:
+            self.counters["unauthorized"] += 1
+            return _failure(HttpStatus.UNAUTHORIZED, refusal)
+        try:
+            response = await handler(request)
+        except BadParameterError as error:
+            return _failure(HttpStatus.BAD_REQUEST, str(error))
+        except SettingsError as error:
+            return _failure(HttpStatus.NOT_FOUND, str(error))
+        except web.HTTPException as error:
+            return _failure(HttpStatus(error.status), f"{request.path}: {error.reason}")
+        except Exception as error:
+            self._balancer.faults.record(FaultSource.ADMIN_REQUEST, error)
+            return _failure(HttpStatus.INTERNAL_SERVER_ERROR, "internal fault; see the node's log")
+        self.counters["answered"] += 1
+        return response
+
+    def _refusal(self, request: web.Request) -> str | None:
+        if self._authorization is None:
+            return NO_TOKEN
+        given = request.headers.get("Authorization", "").encode(errors="replace")
+        return None if hmac.compare_digest(given, self._authorization) else WRONG_TOKEN
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.json_response({"alive": True})
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        state = self._readiness()
+        status = HttpStatus.OK if state.ready else HttpStatus.SERVICE_UNAVAILABLE
+        return web.json_response({"ready": state.ready, "reason": state.reason}, status=status)
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        return web.Response(body=render(self._registry), headers={"Content-Type": CONTENT_TYPE})
+
+    async def _status(self, request: web.Request) -> web.Response:
+        core = self._balancer.core
+        answer = node_status.node_status(core)
+        answer["reason"] = self._readiness().reason
+        answer["backends"] = node_status.backend_objects(core)
+        return web.json_response(answer)
+
+    async def _in_force(self, request: web.Request) -> web.Response:
+        """Ask the fleet; one question at a time, since a node can only find out one."""
+        revision = _revision(request)
+        async with self._question:
+            self._balancer.ask_in_force(revision)
+            answer = await self._await_in_force(revision)
+        return web.json_response(answer)
+
+    async def _await_in_force(self, revision: int) -> node_status.Answer:
+        """Return what is known once it is everywhere, or after IN_FORCE_WAIT_SECONDS."""
+        core = self._balancer.core
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + IN_FORCE_WAIT_SECONDS
+        while True:
+            report = core.fleet_status.in_force(revision)
+            answer = node_status.in_force_status(core, revision, report)
+            if answer["everywhere"] or loop.time() >= limit:
+                return answer
+            await asyncio.sleep(IN_FORCE_CHECK_SECONDS)
+
+    async def _explain_setting(self, request: web.Request) -> web.Response:
+        name = _parameter(request, "name", "the name of a setting")
+        at = request.query.get("at", "global")
+        return web.json_response(node_status.explain_setting(self._balancer.core, name, at))
+
+    async def _explain_backend(self, request: web.Request) -> web.Response:
+        name = _parameter(request, "name", "TENANT/SERVICE/BACKEND")
+        return web.json_response(node_status.explain_backend(self._balancer.core, name))
+
+
+def _parameter(request: web.Request, name: str, expected: str) -> str:
+    value = request.query.get(name, "")
+    if not value:
+        raise BadParameterError(name, expected)
+    return value
+
+
+def _revision(request: web.Request) -> int:
+    expected = "a revision of the store, a number from 1"
+    text = _parameter(request, "revision", expected)
+    if not text.isascii() or not text.isdigit() or not int(text):
+        raise BadParameterError("revision", expected)
+    return int(text)
+
+
+def _failure(status: HttpStatus, detail: str) -> web.Response:
+    return web.json_response({"error": detail}, status=status)
--- a/src/beamloom/runtime/balancer.py
+++ b/src/beamloom/runtime/balancer.py
@@ -17,6 +17,8 @@
     StopNode,
 )
 from beamloom.protocol.events import ControlDatagramReceived, Event, StopRequested, TimerExpired
+from beamloom.runtime.errors import BrokenComponentError
+from beamloom.runtime.faults import FaultRecorder, FaultSource
 from beamloom.runtime.machine_sockets import MachineSockets
 from beamloom.world.addresses import SocketAddress
 
@@ -27,12 +29,17 @@
     """One balancer on sockets.
 
     `extra_handlers` are tried in turn for the commands that this adapter leaves to others; each
-    returns whether it took the command.
+    returns whether it took the command. `stopped` is set when the node has come to its end:
+    `failure` then holds why it broke, and is None after a planned stop. What happens to exceptions
+    of the core is told in runtime/faults.py.
     """
 
     def __init__(self, core: NodeCore, sockets: MachineSockets) -> None:
         self.core = core
         self.stopped = asyncio.Event()
+        self.stop_complete = False
+        self.failure: BrokenComponentError | None = None
+        self.faults = FaultRecorder(core.options.machine.node_id)
         self.extra_handlers: list[CommandHandler] = []
         self._sockets = {
             LocalSocket.DATA: sockets.data,
@@ -43,6 +50,11 @@
         self._timer_at: float | None = None
         self._log = structlog.get_logger().bind(node=core.options.machine.node_id)
 
+    @property
+    def unsent_datagrams(self) -> dict[LocalSocket, int]:
+        """How many datagrams the kernel refused, by the socket they should have left from."""
+        return {local: opened.unsent for local, opened in self._sockets.items()}
+
     def start(self) -> None:
         """Listen on the three sockets and start the core."""
         self._sockets[LocalSocket.DATA].listen(self._data_received)
@@ -51,8 +63,17 @@
         self._carry_out(self.core.start(self._now()))
 
     def deliver(self, event: Event) -> None:
-        """Give an event to the core and carry out what it answers."""
-        self._carry_out(self.core.handle(event, self._now()))
+        """Give an event to the core and carry out what it answers; a failure ends the node."""
+        if self.failure is not None:
+            return
+        try:
+            self._carry_out(self.core.handle(event, self._now()))
+        except Exception as error:
+            self._break(error)
+
+    def ask_in_force(self, revision: int) -> None:
+        """Let the node find out where a revision is in force; the core's fleet status tells."""
+        self._carry_out(self.core.ask_in_force(revision, self._now()))
 
     def request_stop(self) -> None:
         """Begin a planned stop; `stopped` is set once it is complete."""
@@ -76,14 +97,25 @@
 
     def _packet_received(self, data: bytes, source: SocketAddress, from_peer: bool) -> None:
         core = self.core
-        destination = core.packet_received(data, source, from_peer, self._now())
-        if destination is not None:
-            self._sockets[LocalSocket.DATA].send(data, destination)
-        if core.has_commands:
-            self._carry_out(core.take_commands(self._now()))
+        try:
+            destination = core.packet_received(data, source, from_peer, self._now())
+            if destination is not None:
+                self._sockets[LocalSocket.DATA].send(data, destination)
+            if core.has_commands:
+                self._carry_out(core.take_commands(self._now()))
+        except Exception as error:
+            self.faults.record(FaultSource.PACKET, error)
 
     def _control_received(self, data: bytes, source: SocketAddress) -> None:
-        self.deliver(ControlDatagramReceived(data, source))
+        try:
+            event = ControlDatagramReceived(data, source)
+            self._carry_out(self.core.handle(event, self._now()))
+        except Exception as error:
+            self.faults.record(FaultSource.CONTROL_DATAGRAM, error)
+
+    def _break(self, error: Exception) -> None:
+        self.failure = self.faults.record_broken(error)
+        self.stopped.set()
 
     def _carry_out(self, commands: Sequence[Command]) -> None:
         for command in commands:
@@ -100,7 +132,8 @@
                 self._log.info(
                     "state_changed", subject=subject, before=before, after=after, reason=reason
                 )
-            case StopNode():
+            case StopNode(complete):
+                self.stop_complete = complete
                 self.stopped.set()
             case _:
                 any(handle(command) for handle in self.extra_handlers)
--- /dev/null
+++ b/src/beamloom/runtime/errors.py
@@ -0,0 +1,58 @@
+"""Typed errors of a node's process; each message is one line that names the remedy."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from beamloom.world.addresses import SocketAddress
+
+
+class NodeProcessError(Exception):
+    """Base of what keeps a node from starting or running."""
+
+
+class AddressUnavailableError(NodeProcessError):
+    """An address of the node cannot be bound."""
+
+    def __init__(self, setting: str, address: SocketAddress, error: OSError) -> None:
+        super().__init__(
+            f"cannot listen on {setting} {address} ({error.strerror or error}): "
+            "stop what listens there, or give another address of this machine"
+        )
+
+
+class SecretFileError(NodeProcessError):
+    """A key or token file that cannot be used."""
+
+    def __init__(self, setting: str, path: Path, reason: str, remedy: str) -> None:
+        super().__init__(f"{setting} {path}: {reason}; {remedy}")
+
+
+class AdminTlsError(NodeProcessError):
+    """The admin API's certificate or key cannot be loaded."""
+
+    def __init__(self, certificate: Path, key: Path, error: Exception) -> None:
+        super().__init__(
+            f"admin TLS with certificate {certificate} and key {key}: {error}; "
+            "give a PEM certificate and its own PEM key without a passphrase"
+        )
+
+
+class BrokenComponentError(NodeProcessError):
+    """An exception escaped from the core outside the packet path; the node cannot go on."""
+
+    def __init__(self, error: BaseException) -> None:
+        super().__init__(
+            f"a component broke ({type(error).__name__}: {error}); the node stopped, since its "
+            "state may be half changed: start it again and report the trace in its log"
+        )
+
+
+class StopTimeoutError(NodeProcessError):
+    """A planned stop did not complete in time."""
+
+    def __init__(self, seconds: float) -> None:
+        super().__init__(
+            f"the planned stop was not complete after {seconds:g} s; flows may have been cut: "
+            "raise node.stop_timeout_seconds, or look at control traffic in the metrics"
+        )
--- /dev/null
+++ b/src/beamloom/runtime/health_checks.py
@@ -0,0 +1,123 @@
+"""Carries out `CheckBackend`: asks a backend's health endpoint over HTTP.
+
+The endpoint answers `{"healthy", "shedding", "draining", "load"}`. No answer in time, another
+status than 200 or an unreadable body all count as not healthy.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from beamloom.platform.statuses import HttpStatus
+from beamloom.protocol.commands import CheckBackend, Command
+from beamloom.protocol.events import BackendChecked, Event
+
+CHECK_TIMEOUT_SECONDS = 1.0
+CONCURRENT_CHECKS = 32
+LARGEST_ANSWER_BYTES = 4096
+
+CHECK_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValidationError, ValueError)
+
+
+class HealthAnswer(BaseModel):
+    """What a health endpoint says; fields that are not known are ignored."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    healthy: bool
+    shedding: bool = False
+    draining: bool = False
+    load: float = Field(default=0.0, ge=0.0, allow_inf_nan=False)
+
+
+class HealthChecks:
+    """Runs at most CONCURRENT_CHECKS checks at once, and one per backend; later ones wait."""
+
+    def __init__(
+        self, deliver: Callable[[Event], None], timeout_seconds: float = CHECK_TIMEOUT_SECONDS
+    ) -> None:
+        self.counters: Counter[str] = Counter()
+        self._deliver = deliver
+        self._timeout = timeout_seconds
+        self._turns = asyncio.Semaphore(CONCURRENT_CHECKS)
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    def execute(self, command: Command) -> bool:
+        """Start a check; false where the command is not one."""
+        if not isinstance(command, CheckBackend):
+            return False
+        if command.backend_number in self._tasks:
+            self.counters["skipped"] += 1
+            return True
+        task = asyncio.get_running_loop().create_task(self._run(command))
+        self._tasks[command.backend_number] = task
+        return True
+
+    async def close(self) -> None:
+        """End every check and wait until all have ended."""
+        tasks = tuple(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    async def _run(self, command: CheckBackend) -> None:
+        try:
+            async with self._turns:
+                answer = await self._check(command)
+            del self._tasks[command.backend_number]  # The answer may bring the next check.
+            self._deliver(answer)
+        except Exception as error:
+            self._tasks.pop(command.backend_number, None)
+            context = {"message": "a health check failed unexpectedly", "exception": error}
+            asyncio.get_running_loop().call_exception_handler(context)
+
+    async def _check(self, command: CheckBackend) -> BackendChecked:
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        try:
+            answer = await self._ask(command)
+            self.counters["answered"] += 1
+        except CHECK_ERRORS:
+            answer = HealthAnswer(healthy=False)
+            self.counters["failed"] += 1
+        return BackendChecked(
+            command.backend_number,
+            answer.healthy and not answer.draining,
+            answer.shedding,
+            answer.load,
+            loop.time() - begin,
+        )
+
+    async def _ask(self, command: CheckBackend) -> HealthAnswer:
+        timeout = aiohttp.ClientTimeout(total=self._timeout)
+        url = f"http://{command.health_address}/health"
+        async with self._client().get(url, timeout=timeout, allow_redirects=False) as response:
+            if response.status != HttpStatus.OK:
+                raise ValueError(f"status {response.status}; the endpoint must answer 200")
+            body = await _read_bounded(response)
+        return HealthAnswer.model_validate_json(body)
+
+    def _client(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=CONCURRENT_CHECKS)
+            self._session = aiohttp.ClientSession(connector=connector)
+        return self._session
+
+
+async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body; raises ValueError where it is longer than any true answer."""
+    body: Any = b""
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > LARGEST_ANSWER_BYTES:
+            raise ValueError(f"more than {LARGEST_ANSWER_BYTES} bytes; answer the report only")
+    return bytes(body)
--- /dev/null
+++ b/src/beamloom/runtime/node_status.py
@@ -0,0 +1,141 @@
+"""The JSON that the admin API answers: what a node is, has in force, and why."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from beamloom.node.core import NodeCore
+from beamloom.replication.fleet_status import InForceReport
+from beamloom.settings.errors import SettingsError
+from beamloom.settings.stored_objects import ObjectKey, ObjectKind
+from beamloom.settings.tree import Scope
+from beamloom.settings.validation import find_declaration
+from beamloom.world.contracts import (
+    Backend,
+    BackendAdministrativeState,
+    ServiceContract,
+)
+
+Answer = dict[str, Any]
+
+
+class UnknownBackendError(SettingsError):
+    """The name is that of no stored backend of a service in force."""
+
+
+def node_status(core: NodeCore) -> Answer:
+    """Return the node's own state in brief."""
+    machine = core.options.machine
+    configuration = core.configuration.configuration
+    return {
+        "node": machine.node_id,
+        "zone": machine.zone.name,
+        "region": machine.zone.region,
+        "ready": core.ready,
+        "revision_in_force": core.replica.applied_revision,
+        "reader": core.election.is_reader,
+        "members": _members(core),
+        "services": len(configuration.services),
+        "flow_table_entries": len(core.forwarder.table),
+        "control": _control(core),
+        "problems": [
+            {"key": problem.key, "revision": problem.revision, "error": str(problem.error)}
+            for problem in configuration.problems
+        ],
+    }
+
+
+def _members(core: NodeCore) -> dict[str, list[str]]:
+    by_state: dict[str, list[str]] = {}
+    for node_id, member in sorted(core.membership.view.members.items()):
+        by_state.setdefault(member.state.name.lower(), []).append(node_id)
+    return by_state
+
+
+def _control(core: NodeCore) -> Answer:
+    snapshot = core.channel.snapshot()
+    return {
+        "bytes_per_second_allowed": core.options.control_bytes_per_second,
+        "bytes_sent": snapshot.sent_bytes,
+        "bytes_available": round(snapshot.available_bytes),
+        "queued_bytes": sum(item.queued_bytes for item in snapshot.priorities.values()),
+        "delayed_messages": sum(item.delayed_messages for item in snapshot.priorities.values()),
+    }
+
+
+def in_force_status(core: NodeCore, revision: int, report: InForceReport) -> Answer:
+    """Return where a revision is in force; `everywhere` only by every member's own word."""
+    everywhere = core.ready and not report.not_in_force
+    return {
+        "revision": revision,
+        "everywhere": everywhere,
+        "members_in_force": report.count_in_force,
+        "members_known": report.count_known,
+        "not_in_force": list(report.not_in_force),
+    }
+
+
+def explain_setting(core: NodeCore, name: str, at: str) -> Answer:
+    """Return a setting's value at a scope and its origin; raises SettingsError."""
+    scope = Scope.parse(at)
+    declaration = find_declaration(name)
+    effective = core.configuration.configuration.effective_setting(scope, name)
+    return {
+        "setting": name,
+        "at": str(scope),
+        "value": effective.value,
+        "unit": declaration.unit,
+        "level": effective.level,
+        "set_by": effective.scope_key or None,
+        "since_revision": effective.since_revision,
+        "revision_in_force_here": core.replica.applied_revision,
+    }
+
+
+def explain_backend(core: NodeCore, name: str) -> Answer:
+    """Return whether a backend `T/S/B` gets new flows, and why; raises SettingsError."""
+    key = ObjectKey.parse(f"{ObjectKind.BACKEND}/{name}")
+    service_name, backend_id = "/".join(key.names[:2]), key.names[2]
+    service = core.configuration.configuration.services.get(service_name)
+    if service is None:
+        reason = f"service {service_name} is not in force on this node"
+        raise UnknownBackendError(reason, "look at the problems in `beamloom status`")
+    backend = next((item for item in service.backends if item.backend_id == backend_id), None)
+    if backend is None:
+        reason = f"service {service_name} has no backend {backend_id} in force"
+        raise UnknownBackendError(reason, "check the name with `beamloom backend list`")
+    return {"backend": name, **_backend_state(service, backend), **_new_flows(backend)}
+
+
+def _backend_state(service: ServiceContract, backend: Backend) -> Answer:
+    return {
+        "address": str(backend.data_address),
+        "health": str(backend.health_address),
+        "zone": backend.zone,
+        "weight": backend.weight,
+        "administrative_state": backend.state.value,
+        "generation": service.current_generation.revision,
+        "generations_known": [
+            generation.revision
+            for generation in service.generations
+            if any(item.backend_number == backend.backend_number for item in generation.backends)
+        ],
+    }
+
+
+def _new_flows(backend: Backend) -> Answer:
+    if backend.state is BackendAdministrativeState.DRAINING:
+        return {"new_flows": False, "reason": "an operator drains it"}
+    if backend.weight == 0:
+        return {"new_flows": False, "reason": "its weight is 0"}
+    return {"new_flows": True, "reason": "active, with a share of new flows by its weight"}
+
+
+def backend_objects(core: NodeCore) -> list[Answer]:
+    """Return every backend in force with its state, sorted by name."""
+    rows: list[Answer] = []
+    for name, service in sorted(core.configuration.configuration.services.items()):
+        for backend in service.backends:
+            state = _backend_state(service, backend) | _new_flows(backend)
+            rows.append({"backend": f"{name}/{backend.backend_id}", **state})
+    return rows
--- /dev/null
+++ b/tests/functional/test_node_process.py
@@ -0,0 +1,215 @@
+"""Balancers from settings files: start, admin API, faults, key rotation and planned stops."""
+
+import asyncio
+import json
+from unittest import mock
+
+from beamloom.platform.errors import PlatformError
+from beamloom.protocol.codec import KeyRing
+from beamloom.protocol.events import TimerExpired
+from beamloom.runtime.errors import (
+    AddressUnavailableError,
+    BrokenComponentError,
+    SecretFileError,
+)
+from beamloom.runtime.faults import FaultSource
+from beamloom.runtime.node_process import new_node_id
+from beamloom.runtime.secrets import read_fleet_keys
+from beamloom.settings.node_file import load_node_settings
+from beamloom.standins.platform_faults import FaultPlan
+from beamloom.world.addresses import SocketAddress
+from tests.functional.node_case import FLEET_KEY, NodeTestCase
+
+ANYWHERE = SocketAddress("127.0.0.1", 9)
+
+
+class StartTest(NodeTestCase):
+    async def test_taken_port_is_named_with_its_setting(self) -> None:
+        first = await self.start_node("one")
+        taken = str(first.balancer.core.options.machine.data_address)
+        for setting, arguments in (
+            ("data_address", {"data": taken}),
+            ("admin_address", {"admin": str(first.admin_address)}),
+        ):
+            node = self.make_node(self.write_settings("two", **arguments))  # type: ignore[arg-type]
+            with self.subTest(setting), self.assertRaises(AddressUnavailableError) as caught:
+                await node.start()
+            self.assertIn(f"node.{setting} 127.0.0.1", str(caught.exception))
+
+    async def test_all_faults_of_key_and_token_files_come_at_once(self) -> None:
+        (self.folder / "fleet.key").write_bytes(b"short")
+        (self.folder / "hash.key").write_bytes(bytes(65))
+        (self.folder / "platform.token").unlink()
+        (self.folder / "admin.token").write_text("two\nlines")
+        with self.assertRaises(ExceptionGroup) as caught:
+            await self.start_node("one")
+        faults = [str(fault) for fault in caught.exception.exceptions]
+        self.assertEqual(len(faults), 4)
+        for fault, part in zip(
+            faults, ("5 bytes", "65 bytes", "No such file", "one line"), strict=True
+        ):
+            self.assertIn(part, fault)
+
+    async def test_platform_down_at_start_is_told_and_waited_for(self) -> None:
+        self.store.inject(FaultPlan(down=True))
+        node = await self.start_node("one")
+        running = asyncio.create_task(node.run())
+        await self.eventually(lambda: node.machines.last_failure is not None)
+        status, text = await self.get(node, "/readyz", token=None)
+        self.assertEqual(status, 503)
+        self.assertIn("store is unavailable", json.loads(text)["reason"])
+        self.assertEqual((await self.get(node, "/healthz", token=None))[0], 200)
+        self.store.inject(FaultPlan())
+        await self.eventually(lambda: node.readiness().ready)
+        self.assertEqual((await self.get(node, "/readyz", token=None))[0], 200)
+        node.request_stop()
+        self.assertEqual(await running, 0)
+
+    def test_each_start_has_an_id_of_its_own(self) -> None:
+        self.assertNotEqual(new_node_id("one", 1), new_node_id("one", 2))
+
+
+class AdminTest(NodeTestCase):
+    async def test_all_but_health_needs_the_token(self) -> None:
+        node = await self.start_node("one")
+        for path in ("/metrics", "/v1/status", "/v1/in-force?revision=1", "/v1/unknown"):
+            for token in (None, "wrong", ""):
+                self.assertEqual((await self.get(node, path, token))[0], 401, path)
+        self.assertEqual(node.admin.counters["unauthorized"], 12)
+        self.assertEqual((await self.get(node, "/v1/unknown"))[0], 404)
+        for query in ("", "?revision=0", "?revision=x", "?revision=-1"):
+            self.assertEqual((await self.get(node, f"/v1/in-force{query}"))[0], 400)
+
+    async def test_without_a_token_file_only_health_is_answered(self) -> None:
+        path = self.write_settings("one")
+        path.write_text(path.read_text().replace('token_file = "admin.token"', ""))
+        node = self.make_node(path)
+        await node.start()
+        self.assertEqual((await self.get(node, "/healthz", token=None))[0], 200)
+        for token in (None, "", "None"):
+            self.assertEqual((await self.get(node, "/v1/status", token))[0], 401)
+
+    async def test_status_metrics_and_explanations(self) -> None:
+        await self.client.write("tenant/t", {}, 0)
+        await self.client.write("service/t/s", {"ip": "10.0.0.1", "protocol": "tcp", "port": 80}, 0)
+        backend = {"address": FREE_BACKEND, "health": FREE_BACKEND, "zone": "z"}
+        await self.client.write("backend/t/s/b", backend | {"state": "draining"}, 0)
+        values = {"values": {"flow.idle_timeout": 60.0}}
+        revision = await self.client.write("settings/tenant/t", values, 0)
+        first, second = await self.start_two()
+        await self.eventually(lambda: second.balancer.core.replica.applied_revision >= revision)
+        status = json.loads((await self.get(second, "/v1/status"))[1])
+        self.assertEqual(status["members"], {"alive": sorted([first.node_id, second.node_id])})
+        self.assertEqual(status["problems"], [])
+        metrics = (await self.get(second, "/metrics"))[1]
+        self.assertIn('beamloom_members{state="alive"} 2.0', metrics)
+        self.assertIn('beamloom_control_sent_messages_total{priority="membership"}', metrics)
+        explained = await self.get(
+            second, "/v1/explain/setting?name=flow.idle_timeout&at=tenant/t/service/s"
+        )
+        answer = json.loads(explained[1])
+        self.assertEqual((answer["set_by"], answer["value"]), ("settings/tenant/t", 60.0))
+        self.assertEqual(answer["since_revision"], revision)
+        told = json.loads((await self.get(second, "/v1/explain/backend?name=t/s/b"))[1])
+        self.assertEqual((told["new_flows"], told["reason"]), (False, "an operator drains it"))
+        for query in ("setting?name=no.such", "backend?name=t/s/x", "backend?name=t"):
+            self.assertEqual((await self.get(second, f"/v1/explain/{query}"))[0], 404)
+
+    async def test_in_force_is_told_only_when_every_node_has_it(self) -> None:
+        first, _ = await self.start_two()
+        newest = await self.client.write("tenant/t", {}, 0)
+        async with asyncio.timeout(20):
+            while True:
+                answer = json.loads((await self.get(first, f"/v1/in-force?revision={newest}"))[1])
+                if answer["everywhere"]:
+                    break
+        self.assertEqual((answer["members_in_force"], answer["not_in_force"]), (2, []))
+        later = json.loads((await self.get(first, "/v1/in-force?revision=1000000"))[1])
+        self.assertEqual((later["everywhere"], len(later["not_in_force"])), (False, 2))
+
+    async def test_fault_of_a_handler_is_counted_and_answered(self) -> None:
+        node = await self.start_node("one")
+        with mock.patch.object(node.balancer.core.membership, "snapshot", side_effect=KeyError):
+            self.assertEqual((await self.get(node, "/metrics"))[0], 500)
+        self.assertEqual(node.balancer.faults.counts[FaultSource.ADMIN_REQUEST], 1)
+
+
+class FaultTest(NodeTestCase):
+    async def test_packet_and_control_faults_are_dropped_and_counted(self) -> None:
+        node = await self.start_node("one")
+        balancer = node.balancer
+        with (
+            mock.patch.object(balancer.core, "packet_received", side_effect=ZeroDivisionError),
+            mock.patch.object(balancer.core, "handle", side_effect=ZeroDivisionError),
+        ):
+            for _ in range(3):
+                balancer._packet_received(b"", ANYWHERE, from_peer=False)
+            balancer._control_received(b"", ANYWHERE)
+        counts = balancer.faults.counts
+        self.assertEqual((counts[FaultSource.PACKET], counts[FaultSource.CONTROL_DATAGRAM]), (3, 1))
+        self.assertFalse(balancer.stopped.is_set())
+        lines = [json.loads(line) for line in self.log_output.getvalue().splitlines()]
+        faults = [line for line in lines if line["event"] == "fault"]
+        self.assertEqual([line["subject"] for line in faults], ["packet", "control_datagram"])
+        self.assertIn("Traceback", faults[0]["exception"])
+
+    async def test_broken_component_ends_the_process(self) -> None:
+        node = await self.start_node("one")
+        running = asyncio.create_task(node.run())
+        with mock.patch.object(node.balancer.core, "handle", side_effect=ZeroDivisionError("x")):
+            node.balancer.deliver(TimerExpired())
+        with self.assertRaises(BrokenComponentError) as caught:
+            await running
+        self.assertIn("ZeroDivisionError: x", str(caught.exception))
+        self.assertEqual(node.balancer.faults.counts[FaultSource.COMPONENT], 1)
+
+    async def test_fault_in_a_task_is_not_lost(self) -> None:
+        node = await self.start_node("one")
+        node.machines._client = mock.Mock()
+        node.machines._client.register_machine = mock.AsyncMock(side_effect=ZeroDivisionError)
+        with self.assertRaises(BrokenComponentError):
+            await node.run()
+
+    async def test_platform_failures_of_the_machine_list_are_not_fatal(self) -> None:
+        node = await self.start_node("one")
+        node.machines._client = mock.Mock()
+        node.machines._client.register_machine = mock.AsyncMock(side_effect=PlatformError("x"))
+        await node.machines.take_turn()
+        self.assertEqual(node.machines.counters["report_failed"], 1)
+
+
+class StopTest(NodeTestCase):
+    async def test_planned_stop_leaves_the_fleet_and_the_list(self) -> None:
+        _, second = await self.start_two()
+        running = asyncio.create_task(second.run())
+        await self.eventually(lambda: second.machines.counters["list_done"] > 0)
+        second.request_stop()
+        self.assertEqual(await running, 0)
+        left = (await self.client.list_machines()).leaving
+        self.assertEqual([machine.node_id for machine in left], [second.node_id])
+        await second.close()
+
+    async def test_second_signal_stops_at_once(self) -> None:
+        node = await self.start_node("one")
+        with mock.patch.object(node.balancer, "deliver"):
+            running = asyncio.create_task(node.run())
+            node.request_stop()
+            node.request_stop()
+            self.assertEqual(await running, 1)
+
+    async def test_keys_rotate_without_a_restart_and_bad_files_change_nothing(self) -> None:
+        node = await self.start_node("one")
+        channel = node.balancer.core.channel
+        (self.folder / "fleet.key").write_bytes(b"short")
+        node.reload_keys()
+        self.assertEqual(channel._keys, KeyRing((FLEET_KEY,)))
+        (self.folder / "fleet.key").write_bytes(bytes(40))
+        node.reload_keys()
+        self.assertEqual(channel._keys, KeyRing((bytes(40),)))
+        (self.folder / "fleet.key").unlink()
+        with self.assertRaises(ExceptionGroup) as caught:
+            read_fleet_keys(load_node_settings(self.folder / "one.toml"), self.folder)
+        self.assertIsInstance(caught.exception.exceptions[0], SecretFileError)
+
+
+FREE_BACKEND = "127.0.0.1:9"
