Explain a flow and count the routing state over the admin API

Cause: the forwarder can now explain a flow, and nobody could ask it. Change: /v1/explain/flow; routing gauges among the metrics and in the status. Measured: tests.functional.test_node_process, 16 pass, with the flow of no entry and four bad queries. Conclusion: what a node knows of a flow, and who decides it, can be asked of any node.

--- a/src/beamloom/runtime/admin.py
+++ b/src/beamloom/runtime/admin.py
@@ -9,20 +9,23 @@
 
 import asyncio
 import hmac
+import ipaddress
 import ssl
+import struct
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
 from beamloom.platform.statuses import HttpStatus
+from beamloom.routing.packet import FlowTuple
 from beamloom.runtime import node_status
 from beamloom.runtime.balancer import BalancerProcess
 from beamloom.runtime.faults import FaultSource
 from beamloom.runtime.readiness import Readiness
 from beamloom.settings.errors import SettingsError
 from beamloom.telemetry.counters import CONTENT_TYPE, ReadMetrics, make_registry, render
-from beamloom.world.addresses import SocketAddress
+from beamloom.world.addresses import SocketAddress, TransportProtocol
 
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
@@ -31,11 +34,13 @@
 IN_FORCE_PATH = "/v1/in-force"
 EXPLAIN_SETTING_PATH = "/v1/explain/setting"
 EXPLAIN_BACKEND_PATH = "/v1/explain/backend"
+EXPLAIN_FLOW_PATH = "/v1/explain/flow"
 OPEN_PATHS = frozenset({HEALTH_PATH, READY_PATH})
 
 IN_FORCE_WAIT_SECONDS = 1.0
 IN_FORCE_CHECK_SECONDS = 0.02
 SHUTDOWN_SECONDS = 1.0
+LARGEST_PORT = 65_535
 NO_TOKEN = "this node has no admin token; set admin.token_file in its settings"
 WRONG_TOKEN = "send Authorization: Bearer TOKEN with the token of this node's admin.token_file"
 
@@ -100,6 +105,7 @@
             (IN_FORCE_PATH, self._in_force),
             (EXPLAIN_SETTING_PATH, self._explain_setting),
             (EXPLAIN_BACKEND_PATH, self._explain_backend),
+            (EXPLAIN_FLOW_PATH, self._explain_flow),
         ):
             application.router.add_get(path, handler)
         return application
@@ -176,6 +182,38 @@
         name = _parameter(request, "name", "TENANT/SERVICE/BACKEND")
         return web.json_response(node_status.explain_backend(self._balancer.core, name))
 
+    async def _explain_flow(self, request: web.Request) -> web.Response:
+        now = asyncio.get_running_loop().time()
+        answer = node_status.explain_flow(self._balancer.core, _flow(request), now)
+        return web.json_response(answer)
+
+
+def _flow(request: web.Request) -> FlowTuple:
+    """Return the flow that `client`, `service` (IP:PORT each) and `protocol` name."""
+    client = _address(request, "client")
+    service = _address(request, "service")
+    name = request.query.get("protocol", TransportProtocol.TCP.name)
+    if name.upper() not in TransportProtocol.__members__:
+        raise BadParameterError("protocol", "tcp or udp")
+    source = ipaddress.ip_address(client.host)
+    destination = ipaddress.ip_address(service.host)
+    if source.version != destination.version:
+        raise BadParameterError("client", "an address of the same IP version as the service")
+    ports = struct.pack("!HH", client.port, service.port)
+    protocol = TransportProtocol[name.upper()]
+    return FlowTuple(source.packed, destination.packed, protocol, ports)
+
+
+def _address(request: web.Request, name: str) -> SocketAddress:
+    text = _parameter(request, name, "IP:PORT")
+    try:
+        address = SocketAddress.parse(text)
+    except ValueError:
+        raise BadParameterError(name, "IP:PORT") from None
+    if not 0 < address.port <= LARGEST_PORT:
+        raise BadParameterError(name, f"a port from 1 to {LARGEST_PORT}")
+    return address
+
 
 def _parameter(request: web.Request, name: str, expected: str) -> str:
     value = request.query.get(name, "")
--- a/src/beamloom/runtime/node_metrics.py
+++ b/src/beamloom/runtime/node_metrics.py
@@ -21,6 +21,17 @@
     "corrupt_snapshots": "Configuration snapshots refused as corrupt.",
 }
 
+ROUTING_GAUGES = {
+    "flows": "Flows in this node's table.",
+    "partitions_owned": "Partitions that this node decides.",
+    "partitions_awaited": "Partitions whose records are still coming.",
+    "partitions_frozen": "Partitions that are being handed over.",
+    "exceptions": "Flows that are not where the base generation places them.",
+    "replicas_held": "Records kept for other homes.",
+    "records_waiting": "Records that wait for the control budget or an acknowledgement.",
+    "bindings_waiting": "First packets held until their binding is replicated.",
+}
+
 
 @dataclass(slots=True)
 class NodeMetrics:
@@ -49,9 +60,10 @@
 
 
 def _packets(core: NodeCore) -> Iterator[Metric]:
-    counts = core.forwarder.counters
-    yield _by_kind("packets", "Packets and flow events, by what became of them.", counts)
-    yield gauge("flow_table_entries", "Flows in this node's table.", len(core.forwarder.table))
+    routing = core.forwarder.snapshot()
+    yield _by_kind("packets", "Packets and flow events, by what became of them.", routing.counters)
+    for name, help_text in ROUTING_GAUGES.items():
+        yield gauge(name, help_text, getattr(routing, name))
     yield _by_kind(
         "control_datagrams_dropped", "Control input not taken, by reason.", core.channel.counters
     )
--- a/src/beamloom/runtime/node_status.py
+++ b/src/beamloom/runtime/node_status.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
 from typing import Any
 
 from beamloom.node.core import NodeCore
 from beamloom.replication.fleet_status import InForceReport
+from beamloom.routing.packet import FlowTuple
 from beamloom.settings.errors import SettingsError
 from beamloom.settings.stored_objects import ObjectKey, ObjectKind
 from beamloom.settings.tree import Scope
@@ -32,11 +34,11 @@
         "zone": machine.zone.name,
         "region": machine.zone.region,
         "ready": core.ready,
-        "revision_in_force": core.replica.applied_revision,
+        "revision_in_force": core.revision_in_force,
         "reader": core.election.is_reader,
         "members": _members(core),
         "services": len(configuration.services),
-        "flow_table_entries": len(core.forwarder.table),
+        "routing": _routing(core),
         "control": _control(core),
         "problems": [
             {"key": problem.key, "revision": problem.revision, "error": str(problem.error)}
@@ -52,6 +54,12 @@
     return by_state
 
 
+def _routing(core: NodeCore) -> Answer:
+    answer = asdict(core.forwarder.snapshot())
+    del answer["counters"], answer["open_flows"]
+    return answer
+
+
 def _control(core: NodeCore) -> Answer:
     snapshot = core.channel.snapshot()
     return {
@@ -88,7 +96,27 @@
         "level": effective.level,
         "set_by": effective.scope_key or None,
         "since_revision": effective.since_revision,
-        "revision_in_force_here": core.replica.applied_revision,
+        "revision_in_force_here": core.revision_in_force,
+    }
+
+
+def explain_flow(core: NodeCore, flow: FlowTuple, now: float) -> Answer:
+    """Return what this node knows of a flow; `age_seconds` is since this node knew of it."""
+    known = core.forwarder.explain(flow)
+    return {
+        "node": core.options.machine.node_id,
+        "service": known.service_id,
+        "partition": known.partition,
+        "role": known.role.value,
+        "decided_by": known.decider,
+        "backend": known.backend_id,
+        "reason": None if known.reason is None else known.reason.name.lower(),
+        "age_seconds": None if known.since is None else round(now - known.since, 3),
+        "is_exception": known.is_exception,
+        "base_revision": known.base_revision,
+        "lease_seconds_left": (
+            None if known.lease_end is None else round(known.lease_end - now, 3)
+        ),
     }
 
 
--- a/tests/functional/test_node_process.py
+++ b/tests/functional/test_node_process.py
@@ -20,6 +20,8 @@
 from beamloom.world.addresses import SocketAddress
 from tests.functional.node_case import FLEET_KEY, NodeTestCase
 
+FREE_BACKEND = "127.0.0.1:9"
+FLOW = "client=198.18.0.1:1024&service=10.0.0.1:80"
 ANYWHERE = SocketAddress("127.0.0.1", 9)
 
 
@@ -112,6 +114,16 @@
         self.assertEqual(answer["since_revision"], revision)
         told = json.loads((await self.get(second, "/v1/explain/backend?name=t/s/b"))[1])
         self.assertEqual((told["new_flows"], told["reason"]), (False, "an operator drains it"))
+        flow = json.loads((await self.get(second, f"/v1/explain/flow?{FLOW}"))[1])
+        self.assertEqual((flow["service"], flow["role"], flow["backend"]), ("t/s", "none", None))
+        self.assertIn(flow["decided_by"], (first.node_id, second.node_id))
+        for query in (
+            "",
+            FLOW + "0000",
+            FLOW.replace("198.18.0.1", "[::1]"),
+            FLOW + "&protocol=icmp",
+        ):
+            self.assertEqual((await self.get(second, f"/v1/explain/flow?{query}"))[0], 400, query)
         for query in ("setting?name=no.such", "backend?name=t/s/x", "backend?name=t"):
             self.assertEqual((await self.get(second, f"/v1/explain/{query}"))[0], 404)
 
@@ -210,6 +222,3 @@
         with self.assertRaises(ExceptionGroup) as caught:
             read_fleet_keys(load_node_settings(self.folder / "one.toml"), self.folder)
         self.assertIsInstance(caught.exception.exceptions[0], SecretFileError)
-
-
-FREE_BACKEND = "127.0.0.1:9"
