Run every process and manage objects from the command line

Cause: a balancer, the stand-ins, objects and explanations could only be reached from Python. Change: beamloom run balancer|platform|backend|client|fabric, tenant|service|backend with drain, status, explain, load and bench forwarding. The binding of a usage error to exit status 2 holds for commands' own too. Conclusion: an operator needs no Python to run and manage a fleet.

--- /dev/null
+++ b/src/beamloom/cli/admin_access.py
@@ -0,0 +1,122 @@
+"""How commands reach a node's admin API."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import ssl
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import aiohttp
+from cyclopts import Parameter
+
+from beamloom.cli.errors import (
+    AdminNotNamedError,
+    AdminRefusedError,
+    AdminUnreachableError,
+    NotInForceError,
+)
+from beamloom.cli.token_files import read_token
+from beamloom.platform.options import TlsFiles, client_tls_context
+from beamloom.platform.statuses import HttpStatus
+
+ADMIN_VARIABLE = "BEAMLOOM_ADMIN"
+TOKEN_VARIABLE = "BEAMLOOM_ADMIN_TOKEN_FILE"
+REQUEST_TIMEOUT_SECONDS = 5.0
+DEFAULT_WAIT_SECONDS = 30.0
+WAIT_PAUSE_SECONDS = 0.1
+
+Answer = dict[str, Any]
+
+
+@Parameter(name="*")
+@dataclass(frozen=True, slots=True)
+class AdminAccess:
+    """Flags that every command on a node's admin API takes."""
+
+    admin: Annotated[str | None, Parameter(name="--admin", env_var=ADMIN_VARIABLE)] = None
+    """Admin address of any node: IP:PORT, or https://IP:PORT."""
+    token_file: Annotated[
+        Path | None, Parameter(name=("--token-file", "--admin-token-file"), env_var=TOKEN_VARIABLE)
+    ] = None
+    """File that holds the token of the admin API."""
+    authority_file: Annotated[Path | None, Parameter(name="--admin-authority-file")] = None
+    """Certificate of the authority that signed the node's, for https."""
+
+
+@Parameter(name="*")
+@dataclass(frozen=True, slots=True)
+class WaitFlags:
+    """Flags of a write that can wait until it is in force."""
+
+    wait: Annotated[bool, Parameter(name="--wait", negative="")] = False
+    """Wait until the change is in force on every node, as --admin tells."""
+    timeout: Annotated[float, Parameter(name="--wait-seconds")] = DEFAULT_WAIT_SECONDS
+    """How long to wait."""
+
+
+@dataclass(frozen=True, slots=True)
+class AdminClient:
+    """Asks one node."""
+
+    url: str
+    token: str
+    tls: ssl.SSLContext | None
+
+    async def get(self, path: str, parameters: Mapping[str, str] | None = None) -> Answer:
+        """Return an answer; raises AdminUnreachableError or AdminRefusedError."""
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS)
+        headers = {"Authorization": f"Bearer {self.token}"}
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+                session.get(
+                    self.url + path, params=parameters, ssl=self.tls or True, allow_redirects=False
+                ) as response,
+            ):
+                return _checked(response.status, await response.text())
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise AdminUnreachableError(self.url, repr(error)) from error
+
+    async def wait_in_force(self, revision: int, seconds: float) -> Answer:
+        """Return once a revision is in force on every member; raises NotInForceError."""
+        missing: list[str] = []
+        try:
+            async with asyncio.timeout(seconds):
+                while True:
+                    answer = await self.get("/v1/in-force", {"revision": str(revision)})
+                    if answer["everywhere"]:
+                        return answer
+                    missing = answer["not_in_force"]
+                    await asyncio.sleep(WAIT_PAUSE_SECONDS)
+        except TimeoutError:
+            raise NotInForceError(revision, seconds, missing) from None
+
+
+def make_admin_client(access: AdminAccess | None) -> AdminClient:
+    """Return a client; raises AdminNotNamedError, UnreadableTokenError, TlsConfigurationError."""
+    chosen = access or AdminAccess()
+    if chosen.admin is None:
+        raise AdminNotNamedError("--admin", ADMIN_VARIABLE)
+    if chosen.token_file is None:
+        raise AdminNotNamedError("--token-file", TOKEN_VARIABLE)
+    url = chosen.admin if "://" in chosen.admin else f"http://{chosen.admin}"
+    authority = chosen.authority_file
+    tls = None if authority is None else client_tls_context(TlsFiles(authority=authority))
+    return AdminClient(url.rstrip("/"), read_token(chosen.token_file), tls)
+
+
+def _checked(status: int, text: str) -> Answer:
+    try:
+        body = json.loads(text)
+    except ValueError:
+        body = None
+    if status != HttpStatus.OK:
+        detail = body.get("error") if isinstance(body, dict) else None
+        raise AdminRefusedError(status, str(detail or "check that --admin is an admin address"))
+    if not isinstance(body, dict):
+        raise AdminRefusedError(status, "the answer is not a JSON object; check --admin")
+    return body
--- a/src/beamloom/cli/commands.py
+++ b/src/beamloom/cli/commands.py
@@ -4,9 +4,17 @@
 
 from cyclopts import App
 
-from beamloom.cli import check, settings_commands, simulate
+from beamloom.cli import check, load, objects, run, settings_commands, simulate, status
 
-COMMAND_GROUPS = (check.register, settings_commands.register, simulate.register)
+COMMAND_GROUPS = (
+    run.register,
+    status.register,
+    objects.register,
+    settings_commands.register,
+    check.register,
+    load.register,
+    simulate.register,
+)
 
 
 def register_commands(app: App) -> None:
--- /dev/null
+++ b/src/beamloom/cli/load.py
@@ -0,0 +1,108 @@
+"""`beamloom load` and `beamloom bench`: measure a running fleet, or one node's data path."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import Annotated
+
+from cyclopts import App, Parameter
+from cyclopts.validators import Number
+
+from beamloom.bench.forwarding import MeasurementError, bench_forwarding
+from beamloom.cli.errors import MeasurementFailedError, UsageError
+from beamloom.cli.exit_status import ExitStatus
+from beamloom.cli.flags import AddressText, parse_address, parse_virtual_address
+from beamloom.cli.output import FormatFlag, OutputFormat, write_json, write_rows
+from beamloom.demo.run import example_deployment
+from beamloom.standins.load import LoadResult, run_load
+from beamloom.standins.load_profiles import ProfileName
+from beamloom.world.addresses import TransportProtocol, VirtualAddress
+
+Positive = Parameter(validator=Number(gt=0))
+COLUMNS = ("measure", "value")
+
+bench_app = App(name="bench", help="Measure what the product costs on this machine.")
+
+
+def register(app: App) -> None:
+    """Add the commands."""
+    app.command(load)
+    app.command(bench_app)
+
+
+async def load(
+    *,
+    profile: Annotated[ProfileName, Parameter(help="Whose mixture of flows.")],
+    rate: Annotated[float, Positive, Parameter(help="New flows a second.")],
+    duration: Annotated[float, Positive, Parameter(help="Seconds.")],
+    fabric: Annotated[AddressText, Parameter(help="The fabric's client address.")],
+    service: Annotated[
+        tuple[str, ...], Parameter(help="NAME=tcp://IP:PORT, where it differs from the example.")
+    ] = (),
+    seed: Annotated[int, Parameter(help="The same seed gives the same flows.")] = 1,
+    output_format: FormatFlag = OutputFormat.TABLE,
+) -> ExitStatus:
+    """Open flows as one of the users' clients do, and say what became of them.
+
+    Exit status: 1 when an established flow broke.
+    """
+    services = example_services(profile) | dict(map(_named_service, service))
+    result = await run_load(
+        profile, rate, duration, fabric=parse_address(fabric), services=services, seed=seed
+    )
+    if output_format is OutputFormat.JSON:
+        write_json(result.to_json())
+    else:
+        write_rows(COLUMNS, _load_rows(result), output_format)
+    return ExitStatus.FAILED if result.broken_flows else ExitStatus.GOOD
+
+
+@bench_app.command
+async def forwarding(
+    *,
+    flows: Annotated[int, Positive, Parameter(help="Open flows in the table.")] = 100_000,
+    seconds: Annotated[float, Positive, Parameter(help="How long to measure.")] = 5.0,
+    output_format: FormatFlag = OutputFormat.TABLE,
+) -> None:
+    """Measure packets a second through one balancer, beside a bare relay on the same loop."""
+    try:
+        report = await bench_forwarding(flows, seconds)
+    except MeasurementError as error:
+        raise MeasurementFailedError(str(error)) from error
+    if output_format is OutputFormat.JSON:
+        write_json(asdict(report))
+        return
+    rows = [{"measure": name, "value": value} for name, value in asdict(report).items()]
+    write_rows(COLUMNS, rows, output_format)
+
+
+def example_services(profile: ProfileName) -> dict[str, VirtualAddress]:
+    """Return the virtual addresses of a user's example deployment, by service name."""
+    return {
+        service.name: VirtualAddress(
+            service.ip, TransportProtocol[service.protocol.upper()], service.port
+        )
+        for tenant in example_deployment(profile).tenants
+        for service in tenant.services
+    }
+
+
+def _named_service(text: str) -> tuple[str, VirtualAddress]:
+    name, separator, address = text.partition("=")
+    try:
+        if not separator or not name:
+            raise ValueError(f"{text!r} is no service: give NAME=tcp://IP:PORT")
+        return name, parse_virtual_address(address)
+    except ValueError as error:
+        raise UsageError(f"--service: {error}.") from None
+
+
+def _load_rows(result: LoadResult) -> list[dict[str, object]]:
+    """Return the result as rows; nested measures get dotted names."""
+    rows: list[dict[str, object]] = []
+    for name, value in result.to_json().items():
+        nested = value.items() if isinstance(value, dict) else ()
+        if not isinstance(value, dict):
+            rows.append({"measure": name, "value": value})
+        rows += [{"measure": f"{name}.{inner}", "value": part} for inner, part in nested]
+    return rows
--- a/src/beamloom/cli/main.py
+++ b/src/beamloom/cli/main.py
@@ -13,9 +13,10 @@
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.output import write_error
 from beamloom.platform.errors import PlatformError
+from beamloom.runtime.errors import NodeProcessError
 from beamloom.settings.errors import SettingsError
 
-EXPECTED_ERRORS = (CommandError, SettingsError, PlatformError, OSError)
+EXPECTED_ERRORS = (CommandError, SettingsError, PlatformError, NodeProcessError, OSError)
 """Errors whose message is for the user; any other is a fault of the program and keeps its trace."""
 
 
@@ -39,6 +40,9 @@
     except CycloptsError as error:
         write_error(UsageError(str(error)))
         return ExitStatus.USAGE
+    except UsageError as error:
+        write_error(error)
+        return ExitStatus.USAGE
     except KeyboardInterrupt:
         return ExitStatus.INTERRUPTED
     except EXPECTED_ERRORS as error:
--- a/src/beamloom/cli/platform_access.py
+++ b/src/beamloom/cli/platform_access.py
@@ -11,7 +11,8 @@
 
 from cyclopts import Parameter
 
-from beamloom.cli.errors import PlatformNotNamedError, UnreadableTokenError
+from beamloom.cli.errors import PlatformNotNamedError
+from beamloom.cli.token_files import read_token
 from beamloom.platform.client import PlatformClient
 from beamloom.platform.operator import OperatorWriter
 from beamloom.platform.options import PlatformOptions, TlsFiles
@@ -59,16 +60,4 @@
     if access.token_file is None:
         raise PlatformNotNamedError("--platform-token-file", TOKEN_VARIABLE)
     tls = None if access.authority_file is None else TlsFiles(authority=access.authority_file)
-    return PlatformOptions(access.platform, _read_token(access.token_file), tls=tls)
-
-
-def _read_token(path: Path) -> str:
-    try:
-        token = path.read_text(encoding="utf-8").strip()
-    except OSError as error:
-        raise UnreadableTokenError(str(path), str(error.strerror)) from error
-    except UnicodeDecodeError:
-        raise UnreadableTokenError(str(path), "not UTF-8") from None
-    if not token:
-        raise UnreadableTokenError(str(path), "the file is empty")
-    return token
+    return PlatformOptions(access.platform, read_token(access.token_file), tls=tls)
--- a/tests/functional/node_case.py
+++ b/tests/functional/node_case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+import math
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -57,6 +58,8 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
+        # Debug mode writes slow callbacks to standard error, where commands' errors are looked for.
+        asyncio.get_running_loop().slow_callback_duration = math.inf
         self.log_output = io.StringIO()
         configure_logs(LogFormat.JSON, self.log_output)
         self.addCleanup(structlog.reset_defaults)
