Let changes of settings wait until they are in force

Cause: only writes of objects could wait for every node; settings set and unset could not. Change: the waiting stands in a module of its own that both use. Conclusion: every write can tell truly that it is in force.

--- a/src/beamloom/cli/admin_access.py
+++ b/src/beamloom/cli/admin_access.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import ssl
 from collections.abc import Mapping
@@ -17,7 +16,6 @@
     AdminNotNamedError,
     AdminRefusedError,
     AdminUnreachableError,
-    NotInForceError,
 )
 from beamloom.cli.token_files import read_token
 from beamloom.platform.options import TlsFiles, client_tls_context
@@ -26,8 +24,6 @@
 ADMIN_VARIABLE = "BEAMLOOM_ADMIN"
 TOKEN_VARIABLE = "BEAMLOOM_ADMIN_TOKEN_FILE"
 REQUEST_TIMEOUT_SECONDS = 5.0
-DEFAULT_WAIT_SECONDS = 30.0
-WAIT_PAUSE_SECONDS = 0.1
 
 Answer = dict[str, Any]
 
@@ -47,17 +43,6 @@
     """Certificate of the authority that signed the node's, for https."""
 
 
-@Parameter(name="*")
-@dataclass(frozen=True, slots=True)
-class WaitFlags:
-    """Flags of a write that can wait until it is in force."""
-
-    wait: Annotated[bool, Parameter(name="--wait", negative="")] = False
-    """Wait until the change is in force on every node, as --admin tells."""
-    timeout: Annotated[float, Parameter(name="--wait-seconds")] = DEFAULT_WAIT_SECONDS
-    """How long to wait."""
-
-
 @dataclass(frozen=True, slots=True)
 class AdminClient:
     """Asks one node."""
@@ -81,20 +66,6 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise AdminUnreachableError(self.url, repr(error)) from error
 
-    async def wait_in_force(self, revision: int, seconds: float) -> Answer:
-        """Return once a revision is in force on every member; raises NotInForceError."""
-        missing: list[str] = []
-        try:
-            async with asyncio.timeout(seconds):
-                while True:
-                    answer = await self.get("/v1/in-force", {"revision": str(revision)})
-                    if answer["everywhere"]:
-                        return answer
-                    missing = answer["not_in_force"]
-                    await asyncio.sleep(WAIT_PAUSE_SECONDS)
-        except TimeoutError:
-            raise NotInForceError(revision, seconds, missing) from None
-
 
 def make_admin_client(access: AdminAccess | None) -> AdminClient:
     """Return a client; raises AdminNotNamedError, UnreadableTokenError, TlsConfigurationError."""
--- a/src/beamloom/cli/object_operations.py
+++ b/src/beamloom/cli/object_operations.py
@@ -4,10 +4,10 @@
 
 from typing import Any
 
-from beamloom.cli.admin_access import AdminAccess, AdminClient, WaitFlags, make_admin_client
 from beamloom.cli.errors import ObjectInUseError
 from beamloom.cli.output import OutputFormat, write_json, write_line, write_rows
 from beamloom.cli.platform_access import PlatformAccess, PlatformSession, open_platform
+from beamloom.cli.waiting import Waiter, tell_in_force
 from beamloom.platform.errors import ObjectNotFoundError
 from beamloom.platform.operator import AcceptedWrite
 from beamloom.protocol.events import StoredObject
@@ -17,8 +17,6 @@
 from beamloom.world.contracts import BackendAdministrativeState
 
 Value = dict[str, Any]
-Waiter = tuple[AdminClient, float]
-"""Whom to ask whether a write is in force, and for how many seconds."""
 
 COLUMNS = {
     ObjectKind.TENANT: ("name", "revision"),
@@ -29,12 +27,6 @@
 BACKEND_DEFAULTS = {"weight": DEFAULT_WEIGHT, "state": BackendAdministrativeState.ACTIVE.value}
 
 
-def make_waiter(admin: AdminAccess | None, wait: WaitFlags | None) -> Waiter | None:
-    """Return the waiter, or None without --wait; made before the write: a bad flag stops it."""
-    flags = wait or WaitFlags()
-    return (make_admin_client(admin), flags.timeout) if flags.wait else None
-
-
 def object_key(kind: ObjectKind, name: str) -> str:
     """Return an object's key; raises UnknownObjectKeyError where the name cannot be one."""
     key = f"{kind}/{name}"
@@ -141,8 +133,4 @@
 async def tell_accepted(done: str, accepted: AcceptedWrite, waiter: Waiter | None) -> None:
     """Say that a write was accepted, and that it is in force once it is, when asked to wait."""
     write_line(f"{done}, accepted at revision {accepted.revision}")
-    if waiter is None:
-        return
-    client, seconds = waiter
-    answer = await client.wait_in_force(accepted.revision, seconds)
-    write_line(f"in force on every node ({answer['members_in_force']})")
+    await tell_in_force(accepted, waiter)
--- a/src/beamloom/cli/objects.py
+++ b/src/beamloom/cli/objects.py
@@ -6,19 +6,19 @@
 
 from cyclopts import App, Parameter
 
-from beamloom.cli.admin_access import AdminAccess, WaitFlags
+from beamloom.cli.admin_access import AdminAccess
 from beamloom.cli.flags import AddressText, VirtualAddressText, parse_virtual_address
 from beamloom.cli.object_operations import (
     create_object,
     delete_object,
     list_objects,
-    make_waiter,
     object_key,
     show_object,
     tell_accepted,
 )
 from beamloom.cli.output import FormatFlag, OutputFormat
 from beamloom.cli.platform_access import PlatformAccess, open_platform
+from beamloom.cli.waiting import WaitFlags, make_waiter
 from beamloom.settings.stored_objects import DEFAULT_WEIGHT, MAXIMUM_WEIGHT, ObjectKind
 from beamloom.world.contracts import BackendAdministrativeState
 
--- a/src/beamloom/cli/settings_commands.py
+++ b/src/beamloom/cli/settings_commands.py
@@ -9,8 +9,10 @@
 
 from cyclopts import App, Parameter
 
+from beamloom.cli.admin_access import AdminAccess
 from beamloom.cli.output import FormatFlag, OutputFormat, write_line, write_rows
 from beamloom.cli.platform_access import PlatformAccess, PlatformSession, open_platform
+from beamloom.cli.waiting import WaitFlags, make_waiter, tell_in_force
 from beamloom.platform.errors import WatchGoneError
 from beamloom.platform.operator import AcceptedWrite
 from beamloom.platform.wire import ChangeBatch
@@ -77,26 +79,44 @@
 
 @settings_app.command(name="set")
 async def set_value(
-    name: Name, value: Value, /, *, at: At = "global", access: PlatformAccess | None = None
+    name: Name,
+    value: Value,
+    /,
+    *,
+    at: At = "global",
+    access: PlatformAccess | None = None,
+    admin: AdminAccess | None = None,
+    wait: WaitFlags | None = None,
 ) -> None:
     """Set a value at a scope; it applies to everything beneath that does not set its own."""
     scope = Scope.parse(at)
     declaration = find_declaration(name)
     declaration.require_level(scope.level)
     checked = declaration.parse(value)
+    waiter = make_waiter(admin, wait)
     async with open_platform(access) as session:
         await _require_owner(session, scope)
         accepted = await _edit(session, scope, lambda values: {**values, name: checked})
     write_line(f"{name} = {checked} at {scope} accepted at revision {accepted.revision}")
+    await tell_in_force(accepted, waiter)
 
 
 @settings_app.command
-async def unset(name: Name, /, *, at: At = "global", access: PlatformAccess | None = None) -> None:
+async def unset(
+    name: Name,
+    /,
+    *,
+    at: At = "global",
+    access: PlatformAccess | None = None,
+    admin: AdminAccess | None = None,
+    wait: WaitFlags | None = None,
+) -> None:
     """Remove a value from a scope, so that it is inherited again.
 
     A name that this version does not know can be removed too.
     """
     scope = Scope.parse(at)
+    waiter = make_waiter(admin, wait)
     async with open_platform(access) as session:
         found = (await session.client.read(scope.object_key)).found
         if found is None or name not in _values_of(found.value):
@@ -105,6 +125,7 @@
             return
         accepted = await _edit(session, scope, lambda values: _without(values, name))
     write_line(f"{name} at {scope} removed at revision {accepted.revision}")
+    await tell_in_force(accepted, waiter)
 
 
 @settings_app.command
--- a/tests/functional/test_object_commands.py
+++ b/tests/functional/test_object_commands.py
@@ -95,6 +95,10 @@
         self.assertIn("in force on every node (2)", output)
         newest = second.balancer.core.revision_in_force
         self.assertIn(f"accepted at revision {newest}", output)
+        values = ("settings", "set", "flow.idle_timeout", "60")
+        self.assertIn("in force on every node", (await self.write(*values, *waiting))[1])
+        unset = ("settings", "unset", "flow.idle_timeout")
+        self.assertIn("in force on every node", (await self.write(*unset, *waiting))[1])
         second.balancer.close()
         short = ("--wait", "--wait-seconds", "0.5", *self.admin(first))
         status, output, errors = await self.write("tenant", "create", "u", *short)
