--- a/src/beamloom/cli/load.py
+++ b/src/beamloom/cli/load.py
@@ -14,6 +14,7 @@
 from beamloom.cli.flags import AddressText, parse_address, parse_virtual_address
 from beamloom.cli.output import FormatFlag, OutputFormat, write_json, write_rows
 from beamloom.demo.run import example_deployment
+from beamloom.standins.client_model import Outcome
 from beamloom.standins.load import LoadResult, run_load
 from beamloom.standins.load_profiles import ProfileName
 from beamloom.world.addresses import TransportProtocol, VirtualAddress
@@ -44,7 +45,7 @@
 ) -> ExitStatus:
     """Open flows as one of the users' clients do, and say what became of them.
 
-    Exit status: 1 when an established flow broke.
+    Exit status: 1 when an established flow broke, or no flow was answered at all.
     """
     services = example_services(profile) | dict(map(_named_service, service))
     result = await run_load(
@@ -54,7 +55,8 @@
         write_json(result.to_json())
     else:
         write_rows(COLUMNS, _load_rows(result), output_format)
-    return ExitStatus.FAILED if result.broken_flows else ExitStatus.GOOD
+    answered = result.outcomes[Outcome.ANSWERED.value]
+    return ExitStatus.FAILED if result.broken_flows or not answered else ExitStatus.GOOD
 
 
 @bench_app.command
--- a/src/beamloom/runtime/balancer.py
+++ b/src/beamloom/runtime/balancer.py
@@ -73,7 +73,10 @@
 
     def ask_in_force(self, revision: int) -> None:
         """Let the node find out where a revision is in force; the core's fleet status tells."""
-        self._carry_out(self.core.ask_in_force(revision, self._now()))
+        try:
+            self._carry_out(self.core.ask_in_force(revision, self._now()))
+        except Exception as error:
+            self._break(error)
 
     def request_stop(self) -> None:
         """Begin a planned stop; `stopped` is set once it is complete."""
--- a/tests/functional/node_case.py
+++ b/tests/functional/node_case.py
@@ -37,7 +37,7 @@
 token_file = "platform.token"
 
 [fleet]
-key_files = ["fleet.key"]
+key_files = {keys}
 hash_key_file = "hash.key"
 seeds = {seeds}
 
@@ -56,6 +56,8 @@
 class NodeTestCase(PlatformTestCase):
     """A folder of settings, key and token files; nodes are closed at the end of a test."""
 
+    key_files: tuple[str, ...] = ("fleet.key",)
+
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         # Debug mode writes slow callbacks to standard error, where commands' errors are looked for.
@@ -90,6 +92,7 @@
             node=node,
             data=data,
             admin=admin,
+            keys=list(self.key_files),
             seeds=[str(seed) for seed in seeds],
             platform=platform or f"http://{self.address}",
         )
@@ -109,11 +112,13 @@
     async def start_two(self) -> tuple[NodeProcess, NodeProcess]:
         first = await self.start_node("one")
         second = await self.start_node("two", control_address(first))
-        for node in (first, second):
-            await self.eventually(lambda node=node: node.readiness().ready)  # type: ignore[misc]
-            await self.eventually(lambda node=node: homes(node) == 2)  # type: ignore[misc]
+        await self.eventually(lambda: first.readiness().ready and second.readiness().ready)
+        await self.eventually(lambda: homes(first) == homes(second) == 2)
         return first, second
 
+    async def wait_in_force(self, node: NodeProcess, revision: int) -> None:
+        await self.eventually(lambda: node.balancer.core.revision_in_force >= revision)
+
     async def get(
         self, node: NodeProcess, path: str, token: str | None = ADMIN_TOKEN
     ) -> tuple[int, str]:
--- a/tests/functional/test_node_process.py
+++ b/tests/functional/test_node_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from pathlib import Path
 from unittest import mock
 
 from beamloom.platform.errors import PlatformError
@@ -20,6 +21,7 @@
 from beamloom.world.addresses import SocketAddress
 from tests.functional.node_case import FLEET_KEY, NodeTestCase
 
+ROOT = Path(__file__).resolve().parents[2]
 FREE_BACKEND = "127.0.0.1:9"
 FLOW = "client=198.18.0.1:1024&service=10.0.0.1:80"
 ANYWHERE = SocketAddress("127.0.0.1", 9)
@@ -99,7 +101,7 @@
         values = {"values": {"flow.idle_timeout": 60.0}}
         revision = await self.client.write("settings/tenant/t", values, 0)
         first, second = await self.start_two()
-        await self.eventually(lambda: second.balancer.core.replica.applied_revision >= revision)
+        await self.wait_in_force(second, revision)
         status = json.loads((await self.get(second, "/v1/status"))[1])
         self.assertEqual(status["members"], {"alive": sorted([first.node_id, second.node_id])})
         self.assertEqual(status["problems"], [])
@@ -145,6 +147,15 @@
             self.assertEqual((await self.get(node, "/metrics"))[0], 500)
         self.assertEqual(node.balancer.faults.counts[FaultSource.ADMIN_REQUEST], 1)
 
+    async def test_operators_page_names_every_metric(self) -> None:
+        node = await self.start_node("one")
+        text = (await self.get(node, "/metrics"))[1]
+        names = {line.split()[2] for line in text.splitlines() if line.startswith("# TYPE")}
+        page = (ROOT / "docs/operators/running.md").read_text(encoding="utf-8")
+        bare = {name.removeprefix("beamloom_").removesuffix("_total") for name in names}
+        self.assertEqual({name for name in bare if f"`{name}`" not in page}, set())
+        self.assertGreater(len(bare), 40)
+
 
 class FaultTest(NodeTestCase):
     async def test_packet_and_control_faults_are_dropped_and_counted(self) -> None:
@@ -209,6 +220,22 @@
             node.request_stop()
             self.assertEqual(await running, 1)
 
+    async def test_keys_rotate_round_by_round_while_nodes_talk(self) -> None:
+        old, new = FLEET_KEY, bytes(40)
+        (self.folder / "next.key").write_bytes(old)
+        self.key_files = ("fleet.key", "next.key")
+        nodes = await self.start_two()
+        for number, contents in enumerate(((old, new), (new, old), (new, new))):
+            for name, content in zip(self.key_files, contents, strict=True):
+                (self.folder / name).write_bytes(content)
+            for node in nodes:
+                node.reload_keys()
+                newest = await self.client.write(f"tenant/{number}{node.node_id}", {}, 0)
+                for other in nodes:
+                    await self.wait_in_force(other, newest)
+        for node in nodes:
+            self.assertEqual(node.balancer.core.channel.counters["authentication"], 0)
+
     async def test_keys_rotate_without_a_restart_and_bad_files_change_nothing(self) -> None:
         node = await self.start_node("one")
         channel = node.balancer.core.channel
--- a/tests/functional/test_object_commands.py
+++ b/tests/functional/test_object_commands.py
@@ -111,7 +111,7 @@
         node = await self.start_node("one")
         await self.create_all()
         newest = self.store.revision
-        await self.eventually(lambda: node.balancer.core.revision_in_force >= newest)
+        await self.wait_in_force(node, newest)
         status, output, _ = await self.ask(node, "status", "--format=json", f"--revision={newest}")
         answer = json.loads(output)
         self.assertEqual((status, answer["in_force"]["everywhere"]), (0, True))
