Let limits, retry budgets and observed health decide at the home

Cause: routing's hooks stood on permissive defaults; nothing refused, nothing knew a dead backend. Conclusion: every component is joined into the core.

--- a/src/beamloom/node/core.py
+++ b/src/beamloom/node/core.py
@@ -10,10 +10,12 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from beamloom.admission.limits import TenantAdmission
 from beamloom.membership.core import MembershipCore
 from beamloom.node.configuration_follower import ConfigurationFollower
 from beamloom.node.control_channel import ControlChannel
 from beamloom.node.errors import UnknownEventError
+from beamloom.node.neighbours import ClientRefusals, ObservedHealth, PacketMetering, TenantGate
 from beamloom.node.options import NodeOptions
 from beamloom.protocol.commands import Command, StopNode
 from beamloom.protocol.events import (
@@ -26,10 +28,13 @@
     TimerExpired,
 )
 from beamloom.protocol.messages import Message
+from beamloom.replication.backend_status.watchers import BackendWatchers
 from beamloom.replication.configuration_replica import ConfigurationReplica
 from beamloom.replication.fleet_status import FleetStatus
 from beamloom.replication.reader_election import ReaderElection
 from beamloom.routing.forwarder import Forwarder
+from beamloom.routing.hooks import RoutingHooks
+from beamloom.settings.configuration_changes import ConfigurationDelta
 from beamloom.world.addresses import SocketAddress
 from beamloom.world.machines import MemberState, NodeId
 
@@ -59,7 +64,13 @@
         self.replica = ConfigurationReplica(node_id, chance, now)
         self.election = ReaderElection(node_id, self.replica, chance, itertools.count(1))
         self.fleet_status = FleetStatus(node_id, lambda: self.replica.applied_revision, chance, now)
-        self.forwarder = Forwarder(machine, options.hash_key, options.gateways)
+        self.watchers = BackendWatchers(node_id, chance, now)
+        self.admission = TenantAdmission(options.table_capacity, now)
+        self._gate = TenantGate(self.admission)
+        self._health = ObservedHealth(self.watchers, now)
+        self._metering = PacketMetering(self.admission)
+        hooks = RoutingHooks(self._gate, ClientRefusals(), self._health)
+        self.forwarder = Forwarder(machine, options.hash_key, options.gateways, hooks)
         self.channel = ControlChannel(
             node_id,
             options.fleet_keys,
@@ -73,6 +84,7 @@
             self.membership,
             self.replica,
             self.fleet_status,
+            self.watchers,
             self.forwarder,
         )
         self._view_version = -1
@@ -144,7 +156,7 @@
             case MachinesListed(live, leaving):
                 return self.membership.machines_listed(live, leaving, now)
             case BackendChecked():
-                return []
+                return self.watchers.backend_checked(event, now)
             case StopRequested():
                 return self._begin_stop(now)
             case StoreAnswer():
@@ -153,7 +165,8 @@
                 raise UnknownEventError(event)
 
     def _poll(self, now: float) -> list[Command]:
-        commands: list[Command] = []
+        self._health.now = now
+        commands = self._metering.poll(self.forwarder.routes.meters, now)
         for component in self._components:
             due = component.next_timer()
             if due is not None and due <= now:
@@ -196,20 +209,33 @@
         answering = [member for member in members if member.answers]
         self.replica.update_members(answering, now)
         self.fleet_status.update_members(answering, now)
+        self.watchers.update_members(answering, now)
         self.forwarder.update_members(answering, now)
+        homes = sum(member.may_be_home for member in answering)
+        self.admission.update_share(1.0 / max(1, homes), homes, now)
         return self.election.update_members(answering, now)
 
     def _follow_configuration(self, now: float) -> list[Command]:
         delta = self._follower.catch_up()
         if delta is not None:
-            removed = [service.service_number for service in delta.services_removed]
-            self.forwarder.update_services(delta.services_changed, removed)
-            self.fleet_status.revision_applied(now)
+            self._put_in_force(delta, now)
         own = self.membership.view.member(self.options.machine.node_id)
         if self.replica.ready and own is not None and own.state is MemberState.JOINING:
             return self.membership.become_alive(now)
         return []
 
+    def _put_in_force(self, delta: ConfigurationDelta, now: float) -> None:
+        configuration = self._follower.configuration
+        if delta.tenants_changed or delta.tenants_removed:
+            self.admission.update_contracts(configuration.tenants.values(), now)
+        if delta.services_changed or delta.services_removed:
+            self.watchers.update_backends(configuration.services.values(), now)
+        removed = delta.services_removed
+        self._gate.forget_services(service.service_id for service in removed)
+        removed_numbers = [service.service_number for service in removed]
+        self.forwarder.update_services(delta.services_changed, removed_numbers, now)
+        self.fleet_status.revision_applied(now)
+
     def _complete_stop(self, now: float) -> list[Command]:
         if self._stop_by is None or self._stopped:
             return []
--- /dev/null
+++ b/src/beamloom/node/neighbours.py
@@ -0,0 +1,131 @@
+"""What routing asks of its siblings, answered by admission and by the watchers of backends."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from beamloom.admission.limits import (
+    AdmissionDecision,
+    TenantAccount,
+    TenantAdmission,
+    UnknownTenantError,
+)
+from beamloom.admission.refusal import RefusalError, RefusalReason, build_refusal
+from beamloom.admission.retry_budget import RetryBudget
+from beamloom.protocol.commands import Command
+from beamloom.replication.backend_status.watchers import BackendWatchers, UnknownBackendError
+from beamloom.routing.hooks import FlowVerdict, TrafficMeter
+from beamloom.world.contracts import BackendOperatingStatus, ServiceContract
+
+
+class TenantGate:
+    """Routing's `AdmissionGate`: limits by tenant, retry budgets by service."""
+
+    def __init__(self, admission: TenantAdmission) -> None:
+        self._admission = admission
+        self._retries: dict[str, RetryBudget] = {}
+
+    def admit_flow(self, service: ServiceContract, now: float) -> FlowVerdict:
+        """Decide on one new flow; a tenant without a contract yet is not limited."""
+        self._budget(service).record_first_try(now)
+        try:
+            answer = self._admission.admit_flow(service.tenant, now)
+        except UnknownTenantError:
+            return FlowVerdict(admitted=True)
+        admitted = answer.decision is AdmissionDecision.ADMIT
+        if admitted:
+            self._admission.entry_added(service.tenant)
+        return FlowVerdict(admitted, answer.retry_after)
+
+    def flow_taken_over(self, service: ServiceContract) -> None:
+        """Count as open a flow that was admitted earlier or elsewhere."""
+        try:
+            self._admission.flow_taken_over(service.tenant)
+            self._admission.entry_added(service.tenant)
+        except UnknownTenantError:
+            return
+
+    def flow_ended(self, service: ServiceContract) -> None:
+        """Count an open flow as ended, or as another home's."""
+        self._admission.flow_closed(service.tenant)
+        self._admission.entry_removed(service.tenant)
+
+    def take_retry(self, service: ServiceContract, now: float) -> bool:
+        """Return whether a refused flow may be offered to a second backend."""
+        return self._budget(service).take_retry(now)
+
+    def forget_services(self, service_ids: Iterable[str]) -> None:
+        """Drop the retry budgets of services that are gone."""
+        for service_id in service_ids:
+            self._retries.pop(service_id, None)
+
+    def _budget(self, service: ServiceContract) -> RetryBudget:
+        budget = self._retries.get(service.service_id)
+        if budget is None:
+            budget = self._retries[service.service_id] = RetryBudget(0.0)
+        budget.ratio = service.policy.retry_budget_ratio
+        return budget
+
+
+class ClientRefusals:
+    """Routing's `RefusalBuilder`: resets with a time to come back, or ICMP errors."""
+
+    def build(self, packet: bytes, retry_after: float, no_backend: bool) -> bytes | None:
+        """Return the answer to a flow's first packet, or None to stay silent."""
+        reason = RefusalReason.NO_BACKEND if no_backend else RefusalReason.PROHIBITED
+        try:
+            return build_refusal(packet, retry_after, reason)
+        except RefusalError:
+            return None
+
+
+class ObservedHealth:
+    """Routing's `BackendHealth`; `now` is the time of the latest tick of the core."""
+
+    def __init__(self, watchers: BackendWatchers, now: float) -> None:
+        self._watchers = watchers
+        self.now = now
+
+    def status(self, backend_number: int) -> BackendOperatingStatus:
+        """Return the operating status; a backend that no contract names yet is unknown."""
+        try:
+            return self._watchers.status(backend_number, self.now).status
+        except UnknownBackendError:
+            return BackendOperatingStatus.UNKNOWN
+
+    def weight_factor(self, backend_number: int) -> float:
+        """Return the factor, 0 to 1, on a backend's share."""
+        try:
+            return self._watchers.status(backend_number, self.now).weight_factor
+        except UnknownBackendError:
+            return 1.0
+
+
+class PacketMetering:
+    """Compares what routing counted with the tenants' packet limits, and blocks what is over.
+
+    Between two polls a tenant may exceed its rate; the excess is taken from what comes next.
+    """
+
+    def __init__(self, admission: TenantAdmission) -> None:
+        self._admission = admission
+        self._counted: dict[str, int] = {}
+
+    def poll(self, meters: dict[str, TrafficMeter], now: float) -> list[Command]:
+        """Refill the limits and set each meter's `blocked`."""
+        commands = self._admission.poll(now)
+        for tenant, meter in meters.items():
+            used = meter.packets - self._counted.get(tenant, 0)
+            self._counted[tenant] = meter.packets
+            try:
+                account = self._admission.account(tenant)
+            except UnknownTenantError:
+                continue
+            meter.blocked = _charge(account, used)
+        return commands
+
+
+def _charge(account: TenantAccount, used: int) -> bool:
+    """Take used packets from an account; return whether nothing is left."""
+    account.packets_left -= used
+    return account.packets_left <= 0
--- a/src/beamloom/node/options.py
+++ b/src/beamloom/node/options.py
@@ -10,6 +10,7 @@
 from beamloom.world.machines import Machine
 
 DEFAULT_CONTROL_BYTES_PER_SECOND = 4096
+DEFAULT_TABLE_CAPACITY = 1_000_000
 DEFAULT_STOP_TIMEOUT_SECONDS = 60.0
 
 
@@ -18,6 +19,7 @@
     """Who the node is, whom it may ask first, its keys, its gateways and its budget.
 
     `hash_key` must be the same on every node; `seed` feeds the node's own random choices.
+    `table_capacity` is the number of flows that the node's flow table may hold.
     """
 
     machine: Machine
@@ -26,6 +28,7 @@
     hash_key: bytes
     gateways: tuple[SocketAddress, ...]
     seed: int | str
+    table_capacity: int = DEFAULT_TABLE_CAPACITY
     control_bytes_per_second: int = DEFAULT_CONTROL_BYTES_PER_SECOND
     stop_timeout: float = DEFAULT_STOP_TIMEOUT_SECONDS
     membership: MembershipSettings = field(default_factory=MembershipSettings)
