Mend what fuzzing found in ownership; drop stale replicas; split the forwarder

Cause: two nodes that joined at once could own a partition beside its owner (each took the other's 'not mine' for 'nobody's'); after a crash a retransmitted SYN could go to a second backend; records left over from a base that had moved stayed at holders; holders never dropped what they need not hold; flows of a removed backend were never counted as ended; a bad BindFlow could raise later. Change: newcomers say so and the next node in order is asked; an opening packet goes to the base's backend for 15 s after a crash; waiting records of a moved base are withdrawn; replicas are swept; flows of lost backends are ended; BindFlow is checked. Answers and explanations are own modules.

--- a/src/beamloom/protocol/flow_messages.py
+++ b/src/beamloom/protocol/flow_messages.py
@@ -43,11 +43,15 @@
 
 
 class OwnershipStatus(IntEnum):
-    """How a node stands to a partition that another asks for."""
+    """How a node stands to a partition that another asks for.
+
+    NOBODY: no living node owns it, says one that would know. NEWCOMER: this node cannot tell.
+    """
 
     OWNER = 0
     ELSEWHERE = 1
     NOBODY = 2
+    NEWCOMER = 3
 
 
 def pack_records(records: Iterable[FlowRecord]) -> bytes:
@@ -62,6 +66,13 @@
     return [FlowRecord(key, number) for key, number in RECORD.iter_unpack(packed)]
 
 
+def check_record(key: object, backend_number: object) -> None:
+    """Raise MalformedDatagramError unless both numbers fit into a record."""
+    fits = isinstance(key, int) and 0 <= key < 1 << 64
+    if not fits or not isinstance(backend_number, int) or not 0 <= backend_number < 1 << 32:
+        raise MalformedDatagramError("a flow key or backend number is out of range")
+
+
 @register_message(40, Priority.CACHE)
 @dataclass(frozen=True, slots=True)
 class CacheAnswers(Message):
--- a/src/beamloom/protocol/partition_sets.py
+++ b/src/beamloom/protocol/partition_sets.py
@@ -9,6 +9,8 @@
 import struct
 from collections.abc import Iterable, Iterator, Sequence
 
+import numpy as np
+
 from beamloom.protocol.errors import MalformedDatagramError
 
 LIST_FORMAT = 0
@@ -53,8 +55,8 @@
         partitions = [number for (number,) in _NUMBER.iter_unpack(body)]
     elif packed[0] == BITMAP_FORMAT and len(body) >= 2:
         first = _NUMBER.unpack_from(body)[0]
-        bits = int.from_bytes(body[2:], "little")
-        partitions = [first + offset for offset in range(bits.bit_length()) if bits >> offset & 1]
+        bits = np.unpackbits(np.frombuffer(body, np.uint8, offset=2), bitorder="little")
+        partitions = (first + np.flatnonzero(bits)).tolist()
     else:
         raise MalformedDatagramError("a partition set has an unknown format")
     if any(partition >= limit for partition in partitions):
--- a/src/beamloom/routing/deciding.py
+++ b/src/beamloom/routing/deciding.py
@@ -168,7 +168,7 @@
         if not verdict.admitted:
             refusal = self._hooks.refusals.build(packet.data, verdict.retry_after, False)
             return Decision(refusal=refusal, drop=DropReason.REFUSED)
-        choice = self._home.choose(packet.key, packet.service)
+        choice = self._home.choose(packet.key, packet.service, now)
         if choice.backend_number == NO_CANDIDATE:
             self._hooks.admission.flow_ended(contract)
             refusal = self._hooks.refusals.build(packet.data, verdict.retry_after, True)
@@ -272,7 +272,7 @@
         if self._table.flags[row] & (FlowFlag.PAYLOAD_SENT | FlowFlag.HELD):
             return None
         opening = self._openings.take(key)
-        choice = self._home.choose(key, service, excluded=self._table.backend[row])
+        choice = self._home.choose(key, service, now, excluded=self._table.backend[row])
         if opening is None or choice.backend_number == NO_CANDIDATE:
             return None
         if not self._hooks.admission.take_retry(service.contract, now):
--- a/src/beamloom/routing/explanation.py
+++ b/src/beamloom/routing/explanation.py
@@ -5,6 +5,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from beamloom.routing.flow_table import FlowFlag
+from beamloom.routing.hashing import partition_of
+from beamloom.routing.home import Home
+from beamloom.routing.packet import FlowTuple
+from beamloom.routing.replicas import ReplicaStore
 from beamloom.routing.selection import PlacementReason
 from beamloom.world.machines import NodeId
 
@@ -53,3 +58,59 @@
     bindings_waiting: int
     open_flows: dict[int, int]
     counters: dict[str, int]
+
+
+class Explainer:
+    """Answers what one node knows of a flow."""
+
+    def __init__(self, home: Home, replicas: ReplicaStore) -> None:
+        self._home = home
+        self._replicas = replicas
+
+    def explain(self, key: int, flow: FlowTuple) -> FlowExplanation:
+        """Return what is known of a flow whose key is `key`."""
+        service = self._home.routes.by_destination.get(flow.destination_key)
+        service_id = None if service is None else service.contract.service_id
+        row = self._home.table.rows.get(key)
+        if row is not None:
+            return self._explain_row(key, row, service_id)
+        partition = partition_of(key)
+        decider = self._home.ownership.deciders[partition]
+        held = self._replicas.get(partition)
+        number = None if held is None else held.records.get(key)
+        if held is None or number is None:
+            return FlowExplanation(service_id, partition, FlowRole.NONE, decider)
+        return FlowExplanation(
+            service_id,
+            partition,
+            FlowRole.REPLICA,
+            decider,
+            self._backend_id(number),
+            reason=PlacementReason.REPLICA,
+            is_exception=True,
+            base_revision=held.base,
+        )
+
+    def _explain_row(self, key: int, row: int, service_id: str | None) -> FlowExplanation:
+        table, ownership = self._home.table, self._home.ownership
+        partition = partition_of(key)
+        is_home = bool(table.flags[row] & FlowFlag.HOME)
+        owned = ownership.owned.get(partition)
+        found = self._home.exceptions.get(partition, {}).get(key)
+        reason = PlacementReason.BASE_GENERATION if found is None else found
+        return FlowExplanation(
+            service_id,
+            partition,
+            FlowRole.HOME if is_home else FlowRole.CACHED,
+            ownership.deciders[partition],
+            self._backend_id(table.backend[row]),
+            table.created[row],
+            reason if is_home else PlacementReason.CACHED_ANSWER,
+            found is not None,
+            None if owned is None else owned.base,
+            None if is_home else table.deadline[row],
+        )
+
+    def _backend_id(self, number: int) -> str | None:
+        route = self._home.routes.backends.get(number)
+        return None if route is None else route.backend.backend_id
--- a/src/beamloom/routing/flow_table.py
+++ b/src/beamloom/routing/flow_table.py
@@ -97,6 +97,12 @@
         pairs = ((self._keys[row], row) for row in found)
         return [(key, row) for key, row in pairs if self.rows.get(key) == row]
 
+    def keys_with_backends(self, numbers: Iterable[int]) -> list[int]:
+        """Return the keys of the flows that go to some backends, by one scan of the columns."""
+        column = np.array(self.backend, dtype=np.uint32)
+        found = np.flatnonzero(np.isin(column, np.array(list(numbers), dtype=np.uint32)))
+        return [self._keys[row] for row in found if self.rows.get(self._keys[row]) == row]
+
     def expired(self, now: float) -> list[int]:
         """Look at the next rows in turn and return the keys of those whose deadline passed.
 
--- a/src/beamloom/routing/forwarder.py
+++ b/src/beamloom/routing/forwarder.py
@@ -16,17 +16,17 @@
 from beamloom.protocol.commands import Command, LocalSocket, SendMessage, SendPacket
 from beamloom.protocol.errors import ProtocolError
 from beamloom.protocol.flow_messages import (
-    RECORDS_PER_MESSAGE,
     BindAcknowledged,
     BindFlow,
     CacheAnswers,
     FlowRecord,
-    pack_records,
+    check_record,
     unpack_records,
 )
 from beamloom.protocol.messages import Message
+from beamloom.routing.answers import AnswerBatches
 from beamloom.routing.deciding import Deciding, FlowPacket
-from beamloom.routing.explanation import FlowExplanation, FlowRole, RoutingSnapshot
+from beamloom.routing.explanation import Explainer, FlowExplanation, RoutingSnapshot
 from beamloom.routing.flow_table import FlowFlag, FlowTable
 from beamloom.routing.hashing import (
     FLOW_KEY_MASK,
@@ -54,14 +54,12 @@
 )
 from beamloom.routing.replica_sender import ReplicaSender
 from beamloom.routing.replicas import ReplicaStore
-from beamloom.routing.selection import PlacementReason
 from beamloom.routing.services import RouteTable, ServiceRoute
 from beamloom.routing.transfers import Transfers
 from beamloom.world.addresses import SocketAddress
 from beamloom.world.contracts import ServiceContract
 from beamloom.world.machines import Machine, Member, NodeId
 
-ANSWER_BATCH_SECONDS = 0.2
 TICK_SECONDS = 0.1
 RELAY_HOPS = 6
 RELAY_HOPS_OF_ANSWERS = 255
@@ -107,14 +105,14 @@
         self.home.listeners.extend((self._sender, self._transfers))
         self._deciding = Deciding(self.home, self._sender, self._transfers, self.counters)
         self._awaiting = AwaitingPackets()
+        self._explainer = Explainer(self.home, self.replicas)
+        self._answers = AnswerBatches()
         self._gateways = tuple(gateways)
         self._seeds = {
             protocol: flow_seed(hash_key, protocol) for protocol in (PROTOCOL_TCP, PROTOCOL_UDP)
         }
         self._peers: dict[SocketAddress, NodeId] = {}
         self._commands: list[Command] = []
-        self._answers: dict[NodeId, list[FlowRecord]] = {}
-        self._answers_due: float | None = None
         self._tick_due = 0.0
         self._leave_complete = False
 
@@ -124,6 +122,10 @@
         self, changed: Sequence[ServiceContract], removed: Sequence[int], now: float = 0.0
     ) -> None:
         """Put configuration changes in force; `removed` holds service numbers."""
+        lost = self.routes.numbers_lost(changed, removed)
+        if lost:
+            for key in self.table.keys_with_backends(lost):
+                self.home.forget(key)
         self.routes.update(changed)
         for service_number in removed:
             self.routes.remove(service_number)
@@ -188,7 +190,9 @@
         if row is None or route is None:
             return None
         service, flags = route.service, table.flags[row]
-        if service.destination_key != hash_input[4:8] + hash_input[10:12] + data[9:10]:
+        if hash_input[10:] != service.port_bytes or hash_input[4:8] != service.ip_bytes:
+            return None
+        if protocol != service.protocol:
             return None
         meter = service.meter
         if meter.blocked or flags & _FAST_MASK != _PAYLOAD_SENT:
@@ -309,7 +313,7 @@
             return None
         if packet.relay is not None and not (packet.view.opens_flow or packet.view.closes_flow):
             self._deciding.payload_may_be_sent(packet.key)
-            self._queue_answer(packet.relay, FlowRecord(packet.key, number), now)
+            self._answers.put(packet.relay, FlowRecord(packet.key, number), now)
         return self.routes.backends[number].address
 
     def _send_to_client(self, key: int, packet: bytes) -> None:
@@ -345,11 +349,6 @@
 
     # -- messages and timers -------------------------------------------------------------------
 
-    def _queue_answer(self, relay: NodeId, record: FlowRecord, now: float) -> None:
-        self._answers.setdefault(relay, []).append(record)
-        if self._answers_due is None:
-            self._answers_due = now + ANSWER_BATCH_SECONDS
-
     def handle_message(self, sender: NodeId, message: Message, now: float) -> list[Command]:
         """Take one message about flows; kinds of other components are ignored."""
         try:
@@ -357,6 +356,7 @@
                 case CacheAnswers(packed_records):
                     self._take_cache_answers(sender, packed_records, now)
                 case BindFlow(key, number):
+                    check_record(key, number)
                     self.replicas.put(sender, partition_of(key), key, number)
                     return [SendMessage(sender, BindAcknowledged(key, number))]
                 case BindAcknowledged(key, number):
@@ -378,9 +378,7 @@
 
     def poll(self, now: float) -> list[Command]:
         """Do what is due: answers, replicas, transfers, bindings, entries that have ended."""
-        commands: list[Command] = []
-        if self._answers_due is not None and self._answers_due <= now:
-            commands.extend(self._flush_answers())
+        commands = self._answers.poll(now)
         if self._tick_due <= now:
             self._tick_due = now + TICK_SECONDS
             for key in self.table.expired(now):
@@ -391,74 +389,15 @@
             self._leave_complete = self.ownership.leaving and self._transfers.nothing_left(now)
         return commands + self.take_commands()
 
-    def _flush_answers(self) -> list[Command]:
-        commands: list[Command] = []
-        for relay, records in self._answers.items():
-            for start in range(0, len(records), RECORDS_PER_MESSAGE):
-                part = records[start : start + RECORDS_PER_MESSAGE]
-                commands.append(SendMessage(relay, CacheAnswers(pack_records(part))))
-        self._answers = {}
-        self._answers_due = None
-        return commands
-
     def next_timer(self) -> float | None:
         """Return when `poll` has something to do."""
-        if self._answers_due is None:
-            return self._tick_due
-        return min(self._answers_due, self._tick_due)
+        return min(self._answers.next_timer() or self._tick_due, self._tick_due)
 
     # -- explanations --------------------------------------------------------------------------
 
     def explain(self, flow: FlowTuple) -> FlowExplanation:
         """Return what this node knows of a flow, given from the client's side."""
-        key = self._key(flow)
-        partition = partition_of(key)
-        service = self.routes.by_destination.get(flow.destination_key)
-        service_id = None if service is None else service.contract.service_id
-        decider = self.ownership.deciders[partition]
-        row = self.table.rows.get(key)
-        if row is not None:
-            return self._explain_row(key, row, service_id, decider)
-        held = self.replicas.get(partition)
-        number = None if held is None else held.records.get(key)
-        if held is None or number is None:
-            return FlowExplanation(service_id, partition, FlowRole.NONE, decider)
-        backend_id = self._backend_id(number)
-        return FlowExplanation(
-            service_id,
-            partition,
-            FlowRole.REPLICA,
-            decider,
-            backend_id,
-            reason=PlacementReason.REPLICA,
-            is_exception=True,
-            base_revision=held.base,
-        )
-
-    def _explain_row(
-        self, key: int, row: int, service_id: str | None, decider: NodeId | None
-    ) -> FlowExplanation:
-        partition = partition_of(key)
-        is_home = bool(self.table.flags[row] & _HOME)
-        owned = self.ownership.owned.get(partition)
-        found = self.home.exceptions.get(partition, {}).get(key)
-        reason = PlacementReason.BASE_GENERATION if found is None else found
-        return FlowExplanation(
-            service_id,
-            partition,
-            FlowRole.HOME if is_home else FlowRole.CACHED,
-            decider,
-            self._backend_id(self.table.backend[row]),
-            self.table.created[row],
-            reason if is_home else PlacementReason.CACHED_ANSWER,
-            found is not None,
-            None if owned is None else owned.base,
-            None if is_home else self.table.deadline[row],
-        )
-
-    def _backend_id(self, number: int) -> str | None:
-        route = self.routes.backends.get(number)
-        return None if route is None else route.backend.backend_id
+        return self._explainer.explain(self._key(flow), flow)
 
     def snapshot(self) -> RoutingSnapshot:
         """Return counts of this forwarder's state."""
--- a/src/beamloom/routing/home.py
+++ b/src/beamloom/routing/home.py
@@ -12,7 +12,7 @@
 from beamloom.routing.flow_table import FlowFlag, FlowTable
 from beamloom.routing.hashing import partition_of, slot_of
 from beamloom.routing.hooks import RoutingHooks
-from beamloom.routing.ownership import Acquisition, Ownership
+from beamloom.routing.ownership import GRACE_SECONDS, Acquisition, Ownership
 from beamloom.routing.placement import NO_CANDIDATE
 from beamloom.routing.selection import Choice, PlacementReason, choose_backend
 from beamloom.routing.services import RouteTable, ServiceRoute
@@ -86,9 +86,28 @@
         self.hooks.admission.flow_taken_over(service.contract)
         return self.enter(key, choice, service, FlowFlag.PAYLOAD_SENT, now)
 
-    def choose(self, key: int, service: ServiceRoute, excluded: int = NO_CANDIDATE) -> Choice:
-        """Choose the backend of a new flow."""
-        return choose_backend(service, slot_of(key), self.routes, self.hooks.health, excluded)
+    def choose(
+        self, key: int, service: ServiceRoute, now: float, excluded: int = NO_CANDIDATE
+    ) -> Choice:
+        """Choose the backend of a new flow.
+
+        For a while after a crash the base's backend comes first: the dead home most likely placed
+        a flow there whose SYN is retransmitted now.
+        """
+        owned = self.ownership.owned[partition_of(key)]
+        crashed = owned.acquisition is Acquisition.CRASH
+        recent = crashed and now - owned.since < GRACE_SECONDS
+        preferred = self.base_backend(service, key) if recent else NO_CANDIDATE
+        if preferred == excluded:
+            preferred = NO_CANDIDATE
+        return choose_backend(
+            service,
+            slot_of(key),
+            self.routes,
+            self.hooks.health,
+            excluded=excluded,
+            preferred=preferred,
+        )
 
     def enter(self, key: int, choice: Choice, service: ServiceRoute, flags: int, now: float) -> int:
         """Enter a flow at its home and return its row."""
@@ -164,11 +183,11 @@
         for partition in partitions:
             self.exceptions.pop(partition, None)
 
-    def move_bases(self, partitions: Iterable[int], now: float) -> list[int]:
+    def move_bases(self, partitions: Iterable[int], now: float) -> dict[int, set[int]]:
         """Move bases to the current revision where every live flow is known.
 
-        Only where that leaves no more exceptions than before. Returns the partitions moved; their
-        replicas must be sent anew.
+        Only where that leaves no more exceptions than before. Returns the partitions moved,
+        each with the keys that are exceptions no more; their replicas must be sent anew.
         """
         services = list(self.routes.by_service_number.values())
         ready = [
@@ -178,13 +197,15 @@
             and all(self.knows_every_flow(service, partition, now) for service in services)
         ]
         if not ready:
-            return []
+            return {}
         flows: dict[int, list[tuple[int, int]]] = {partition: [] for partition in ready}
         for key, row in self.table.rows_in(ready):
             flows[partition_of(key)].append((key, row))
-        return [item for item in ready if self._move_base(item, flows[item])]
+        moved = {item: self._move_base(item, flows[item]) for item in ready}
+        return {item: dropped for item, dropped in moved.items() if dropped is not None}
 
-    def _move_base(self, partition: int, flows: list[tuple[int, int]]) -> bool:
+    def _move_base(self, partition: int, flows: list[tuple[int, int]]) -> set[int] | None:
+        """Move one base; returns the keys that are exceptions no more, or None if it stays."""
         owned = self.ownership.owned[partition]
         before, known = owned.base, self.exceptions.get(partition, {})
         owned.base = self.routes.revision
@@ -197,9 +218,9 @@
                 after[key] = known.get(key, PlacementReason.BASE_GENERATION)
         if len(after) > len(known):
             owned.base = before
-            return False
+            return None
         self.exceptions[partition] = after
-        return True
+        return known.keys() - after.keys()
 
 
 def knowledge_seconds(service: ServiceRoute) -> float:
--- a/src/beamloom/routing/ownership.py
+++ b/src/beamloom/routing/ownership.py
@@ -21,6 +21,8 @@
 GRACE_SECONDS = 15.0
 HANDED_SECONDS = 25.0
 DETOUR_SECONDS = 10.0
+NEWCOMER_SECONDS = 30.0
+MAXIMUM_ASKED = 8
 
 
 class Acquisition(Enum):
@@ -51,13 +53,15 @@
 class Awaited:
     """A partition that this node is to own: who owns it, and when that was last confirmed.
 
-    `disclaimed` holds the nodes that were asked and do not own it.
+    `disclaimed` holds the nodes that were asked and do not own it; `confirmed` says that the owner
+    has said so itself.
     """
 
     owner: NodeId
     confirmed_at: float
     ask_at: float
     disclaimed: set[NodeId] = field(default_factory=set)
+    confirmed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +93,7 @@
         self.former: dict[int, NodeId] = {}
         self.detours: dict[int, float] = {}
         self.leaving = False
-        self._started = False
+        self._started_at: float | None = None
 
     def answers(self, node_id: NodeId | None) -> bool:
         """Whether a node is a member that takes packets and messages."""
@@ -109,17 +113,18 @@
         self.map = PartitionMap(machines, self.map)
         self.homes = self.map.homes_by_partition()
         without_self = None
-        if not self._started and any(item.node_id == self.node_id for item in machines):
+        if self._started_at is None and any(item.node_id == self.node_id for item in machines):
             others = [item for item in machines if item.node_id != self.node_id]
             without_self = PartitionMap(others).homes_by_partition()
-        self._started = self._started or bool(machines)
+        if self._started_at is None and machines:
+            self._started_at = now
         acquired: list[Acquired] = []
         for partition in range(PARTITION_COUNT):
             if self.homes[partition] != before[partition]:
                 former = without_self[partition] if without_self else before[partition]
                 self._note_former(partition, before[partition])
                 acquired.extend(self._home_changed(partition, former, now))
-        acquired.extend(self._replace_dead_owners())
+        acquired.extend(self._replace_dead_owners(now))
         return acquired
 
     def _note_former(self, partition: int, home: NodeId | None) -> None:
@@ -174,12 +179,29 @@
         self.awaited[partition] = awaited
         self.deciders[partition] = owner
 
-    def _replace_dead_owners(self) -> list[Acquired]:
-        acquired = [
-            Acquired(partition, Acquisition.CRASH, awaited.owner)
-            for partition, awaited in self.awaited.items()
-            if not self.answers(awaited.owner)
-        ]
+    def is_newcomer(self, now: float) -> bool:
+        """Whether this node has too short a memory to say that nobody owns a partition."""
+        return self._started_at is None or now - self._started_at < NEWCOMER_SECONDS
+
+    def await_next(self, partition: int, now: float) -> bool:
+        """Ask the next node in order that has not disclaimed; returns False when none is left."""
+        awaited = self.awaited[partition]
+        excluded = awaited.disclaimed | {self.node_id}
+        candidate = self.map.best_except(partition, excluded)
+        if candidate is None or len(awaited.disclaimed) >= MAXIMUM_ASKED:
+            return False
+        self.await_owner(partition, candidate, now)
+        return True
+
+    def _replace_dead_owners(self, now: float) -> list[Acquired]:
+        """Take over from awaited owners that died; one that never confirmed may not have owned."""
+        acquired: list[Acquired] = []
+        dead = [item for item, found in self.awaited.items() if not self.answers(found.owner)]
+        for partition in dead:
+            awaited = self.awaited[partition]
+            awaited.disclaimed.add(awaited.owner)
+            if awaited.confirmed or not self.await_next(partition, now):
+                acquired.append(Acquired(partition, Acquisition.CRASH, awaited.owner))
         acquired.extend(
             Acquired(partition, Acquisition.RESUMED, successor)
             for partition, successor in self.frozen.items()
--- a/src/beamloom/routing/partitions.py
+++ b/src/beamloom/routing/partitions.py
@@ -10,8 +10,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
+from functools import cached_property
 
 import numpy as np
 import numpy.typing as npt
@@ -124,18 +125,33 @@
     def _node(self, index: int) -> NodeId | None:
         return None if index == NO_NODE else self._node_ids[index]
 
+    @cached_property
+    def _columns(self) -> tuple[list[int], list[int], list[int]]:
+        """The three arrays as lists, which are faster to read one by one."""
+        return self.homes.tolist(), self.first_replicas.tolist(), self.second_replicas.tolist()
+
     def holders(self, partition: int) -> PartitionHolders:
         """Return the home and the replica holders of one partition."""
+        homes, first, second = self._columns
         return PartitionHolders(
-            self._node(int(self.homes[partition])),
-            self._node(int(self.first_replicas[partition])),
-            self._node(int(self.second_replicas[partition])),
+            self._node(homes[partition]),
+            self._node(first[partition]),
+            self._node(second[partition]),
         )
 
     def home(self, partition: int) -> NodeId | None:
         """Return the home of one partition, or None when no node may be home."""
         return self._node(int(self.homes[partition]))
 
+    def best_except(self, partition: int, excluded: Collection[NodeId]) -> NodeId | None:
+        """Return the first node in a partition's order that is not excluded."""
+        if not self.machines:
+            return None
+        scores = rendezvous_matrix(np.array([partition]), self._seeds)
+        order = np.argsort(scores)[::-1].tolist()
+        names = (self._node_ids[index] for index in order)
+        return next((name for name in names if name not in excluded), None)
+
     def homes_by_partition(self) -> list[NodeId | None]:
         """Return the home of every partition, in order: the form the hot path reads."""
         names: list[NodeId | None] = [*self._node_ids, None]
--- a/src/beamloom/routing/replica_sender.py
+++ b/src/beamloom/routing/replica_sender.py
@@ -70,6 +70,14 @@
             stream.closings[partition] = PartitionNote(PartitionMark.COMPLETE, base)
         self._mark_replicated(records)
 
+    def base_moved(self, partition: int, dropped: Iterable[int]) -> None:
+        """Send a partition anew after its base moved, without what still waited of `dropped`."""
+        for holder in self._holders.get(partition, ()):
+            waiting = self.streams.stream(holder).records
+            for key in dropped:
+                waiting.pop(key, None)
+        self.synchronize(partition, anew=True)
+
     def _mark_replicated(self, keys: Iterable[int]) -> None:
         table = self._home.table
         for key in keys:
--- a/src/beamloom/routing/replicas.py
+++ b/src/beamloom/routing/replicas.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from beamloom.protocol.flow_messages import ENDED, PartitionMark
@@ -19,7 +19,8 @@
     """Replicas of one partition.
 
     `records` maps flow keys to backend numbers; `base` is None until the home told it;
-    `unrefreshed` holds, between BEGIN and COMPLETE, the keys that the home has not repeated.
+    `unrefreshed` holds, between BEGIN and COMPLETE, the keys that the home has not repeated;
+    `unneeded` is set once a sweep has found that this node need not hold the partition.
     """
 
     home: NodeId
@@ -27,6 +28,7 @@
     complete: bool = False
     records: dict[int, int] = field(default_factory=dict)
     unrefreshed: set[int] = field(default_factory=set)
+    unneeded: bool = False
 
 
 class ReplicaStore:
@@ -77,6 +79,16 @@
         elif held.home == sender:
             self._complete(held, note.base)
 
+    def sweep(self, is_needed: Callable[[int, HeldPartition], bool]) -> None:
+        """Drop what two sweeps in a row have found not to be needed: lists of members lag."""
+        for partition, held in self.items():
+            if is_needed(partition, held):
+                held.unneeded = False
+            elif held.unneeded:
+                del self._held[partition]
+            else:
+                held.unneeded = True
+
     @staticmethod
     def _complete(held: HeldPartition, base: int) -> None:
         for key in held.unrefreshed:
--- a/src/beamloom/routing/selection.py
+++ b/src/beamloom/routing/selection.py
@@ -48,10 +48,14 @@
     slot: int,
     routes: RouteTable,
     health: BackendHealth,
+    *,
     excluded: int = NO_CANDIDATE,
+    preferred: int = NO_CANDIDATE,
 ) -> Choice:
     """Choose the backend of a new flow; `excluded` has refused it already.
 
+    `preferred` takes it where it is fit: a dead home may have placed the flow there.
+
     With preference `balance` the candidate with fewer open flows at this home wins; with
     `stickiness` the first wins unless it is over its share by more than the service's bound. A
     candidate that is draining, offline or shedding is passed over; when neither is fit, the
@@ -60,6 +64,8 @@
     shares = _shares(service, health, excluded)
     if not shares:
         return Choice(NO_CANDIDATE, PlacementReason.NO_FIT_BACKEND)
+    if preferred in shares:
+        return Choice(preferred, PlacementReason.BASE_GENERATION)
     table = service.current_table
     candidates = (table.first[slot], table.second[slot])
     fit = [item for item in candidates if item in shares and routes.has_backend(item)]
--- a/src/beamloom/routing/services.py
+++ b/src/beamloom/routing/services.py
@@ -16,7 +16,8 @@
     """One service: its contract, the tables of its generations and its senders' addresses.
 
     Tables are built when first asked for; `open_flows` counts, by backend number, the flows that
-    this node is home of; `meter` is the tenant's.
+    this node is home of; `meter` is the tenant's. The last four
+    repeat parts of the contract for the hot path.
     """
 
     contract: ServiceContract
@@ -25,6 +26,9 @@
     open_flows: dict[int, int] = field(default_factory=dict)
     meter: TrafficMeter = field(default_factory=TrafficMeter)
     idle_timeout: float = 0.0
+    ip_bytes: bytes = b""
+    port_bytes: bytes = b""
+    protocol: int = 0
     _tables: dict[int, PlacementTable] = field(default_factory=dict)
 
     def table(self, generation: Generation) -> PlacementTable:
@@ -72,6 +76,22 @@
         self.meters: dict[str, TrafficMeter] = {}
         self.revision = 0
 
+    def numbers_lost(self, changed: Iterable[ServiceContract], removed: Iterable[int]) -> set[int]:
+        """Return the backends in force that these changes would put out of force."""
+        lost: set[int] = set()
+        for contract in changed:
+            lost |= self._numbers_of(contract.service_number)
+            lost -= {backend.backend_number for backend in _known_backends(contract)}
+        for service_number in removed:
+            lost |= self._numbers_of(service_number)
+        return lost
+
+    def _numbers_of(self, service_number: int) -> set[int]:
+        route = self.by_service_number.get(service_number)
+        if route is None:
+            return set()
+        return {backend.backend_number for backend in _known_backends(route.contract)}
+
     def update(self, contracts: Iterable[ServiceContract]) -> None:
         """Put new or changed services in force."""
         for contract in contracts:
@@ -79,6 +99,9 @@
 
     def _put(self, contract: ServiceContract) -> None:
         route = ServiceRoute(contract, _destination_key(contract), _senders(contract))
+        route.protocol = int(contract.virtual_address.protocol)
+        route.ip_bytes = contract.virtual_address.packed_ip
+        route.port_bytes = contract.virtual_address.port.to_bytes(2, "big")
         route.idle_timeout = contract.policy.flow_idle_timeout
         route.meter = self.meters.setdefault(contract.tenant, TrafficMeter())
         self.revision = max(self.revision, contract.current_generation.revision)
--- a/src/beamloom/routing/streams.py
+++ b/src/beamloom/routing/streams.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from beamloom.protocol.commands import Command, SendMessage
+from beamloom.protocol.errors import MalformedDatagramError
 from beamloom.protocol.flow_messages import (
     RECORD,
     FlowRecord,
@@ -23,7 +24,9 @@
     MAXIMUM_PACKED_BYTES,
     pack_partitions,
     split_partitions,
+    unpack_partitions,
 )
+from beamloom.routing.hashing import PARTITION_COUNT
 from beamloom.world.machines import NodeId
 
 BATCH_BYTES = 1050
@@ -171,3 +174,19 @@
     note = next(iter(group.values()))
     packed = pack_partitions(sorted(group))
     return [[int(note.mark), note.base, packed]], len(packed) + GROUP_OVERHEAD
+
+
+def read_notes(groups: object) -> list[tuple[int, PartitionNote]]:
+    """Read marked groups of partitions; raises MalformedDatagramError."""
+    if not isinstance(groups, list):
+        raise MalformedDatagramError("partition notes are not a list")
+    notes: list[tuple[int, PartitionNote]] = []
+    for group in groups:
+        if not isinstance(group, list) or len(group) != 3 or not isinstance(group[1], int):
+            raise MalformedDatagramError("a partition note is not [mark, base, partitions]")
+        try:
+            note = PartitionNote(PartitionMark(group[0]), group[1])
+        except ValueError as error:
+            raise MalformedDatagramError(f"a partition note has mark {group[0]!r}") from error
+        notes.extend((item, note) for item in unpack_partitions(group[2], PARTITION_COUNT))
+    return notes
--- a/src/beamloom/routing/transfers.py
+++ b/src/beamloom/routing/transfers.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from beamloom.protocol.commands import Command, SendMessage
-from beamloom.protocol.errors import MalformedDatagramError
 from beamloom.protocol.flow_messages import (
     OwnershipStatus,
     PartitionMark,
@@ -26,12 +25,13 @@
 from beamloom.routing.replica_sender import HOLDERS, ReplicaSender
 from beamloom.routing.replicas import HeldPartition, ReplicaStore
 from beamloom.routing.selection import PlacementReason
-from beamloom.routing.streams import PartitionNote, StreamSet
+from beamloom.routing.streams import PartitionNote, StreamSet, read_notes
 from beamloom.world.machines import NodeId
 
 MAXIMUM_BATCHES_IN_FLIGHT = 4
 PLAN_SECONDS = 0.5
 BASE_SECONDS = 5.0
+SWEEP_SECONDS = 10.0
 BASES_AT_ONCE = 64
 LEAVE_GRACE_SECONDS = 4.0
 NO_OWNER = NodeId("")
@@ -70,6 +70,7 @@
         self._now = 0.0
         self._plan_due = 0.0
         self._base_due = 0.0
+        self._sweep_due = 0.0
         self._base_cursor = 0
         self._idle_since: float | None = None
 
@@ -118,6 +119,13 @@
             return held.base
         return self._home.routes.revision
 
+    def _is_needed(self, partition: int, held: HeldPartition) -> bool:
+        """Whether this node is among a partition's nodes, or its home is gone."""
+        ownership = self._ownership
+        placed = ownership.map.holders(partition)
+        nodes = (placed.home, placed.first_replica, placed.second_replica)
+        return ownership.node_id in nodes or not ownership.answers(held.home)
+
     def _expect_pushes(self, item: Acquired, complete: bool) -> None:
         """Note which nodes held the replicas of a home that died, and whether this one did."""
         ownership = self._ownership
@@ -168,8 +176,8 @@
         for partition in [item for item, peer in self._plans.items() if moves.get(item) != peer]:
             self._unplan(partition)
         new = {item: peer for item, peer in moves.items() if item not in self._plans}
-        for partition in self._home.move_bases(new, now):
-            self._sender.synchronize(partition, anew=True)
+        for partition, dropped in self._home.move_bases(new, now).items():
+            self._sender.base_moved(partition, dropped)
         for partition, peer in new.items():
             self._plans[partition] = peer
             stream = self.streams.stream(peer)
@@ -211,7 +219,7 @@
     ) -> list[Command]:
         """Take a batch once and acknowledge it; raises MalformedDatagramError."""
         self._now = now
-        openings, closings = _notes(message.openings), _notes(message.closings)
+        openings, closings = read_notes(message.openings), read_notes(message.closings)
         records = unpack_records(message.packed_records)
         refused = self._ownership.leaving and isinstance(message, TransferRecords)
         stream = (type(message), sender)
@@ -250,16 +258,20 @@
 
     # -- requests --------------------------------------------------------------------------------
 
-    def _answer_request(self, sender: NodeId, message: TransferRequest) -> list[Command]:
+    def _answer_request(
+        self, sender: NodeId, message: TransferRequest, now: float
+    ) -> list[Command]:
         groups: dict[tuple[OwnershipStatus, NodeId], list[int]] = {}
         for partition in unpack_partitions(message.packed_partitions, PARTITION_COUNT):
-            groups.setdefault(self._standing(sender, partition), []).append(partition)
+            groups.setdefault(self._standing(sender, partition, now), []).append(partition)
         return [
             SendMessage(sender, TransferAnswer(int(status), pack_partitions(partitions), owner))
             for (status, owner), partitions in groups.items()
         ]
 
-    def _standing(self, asking: NodeId, partition: int) -> tuple[OwnershipStatus, NodeId]:
+    def _standing(
+        self, asking: NodeId, partition: int, now: float
+    ) -> tuple[OwnershipStatus, NodeId]:
         ownership = self._ownership
         if partition in ownership.owned or partition in ownership.frozen:
             return OwnershipStatus.OWNER, NO_OWNER
@@ -267,6 +279,8 @@
             if candidate in {asking, ownership.node_id} or not ownership.answers(candidate):
                 continue
             return OwnershipStatus.ELSEWHERE, candidate or NO_OWNER
+        if ownership.is_newcomer(now):
+            return OwnershipStatus.NEWCOMER, NO_OWNER
         return OwnershipStatus.NOBODY, NO_OWNER
 
     def _take_answer(self, sender: NodeId, message: TransferAnswer, now: float) -> None:
@@ -275,16 +289,17 @@
             if awaited is None or awaited.owner != sender:
                 continue
             if message.status == OwnershipStatus.OWNER:
+                awaited.confirmed = True
                 awaited.confirmed_at = now
                 continue
             awaited.disclaimed.add(sender)
-            owner = message.owner
-            elsewhere = message.status == OwnershipStatus.ELSEWHERE
-            unknown = owner in awaited.disclaimed or not self._ownership.answers(owner)
-            if not elsewhere or unknown or owner == self._ownership.node_id:
+            known = {*awaited.disclaimed, self._ownership.node_id}
+            if message.status == OwnershipStatus.NOBODY:
+                self.acquire(Acquired(partition, Acquisition.CRASH, None), now)
+            elif message.owner not in known and self._ownership.answers(message.owner):
+                self._ownership.await_owner(partition, message.owner, now)
+            elif not self._ownership.await_next(partition, now):
                 self.acquire(Acquired(partition, Acquisition.FRESH, None), now)
-            else:
-                self._ownership.await_owner(partition, owner, now)
 
     # -- messages and timers ---------------------------------------------------------------------
 
@@ -300,7 +315,7 @@
                 self._acknowledged(sender, message, now)
                 return self.streams.flush(now)
             case TransferRequest():
-                return self._answer_request(sender, message)
+                return self._answer_request(sender, message, now)
             case TransferAnswer():
                 self._take_answer(sender, message, now)
         return []
@@ -317,6 +332,9 @@
         if self._base_due <= now:
             self._base_due = now + BASE_SECONDS
             self._move_some_bases(now)
+        if self._sweep_due <= now:
+            self._sweep_due = now + SWEEP_SECONDS
+            self._replicas.sweep(self._is_needed)
         commands = self.streams.flush(now)
         for owner, partitions in self._ownership.requests_due(now).items():
             for part in split_partitions(partitions):
@@ -328,8 +346,8 @@
         self._base_cursor %= max(len(owned), 1)
         some = owned[self._base_cursor : self._base_cursor + BASES_AT_ONCE]
         self._base_cursor += BASES_AT_ONCE
-        for partition in self._home.move_bases(some, now):
-            self._sender.synchronize(partition, anew=True)
+        for partition, dropped in self._home.move_bases(some, now).items():
+            self._sender.base_moved(partition, dropped)
 
     def nothing_left(self, now: float) -> bool:
         """Whether a leaving node owns nothing more, and has relayed for the grace since then."""
@@ -343,19 +361,3 @@
             return True
         self._idle_since = now if self._idle_since is None else self._idle_since
         return now - self._idle_since >= LEAVE_GRACE_SECONDS
-
-
-def _notes(groups: object) -> list[tuple[int, PartitionNote]]:
-    """Read marked groups of partitions; raises MalformedDatagramError."""
-    if not isinstance(groups, list):
-        raise MalformedDatagramError("partition notes are not a list")
-    notes: list[tuple[int, PartitionNote]] = []
-    for group in groups:
-        if not isinstance(group, list) or len(group) != 3 or not isinstance(group[1], int):
-            raise MalformedDatagramError("a partition note is not [mark, base, partitions]")
-        try:
-            note = PartitionNote(PartitionMark(group[0]), group[1])
-        except ValueError as error:
-            raise MalformedDatagramError(f"a partition note has mark {group[0]!r}") from error
-        notes.extend((item, note) for item in unpack_partitions(group[2], PARTITION_COUNT))
-    return notes
