--- a/tests/run.py
+++ b/tests/run.py
@@ -1,21 +1,76 @@
-"""Run every test and close with the line `N passed, N failed`."""
+"""Run every test module, several at a time, and close with the line `N passed, N failed`.
 
+Modules are independent of one another, so the order in which they end does not matter; what they
+print is shown in the order of their names.
+"""
+
+import io
+import os
 import sys
+import time
 import unittest
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
+MAXIMUM_WORKERS = 8
+SLOW_FOLDERS = {"functional", "routing", "simulation"}
+
+
+@dataclass(frozen=True)
+class ModuleResult:
+    """What became of one module's tests."""
+
+    name: str
+    passed: int
+    failed: int
+    seconds: float
+    report: str
 
 
 def main() -> int:
-    suite = unittest.TestLoader().discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
-    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
-    passed = result.testsRun - failed - len(result.skipped)
-    sys.stderr.flush()
+    workers = min(MAXIMUM_WORKERS, os.cpu_count() or 1)
+    passed = failed = 0
+    with ProcessPoolExecutor(workers) as pool:
+        runs = {name: pool.submit(run_module, name) for name in _module_names()}
+        for name in sorted(runs):
+            result = runs[name].result()
+            passed += result.passed
+            failed += result.failed
+            _show(result)
     print(f"{passed} passed, {failed} failed", flush=True)
     return 1 if failed or not passed else 0
 
 
+def run_module(name: str) -> ModuleResult:
+    """Run one module's tests in this process."""
+    started = time.monotonic()
+    output = io.StringIO()
+    suite = unittest.defaultTestLoader.loadTestsFromName(name)
+    result = unittest.TextTestRunner(output, verbosity=0).run(suite)
+    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
+    passed = result.testsRun - failed - len(result.skipped)
+    seconds = time.monotonic() - started
+    return ModuleResult(name, passed, failed, seconds, output.getvalue() if failed else "")
+
+
+def _module_names() -> Iterator[str]:
+    """Yield the modules, those of the slow folders first, so that no worker is idle at the end."""
+    paths = (ROOT / "tests").rglob("test_*.py")
+    for path in sorted(paths, key=lambda path: (path.parent.name not in SLOW_FOLDERS, path)):
+        yield ".".join(path.relative_to(ROOT).with_suffix("").parts)
+
+
+def _show(result: ModuleResult) -> None:
+    verdict = "FAILED" if result.failed else "ok"
+    print(
+        f"{verdict:6} {result.seconds:6.1f} s  {result.name} ({result.passed} passed)", flush=True
+    )
+    if result.report:
+        print(result.report, flush=True)
+
+
 if __name__ == "__main__":
     sys.exit(main())
