Apply the first listing at once while no other node is alive

Cause: every start of an empty fleet waited 2 s for peers that cannot be ready. Change: the wait applies only where another member is alive or this node has a state.

--- a/src/beamloom/replication/configuration_replica.py
+++ b/src/beamloom/replication/configuration_replica.py
@@ -184,7 +184,8 @@
         if revision <= self.applied_revision:
             self._join.level_with_store()
             return []
-        patience = LISTING_PATIENCE * (lease_number + 1)
+        may_be_ready = self.applied_revision > 0 or self._peers.any_alive
+        patience = LISTING_PATIENCE * (lease_number + may_be_ready)
         self._listing = _Listing(
             revision, tuple(objects), now + patience, now + patience + FETCH_PATIENCE
         )
--- a/src/beamloom/replication/peer_selection.py
+++ b/src/beamloom/replication/peer_selection.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Sequence
 
-from beamloom.world.machines import Member, NodeId
+from beamloom.world.machines import Member, MemberState, NodeId
 
 
 class PeerSelection:
@@ -16,12 +16,14 @@
         self._chance = chance
         self._zones: dict[str, list[NodeId]] = {}
         self.all: list[NodeId] = []
+        self.any_alive = False
 
     def update(self, members: Sequence[Member]) -> None:
         """Learn who is a member."""
         others = [item for item in members if item.answers]
         others = [item for item in others if item.machine.node_id != self._node_id]
         self.all = [item.machine.node_id for item in others]
+        self.any_alive = any(item.state is MemberState.ALIVE for item in others)
         self._zones = {}
         for item in others:
             self._zones.setdefault(item.machine.zone.name, []).append(item.machine.node_id)
