--- a/src/beamloom/cli/commands.py
+++ b/src/beamloom/cli/commands.py
@@ -4,9 +4,10 @@
 
 from cyclopts import App
 
-from beamloom.cli import check, load, objects, run, settings_commands, simulate, status
+from beamloom.cli import check, demo, load, objects, run, settings_commands, simulate, status
 
 COMMAND_GROUPS = (
+    demo.register,
     run.register,
     status.register,
     objects.register,
--- a/src/beamloom/cli/load.py
+++ b/src/beamloom/cli/load.py
@@ -13,7 +13,7 @@
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.flags import AddressText, parse_address, parse_virtual_address
 from beamloom.cli.output import FormatFlag, OutputFormat, write_json, write_rows
-from beamloom.demo.run import example_deployment
+from beamloom.demo.tenants import example_deployment
 from beamloom.standins.client_model import Outcome
 from beamloom.standins.load import LoadResult, run_load
 from beamloom.standins.load_profiles import ProfileName
--- a/src/beamloom/demo/fleet.py
+++ b/src/beamloom/demo/fleet.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from typing import Any
 
+from beamloom.demo.tenants import DemoTenant
 from beamloom.node.core import NodeCore
 from beamloom.node.options import NodeOptions
 from beamloom.platform.adapter import StoreAdapter
@@ -16,6 +19,7 @@
 from beamloom.platform.retry import Retrier, RetryPolicy
 from beamloom.protocol.codec import KeyRing
 from beamloom.runtime.balancer import BalancerProcess
+from beamloom.runtime.health_checks import HealthChecks
 from beamloom.runtime.machine_sockets import ANY_PORT, MachineSockets
 from beamloom.settings.deployment import Deployment
 from beamloom.standins.backend_model import BackendModel
@@ -24,12 +28,13 @@
 from beamloom.standins.fabric_process import FabricProcess
 from beamloom.standins.platform_server import PlatformServer
 from beamloom.standins.platform_store import PlatformStore
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.world.addresses import SocketAddress, VirtualAddress
+from beamloom.world.contracts import BackendAdministrativeState
 from beamloom.world.machines import Machine, NodeId
 
 LOOPBACK = "127.0.0.1"
 ANY_ADDRESS = SocketAddress(LOOPBACK, ANY_PORT)
-READY_TIMEOUT_SECONDS = 30.0
+READY_TIMEOUT_SECONDS = 60.0
 READY_CHECK_SECONDS = 0.05
 TOKEN = "demo-token"
 FLEET_KEY = b"demo fleet key, for loopback only"
@@ -47,27 +52,50 @@
 
 @dataclass(slots=True)
 class RunningBalancer:
-    """One balancer of the demo with what belongs to it."""
+    """One balancer of the demo with what belongs to it; `started_at` is the loop's time."""
 
     machine: Machine
     process: BalancerProcess
-    client: PlatformClient
-    adapter: StoreAdapter
+    resources: AsyncExitStack
+    started_at: float
+    leaving: bool = False
+
+    @property
+    def core(self) -> NodeCore:
+        """The balancer's decision core."""
+        return self.process.core
+
+
+@dataclass(frozen=True, slots=True)
+class ControlTraffic:
+    """What a balancer sent to others: mean bytes a second over its life."""
+
+    node_id: NodeId
+    bytes_per_second: float
 
 
 class LoopbackFleet:
     """Starts and stops everything; `async with` it.
 
-    Raises OSError when the machine has no ports left.
+    Raises OSError when the machine has no ports left, and FleetNotReadyError.
     """
 
-    def __init__(self, deployment: Deployment, balancers: int, seed: int = 1) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        tenants: Sequence[DemoTenant],
+        balancers: int,
+        seed: int = 1,
+    ) -> None:
         self.deployment = deployment
+        self.tenants = tuple(tenants)
         self.store = PlatformStore(random.Random(f"{seed}/store"))
         self.fabric = FabricProcess(FabricModel(random.Random(f"{seed}/fabric")))
         self.balancers: dict[NodeId, RunningBalancer] = {}
         self.backends: dict[str, BackendProcess] = {}
+        self.control_traffic: list[ControlTraffic] = []
         self._balancer_count = balancers
+        self._numbers = itertools.count()
         self._seed = seed
         self._stack = AsyncExitStack()
         self._platform_address = ANY_ADDRESS
@@ -80,7 +108,8 @@
             self._create_objects()
             await self.fabric.start()
             stack.push_async_callback(self.fabric.stop)
-            await self._start_balancers(stack)
+            stack.push_async_callback(self._close_balancers)
+            await self._start_first_balancers()
             self._stack = stack.pop_all()
         return self
 
@@ -88,16 +117,7 @@
         """Stop everything that was started."""
         await self._stack.aclose()
 
-    @property
-    def virtual_addresses(self) -> dict[str, VirtualAddress]:
-        """The virtual address of each service, by the service's name."""
-        return {
-            service.name: VirtualAddress(
-                service.ip, TransportProtocol[service.protocol.upper()], service.port
-            )
-            for tenant in self.deployment.tenants
-            for service in tenant.services
-        }
+    # -- stand-ins -----------------------------------------------------------------------------
 
     async def _start_platform(self, stack: AsyncExitStack) -> None:
         server = PlatformServer(self.store, TOKEN, ANY_ADDRESS)
@@ -105,11 +125,12 @@
         stack.push_async_callback(server.stop)
 
     async def _start_backends(self, stack: AsyncExitStack) -> None:
+        addresses = {tenant.name: tenant.services for tenant in self.tenants}
         for tenant in self.deployment.tenants:
             for service in tenant.services:
                 for backend in service.backends:
                     key = f"backend/{tenant.name}/{service.name}/{backend.name}"
-                    await self._start_backend(stack, key, self.virtual_addresses[service.name])
+                    await self._start_backend(stack, key, addresses[tenant.name][service.name])
 
     async def _start_backend(
         self, stack: AsyncExitStack, key: str, service: VirtualAddress
@@ -131,43 +152,87 @@
         addresses = {"address": process.data_address, "health": process.health_address}
         return value | {name: str(address) for name, address in addresses.items()}
 
-    async def _start_balancers(self, stack: AsyncExitStack) -> None:
-        zones = self.deployment.zones
+    def drain_backend(self) -> str:
+        """Drain the first backend as an operator would, and return its key."""
+        key = next(iter(self.backends))
+        found = self.store.read(key).found
+        assert found is not None
+        state = BackendAdministrativeState.DRAINING.value
+        self.store.write(key, {**(found.value or {}), "state": state}, found.revision)
+        self.backends[key].model.drain()
+        return key
+
+    # -- balancers -----------------------------------------------------------------------------
+
+    async def _start_first_balancers(self) -> None:
         sockets = [MachineSockets.bind_any(LOOPBACK) for _ in range(self._balancer_count)]
-        machines = [
-            opened.machine(NodeId(f"balancer-{number}"), zones[number % len(zones)])
-            for number, opened in enumerate(sockets)
-        ]
-        seeds = tuple(machine.control_address for machine in machines)
-        for opened, machine in zip(sockets, machines, strict=True):
-            await self._start_balancer(stack, opened, machine, seeds)
+        seeds = tuple(opened.control.address for opened in sockets)
+        for opened in sockets:
+            await self._start_balancer(opened, seeds)
+        await self._wait_until_ready()
+        self._update_fabric()
+
+    async def start_balancer(self) -> NodeId:
+        """Start one more balancer, wait until it is ready, and let the fabric use it."""
+        seeds = tuple(item.machine.control_address for item in self.balancers.values())
+        balancer = await self._start_balancer(MachineSockets.bind_any(LOOPBACK), seeds)
         await self._wait_until_ready()
-        self.fabric.set_balancers([machine.data_address for machine in machines])
+        self._update_fabric()
+        return balancer.machine.node_id
+
+    async def stop_balancer(self, node_id: NodeId) -> None:
+        """Take a balancer out of the fabric's list, stop it as planned and wait for its end."""
+        balancer = self.balancers[node_id]
+        balancer.leaving = True
+        self._update_fabric()
+        balancer.process.request_stop()
+        await balancer.process.stopped.wait()
+        await self._close(balancer)
+
+    def _update_fabric(self) -> None:
+        self.fabric.set_balancers(
+            [
+                balancer.machine.data_address
+                for balancer in self.balancers.values()
+                if not balancer.leaving
+            ]
+        )
 
     async def _start_balancer(
-        self,
-        stack: AsyncExitStack,
-        sockets: MachineSockets,
-        machine: Machine,
-        seeds: tuple[SocketAddress, ...],
-    ) -> None:
-        keys = KeyRing((FLEET_KEY,))
+        self, sockets: MachineSockets, seeds: tuple[SocketAddress, ...]
+    ) -> RunningBalancer:
+        number = next(self._numbers)
+        zones = self.deployment.zones
+        machine = sockets.machine(NodeId(f"balancer-{number + 1}"), zones[number % len(zones)])
+        now = asyncio.get_running_loop().time()
         gateways = (self.fabric.balancer_address,)
+        keys = KeyRing((FLEET_KEY,))
         options = NodeOptions(machine, seeds, keys, FLEET_KEY, gateways, self._seed)
-        core = NodeCore(options, asyncio.get_running_loop().time())
+        process = BalancerProcess(NodeCore(options, now), sockets)
+        async with AsyncExitStack() as resources:
+            await self._attach(resources, process, machine)
+            process.start()
+            balancer = RunningBalancer(machine, process, resources.pop_all(), now)
+        self.balancers[machine.node_id] = balancer
+        return balancer
+
+    async def _attach(
+        self, resources: AsyncExitStack, process: BalancerProcess, machine: Machine
+    ) -> None:
+        """Give a balancer its store client and its health checks."""
+        chance = random.Random(f"{self._seed}/{machine.node_id}")
         client = PlatformClient(
             PlatformOptions(f"http://{self._platform_address}", TOKEN),
-            Retrier(RetryPolicy(), random.Random(f"{self._seed}/{machine.node_id}")),
+            Retrier(RetryPolicy(), chance),
         )
         await client.start()
-        stack.push_async_callback(client.close)
-        process = BalancerProcess(core, sockets)
+        resources.push_async_callback(client.close)
         adapter = StoreAdapter(client, process.deliver)
-        process.extra_handlers.append(adapter.execute)
-        stack.push_async_callback(adapter.close)
-        stack.callback(process.close)
-        process.start()
-        self.balancers[machine.node_id] = RunningBalancer(machine, process, client, adapter)
+        resources.push_async_callback(adapter.close)
+        checks = HealthChecks(process.deliver)
+        resources.push_async_callback(checks.close)
+        resources.callback(process.close)
+        process.extra_handlers.extend((adapter.execute, checks.execute))
 
     async def _wait_until_ready(self) -> None:
         """Wait until every balancer has the configuration and knows every other one."""
@@ -181,6 +246,17 @@
 
     @staticmethod
     def _is_ready(balancer: RunningBalancer, expected: int) -> bool:
-        core = balancer.process.core
-        homes = sum(1 for _ in core.membership.view.may_be_home())
-        return core.ready and homes == expected
+        homes = sum(1 for _ in balancer.core.membership.view.may_be_home())
+        return balancer.core.ready and homes >= expected
+
+    async def _close_balancers(self) -> None:
+        for balancer in list(self.balancers.values()):
+            await self._close(balancer)
+
+    async def _close(self, balancer: RunningBalancer) -> None:
+        del self.balancers[balancer.machine.node_id]
+        lived = asyncio.get_running_loop().time() - balancer.started_at
+        sent = balancer.core.channel.snapshot().sent_bytes
+        traffic = ControlTraffic(balancer.machine.node_id, sent / lived if lived else 0.0)
+        self.control_traffic.append(traffic)
+        await balancer.resources.aclose()
--- a/src/beamloom/demo/run.py
+++ b/src/beamloom/demo/run.py
@@ -1,51 +1,119 @@
-"""The demo: a users' deployment under load on loopback, and a table of what became of it."""
+"""The demo: tenants under load on loopback while the fleet changes, and what became of it."""
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from importlib.resources import as_file, files
 
-from beamloom.demo.fleet import LoopbackFleet
-from beamloom.settings.deployment import Deployment, load_deployment
+from beamloom.demo.changes import PlannedChanges, make_changes
+from beamloom.demo.fleet import ControlTraffic, LoopbackFleet
+from beamloom.demo.tenants import DemoTenant, demo_deployment
 from beamloom.standins.load import LoadResult, run_load
-from beamloom.standins.load_profiles import ProfileName
+
+CLIENTS_PER_TENANT = 1_000_000
+
+Progress = Callable[[float, int, int], None]
+"""Told the share of the run that is over, the flows started and the flows open."""
 
 
 @dataclass(frozen=True, slots=True)
-class DemoReport:
-    """What became of the flows of one users' deployment."""
+class DemoOptions:
+    """What to run: `rate` is new flows a second of all tenants, `duration` is in seconds."""
+
+    tenants: int = 2
+    balancers: int = 3
+    duration: float = 20.0
+    rate: float = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class TenantLoad:
+    """What became of one tenant's flows."""
 
-    balancers: int
+    tenant: str
     load: LoadResult
 
+
+@dataclass(frozen=True, slots=True)
+class DemoReport:
+    """What became of all flows, and what was changed meanwhile."""
+
+    loads: tuple[TenantLoad, ...]
+    replaced_balancers: int
+    drained_backend: str
+    control_traffic: tuple[ControlTraffic, ...]
+
     @property
     def succeeded(self) -> bool:
         """Whether no established flow broke."""
-        return self.load.broken_flows == 0
-
-
-def example_deployment(profile: ProfileName) -> Deployment:
-    """Return the deployment of one of the two users that ships with the package."""
-    with as_file(files("beamloom").joinpath("examples", f"{profile.value}.toml")) as path:
-        return load_deployment(path)
-
-
-async def run_demo(
-    profile: ProfileName,
-    balancers: int,
-    duration: float,
-    rate: float,
-    progress: Callable[[int, int], None] | None = None,
-) -> DemoReport:
-    """Run one deployment for `duration` seconds with `rate` new flows a second."""
-    async with LoopbackFleet(example_deployment(profile), balancers) as fleet:
-        result = await run_load(
-            profile,
-            rate,
-            duration,
+        return not any(item.load.broken_flows for item in self.loads)
+
+
+class _ProgressSum:
+    """Adds up the progress of the tenants' loads."""
+
+    def __init__(self, total: float, progress: Progress | None) -> None:
+        self._total = total
+        self._progress = progress
+        self._latest: dict[str, tuple[int, int]] = {}
+
+    def reporter(self, tenant: str) -> Callable[[int, int], None]:
+        def report(started: int, open_flows: int) -> None:
+            self._latest[tenant] = (started, open_flows)
+            if self._progress is not None:
+                started_sum = sum(item[0] for item in self._latest.values())
+                open_sum = sum(item[1] for item in self._latest.values())
+                self._progress(started_sum / self._total, started_sum, open_sum)
+
+        return report
+
+
+async def run_demo(options: DemoOptions, progress: Progress | None = None) -> DemoReport:
+    """Run the tenants' loads; raises FleetNotReadyError and OSError."""
+    deployment, tenants = demo_deployment(options.tenants)
+    changes = PlannedChanges()
+    fleet = LoopbackFleet(deployment, tenants, options.balancers)
+    async with fleet:
+        maintenance = asyncio.create_task(make_changes(fleet, options.duration, changes))
+        try:
+            loads = await _run_loads(fleet, tenants, options, progress)
+        finally:
+            await _end(maintenance)
+    return DemoReport(tuple(loads), changes.replaced, changes.drained, tuple(fleet.control_traffic))
+
+
+async def _run_loads(
+    fleet: LoopbackFleet,
+    tenants: list[DemoTenant],
+    options: DemoOptions,
+    progress: Progress | None,
+) -> list[TenantLoad]:
+    share = options.rate / len(tenants)
+    summed = _ProgressSum(options.rate * options.duration, progress)
+    runs = [
+        run_load(
+            tenant.profile,
+            share,
+            options.duration,
             fabric=fleet.fabric.client_address,
-            services=fleet.virtual_addresses,
-            progress=progress,
+            services=tenant.services,
+            seed=number,
+            first_client=number * CLIENTS_PER_TENANT,
+            progress=summed.reporter(tenant.name),
         )
-        return DemoReport(len(fleet.balancers), result)
+        for number, tenant in enumerate(tenants)
+    ]
+    results = await asyncio.gather(*runs)
+    return [
+        TenantLoad(tenant.name, result) for tenant, result in zip(tenants, results, strict=True)
+    ]
+
+
+async def _end(task: asyncio.Task[None]) -> None:
+    """Cancel what is still going on; a failure that came before is raised."""
+    task.cancel()
+    try:
+        await task
+    except asyncio.CancelledError:
+        return
--- /dev/null
+++ b/src/beamloom/demo/tenants.py
@@ -0,0 +1,81 @@
+"""The demo's tenants: the two users' deployments, as often as tenants are asked for."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+from importlib.resources import as_file, files
+
+from beamloom.settings.declarations import SettingValue
+from beamloom.settings.deployment import Deployment, load_deployment
+from beamloom.settings.deployment_model import ServiceTable, TenantTable
+from beamloom.settings.tree import Scope
+from beamloom.standins.load_profiles import ProfileName
+from beamloom.world.addresses import TransportProtocol, VirtualAddress
+
+ADDRESS_STEP = 1
+
+
+@dataclass(frozen=True, slots=True)
+class DemoTenant:
+    """One tenant of the demo: its name, its load profile and its services' virtual addresses."""
+
+    name: str
+    profile: ProfileName
+    services: dict[str, VirtualAddress]
+
+
+def example_deployment(profile: ProfileName) -> Deployment:
+    """Return the deployment of one of the two users that ships with the package."""
+    with as_file(files("beamloom").joinpath("examples", f"{profile.value}.toml")) as path:
+        return load_deployment(path)
+
+
+def demo_deployment(tenant_count: int) -> tuple[Deployment, list[DemoTenant]]:
+    """Return one deployment with the users' tenants in turn, each with addresses of its own.
+
+    Zones are those of the first user: on loopback they name balancers and backends, no more.
+    """
+    examples = {profile: example_deployment(profile) for profile in ProfileName}
+    base = examples[ProfileName.VAKATALE]
+    tables: list[TenantTable] = []
+    settings = dict(base.settings)
+    tenants: list[DemoTenant] = []
+    for number in range(tenant_count):
+        profile = list(ProfileName)[number % len(ProfileName)]
+        example = examples[profile]
+        table = _renamed(example.tenants[0], number // len(ProfileName))
+        tables.append(table)
+        settings.update(_renamed_settings(example, table.name))
+        tenants.append(DemoTenant(table.name, profile, _virtual_addresses(table)))
+    deployment = Deployment(base.zones, base.links, base.client_delay, tuple(tables), settings)
+    return deployment, tenants
+
+
+def _renamed(table: TenantTable, copy: int) -> TenantTable:
+    if not copy:
+        return table
+    services = tuple(_moved(service, copy) for service in table.services)
+    return table.model_copy(update={"name": f"{table.name}-{copy + 1}", "services": services})
+
+
+def _moved(service: ServiceTable, copy: int) -> ServiceTable:
+    address = ipaddress.ip_address(service.ip) + copy * ADDRESS_STEP
+    return service.model_copy(update={"ip": str(address)})
+
+
+def _renamed_settings(example: Deployment, name: str) -> dict[Scope, dict[str, SettingValue]]:
+    return {
+        Scope(name, scope.service): dict(values)
+        for scope, values in example.settings.items()
+        if scope.tenant is not None
+    }
+
+
+def _virtual_addresses(table: TenantTable) -> dict[str, VirtualAddress]:
+    return {
+        service.name: VirtualAddress(
+            service.ip, TransportProtocol[service.protocol.upper()], service.port
+        )
+        for service in table.services
+    }
--- a/src/beamloom/standins/load_profiles.py
+++ b/src/beamloom/standins/load_profiles.py
@@ -86,8 +86,12 @@
         services: Mapping[str, VirtualAddress],
         chance: random.Random,
         deadline: float = 30.0,
+        first_client: int = 0,
     ) -> None:
-        """Raise ValueError when `services` lacks one that the profile uses."""
+        """Raise ValueError when `services` lacks one that the profile uses.
+
+        Sources that share a fabric need ranges of clients of their own: see `first_client`.
+        """
         missing = sorted(set(profile.endpoints) - set(services))
         if missing:
             raise ValueError(f"no virtual address for {', '.join(missing)}; give one for each")
@@ -95,7 +99,7 @@
         self._services = services
         self._chance = chance
         self._deadline = deadline
-        self._numbers = count()
+        self._numbers = count(first_client)
         self._shares = [mix.share for mix in profile.mixes]
 
     def next_flow(self) -> tuple[str, ClientFlow]:
