Ask owners less often, and never take over from one that has said it owns

Cause: under a 4 KB/s budget requests each 0.5 s crowded out their own answers, and after 10 s of silence a node took partitions from a living owner; a node that had handed a partition over could point back at the home that awaited its successor, so that an opening packet went round. Change: requests after 1 s, doubling to 4 s; an owner that has confirmed, or that is handing over, is waited for until membership calls it dead, others for 60 s; a node that handed a partition over points at its successor until the hand-over is long past. Not run: with the real budget. Conclusion: fewer deciders at once; the bytes of a common start are still to be cut.

--- a/src/beamloom/routing/ownership.py
+++ b/src/beamloom/routing/ownership.py
@@ -16,8 +16,9 @@
 from beamloom.routing.partitions import PartitionMap
 from beamloom.world.machines import Machine, Member, NodeId
 
-REQUEST_SECONDS = 0.5
-AWAIT_SECONDS = 10.0
+FIRST_REQUEST_SECONDS = 1.0
+LAST_REQUEST_SECONDS = 4.0
+AWAIT_SECONDS = 60.0
 GRACE_SECONDS = 15.0
 HANDED_SECONDS = 25.0
 DETOUR_SECONDS = 10.0
@@ -62,6 +63,7 @@
     ask_at: float
     disclaimed: set[NodeId] = field(default_factory=set)
     confirmed: bool = False
+    wait: float = FIRST_REQUEST_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +150,8 @@
             return []
         if partition in self.awaited:
             return []
-        owner = self.deciders[partition] if partition in self.detours else former
+        knows_better = partition in self.detours or partition in self.handed
+        owner = self.deciders[partition] if knows_better else former
         self.detours.pop(partition, None)
         return self._await_or_acquire(partition, owner, now)
 
@@ -159,6 +162,8 @@
             self.detours[partition] = now + DETOUR_SECONDS
             return
         self.detours.pop(partition, None)
+        if partition in self.handed and self.answers(self.deciders[partition]):
+            return
         self.deciders[partition] = home
 
     def _await_or_acquire(self, partition: int, owner: NodeId | None, now: float) -> list[Acquired]:
@@ -253,22 +258,34 @@
         due: dict[NodeId, list[int]] = {}
         for partition, awaited in self.awaited.items():
             if awaited.ask_at <= now:
-                awaited.ask_at = now + REQUEST_SECONDS
+                awaited.ask_at = now + awaited.wait
+                awaited.wait = min(2 * awaited.wait, LAST_REQUEST_SECONDS)
                 due.setdefault(awaited.owner, []).append(partition)
         return due
 
+    def confirm(self, owner: NodeId) -> None:
+        """Note that a node hands over: what is awaited from it is its own until it dies."""
+        for awaited in self.awaited.values():
+            if awaited.owner == owner:
+                awaited.confirmed = True
+
     def unconfirmed(self, now: float) -> list[Acquired]:
-        """Return awaited partitions whose owner has not said for long that it owns them."""
+        """Return awaited partitions for which no node has said in a minute that it owns them.
+
+        An owner that has said so once is waited for until membership calls it dead.
+        """
         return [
             Acquired(partition, Acquisition.CRASH, awaited.owner)
             for partition, awaited in self.awaited.items()
-            if now - awaited.confirmed_at >= AWAIT_SECONDS
+            if not awaited.confirmed and now - awaited.confirmed_at >= AWAIT_SECONDS
         ]
 
     def expire(self, now: float) -> None:
         """Forget detours and hand-overs that are long past."""
         for partition in [item for item, until in self.handed.items() if until <= now]:
             del self.handed[partition]
+            if partition not in self.awaited:
+                self.deciders[partition] = self.homes[partition]
         for partition in [item for item, until in self.detours.items() if until <= now]:
             del self.detours[partition]
             self.deciders[partition] = self.homes[partition]
--- a/src/beamloom/routing/transfers.py
+++ b/src/beamloom/routing/transfers.py
@@ -223,6 +223,8 @@
         records = unpack_records(message.packed_records)
         refused = self._ownership.leaving and isinstance(message, TransferRecords)
         stream = (type(message), sender)
+        if isinstance(message, TransferRecords):
+            self._ownership.confirm(sender)
         if not refused and message.number > self._taken.get(stream, 0):
             self._taken[stream] = message.number
             for partition, note in openings:
