Tell the platform's state from its first answer and the remedy of a failed TLS call

Cause: a node logged the platform as reachable before it had ever answered, and a refused certificate was told as the library's internals. Conclusion: the two messages lead to the cause.

--- a/src/beamloom/cli/admin_access.py
+++ b/src/beamloom/cli/admin_access.py
@@ -64,7 +64,7 @@
             ):
                 return _checked(response.status, await response.text())
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise AdminUnreachableError(self.url, repr(error)) from error
+            raise AdminUnreachableError(self.url, str(error) or repr(error)) from error
 
 
 def make_admin_client(access: AdminAccess | None) -> AdminClient:
--- a/src/beamloom/cli/errors.py
+++ b/src/beamloom/cli/errors.py
@@ -51,7 +51,8 @@
     def __init__(self, url: str, detail: str) -> None:
         super().__init__(
             f"no answer from the admin API at {url} ({detail}): check that the node runs, "
-            "and that its address and scheme (http or https) are right"
+            "that its address and scheme (http or https) are right, and for https that "
+            "--admin-authority-file names the authority that signed its certificate"
         )
 
 
--- a/src/beamloom/runtime/machine_list.py
+++ b/src/beamloom/runtime/machine_list.py
@@ -57,6 +57,7 @@
         self._deliver = deliver
         self._turn_seconds = turn_seconds
         self._registered = False
+        self._state = "unknown"
         self._log = structlog.get_logger().bind(node=machine.node_id)
 
     async def run(self) -> None:
@@ -102,14 +103,12 @@
 
     def _note(self, failure: str | None) -> None:
         """Log a change between reachable and unreachable, once."""
-        before, self.last_failure = self.last_failure, failure
-        if (before is None) == (failure is None):
+        self.last_failure = failure
+        before, after = self._state, "reachable" if failure is None else "unreachable"
+        if before == after:
             return
-        states = ("reachable", "unreachable") if failure else ("unreachable", "reachable")
+        self._state = after
+        reason = failure or "the platform answers"
         self._log.info(
-            "state_changed",
-            subject="platform",
-            before=states[0],
-            after=states[1],
-            reason=failure or "the platform answers again",
+            "state_changed", subject="platform", before=before, after=after, reason=reason
         )
--- a/tests/functional/test_node_process.py
+++ b/tests/functional/test_node_process.py
@@ -10,6 +10,7 @@
 from beamloom.protocol.events import TimerExpired
 from beamloom.runtime.errors import (
     AddressUnavailableError,
+    AdminTlsError,
     BrokenComponentError,
     SecretFileError,
 )
@@ -54,6 +55,17 @@
         ):
             self.assertIn(part, fault)
 
+    async def test_unusable_admin_certificate_is_named(self) -> None:
+        path = self.write_settings("one")
+        files = 'certificate_file = "admin.pem"\nkey_file = "admin.key"\n'
+        path.write_text(path.read_text().replace("[admin]\n", "[admin]\n" + files))
+        for content in (None, b"not PEM"):
+            if content is not None:
+                (self.folder / "admin.pem").write_bytes(content)
+            with self.subTest(content), self.assertRaises(AdminTlsError) as caught:
+                await self.make_node(path).start()
+            self.assertIn("admin.pem", str(caught.exception))
+
     async def test_platform_down_at_start_is_told_and_waited_for(self) -> None:
         self.store.inject(FaultPlan(down=True))
         node = await self.start_node("one")
@@ -198,7 +210,9 @@
         node.machines._client = mock.Mock()
         node.machines._client.register_machine = mock.AsyncMock(side_effect=PlatformError("x"))
         await node.machines.take_turn()
-        self.assertEqual(node.machines.counters["report_failed"], 1)
+        await node.machines.take_turn()
+        self.assertEqual(node.machines.counters["report_failed"], 2)
+        self.assertEqual(self.log_output.getvalue().count('"unreachable"'), 1)
 
 
 class StopTest(NodeTestCase):
