Say after how long a late configuration was in force

Cause: the violation called the whole time since acceptance its lateness. Change: the wording of the detail. Conclusion: a detail reads as what it is.

--- a/src/beamloom/simulation/oracle.py
+++ b/src/beamloom/simulation/oracle.py
@@ -148,7 +148,9 @@
         if deadline > min(seen.ended_at, life.ended_at):
             continue
         if time is None or time > deadline:
-            when = "not in force" if time is None else f"in force {time - accepted.time:.3f} s late"
+            when = (
+                "not in force" if time is None else f"in force after {time - accepted.time:.3f} s"
+            )
             yield Violation(invariant, deadline, life.node, f"{accepted.revision} {when}")
     yield from _outdated_joiners(seen)
     newest: dict[str, int] = {}
