--- a/src/beamloom/routing/deciding.py
+++ b/src/beamloom/routing/deciding.py
@@ -21,7 +21,6 @@
 from beamloom.routing.selection import Choice, PlacementReason
 from beamloom.routing.services import ServiceRoute
 from beamloom.routing.transfers import Transfers
-from beamloom.world.contracts import RepeatPolicy
 from beamloom.world.machines import NodeId
 
 CLOSED_SECONDS = 10.0
@@ -153,7 +152,7 @@
 
     def _binding_may_be_lost(self, packet: FlowPacket, now: float) -> bool:
         policy = packet.service.contract.policy
-        if policy.request_repeat is not RepeatPolicy.NEVER:
+        if not packet.service.binds_first:
             return False
         partition = partition_of(packet.key)
         owned = self._home.ownership.owned[partition]
@@ -197,7 +196,7 @@
         self, key: int, number: int, service: ServiceRoute, now: float
     ) -> list[Command] | None:
         """Begin to bind where the service asks for it; None when no more flows can be held."""
-        if service.contract.policy.request_repeat is not RepeatPolicy.NEVER:
+        if not service.binds_first:
             return []
         holders = self._sender.holders(partition_of(key))
         if not holders:
--- a/src/beamloom/routing/home.py
+++ b/src/beamloom/routing/home.py
@@ -16,7 +16,6 @@
 from beamloom.routing.placement import NO_CANDIDATE
 from beamloom.routing.selection import Choice, PlacementReason, choose_backend
 from beamloom.routing.services import RouteTable, ServiceRoute
-from beamloom.world.contracts import RepeatPolicy
 
 CACHE_LEASE_SECONDS = 30.0
 BOTH_CLOSED = FlowFlag.CLIENT_CLOSED | FlowFlag.BACKEND_CLOSED
@@ -123,8 +122,7 @@
         return row
 
     def _is_exception(self, key: int, number: int, service: ServiceRoute) -> bool:
-        bound = service.contract.policy.request_repeat is RepeatPolicy.NEVER
-        return bound or number != self.base_backend(service, key)
+        return service.binds_first or number != self.base_backend(service, key)
 
     def forget(self, key: int) -> None:
         """Remove a flow's entry, counting it as ended where it was the home's."""
--- a/src/beamloom/routing/ownership.py
+++ b/src/beamloom/routing/ownership.py
@@ -14,7 +14,7 @@
 
 from beamloom.routing.hashing import PARTITION_COUNT
 from beamloom.routing.partitions import PartitionMap
-from beamloom.world.machines import Machine, Member, NodeId
+from beamloom.world.machines import Machine, Member, MemberState, NodeId
 
 FIRST_REQUEST_SECONDS = 1.0
 LAST_REQUEST_SECONDS = 4.0
@@ -192,12 +192,21 @@
         """Ask the next node in order that has not disclaimed; returns False when none is left."""
         awaited = self.awaited[partition]
         excluded = awaited.disclaimed | {self.node_id}
-        candidate = self.map.best_except(partition, excluded)
-        if candidate is None or len(awaited.disclaimed) >= MAXIMUM_ASKED:
+        candidate = self._leaving_member(excluded)
+        if candidate is None and len(awaited.disclaimed) < MAXIMUM_ASKED:
+            candidate = self.map.best_except(partition, excluded)
+        if candidate is None:
             return False
         self.await_owner(partition, candidate, now)
         return True
 
+    def _leaving_member(self, excluded: set[NodeId]) -> NodeId | None:
+        """Return a member that is in no map any more and may still own partitions."""
+        for node_id, member in self.members.items():
+            if member.state is MemberState.LEAVING and node_id not in excluded:
+                return node_id
+        return None
+
     def _replace_dead_owners(self, now: float) -> list[Acquired]:
         """Take over from awaited owners that died; one that never confirmed may not have owned."""
         acquired: list[Acquired] = []
--- a/src/beamloom/routing/services.py
+++ b/src/beamloom/routing/services.py
@@ -7,8 +7,8 @@
 
 from beamloom.routing.hooks import TrafficMeter
 from beamloom.routing.placement import NO_CANDIDATE, PlacementTable, build_placement_table
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.contracts import Backend, Generation, ServiceContract
+from beamloom.world.addresses import SocketAddress, TransportProtocol
+from beamloom.world.contracts import Backend, Generation, RepeatPolicy, ServiceContract
 
 
 @dataclass(slots=True)
@@ -39,6 +39,16 @@
             self._tables[generation.revision] = table
         return table
 
+    @property
+    def binds_first(self) -> bool:
+        """Whether a flow must be bound at a replica before its first packet leaves.
+
+        TCP needs no binding: a backend without the connection resets what reaches it by mistake
+        and runs nothing (RFC 9293, 3.10.7.1). A datagram would run again.
+        """
+        never = self.contract.policy.request_repeat is RepeatPolicy.NEVER
+        return never and self.contract.virtual_address.protocol is TransportProtocol.UDP
+
     @property
     def current_table(self) -> PlacementTable:
         """The table that decides new flows."""
