Give each tenant's clients hosts of their own in the demo

Cause: the demo broke 298-333 of 2,000 flows by resets. The trace showed that the client itself sent them: two tenants' clients shared host addresses, so the fabric, which learns a client's socket by host, delivered one tenant's answers to the other's clients. Ruled out: the balancers: the same trace shows one backend per flow throughout. Change: first_client_of(group) gives client ranges that share no host; backends answer through the balancers that the fabric uses, so that none answers to one that has stopped. Conclusion: a fault of the stand-ins; slow closing under hand-over remains.

--- a/src/beamloom/demo/fleet.py
+++ b/src/beamloom/demo/fleet.py
@@ -190,13 +190,15 @@
         await self._close(balancer)
 
     def _update_fabric(self) -> None:
-        self.fabric.set_balancers(
-            [
-                balancer.machine.data_address
-                for balancer in self.balancers.values()
-                if not balancer.leaving
-            ]
-        )
+        """Tell the fabric, and the backends for their answers, which balancers to use."""
+        addresses = [
+            balancer.machine.data_address
+            for balancer in self.balancers.values()
+            if not balancer.leaving
+        ]
+        self.fabric.set_balancers(addresses)
+        for backend in self.backends.values():
+            backend.balancers = list(addresses)
 
     async def _start_balancer(
         self, sockets: MachineSockets, seeds: tuple[SocketAddress, ...]
--- a/src/beamloom/demo/run.py
+++ b/src/beamloom/demo/run.py
@@ -10,8 +10,7 @@
 from beamloom.demo.fleet import ControlTraffic, LoopbackFleet
 from beamloom.demo.tenants import DemoTenant, demo_deployment
 from beamloom.standins.load import LoadResult, run_load
-
-CLIENTS_PER_TENANT = 1_000_000
+from beamloom.standins.load_profiles import first_client_of
 
 Progress = Callable[[float, int, int], None]
 """Told the share of the run that is over, the flows started and the flows open."""
@@ -99,7 +98,7 @@
             fabric=fleet.fabric.client_address,
             services=tenant.services,
             seed=number,
-            first_client=number * CLIENTS_PER_TENANT,
+            first_client=first_client_of(number),
             progress=summed.reporter(tenant.name),
         )
         for number, tenant in enumerate(tenants)
--- a/src/beamloom/standins/load_profiles.py
+++ b/src/beamloom/standins/load_profiles.py
@@ -17,6 +17,7 @@
 
 FIRST_PORT = 1_024
 PORTS_PER_CLIENT = 60_000
+HOSTS_PER_GROUP = 250
 CLIENT_NETWORKS = {
     4: ipaddress.ip_network("198.18.0.0/15"),
     6: ipaddress.ip_network("2001:db8:1::/64"),
@@ -90,7 +91,7 @@
     ) -> None:
         """Raise ValueError when `services` lacks one that the profile uses.
 
-        Sources that share a fabric need ranges of clients of their own: see `first_client`.
+        Sources that share a fabric need client hosts of their own: see `first_client_of`.
         """
         missing = sorted(set(profile.endpoints) - set(services))
         if missing:
@@ -120,9 +121,14 @@
         return mix.service, make(options, self._chance)
 
 
+def first_client_of(group: int) -> int:
+    """Return the first client number of a group; groups share no client host."""
+    return group * HOSTS_PER_GROUP * PORTS_PER_CLIENT
+
+
 def client_address(number: int, version: int) -> SocketAddress:
-    """Return the inner address of the client that opens flow `number`, spread over 250 hosts."""
+    """Return the inner address of the client that opens flow `number`."""
     network = CLIENT_NETWORKS[version]
-    group, within = divmod(number, 250 * PORTS_PER_CLIENT)
-    host = network.network_address + 1 + group * 250 + within % 250
-    return SocketAddress(str(host), FIRST_PORT + within // 250)
+    group, within = divmod(number, HOSTS_PER_GROUP * PORTS_PER_CLIENT)
+    host = network.network_address + 1 + group * HOSTS_PER_GROUP + within % HOSTS_PER_GROUP
+    return SocketAddress(str(host), FIRST_PORT + within // HOSTS_PER_GROUP)
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -5,6 +5,7 @@
 
 from beamloom.demo.run import DemoOptions, run_demo
 from beamloom.demo.tenants import demo_deployment
+from beamloom.standins.load_profiles import client_address, first_client_of
 
 
 class WholePathTest(unittest.TestCase):
@@ -24,3 +25,9 @@
         addresses = [address for tenant in tenants for address in tenant.services.values()]
         self.assertEqual(len(set(addresses)), len(addresses))
         self.assertEqual(len({tenant.name for tenant in tenants}), 5)
+
+    def test_groups_of_clients_share_no_host(self) -> None:
+        hosts = [client_address(first_client_of(group), 4).host for group in range(50)]
+        self.assertEqual(len(set(hosts)), len(hosts))
+        last = client_address(first_client_of(1) - 1, 4).host
+        self.assertNotEqual(last, hosts[1])
