--- a/src/beamloom/runtime/admin.py
+++ b/src/beamloom/runtime/admin.py
@@ -150,7 +150,7 @@
         core = self._balancer.core
         answer = node_status.node_status(core)
         answer["reason"] = self._readiness().reason
-        answer["backends"] = node_status.backend_objects(core)
+        answer["backends"] = node_status.backend_objects(core, _now())
         return web.json_response(answer)
 
     async def _in_force(self, request: web.Request) -> web.Response:
@@ -180,14 +180,18 @@
 
     async def _explain_backend(self, request: web.Request) -> web.Response:
         name = _parameter(request, "name", "TENANT/SERVICE/BACKEND")
-        return web.json_response(node_status.explain_backend(self._balancer.core, name))
+        return web.json_response(node_status.explain_backend(self._balancer.core, name, _now()))
 
     async def _explain_flow(self, request: web.Request) -> web.Response:
-        now = asyncio.get_running_loop().time()
-        answer = node_status.explain_flow(self._balancer.core, _flow(request), now)
+        answer = node_status.explain_flow(self._balancer.core, _flow(request), _now())
         return web.json_response(answer)
 
 
+def _now() -> float:
+    """Return the time that the core is given with its events."""
+    return asyncio.get_running_loop().time()
+
+
 def _flow(request: web.Request) -> FlowTuple:
     """Return the flow that `client`, `service` (IP:PORT each) and `protocol` name."""
     client = _address(request, "client")
--- a/src/beamloom/runtime/health_checks.py
+++ b/src/beamloom/runtime/health_checks.py
@@ -1,7 +1,8 @@
 """Carries out `CheckBackend`: asks a backend's health endpoint over HTTP.
 
 The endpoint answers `{"healthy", "shedding", "draining", "load"}`. No answer in time, another
-status than 200 or an unreadable body all count as not healthy.
+status than 200 or an unreadable body all count as not healthy. A backend that says it is draining
+counts as shedding: no new work, and what it has goes on.
 """
 
 from __future__ import annotations
@@ -91,8 +92,8 @@
             self.counters["failed"] += 1
         return BackendChecked(
             command.backend_number,
-            answer.healthy and not answer.draining,
-            answer.shedding,
+            answer.healthy,
+            answer.shedding or answer.draining,
             answer.load,
             loop.time() - begin,
         )
--- a/src/beamloom/runtime/node_status.py
+++ b/src/beamloom/runtime/node_status.py
@@ -15,6 +15,7 @@
 from beamloom.world.contracts import (
     Backend,
     BackendAdministrativeState,
+    BackendOperatingStatus,
     ServiceContract,
 )
 
@@ -120,7 +121,7 @@
     }
 
 
-def explain_backend(core: NodeCore, name: str) -> Answer:
+def explain_backend(core: NodeCore, name: str, now: float) -> Answer:
     """Return whether a backend `T/S/B` gets new flows, and why; raises SettingsError."""
     key = ObjectKey.parse(f"{ObjectKind.BACKEND}/{name}")
     service_name, backend_id = "/".join(key.names[:2]), key.names[2]
@@ -132,7 +133,7 @@
     if backend is None:
         reason = f"service {service_name} has no backend {backend_id} in force"
         raise UnknownBackendError(reason, "check the name with `beamloom backend list`")
-    return {"backend": name, **_backend_state(service, backend), **_new_flows(backend)}
+    return {"backend": name, **_backend_state(service, backend), **_new_flows(core, backend, now)}
 
 
 def _backend_state(service: ServiceContract, backend: Backend) -> Answer:
@@ -151,19 +152,28 @@
     }
 
 
-def _new_flows(backend: Backend) -> Answer:
+def _new_flows(core: NodeCore, backend: Backend, now: float) -> Answer:
+    """Return the observed status, and whether the backend gets new flows; operators come first."""
+    view = core.watchers.status(backend.backend_number, now)
+    observed = {
+        "operating_status": view.status.name.lower(),
+        "weight_factor": round(view.weight_factor, 3),
+        "status_age_seconds": round(now - view.since, 3),
+        "watchers": list(core.watchers.watchers(backend.backend_number)),
+    }
     if backend.state is BackendAdministrativeState.DRAINING:
-        return {"new_flows": False, "reason": "an operator drains it"}
+        return {**observed, "new_flows": False, "reason": "an operator drains it"}
     if backend.weight == 0:
-        return {"new_flows": False, "reason": "its weight is 0"}
-    return {"new_flows": True, "reason": "active, with a share of new flows by its weight"}
+        return {**observed, "new_flows": False, "reason": "its weight is 0"}
+    refused = view.status in {BackendOperatingStatus.OFFLINE, BackendOperatingStatus.SHEDDING}
+    return {**observed, "new_flows": not refused, "reason": view.reason}
 
 
-def backend_objects(core: NodeCore) -> list[Answer]:
+def backend_objects(core: NodeCore, now: float) -> list[Answer]:
     """Return every backend in force with its state, sorted by name."""
     rows: list[Answer] = []
     for name, service in sorted(core.configuration.configuration.services.items()):
         for backend in service.backends:
-            state = _backend_state(service, backend) | _new_flows(backend)
+            state = _backend_state(service, backend) | _new_flows(core, backend, now)
             rows.append({"backend": f"{name}/{backend.backend_id}", **state})
     return rows
--- a/tests/functional/platform_case.py
+++ b/tests/functional/platform_case.py
@@ -1,6 +1,7 @@
 """Base of tests that run the platform's stand-in on a loopback socket of any free port."""
 
 import asyncio
+import math
 import unittest
 from collections.abc import Callable
 from random import Random
@@ -24,6 +25,8 @@
     """A store, its server and one client; pauses and injected delays pass by `gate` or at once."""
 
     async def asyncSetUp(self) -> None:
+        # Debug mode writes slow callbacks to standard error, where commands' errors are looked for.
+        asyncio.get_running_loop().slow_callback_duration = math.inf
         self.pauses: list[float] = []
         self.on_pause: Callable[[], object] = lambda: None
         self.gate = asyncio.Event()
