--- a/src/beamloom/routing/flow_table.py
+++ b/src/beamloom/routing/flow_table.py
@@ -15,6 +15,8 @@
 from beamloom.routing.hashing import PARTITION_COUNT, PARTITION_MASK
 
 SWEEP_ROWS = 2048
+DEADLINE_SIZE = 8
+NEVER = float("inf")
 
 
 class FlowFlag(IntFlag):
@@ -83,6 +85,7 @@
         row = self.rows.pop(key, None)
         if row is not None:
             self._free.append(row)
+            self.deadline[row] = NEVER
 
     def items(self) -> Iterator[tuple[int, int]]:
         """Yield (key, row) of every entry; the table must not change meanwhile."""
@@ -111,11 +114,10 @@
         count = len(self._keys)
         if not count:
             return []
-        keys = []
-        for _ in range(min(SWEEP_ROWS, count)):
-            row = self._cursor
-            self._cursor = (row + 1) % count
-            key = self._keys[row]
-            if self.deadline[row] <= now and self.rows.get(key) == row:
-                keys.append(key)
-        return keys
+        start = self._cursor if self._cursor < count else 0
+        end = min(start + SWEEP_ROWS, count)
+        self._cursor = end % count
+        deadlines = np.frombuffer(self.deadline, dtype=np.float64, offset=start * DEADLINE_SIZE)
+        due = np.flatnonzero(deadlines[: end - start] <= now) + start
+        keys = [(self._keys[row], row) for row in due.tolist()]
+        return [key for key, row in keys if self.rows.get(key) == row]
--- /dev/null
+++ b/tests/unit/routing/test_flow_table.py
@@ -0,0 +1,43 @@
+"""The sweep of the flow table finds every flow that has ended, and no row that is free."""
+
+import random
+import unittest
+
+from beamloom.routing.flow_table import SWEEP_ROWS, FlowTable
+
+
+class SweepTest(unittest.TestCase):
+    def test_one_round_of_calls_finds_exactly_the_flows_that_ended(self) -> None:
+        chance = random.Random(5)
+        table = FlowTable()
+        deadlines = {chance.getrandbits(60): float(chance.randint(0, 20)) for _ in range(5000)}
+        for key, deadline in deadlines.items():
+            table.insert(key, 1, 0, deadline, 0.0)
+        for key in list(deadlines)[::7]:
+            table.remove(key)
+            del deadlines[key]
+        found: list[int] = []
+        for _ in range(-(-5000 // SWEEP_ROWS)):
+            found.extend(table.expired(10.0))
+        self.assertEqual(sorted(found), sorted(k for k, end in deadlines.items() if end <= 10.0))
+
+    def test_a_reused_row_ends_at_its_new_deadline(self) -> None:
+        table = FlowTable()
+        table.insert(1, 1, 0, 5.0, 0.0)
+        table.remove(1)
+        self.assertEqual(table.expired(9.0), [])
+        table.insert(2, 1, 0, 20.0, 9.0)
+        self.assertEqual(table.expired(19.0), [])
+        self.assertEqual(table.expired(20.0), [2])
+
+    def test_the_table_grows_between_calls(self) -> None:
+        table = FlowTable()
+        for key in range(3 * SWEEP_ROWS):
+            table.insert(key, 1, 0, 1.0, 0.0)
+            if key % SWEEP_ROWS == 0:
+                table.expired(0.0)
+        self.assertEqual(len(table), 3 * SWEEP_ROWS)
+
+
+if __name__ == "__main__":
+    unittest.main()
