Measure a whole fleet of hollow nodes in one process, by role

Change: `beamloom bench scale` runs whole cores on the simulator's clock and network against the store's model. Each call of a core is timed by the thread's processor time; each home is given the packets that open, carry and close its share of flows. Partition maps, placement tables and typed backends are shared between cores; one core that shares nothing is measured besides.

--- /dev/null
+++ b/src/beamloom/bench/scale_observations.py
@@ -0,0 +1,113 @@
+"""What a scale run observes: when changes came into force and when crashes were noticed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from beamloom.bench.scale_nodes import HollowNode
+from beamloom.protocol.commands import Command
+from beamloom.simulation.clock import VirtualClock
+from beamloom.simulation.measurements import Measurements
+from beamloom.world.addresses import SocketAddress
+from beamloom.world.machines import NodeId
+
+LOOK_SECONDS = 0.25
+
+
+class LeanMeasurements(Measurements):
+    """Notes only revisions in force: hashing each command of hundreds of nodes would dominate."""
+
+    def command(self, node: str, command: Command) -> None:
+        """Note nothing."""
+
+    def packet_sent(self, node: str, destination: SocketAddress, data: bytes) -> None:
+        """Note nothing."""
+
+    def control_sent(self, node: str, size: int) -> None:
+        """Note nothing: the node's own meter counts bytes."""
+
+
+@dataclass(slots=True)
+class AcceptedChange:
+    """A change that the store accepted, and the nodes that were running then."""
+
+    revision: int
+    time: float
+    expected: frozenset[str]
+
+
+@dataclass(slots=True)
+class ChangeObserver:
+    """Compares accepted changes with the revisions that nodes had in force."""
+
+    measurements: LeanMeasurements
+    accepted: list[AcceptedChange] = field(default_factory=list)
+
+    def seconds_in_force(
+        self, start: float, end: float, ended: dict[str, float]
+    ) -> tuple[list[float], int]:
+        """Return the seconds until each node had each change, and how many never had one.
+
+        Only changes accepted from `start` to before `end`; a node that ended is not expected.
+        """
+        by_node: dict[str, list[tuple[int, float]]] = {}
+        for item in self.measurements.in_force:
+            by_node.setdefault(item.node, []).append((item.revision, item.time))
+        seconds: list[float] = []
+        missing = 0
+        for change in self.accepted:
+            if not start <= change.time < end:
+                continue
+            for node in change.expected:
+                found = _first_with(by_node.get(node, ()), change.revision)
+                if found is not None:
+                    seconds.append(max(found - change.time, 0.0))
+                elif node not in ended:
+                    missing += 1
+        return seconds, missing
+
+
+def _first_with(seen: list[tuple[int, float]] | tuple[()], revision: int) -> float | None:
+    return next((time for known, time in seen if known >= revision), None)
+
+
+class CrashObserver:
+    """Looks at every node's member list until each has noticed each crash."""
+
+    def __init__(self, clock: VirtualClock, nodes: dict[NodeId, HollowNode]) -> None:
+        self.seconds: list[float] = []
+        self._clock = clock
+        self._nodes = nodes
+        self._pending: dict[NodeId, tuple[float, set[NodeId]]] = {}
+
+    def crashed(self, names: list[NodeId]) -> None:
+        """Begin to watch for the notice of these crashes."""
+        if not self._pending:
+            self._clock.call_later(LOOK_SECONDS, self._look)
+        running = {name for name, node in self._nodes.items() if node.host.running}
+        for name in names:
+            self._pending[name] = (self._clock.now, running - set(names))
+
+    @property
+    def unnoticed(self) -> int:
+        """How many (crash, running node) pairs have not been noticed."""
+        self._forget_ended()
+        return sum(len(waiting) for _, waiting in self._pending.values())
+
+    def _forget_ended(self) -> None:
+        for _, waiting in self._pending.values():
+            waiting -= {name for name in waiting if not self._nodes[name].host.running}
+
+    def _look(self) -> None:
+        self._forget_ended()
+        now = self._clock.now
+        for crashed, (time, waiting) in list(self._pending.items()):
+            for name in sorted(waiting):
+                member = self._nodes[name].core.core.membership.view.member(crashed)
+                if member is None or not member.answers:
+                    waiting.discard(name)
+                    self.seconds.append(now - time)
+            if not waiting:
+                del self._pending[crashed]
+        if self._pending:
+            self._clock.call_later(LOOK_SECONDS, self._look)
--- /dev/null
+++ b/src/beamloom/cli/bench.py
@@ -0,0 +1,176 @@
+"""`beamloom bench`: measurements of the product on this machine."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import Annotated
+
+from cyclopts import App, Parameter
+from cyclopts.validators import Number
+
+from beamloom.bench.forwarding import MeasurementError, bench_forwarding
+from beamloom.bench.scale import ScaleReport, bench_scale
+from beamloom.bench.scale_options import ScaleOptions
+from beamloom.bench.scale_report import RoleFigures
+from beamloom.cli.errors import MeasurementFailedError
+from beamloom.cli.exit_status import ExitStatus
+from beamloom.cli.output import FormatFlag, OutputFormat, Row, write_json, write_rows
+
+SHARE = Parameter(validator=Number(gte=0, lt=1))
+POSITIVE = Parameter(validator=Number(gt=0))
+NOT_NEGATIVE = Parameter(validator=Number(gte=0))
+FORWARDING_COLUMNS = ("measure", "value")
+COLUMNS = (
+    "phase",
+    "role",
+    "nodes",
+    "cpu % p50",
+    "cpu % max",
+    "sent B/s p50",
+    "sent B/s max 10 s",
+    "received B/s max 10 s",
+    "in force p99 s",
+)
+
+
+def register(app: App) -> None:
+    """Add the group of commands."""
+    group = App(name="bench", help="Measure the product on this machine.")
+    group.command(forwarding)
+    group.command(scale)
+    app.command(group)
+
+
+async def forwarding(
+    *,
+    flows: Annotated[int, POSITIVE, Parameter(help="Open flows in the table.")] = 100_000,
+    seconds: Annotated[float, POSITIVE, Parameter(help="How long to measure.")] = 5.0,
+    output_format: FormatFlag = OutputFormat.TABLE,
+) -> None:
+    """Measure packets a second through one balancer, beside a bare relay on the same loop."""
+    try:
+        report = await bench_forwarding(flows, seconds)
+    except MeasurementError as error:
+        raise MeasurementFailedError(str(error)) from error
+    if output_format is OutputFormat.JSON:
+        write_json(asdict(report))
+        return
+    rows = [{"measure": name, "value": value} for name, value in asdict(report).items()]
+    write_rows(FORWARDING_COLUMNS, rows, output_format)
+
+
+def scale(
+    *,
+    nodes: Annotated[int, Parameter(validator=Number(gte=3, lte=1000))] = 560,
+    endpoints: Annotated[int, POSITIVE] = 4_400,
+    services: Annotated[int, POSITIVE] = 360,
+    flows_per_second: Annotated[float, POSITIVE] = 30_000.0,
+    open_flows: Annotated[int, NOT_NEGATIVE] = 7_400_000,
+    changes_per_day: Annotated[float, POSITIVE] = 1_400.0,
+    regions: Annotated[int, POSITIVE] = 2,
+    zones: Annotated[int, POSITIVE] = 5,
+    loss: Annotated[float, SHARE] = 0.0,
+    duration: Annotated[float, POSITIVE] = 30.0,
+    warm_up: Annotated[float, POSITIVE] = 12.0,
+    compression: Annotated[float, POSITIVE] = 40.0,
+    never_repeat_share: Annotated[float, SHARE] = 0.1,
+    long_flow_share: Annotated[float, SHARE] = 0.1,
+    failures: bool = False,
+    single_core: bool = True,
+    seed: int = 1,
+    output_format: FormatFlag = OutputFormat.TABLE,
+) -> int:
+    """Run a fleet of hollow nodes in this process and report what control costs, by role.
+
+    The cores are whole; packets are only those that a flow's home must see. Minutes and gigabytes
+    at hundreds of nodes.
+
+    Parameters
+    ----------
+    nodes
+        Nodes of the fleet.
+    endpoints
+        Backends in all, dealt out to the services in turn.
+    services
+        Services in all, two to a tenant.
+    flows_per_second
+        New flows a second of the whole fleet.
+    open_flows
+        Flows of the whole fleet that are open from the start.
+    changes_per_day
+        Accepted changes of the configuration a day.
+    regions
+        Regions, 40 ms apart.
+    zones
+        Zones in all, 1.5 ms apart within a region.
+    loss
+        Share of datagrams lost on every link.
+    duration
+        Virtual seconds of each phase.
+    warm_up
+        Virtual seconds before the first phase.
+    compression
+        How many times as fast as on a day the changes of the second phase come.
+    never_repeat_share
+        Share of services whose requests may not be repeated.
+    long_flow_share
+        Share of new flows that outlast the run.
+    failures
+        Add a phase with crashes, replacements, a rack, a split of the regions and a zone's loss.
+    single_core
+        Measure one core that shares nothing as well.
+    seed
+        Decides every random draw.
+    output_format
+        For people, or JSON.
+
+    """
+    report = bench_scale(
+        ScaleOptions(
+            nodes=nodes,
+            endpoints=endpoints,
+            services=services,
+            flows_per_second=flows_per_second,
+            open_flows=open_flows,
+            changes_per_day=changes_per_day,
+            regions=regions,
+            zones=zones,
+            loss=loss,
+            duration=duration,
+            warm_up=warm_up,
+            compression=compression,
+            never_repeat_share=never_repeat_share,
+            long_flow_share=long_flow_share,
+            failures=failures,
+            seed=seed,
+        ),
+        with_single_core=single_core,
+    )
+    if output_format is OutputFormat.JSON:
+        write_json(asdict(report))
+    else:
+        write_rows(COLUMNS, _rows(report), output_format)
+    return ExitStatus.GOOD
+
+
+def _rows(report: ScaleReport) -> list[Row]:
+    rows: list[Row] = []
+    for phase in report.phases:
+        in_force = phase.in_force_seconds.p99 if phase.in_force_seconds else None
+        rows.extend(_row(phase.phase, role, in_force) for role in phase.roles)
+    return rows
+
+
+def _row(phase: str, role: RoleFigures, in_force: float | None) -> Row:
+    values = (
+        phase,
+        role.role,
+        role.nodes,
+        role.control_cpu_percent.p50,
+        role.control_cpu_percent.max,
+        role.sent_bytes_per_second.p50,
+        role.largest_window_sent_bytes_per_second.max,
+        role.largest_window_received_bytes_per_second.max,
+        in_force,
+    )
+    return dict(zip(COLUMNS, values, strict=True))
--- a/src/beamloom/cli/load.py
+++ b/src/beamloom/cli/load.py
@@ -1,15 +1,13 @@
-"""`beamloom load` and `beamloom bench`: measure a running fleet, or one node's data path."""
+"""`beamloom load`: put one of the users' loads on a running fleet."""
 
 from __future__ import annotations
 
-from dataclasses import asdict
 from typing import Annotated
 
 from cyclopts import App, Parameter
 from cyclopts.validators import Number
 
-from beamloom.bench.forwarding import MeasurementError, bench_forwarding
-from beamloom.cli.errors import MeasurementFailedError, UsageError
+from beamloom.cli.errors import UsageError
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.flags import AddressText, parse_address, parse_virtual_address
 from beamloom.cli.output import FormatFlag, OutputFormat, write_json, write_rows
@@ -22,13 +20,10 @@
 Positive = Parameter(validator=Number(gt=0))
 COLUMNS = ("measure", "value")
 
-bench_app = App(name="bench", help="Measure what the product costs on this machine.")
-
 
 def register(app: App) -> None:
     """Add the commands."""
     app.command(load)
-    app.command(bench_app)
 
 
 async def load(
@@ -59,25 +54,6 @@
     return ExitStatus.FAILED if result.broken_flows or not answered else ExitStatus.GOOD
 
 
-@bench_app.command
-async def forwarding(
-    *,
-    flows: Annotated[int, Positive, Parameter(help="Open flows in the table.")] = 100_000,
-    seconds: Annotated[float, Positive, Parameter(help="How long to measure.")] = 5.0,
-    output_format: FormatFlag = OutputFormat.TABLE,
-) -> None:
-    """Measure packets a second through one balancer, beside a bare relay on the same loop."""
-    try:
-        report = await bench_forwarding(flows, seconds)
-    except MeasurementError as error:
-        raise MeasurementFailedError(str(error)) from error
-    if output_format is OutputFormat.JSON:
-        write_json(asdict(report))
-        return
-    rows = [{"measure": name, "value": value} for name, value in asdict(report).items()]
-    write_rows(COLUMNS, rows, output_format)
-
-
 def example_services(profile: ProfileName) -> dict[str, VirtualAddress]:
     """Return the virtual addresses of a user's example deployment, by service name."""
     return {
