Look at the packet meters of all tenants ten times a second, not at each poll

Cause: `PacketMetering.poll` went through every tenant's meter whenever any timer of the core came due; in the profile of 50 hollow nodes with 4,400 backends that was 138 times a second a node, 6.2 million of the calls, and 45% of `handle`. The limits themselves refill every 0.1 s. Change: the meters are looked at once in 0.09 s at most; the forwarder's tick polls the core every 0.1 s, so a tenant over its limit is blocked as soon as its limit could refill. Measured: processor time of one poll with 180 tenants, median of 5 x 200, at 143 polls a second: 80.6 us before, 8.1 us after (1.15% of a core becomes 0.12%).

--- a/src/beamloom/node/neighbours.py
+++ b/src/beamloom/node/neighbours.py
@@ -101,6 +101,10 @@
             return 1.0
 
 
+METERING_SECONDS = 0.09
+"""Least seconds between two looks at the meters of all tenants; limits refill every 0.1 s."""
+
+
 class PacketMetering:
     """Compares what routing counted with the tenants' packet limits, and blocks what is over.
 
@@ -110,10 +114,14 @@
     def __init__(self, admission: TenantAdmission) -> None:
         self._admission = admission
         self._counted: dict[str, int] = {}
+        self._metered_at = -METERING_SECONDS
 
     def poll(self, meters: dict[str, TrafficMeter], now: float) -> list[Command]:
         """Refill the limits and set each meter's `blocked`."""
         commands = self._admission.poll(now)
+        if abs(now - self._metered_at) < METERING_SECONDS:
+            return commands
+        self._metered_at = now
         for tenant, meter in meters.items():
             used = meter.packets - self._counted.get(tenant, 0)
             self._counted[tenant] = meter.packets
