--- a/src/beamloom/cli/commands.py
+++ b/src/beamloom/cli/commands.py
@@ -4,7 +4,7 @@
 
 from cyclopts import App
 
-from beamloom.cli import check, demo, load, objects, run, settings_commands, simulate, status
+from beamloom.cli import check, demo, fuzz, load, objects, run, settings_commands, simulate, status
 
 COMMAND_GROUPS = (
     demo.register,
@@ -15,6 +15,7 @@
     check.register,
     load.register,
     simulate.register,
+    fuzz.register,
 )
 
 
--- a/src/beamloom/cli/main.py
+++ b/src/beamloom/cli/main.py
@@ -12,11 +12,19 @@
 from beamloom.cli.errors import CommandError, UsageError
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.output import write_error
+from beamloom.fuzzing.errors import FuzzingError
 from beamloom.platform.errors import PlatformError
 from beamloom.runtime.errors import NodeProcessError
 from beamloom.settings.errors import SettingsError
 
-EXPECTED_ERRORS = (CommandError, SettingsError, PlatformError, NodeProcessError, OSError)
+EXPECTED_ERRORS = (
+    CommandError,
+    SettingsError,
+    PlatformError,
+    NodeProcessError,
+    FuzzingError,
+    OSError,
+)
 """Errors whose message is for the user; any other is a fault of the program and keeps its trace."""
 
 
--- /dev/null
+++ b/src/beamloom/fuzzing/search.py
@@ -0,0 +1,101 @@
+"""Searching with hypothesis for steps that break a subject's promises."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import hypothesis
+from hypothesis import HealthCheck, Phase, Verbosity
+from hypothesis.stateful import get_state_machine_test
+
+from beamloom.fuzzing.catalogue import SUBJECTS, SubjectName
+from beamloom.fuzzing.machine import UNLIMITED, BudgetSpent, Recorder, make_machine
+from beamloom.fuzzing.steps import Failure, SubjectFactory
+from beamloom.fuzzing.strategies import STRATEGIES
+
+SHRINK_SHARE = 0.5
+"""How much longer than its budget a search may take to shrink a failure, as a share of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class SearchSize:
+    """How many runs one round has, how many steps a run at most, and how many runs shrink."""
+
+    runs: int
+    steps: int
+    shrink_runs: int = UNLIMITED
+
+
+SIZES: dict[SubjectName, SearchSize] = {
+    SubjectName.FLEET: SearchSize(10, 20),
+    SubjectName.SETTINGS: SearchSize(100, 30),
+    SubjectName.STORE: SearchSize(100, 30),
+    SubjectName.FLOW_TABLE: SearchSize(100, 50),
+    SubjectName.CODEC: SearchSize(200, 50),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class SearchResult:
+    """What a search did: rounds, runs, and the shortest failing run if there is one."""
+
+    rounds: int
+    runs: int
+    failure: Failure | None
+
+
+def search(
+    name: SubjectName,
+    seed: int,
+    budget_seconds: float,
+    make_subject: SubjectFactory | None = None,
+    clock: Callable[[], float] = time.monotonic,
+) -> SearchResult:
+    """Search until the budget is spent or a failure was found and shrunk.
+
+    `make_subject` replaces the product's own subject.
+    """
+    deadline = clock() + budget_seconds
+    recorder = Recorder(name, make_subject or SUBJECTS[name], deadline, clock)
+    rounds = 0
+    while recorder.shortest is None and clock() < deadline:
+        _run_round(recorder, seed + rounds, SIZES[name], budget_seconds * SHRINK_SHARE)
+        rounds += 1
+    return SearchResult(rounds, recorder.runs, recorder.shortest)
+
+
+def search_fixed(
+    name: SubjectName, size: SearchSize, make_subject: SubjectFactory | None = None
+) -> SearchResult:
+    """Search one derandomized round of a size, without looking at any clock."""
+    recorder = Recorder(name, make_subject or SUBJECTS[name])
+    _run_round(recorder, 0, size, 0.0)
+    return SearchResult(1, recorder.runs, recorder.shortest)
+
+
+def _run_round(recorder: Recorder, seed: int, size: SearchSize, shrink_seconds: float) -> None:
+    recorder.shrink_seconds = shrink_seconds
+    recorder.shrink_runs = size.shrink_runs
+    machine = make_machine(recorder, STRATEGIES[SubjectName(recorder.subject_name)])
+    settings = hypothesis.settings(
+        max_examples=size.runs,
+        stateful_step_count=size.steps,
+        derandomize=recorder.deadline is None,
+        database=None,
+        deadline=None,
+        phases=(Phase.generate, Phase.shrink),
+        suppress_health_check=list(HealthCheck),
+        report_multiple_bugs=False,
+        print_blob=False,
+        verbosity=Verbosity.quiet,
+    )
+    run = hypothesis.seed(seed)(get_state_machine_test(machine, settings=settings))
+    try:
+        run()
+    except BudgetSpent:
+        return
+    except Exception:
+        if recorder.shortest is None and not recorder.spent:
+            raise
--- /dev/null
+++ b/src/beamloom/fuzzing/strategies.py
@@ -0,0 +1,177 @@
+"""What hypothesis draws for each action of each subject. The only importers: `search`."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+import cbor2
+from hypothesis import strategies as st
+
+from beamloom.fuzzing.catalogue import SubjectName
+from beamloom.fuzzing.subjects.codec import PARSERS
+from beamloom.fuzzing.subjects.settings import NAMES, SCOPES
+from beamloom.protocol.messages import MESSAGE_TYPES
+from beamloom.routing.hashing import PARTITION_COUNT
+from beamloom.settings.declarations import DECLARATIONS, SettingDeclaration, SettingType
+from beamloom.simulation.deployment import VAKATALE
+
+Arguments = Mapping[str, st.SearchStrategy[object]]
+"""What is drawn for each argument of one action."""
+Actions = Mapping[str, Arguments]
+
+BEGIN = "begin"
+"""The action that, where there is one, comes first and only once."""
+
+
+def _seconds(shortest: float, longest: float) -> st.SearchStrategy[object]:
+    """Draw times in quarters of a second, so that tokens stay short."""
+    quarters = st.integers(int(shortest * 4), int(longest * 4))
+    return quarters.map(lambda count: count / 4)
+
+
+def _hundredths(lowest: int, highest: int) -> st.SearchStrategy[object]:
+    return st.integers(lowest, highest).map(lambda count: count / 100)
+
+
+_NODE: Arguments = {"node": st.integers(0, 5)}
+_SERVICE: Arguments = {"service": st.integers(0, len(VAKATALE.services) - 1)}
+_SCOPE: Arguments = {"scope": st.integers(0, 1), "bound": _hundredths(2, 30)}
+
+FLEET: Actions = {
+    BEGIN: {"seed": st.integers(1, 1000), "nodes": st.integers(2, 4)},
+    "let_time_pass": {"seconds": _seconds(0.25, 8.0)},
+    "open_streams": {**_SERVICE, "count": st.integers(1, 10)},
+    "send_requests": {**_SERVICE, "count": st.integers(1, 10)},
+    "start_node": {},
+    "stop_node": _NODE,
+    "crash_node": _NODE,
+    "pause_node": {**_NODE, "seconds": _seconds(0.5, 20.0)},
+    "isolate_node": {**_NODE, "seconds": _seconds(0.5, 20.0)},
+    "deafen_node": {**_NODE, "seconds": _seconds(0.5, 20.0)},
+    "lose_datagrams": {"loss": _hundredths(1, 20), "seconds": _seconds(1.0, 20.0)},
+    "drain_backend": {**_SERVICE, "backend": st.integers(0, 6)},
+    "add_backend": {**_SERVICE, "cold_seconds": _seconds(0.0, 20.0)},
+    "change_setting": _SCOPE,
+    "race_operators": _SCOPE,
+    "stop_store": {"seconds": _seconds(1.0, 20.0)},
+    "slow_store": {"delay": _seconds(0.25, 3.0), "seconds": _seconds(1.0, 20.0)},
+    "lose_store_answers": {"seconds": _seconds(1.0, 20.0)},
+}
+
+_CHOICES = sorted({choice for item in DECLARATIONS.values() for choice in item.choices})
+_VALUES: st.SearchStrategy[object] = st.one_of(
+    st.booleans(),
+    st.integers(-1, 200),
+    st.sampled_from([0.01, 0.5, 1.5, 1e13, -0.5]),
+    st.sampled_from([*_CHOICES, "", "other"]),
+    st.none(),
+)
+
+
+def _usable_values(declaration: SettingDeclaration) -> st.SearchStrategy[object]:
+    """Draw values within a declaration's bounds, the bounds themselves among them."""
+    if declaration.choices:
+        return st.sampled_from(declaration.choices)
+    if declaration.value_type is SettingType.BOOLEAN:
+        return st.booleans()
+    bounds = (declaration.minimum, declaration.maximum)
+    numbers = [bound for bound in bounds if math.isfinite(bound)]
+    if declaration.value_type is SettingType.INTEGER:
+        numbers = [int(bound) for bound in numbers]
+    return st.sampled_from([*numbers, declaration.default])
+
+
+def _override(index: int) -> st.SearchStrategy[object]:
+    """Draw the index of a setting and a value for it, mostly a usable one."""
+    usable = _usable_values(DECLARATIONS[NAMES[index]])
+    return st.tuples(st.just(index), usable | usable | _VALUES).map(list)
+
+
+_SCOPE_INDEX: Arguments = {"scope": st.integers(0, len(SCOPES) - 1)}
+_OVERRIDE: Arguments = {
+    **_SCOPE_INDEX,
+    "override": st.integers(0, len(NAMES) - 1).flatmap(_override),
+}
+SETTINGS: Actions = {
+    "set_value": _OVERRIDE,
+    "clear_value": {**_SCOPE_INDEX, "name": st.integers(0, len(NAMES) - 1)},
+    "delete_scope": _SCOPE_INDEX,
+    "repeat_old_change": _OVERRIDE,
+}
+
+_KEY: Arguments = {"key": st.integers(0, 1)}
+STORE: Actions = {
+    "create": _KEY,
+    "update": _KEY,
+    "delete": _KEY,
+    "inject": {
+        "down": st.booleans(),
+        "delay": _seconds(0.0, 1.0),
+        "lost_answers": st.integers(0, 3),
+    },
+    "let_time_pass": {"seconds": _hundredths(1, 200)},
+}
+
+_FLOW_KEYS = st.builds(
+    lambda low, high: low + high * PARTITION_COUNT, st.integers(0, 3), st.integers(0, 7)
+)
+FLOW_TABLE: Actions = {
+    "insert": {
+        "key": _FLOW_KEYS,
+        "backend": st.integers(0, 3),
+        "flags": st.integers(0, 127),
+        "deadline": _seconds(0.0, 10.0),
+        "now": _seconds(0.0, 10.0),
+    },
+    "remove": {"key": _FLOW_KEYS},
+    "expire": {"now": _seconds(0.0, 10.0)},
+    "scan_partition": {"partition": st.integers(0, 4)},
+    "scan_backend": {"backend": st.integers(0, 4)},
+}
+
+_ITEMS = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8) | st.binary(max_size=24),
+    lambda inner: st.lists(inner, max_size=5) | st.dictionaries(st.text(max_size=4), inner),
+    max_leaves=8,
+)
+_MESSAGES = st.builds(
+    lambda kind, values: [kind, *values],
+    st.sampled_from(sorted(MESSAGE_TYPES)),
+    st.lists(_ITEMS, max_size=8),
+)
+_ENVELOPES = st.builds(
+    lambda messages: cbor2.dumps([1, "node-1", 1, 1, messages]), st.lists(_MESSAGES, max_size=3)
+)
+_TOML_WORDS = (
+    "[node] [[zones]] [[tenants]] [[tenants.services]] [fleet] name id zone region networks "
+    'ip port settings = "a" 1 true []'
+)
+_WORDS = st.sampled_from([*_TOML_WORDS.split(), "\n", "\n"])
+_FILES = st.lists(_WORDS, max_size=24).map(lambda words: " ".join(words).encode())
+_JSON_TEXTS = (
+    '{ } [ ] : , {} [] null 1 -1 1e400 "revision" "objects" "object" "changes" "key" "value" '
+    '"live" "leaving" "data_address"'
+)
+_JSON_WORDS = st.sampled_from(_JSON_TEXTS.split())
+_BODIES = st.lists(_JSON_WORDS, max_size=24).map(lambda words: "".join(words).encode())
+_PACKETS = st.builds(
+    lambda first, rest: bytes((first,)) + rest,
+    st.sampled_from([0x45, 0x60, 0x46, 0x00]),
+    st.binary(max_size=120),
+)
+_BYTES = st.one_of(st.binary(max_size=200), _ENVELOPES, _FILES, _BODIES, _PACKETS)
+CODEC: Actions = {
+    "parse": {
+        "parser": st.sampled_from(sorted(PARSERS)),
+        "data": _BYTES.map(bytes.hex),
+    }
+}
+
+STRATEGIES: Mapping[SubjectName, Actions] = {
+    SubjectName.FLEET: FLEET,
+    SubjectName.SETTINGS: SETTINGS,
+    SubjectName.STORE: STORE,
+    SubjectName.FLOW_TABLE: FLOW_TABLE,
+    SubjectName.CODEC: CODEC,
+}
--- /dev/null
+++ b/src/beamloom/fuzzing/subjects/__init__.py
@@ -0,0 +1,1 @@
+"""What can be fuzzed, each against a simple oracle."""
--- /dev/null
+++ b/src/beamloom/fuzzing/subjects/codec.py
@@ -0,0 +1,105 @@
+"""Every parser of bytes from outside: it returns, or raises an error of its own kind."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from beamloom.fuzzing.errors import BrokenPromiseError
+from beamloom.platform.errors import PlatformError
+from beamloom.platform.wire import (
+    batch_from_json,
+    decode,
+    listing_from_json,
+    machines_from_json,
+    reading_from_json,
+)
+from beamloom.protocol.codec import KeyRing, decode_datagram
+from beamloom.protocol.errors import ProtocolError
+from beamloom.protocol.flow_messages import unpack_records
+from beamloom.protocol.partition_sets import unpack_partitions
+from beamloom.routing.hashing import PARTITION_COUNT
+from beamloom.routing.packet import PacketError, parse_packet, with_hop_limit_decremented
+from beamloom.settings.deployment import check_deployment
+from beamloom.settings.errors import SettingsError
+from beamloom.settings.node_file import check_node_settings
+from beamloom.settings.toml_source import TomlSource, parse_toml
+
+KEYS = KeyRing((b"fuzzed fleet key",))
+
+
+@dataclass(frozen=True, slots=True)
+class Parser:
+    """One parser and the kinds of errors that it may raise, alone or in groups."""
+
+    parse: Callable[[bytes], object]
+    errors: tuple[type[Exception], ...]
+
+
+def _forward_packet(data: bytes) -> object:
+    parse_packet(data)
+    return with_hop_limit_decremented(data)
+
+
+def _signed_datagram(body: bytes) -> object:
+    return decode_datagram(KEYS, body + KEYS.sign(body))
+
+
+def _settings_file(check: Callable[[TomlSource], object], data: bytes) -> object:
+    return check(parse_toml(data.decode(errors="replace")))
+
+
+def _platform_answer(reader: Callable[[dict[str, Any]], object], data: bytes) -> object:
+    """Read a body as the client does after its HTTP library took the JSON apart."""
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError):
+        return None
+    return decode(reader, body)
+
+
+PARSERS: dict[str, Parser] = {
+    "packet": Parser(_forward_packet, (PacketError,)),
+    "control-datagram": Parser(partial(decode_datagram, KEYS), (ProtocolError,)),
+    "signed-control-datagram": Parser(_signed_datagram, (ProtocolError,)),
+    "flow-records": Parser(unpack_records, (ProtocolError,)),
+    "partition-set": Parser(partial(unpack_partitions, limit=PARTITION_COUNT), (ProtocolError,)),
+    "node-settings": Parser(partial(_settings_file, check_node_settings), (SettingsError,)),
+    "deployment": Parser(partial(_settings_file, check_deployment), (SettingsError,)),
+    "platform-listing": Parser(partial(_platform_answer, listing_from_json), (PlatformError,)),
+    "platform-reading": Parser(partial(_platform_answer, reading_from_json), (PlatformError,)),
+    "platform-watch": Parser(partial(_platform_answer, batch_from_json), (PlatformError,)),
+    "platform-machines": Parser(partial(_platform_answer, machines_from_json), (PlatformError,)),
+}
+
+
+class CodecSubject:
+    """Feeds bytes to parsers; an error of another kind than the parser's own is a failure."""
+
+    def __init__(self) -> None:
+        self._actions = {"parse": self._parse}
+
+    @property
+    def actions(self) -> Mapping[str, Callable[..., object]]:
+        """The one thing that can be done: give a parser bytes, in hexadecimal."""
+        return self._actions
+
+    def finish(self) -> None:
+        """Do nothing: parsers keep no state."""
+
+    def _parse(self, parser: str, data: str) -> None:
+        chosen = PARSERS[parser]
+        try:
+            chosen.parse(bytes.fromhex(data))
+        except chosen.errors:
+            return
+        except ExceptionGroup as group:
+            _, foreign = group.split(chosen.errors)
+            if foreign is not None:
+                raise BrokenPromiseError(f"{parser} raised {foreign!r}") from group
+        except Exception as error:
+            kind = type(error).__name__
+            raise BrokenPromiseError(f"{parser} raised {kind}: {error}") from error
--- /dev/null
+++ b/src/beamloom/fuzzing/subjects/fleet.py
@@ -0,0 +1,173 @@
+"""A simulated fleet under operations and faults, judged by the simulator's oracle."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from beamloom.fuzzing.errors import BrokenPromiseError
+from beamloom.simulation.deployment import VAKATALE
+from beamloom.simulation.fleet import CoreFactory, product_core
+from beamloom.simulation.network import PathCondition
+from beamloom.simulation.scenario import Scenario, World
+from beamloom.simulation.scenarios.platform import SCOPES, SETTING
+from beamloom.simulation.simulation import SETTLE_SECONDS, RunOptions, Simulation
+from beamloom.simulation.traffic import ClientEdge
+from beamloom.standins.platform_faults import FaultPlan
+
+READY_SECONDS = 3.0
+"""Virtual time that a new fleet is given to learn its configuration."""
+MINIMUM_NODES = 2
+"""No balancer is stopped or crashed when as few as these are left."""
+MINIMUM_BACKENDS = 2
+"""No backend is drained when as few as these of its service are left."""
+OPERATORS = 3
+"""How many operators race for one setting."""
+
+
+def _nothing(world: World) -> None:
+    """Schedule nothing: the steps decide."""
+
+
+class FleetSubject:
+    """A fleet that begins with its first step; later steps name nodes and backends by index."""
+
+    def __init__(self, core_factory: CoreFactory = product_core) -> None:
+        self._core_factory = core_factory
+        self._simulation: Simulation | None = None
+
+    @property
+    def actions(self) -> Mapping[str, Callable[..., object]]:
+        """What operators, clients and failures can do."""
+        return {
+            "begin": self._begin,
+            "let_time_pass": self._let_time_pass,
+            "open_streams": self._open_streams,
+            "send_requests": self._send_requests,
+            "start_node": self._start_node,
+            "stop_node": self._stop_node,
+            "crash_node": self._crash_node,
+            "pause_node": self._pause_node,
+            "isolate_node": self._isolate_node,
+            "deafen_node": self._deafen_node,
+            "lose_datagrams": self._lose_datagrams,
+            "drain_backend": self._drain_backend,
+            "add_backend": self._add_backend,
+            "change_setting": self._change_setting,
+            "race_operators": self._race_operators,
+            "stop_store": self._stop_store,
+            "slow_store": self._slow_store,
+            "lose_store_answers": self._lose_store_answers,
+        }
+
+    def finish(self) -> None:
+        """Let requests in progress end, and judge a last time."""
+        if self._simulation is not None:
+            self._let_time_pass(SETTLE_SECONDS)
+
+    @property
+    def _running(self) -> Simulation:
+        if self._simulation is None:
+            self._begin(1, MINIMUM_NODES)
+        assert self._simulation is not None
+        return self._simulation
+
+    @property
+    def _world(self) -> World:
+        return self._running.world
+
+    def _begin(self, seed: int, nodes: int) -> None:
+        scenario = Scenario("fuzz", "Whatever the steps say.", _nothing)
+        options = RunOptions(seed=seed, nodes=nodes, flows=0, core_factory=self._core_factory)
+        self._simulation = Simulation(scenario, options)
+        self._let_time_pass(READY_SECONDS)
+
+    def _let_time_pass(self, seconds: float) -> None:
+        clock = self._running.fleet.clock
+        clock.run_until(clock.now + seconds)
+        violations = self._running.violations()
+        if violations:
+            first = violations[0]
+            raise BrokenPromiseError(
+                f"{first.invariant} at {first.time:.3f} s, {first.subject}: {first.detail} "
+                f"({len(violations)} in all)"
+            )
+
+    # -- clients -------------------------------------------------------------------------------
+
+    def _edge(self) -> ClientEdge:
+        return self._world.fleet.edges[VAKATALE.region]
+
+    def _open_streams(self, service: int, count: int) -> None:
+        for _ in range(count):
+            self._world.workload.open_stream(self._edge(), VAKATALE.services[service])
+
+    def _send_requests(self, service: int, count: int) -> None:
+        for _ in range(count):
+            self._world.workload.send_request(self._edge(), VAKATALE.services[service])
+
+    # -- balancers -----------------------------------------------------------------------------
+
+    def _node(self, index: int) -> str:
+        running = self._world.fleet.running_nodes()
+        return running[index % len(running)].name
+
+    def _may_lose_node(self) -> bool:
+        return len(self._world.fleet.running_nodes()) > MINIMUM_NODES
+
+    def _start_node(self) -> None:
+        self._world.operations.start_node()
+
+    def _stop_node(self, node: int) -> None:
+        if self._may_lose_node():
+            self._world.operations.stop_node(self._node(node))
+
+    def _crash_node(self, node: int) -> None:
+        if self._may_lose_node():
+            self._world.faults.crash_node(self._node(node))
+
+    def _pause_node(self, node: int, seconds: float) -> None:
+        self._world.faults.pause_node(self._node(node), seconds)
+
+    def _isolate_node(self, node: int, seconds: float) -> None:
+        self._world.faults.isolate_node(self._node(node), seconds)
+
+    def _deafen_node(self, node: int, seconds: float) -> None:
+        self._world.faults.deafen_node(self._node(node), seconds)
+
+    def _lose_datagrams(self, loss: float, seconds: float) -> None:
+        condition = PathCondition(loss=loss, duplication=loss, reordering=loss, jitter=0.002)
+        self._world.faults.disturb_network(condition, seconds)
+
+    # -- operators -----------------------------------------------------------------------------
+
+    def _drain_backend(self, service: int, backend: int) -> None:
+        chosen = VAKATALE.services[service]
+        drained = {drain.backend_id for drain in self._world.operations.drains}
+        left = [
+            name
+            for name, placed in self._world.fleet.backends.items()
+            if placed.placed.service == chosen and name not in drained
+        ]
+        if len(left) > MINIMUM_BACKENDS:
+            self._world.operations.drain_backend(left[backend % len(left)])
+
+    def _add_backend(self, service: int, cold_seconds: float) -> None:
+        self._world.operations.add_backend(VAKATALE, VAKATALE.services[service], cold_seconds)
+
+    def _change_setting(self, scope: int, bound: float) -> None:
+        self._world.operations.change_setting(SCOPES[1:][scope], SETTING, bound)
+
+    def _race_operators(self, scope: int, bound: float) -> None:
+        for operator in range(OPERATORS):
+            self._change_setting(scope, round(bound + operator / 100, 3))
+
+    # -- the platform --------------------------------------------------------------------------
+
+    def _stop_store(self, seconds: float) -> None:
+        self._world.faults.disturb_store(FaultPlan(down=True), seconds)
+
+    def _slow_store(self, delay: float, seconds: float) -> None:
+        self._world.faults.disturb_store(FaultPlan(delay_seconds=delay), seconds)
+
+    def _lose_store_answers(self, seconds: float) -> None:
+        self._world.faults.disturb_store(FaultPlan(lost_answer_probability=0.5), seconds)
--- a/src/beamloom/simulation/simulation.py
+++ b/src/beamloom/simulation/simulation.py
@@ -14,7 +14,7 @@
     RevisionInForce,
 )
 from beamloom.simulation.operations import Operations
-from beamloom.simulation.oracle import judge
+from beamloom.simulation.oracle import Violation, judge
 from beamloom.simulation.report import (
     GoalOutcome,
     SimulationResult,
@@ -75,7 +75,7 @@
         self._observe_fleet()
         faults = FaultInjector(self.fleet, self.seen)
         self._crashed_backends = faults.crashed_backends
-        world = World(
+        self.world = World(
             self.fleet,
             Operations(self.fleet, self.seen),
             faults,
@@ -83,7 +83,7 @@
             self.duration,
             self.fleet.random("scenario", scenario.name),
         )
-        scenario.schedule(world)
+        scenario.schedule(self.world)
 
     def _workload(self) -> Workload:
         flows = self.options.flows
@@ -126,14 +126,19 @@
         self.fleet.clock.run_until(self.duration)
         imbalance = self._imbalance()
         self.fleet.clock.run_until(self.duration + SETTLE_SECONDS)
+        return self._result(imbalance)
+
+    def violations(self) -> list[Violation]:
+        """Judge what was seen until now."""
         self.seen.ended_at = self.fleet.clock.now
         self.seen.in_force = [
             RevisionInForce(item.node, item.revision, item.time)
             for item in self.fleet.measurements.in_force
         ]
-        return self._result(imbalance)
+        return judge(self.seen)
 
     def _result(self, imbalance: float) -> SimulationResult:
+        violations = self.violations()
         measured = self.fleet.measurements
         flows = [flow for flow in self.seen.flows if flow.truth.established_at is not None]
         seconds = [
@@ -151,7 +156,7 @@
             broken_flows=sum(self._broke(flow) for flow in flows),
             refused_flows=sum(flow.truth.outcome is Outcome.REFUSED for flow in self.seen.flows),
             imbalance=round(imbalance, 4),
-            violations=tuple(judge(self.seen)),
+            violations=tuple(violations),
             config_in_force_seconds=in_force_summary(seconds),
             control_bytes_per_second=control_summary(measured.control_windows()),
             goals=(),
--- /dev/null
+++ b/tests/unit/fuzzing/test_machines.py
@@ -0,0 +1,149 @@
+import io
+import re
+import unittest
+from contextlib import redirect_stdout
+from functools import partial
+from unittest import mock
+
+from beamloom.cli.fuzz import write_failure
+from beamloom.cli.main import main
+from beamloom.fuzzing.catalogue import SubjectName, replay
+from beamloom.fuzzing.errors import ReplayTokenError
+from beamloom.fuzzing.search import SearchSize, search, search_fixed
+from beamloom.fuzzing.steps import Failure, Step, decode_token, encode_token
+from beamloom.fuzzing.subjects.codec import PARSERS, Parser
+from beamloom.fuzzing.subjects.fleet import FleetSubject
+from beamloom.fuzzing.subjects.flow_table import FlowTableSubject
+from beamloom.fuzzing.subjects.settings import SettingsSubject
+from beamloom.platform.errors import StoreConflictError
+from beamloom.platform.operator import OperatorWriter
+from beamloom.routing.flow_table import FlowTable
+from beamloom.settings.tree import SettingsTree
+from beamloom.standins.platform_store import PlatformStore
+from tests.unit.simulation.broken_cores import MixesServices
+
+SIZES = {
+    SubjectName.FLEET: SearchSize(2, 6),
+    SubjectName.SETTINGS: SearchSize(40, 20),
+    SubjectName.STORE: SearchSize(60, 25),
+    SubjectName.FLOW_TABLE: SearchSize(50, 30),
+    SubjectName.CODEC: SearchSize(30, 20),
+}
+SMALL = SearchSize(100, 20, shrink_runs=200)
+
+
+class MixesServicesAtOnce(MixesServices):
+    def broken(self, now: float) -> bool:
+        return True
+
+
+class HealthyTest(unittest.TestCase):
+    def test_nothing_is_found_in_a_short_search(self) -> None:
+        for name, size in SIZES.items():
+            with self.subTest(name):
+                result = search_fixed(name, size)
+                self.assertIsNone(result.failure)
+                self.assertGreaterEqual(result.runs, 1)
+
+
+class PlantedFaultTest(unittest.TestCase):
+    def _assert_found(self, name: SubjectName, promise: str) -> Failure:
+        result = search_fixed(name, SMALL)
+        assert result.failure is not None
+        self.assertIn(promise, result.failure.error)
+        self.assertEqual(replay(result.failure.token), result.failure)
+        return result.failure
+
+    def test_broken_core_is_found_and_the_printed_line_replays_it(self) -> None:
+        make_subject = partial(FleetSubject, MixesServicesAtOnce)
+        result = search_fixed(SubjectName.FLEET, SearchSize(2, 4, shrink_runs=1), make_subject)
+        assert result.failure is not None
+        self.assertIn("services-are-isolated", result.failure.error)
+        output = io.StringIO()
+        with redirect_stdout(output):
+            write_failure(result.failure)
+        printed = re.search(r"beamloom fuzz --replay (\S+)", output.getvalue())
+        assert printed is not None
+        self.assertEqual(replay(printed.group(1), make_subject), result.failure)
+
+    def test_tree_that_forgets_no_scope_is_found_and_shrunk(self) -> None:
+        def keep(tree: SettingsTree, scope: object) -> None:
+            """Forget nothing."""
+
+        with mock.patch.object(SettingsTree, "remove", keep):
+            failure = self._assert_found(SubjectName.SETTINGS, "expected")
+        self.assertEqual([step.action for step in failure.steps], ["set_value", "delete_scope"])
+        self.assertIsNone(replay(failure.token, SettingsSubject))
+
+    def test_store_that_writes_twice_is_found(self) -> None:
+        whole = PlatformStore.write
+
+        def write(store: PlatformStore, key: str, value: dict | None, expected: int) -> object:
+            if value is not None:
+                whole(store, key, value, expected)
+                raise StoreConflictError(key, store.read(key).found)
+            return whole(store, key, value, expected)
+
+        with mock.patch.object(PlatformStore, "write", write):
+            self._assert_found(SubjectName.STORE, "was refused")
+
+    def test_operator_that_repeats_a_creation_is_found(self) -> None:
+        async def settle(writer: OperatorWriter, attempt: object) -> object:
+            return await writer._send(attempt)
+
+        with mock.patch.object(OperatorWriter, "_settle", settle):
+            result = search_fixed(SubjectName.STORE, SearchSize(200, 30, shrink_runs=100))
+            assert result.failure is not None
+            self.assertEqual(replay(result.failure.token), result.failure)
+
+    def test_table_that_keeps_removed_rows_is_found(self) -> None:
+        def remove(table: FlowTable, key: int) -> None:
+            row = table.rows.pop(key, None)
+            if row is not None:
+                table._free += [row, row]
+
+        with mock.patch.object(FlowTable, "remove", remove):
+            self._assert_found(SubjectName.FLOW_TABLE, "entries")
+
+    def test_parser_with_a_foreign_error_is_found(self) -> None:
+        def parse(data: bytes) -> object:
+            return data[3]
+
+        planted = {"packet": Parser(parse, (ValueError,))}
+        with mock.patch.dict(PARSERS, planted):
+            failure = self._assert_found(SubjectName.CODEC, "packet raised IndexError")
+        self.assertEqual(len(failure.steps), 1)
+
+
+class ReplayTest(unittest.TestCase):
+    def test_token_holds_the_steps(self) -> None:
+        steps = (Step("remove", {"key": 3}), Step("expire", {"now": 0.25}))
+        self.assertEqual(decode_token(encode_token("flow-table", steps)), ("flow-table", steps))
+
+    def test_foreign_tokens_are_refused_with_the_remedy(self) -> None:
+        whole = encode_token("flow-table", (Step("remove", {"key": 3}),))
+        unknown_subject = encode_token("gale", ())
+        unknown_action = encode_token("flow-table", (Step("fly"),))
+        for token in ("", "x", whole[:-9], unknown_subject, unknown_action):
+            with self.subTest(token), self.assertRaisesRegex(ReplayTokenError, "whole token"):
+                replay(token)
+
+    def test_command_reports_a_replay(self) -> None:
+        token = encode_token("flow-table", (Step("remove", {"key": 3}),))
+        output = io.StringIO()
+        with redirect_stdout(output):
+            self.assertEqual(main(["fuzz", "--replay", token]), 0)
+        self.assertIn("the steps pass", output.getvalue())
+
+
+class BudgetTest(unittest.TestCase):
+    def test_search_ends_when_the_clock_says_so(self) -> None:
+        ticks = iter(range(10_000))
+        result = search(SubjectName.FLOW_TABLE, 1, 200.0, FlowTableSubject, lambda: next(ticks))
+        self.assertIsNone(result.failure)
+        self.assertGreater(result.runs, 1)
+        self.assertLess(next(ticks), 400)
+
+
+if __name__ == "__main__":
+    unittest.main()
