--- a/src/beamloom/bench/forwarding.py
+++ b/src/beamloom/bench/forwarding.py
@@ -223,6 +223,18 @@
         for number in range(self._flows):
             self.core.packet_received(make_packet(number), self._sink_address, False, now)
 
+    async def measure_decision(self) -> float:
+        """Return the mean time of the core's answer without sockets, in microseconds."""
+        self._fill_table()
+        return self._decision_microseconds()
+
+    def close(self) -> None:
+        """Close the sockets of a bench that was not run."""
+        self._sink.close()
+        self._source.close()
+        for opened in (self._sockets.data, self._sockets.peer, self._sockets.control):
+            opened.close()
+
     async def _time_batch(self, batch: Sequence[bytes], target: SocketAddress) -> float:
         """Queue a batch in the target's socket; return the seconds until it was sent on."""
         self._counter.expect(len(batch))
@@ -269,3 +281,12 @@
 async def bench_forwarding(flows: int, seconds: float) -> ForwardingReport:
     """Run the whole measurement; raises MeasurementError when the sink missed packets."""
     return await ForwardingBench(flows).run(seconds)
+
+
+async def measure_decision(flows: int) -> float:
+    """Return the mean time of a decision with this many open flows, in microseconds."""
+    bench = ForwardingBench(flows)
+    try:
+        return await bench.measure_decision()
+    finally:
+        bench.close()
--- a/src/beamloom/cli/commands.py
+++ b/src/beamloom/cli/commands.py
@@ -4,7 +4,18 @@
 
 from cyclopts import App
 
-from beamloom.cli import check, demo, fuzz, load, objects, run, settings_commands, simulate, status
+from beamloom.cli import (
+    check,
+    demo,
+    experiment,
+    fuzz,
+    load,
+    objects,
+    run,
+    settings_commands,
+    simulate,
+    status,
+)
 
 COMMAND_GROUPS = (
     demo.register,
@@ -16,6 +27,7 @@
     load.register,
     simulate.register,
     fuzz.register,
+    experiment.register,
 )
 
 
--- a/src/beamloom/cli/main.py
+++ b/src/beamloom/cli/main.py
@@ -12,6 +12,7 @@
 from beamloom.cli.errors import CommandError, UsageError
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.output import write_error
+from beamloom.experiments.errors import ExperimentError
 from beamloom.fuzzing.errors import FuzzingError
 from beamloom.platform.errors import PlatformError
 from beamloom.runtime.errors import NodeProcessError
@@ -23,6 +24,7 @@
     PlatformError,
     NodeProcessError,
     FuzzingError,
+    ExperimentError,
     OSError,
 )
 """Errors whose message is for the user; any other is a fault of the program and keeps its trace."""
--- /dev/null
+++ b/src/beamloom/experiments/results.py
@@ -0,0 +1,74 @@
+"""Results of cells as JSON lines: written by parts, joined into the whole experiment."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+from beamloom.experiments.errors import ResultsIncompleteError
+from beamloom.experiments.plan import Cell, ForwardingCell, SimulationCell
+
+PART_PATTERN = "part-*.jsonl"
+JOINED_FILE = "results.jsonl"
+
+
+@dataclass(frozen=True, slots=True)
+class CellResult:
+    """What one cell gave: the simulator's report, or the cost of a decision in microseconds."""
+
+    cell: Cell
+    figures: Mapping[str, Any]
+
+    def to_line(self) -> str:
+        """Return one line of JSON."""
+        kind = "forwarding" if isinstance(self.cell, ForwardingCell) else "simulation"
+        row = {kind: asdict(self.cell), "figures": dict(self.figures)}
+        return json.dumps(row, separators=(",", ":"), sort_keys=True)
+
+    @classmethod
+    def from_line(cls, line: str) -> CellResult:
+        """Read one line of JSON; raises ValueError, KeyError or TypeError."""
+        row = json.loads(line)
+        if "forwarding" in row:
+            return cls(ForwardingCell(**row["forwarding"]), row["figures"])
+        return cls(SimulationCell(**row["simulation"]), row["figures"])
+
+
+def write_results(path: Path, results: Iterable[CellResult]) -> None:
+    """Write results as they come, one line each."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    with path.open("w", encoding="utf-8") as file:
+        for result in results:
+            file.write(result.to_line() + "\n")
+            file.flush()
+
+
+def join_results(directory: Path, cells: Sequence[Cell]) -> list[CellResult]:
+    """Return the results of all parts in the order of the cells.
+
+    Raises ResultsIncompleteError unless there is exactly one result for each cell.
+    """
+    found: list[CellResult] = []
+    for path in sorted(directory.glob(PART_PATTERN)):
+        found.extend(_read(directory, path))
+    by_cell = {result.cell: result for result in found}
+    twice = sum(count > 1 for count in Counter(result.cell for result in found).values())
+    missing = sum(cell not in by_cell for cell in cells)
+    foreign = len(by_cell.keys() - set(cells))
+    if twice or missing or foreign:
+        detail = f"{missing} missing, {twice} given twice, {foreign} of another experiment"
+        raise ResultsIncompleteError(str(directory), detail)
+    return [by_cell[cell] for cell in cells]
+
+
+def _read(directory: Path, path: Path) -> list[CellResult]:
+    try:
+        lines = path.read_text(encoding="utf-8").splitlines()
+        return [CellResult.from_line(line) for line in lines]
+    except (ValueError, KeyError, TypeError) as error:
+        detail = f"{path.name} cannot be read: {type(error).__name__}"
+        raise ResultsIncompleteError(str(directory), detail) from error
--- /dev/null
+++ b/src/beamloom/experiments/summary.py
@@ -0,0 +1,116 @@
+"""Figures of the report, worked out from the results of cells."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable, Mapping, Sequence
+from dataclasses import dataclass
+from statistics import mean, median
+from typing import Any, TypeVar
+
+from beamloom.experiments.plan import ForwardingCell, SimulationCell
+from beamloom.experiments.results import CellResult
+
+PRODUCT_PLACEMENT = "home"
+Figures = Mapping[str, Any]
+Key = TypeVar("Key", bound=Hashable)
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementRow:
+    """One scenario under one placement, over seeds and numbers of nodes."""
+
+    scenario: str
+    placement: str
+    runs: int
+    flows: int
+    broken_flows: int
+    violations: int
+    mean_imbalance: float
+    worst_imbalance: float
+
+    @property
+    def broken_per_thousand(self) -> float:
+        """Broken flows of a thousand."""
+        return 1000 * self.broken_flows / self.flows if self.flows else 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class NodesRow:
+    """The product's fleets of one size, over scenarios and seeds; seconds and bytes a second."""
+
+    nodes: int
+    runs: int
+    in_force_median: float
+    in_force_worst: float
+    control_median: float
+    control_worst: float
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionRow:
+    """The cost of a packet's decision with a number of open flows."""
+
+    open_flows: int
+    microseconds: float
+
+
+def placement_rows(results: Sequence[CellResult]) -> list[PlacementRow]:
+    """Return one row for each scenario and placement, in the order of the results."""
+    groups = _grouped(results, lambda cell: (cell.scenario, cell.placement))
+    return [
+        PlacementRow(
+            scenario,
+            placement,
+            len(group),
+            sum(figures["flows"] for figures in group),
+            sum(figures["broken_flows"] for figures in group),
+            sum(len(figures["violations"]) for figures in group),
+            mean(figures["imbalance"] for figures in group),
+            max(figures["imbalance"] for figures in group),
+        )
+        for (scenario, placement), group in groups.items()
+    ]
+
+
+def nodes_rows(results: Sequence[CellResult]) -> list[NodesRow]:
+    """Return one row for each number of nodes, the product's placement only."""
+    own = [result for result in results if _placement(result) == PRODUCT_PLACEMENT]
+    groups = _grouped(own, lambda cell: cell.nodes)
+    return [_nodes_row(nodes, groups[nodes]) for nodes in sorted(groups)]
+
+
+def _nodes_row(nodes: int, group: Sequence[Figures]) -> NodesRow:
+    in_force = [figures["config_in_force_seconds"] for figures in group]
+    control = [figures["control_bytes_per_second"] for figures in group]
+    return NodesRow(
+        nodes,
+        len(group),
+        median(item["p50"] for item in in_force),
+        max(item["max"] for item in in_force),
+        median(item["median"] for item in control),
+        max(item["max"] for item in control),
+    )
+
+
+def decision_rows(results: Sequence[CellResult]) -> list[DecisionRow]:
+    """Return the measurements of a packet's decision by number of open flows."""
+    rows = [
+        DecisionRow(result.cell.open_flows, result.figures["decision_microseconds"])
+        for result in results
+        if isinstance(result.cell, ForwardingCell)
+    ]
+    return sorted(rows, key=lambda row: row.open_flows)
+
+
+def _placement(result: CellResult) -> str:
+    return result.cell.placement if isinstance(result.cell, SimulationCell) else ""
+
+
+def _grouped(
+    results: Sequence[CellResult], key: Callable[[SimulationCell], Key]
+) -> dict[Key, list[Figures]]:
+    groups: dict[Key, list[Figures]] = {}
+    for result in results:
+        if isinstance(result.cell, SimulationCell):
+            groups.setdefault(key(result.cell), []).append(result.figures)
+    return groups
