--- a/src/beamloom/cli/commands.py
+++ b/src/beamloom/cli/commands.py
@@ -4,7 +4,19 @@
 
 from cyclopts import App
 
-from beamloom.cli import bench, check, demo, load, objects, run, settings_commands, simulate, status
+from beamloom.cli import (
+    bench,
+    check,
+    demo,
+    experiment,
+    fuzz,
+    load,
+    objects,
+    run,
+    settings_commands,
+    simulate,
+    status,
+)
 
 COMMAND_GROUPS = (
     demo.register,
@@ -16,6 +28,8 @@
     load.register,
     simulate.register,
     bench.register,
+    fuzz.register,
+    experiment.register,
 )
 
 
--- a/src/beamloom/cli/main.py
+++ b/src/beamloom/cli/main.py
@@ -12,11 +12,21 @@
 from beamloom.cli.errors import CommandError, UsageError
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.output import write_error
+from beamloom.experiments.errors import ExperimentError
+from beamloom.fuzzing.errors import FuzzingError
 from beamloom.platform.errors import PlatformError
 from beamloom.runtime.errors import NodeProcessError
 from beamloom.settings.errors import SettingsError
 
-EXPECTED_ERRORS = (CommandError, SettingsError, PlatformError, NodeProcessError, OSError)
+EXPECTED_ERRORS = (
+    CommandError,
+    SettingsError,
+    PlatformError,
+    NodeProcessError,
+    FuzzingError,
+    ExperimentError,
+    OSError,
+)
 """Errors whose message is for the user; any other is a fault of the program and keeps its trace."""
 
 
