Take pushing and pulling of changes out of the configuration replica

Change: replication/change_push.py (what is passed on, at a bounded rate) and change_pull.py (one question at a time); the replica delegates. The order of random draws is the same.

--- a/src/beamloom/replication/configuration_replica.py
+++ b/src/beamloom/replication/configuration_replica.py
@@ -29,7 +29,8 @@
 from beamloom.protocol.messages import Message
 from beamloom.replication.applied_state import AppliedState
 from beamloom.replication.backend_history import BackendHistory
-from beamloom.replication.change_log import encoded_size
+from beamloom.replication.change_pull import ChangePull
+from beamloom.replication.change_push import ChangePush
 from beamloom.replication.configuration_state import is_replicated
 from beamloom.replication.join_progress import JOIN_PEERS, JoinProgress
 from beamloom.replication.peer_selection import PeerSelection
@@ -38,16 +39,7 @@
 from beamloom.replication.snapshot_fetch import SnapshotFetch
 from beamloom.world.machines import Member, NodeId
 
-GOSSIP_FANOUT = 4
-BULK_FANOUT = 2
-BULK_BYTES = 500
-"""Above this size a push goes to fewer peers, and anti-entropy does the rest."""
-FORWARD_INTERVAL = 0.05
-FORWARD_BYTES_PER_SECOND = 2000
-MAXIMUM_FORWARD_PAUSE = 2.0
 ANTI_ENTROPY_INTERVAL = 1.0
-PULL_RETRY = 0.4
-MAXIMUM_PULL_ATTEMPTS = 5
 PENDING_LIMIT = 256
 LISTING_PATIENCE = 2.0
 FETCH_PATIENCE = 300.0
@@ -78,18 +70,9 @@
 class _Counters:
     duplicate: int = 0
     malformed: int = 0
-    pulls: int = 0
     corrupt: int = 0
 
 
-@dataclass(slots=True)
-class _Pull:
-    target_revision: int
-    peer: NodeId
-    retry_at: float
-    attempts: int = 1
-
-
 @dataclass(frozen=True, slots=True)
 class _Listing:
     """A listing that waits for peers who may hold the steps that led to it."""
@@ -110,12 +93,10 @@
         self._applied = AppliedState()
         self._service = PeerService(self._applied)
         self._join = JoinProgress()
-        self._pull: _Pull | None = None
+        self._push = ChangePush(self._peers, self._service, now)
+        self._pull = ChangePull(self._peers)
         self._listing: _Listing | None = None
         self._pending: dict[int, ReplicatedChange] = {}
-        self._forward: list[ReplicatedChange] = []
-        self._forward_to_every_zone = False
-        self._forward_at = now
         self._digest_at = now + chance.random() * ANTI_ENTROPY_INTERVAL
         self._counters = _Counters()
         self._handlers: dict[type[Message], MessageHandler] = {
@@ -167,7 +148,7 @@
         if not is_replicated(stored.key) or stored.revision <= self.applied_revision:
             return []
         step = ReplicatedChange(self.applied_revision, stored.revision, (stored,))
-        self._forward_to_every_zone = True
+        self._push.include_every_zone()
         self._apply(step)
         self._apply_pending()
         return self.poll(now)
@@ -203,12 +184,10 @@
         commands = self._service.poll(now)
         if self._listing is not None and now >= self._listing.apply_at:
             self._listing_due(self._listing, now)
-        if self._forward and now >= self._forward_at:
-            commands += self._forward_changes(now)
+        commands += self._push.poll(now)
         if now >= self._digest_at:
             commands += self._offer_digests(now)
-        if self._pull is not None and now >= self._pull.retry_at:
-            commands += self._retry_pull(self._pull, now)
+        commands += self._pull.poll(self.applied_revision, now)
         if self._service.fetch is not None:
             commands += self._service.fetch.poll(self._peers.all, now)
             self._service.fetch = None if self._service.fetch.abandoned else self._service.fetch
@@ -216,19 +195,17 @@
 
     def next_timer(self) -> float | None:
         """Return when `poll` has something to do."""
-        timers = [self._digest_at]
-        part_timer = self._service.next_timer()
-        if part_timer is not None:
-            timers.append(part_timer)
-        if self._forward:
-            timers.append(self._forward_at)
-        if self._pull is not None:
-            timers.append(self._pull.retry_at)
+        timers = [
+            self._digest_at,
+            self._service.next_timer(),
+            self._push.next_timer(),
+            self._pull.next_timer(),
+        ]
         if self._service.fetch is not None:
             timers.append(self._service.fetch.next_timer())
         if self._listing is not None:
             timers.append(self._listing.apply_at)
-        return min(timers)
+        return min(timer for timer in timers if timer is not None)
 
     def snapshot(self) -> ReplicaSnapshot:
         """Return counters and state for status and explanations."""
@@ -241,7 +218,7 @@
             applied_changes=self._applied.applied_steps,
             duplicate_changes=self._counters.duplicate,
             malformed_changes=self._counters.malformed,
-            pulls=self._counters.pulls,
+            pulls=self._pull.count,
             snapshots_loaded=self._applied.loaded_snapshots,
             corrupt_snapshots=self._counters.corrupt,
             readers=self.directory.holders,
@@ -249,7 +226,7 @@
 
     def _apply(self, step: ReplicatedChange) -> None:
         self._applied.apply(step)
-        self._forward.append(step)
+        self._push.add(step)
 
     def _apply_pending(self) -> None:
         for revision in sorted(self._pending):
@@ -263,8 +240,7 @@
     def _settle(self) -> None:
         """End a pull, a fetch or a listing that the applied revision has overtaken."""
         applied = self.applied_revision
-        if self._pull is not None and applied >= self._pull.target_revision:
-            self._pull = None
+        self._pull.reached(applied)
         if self._listing is not None and applied >= self._listing.revision:
             self._listing = None
             self._join.level_with_store()
@@ -285,7 +261,7 @@
         step = self._applied.state.difference(listing.revision, listing.objects)
         useful = bool(step.objects) or self.applied_revision == 0
         if useful and listing.revision > self.applied_revision:
-            self._forward_to_every_zone = True
+            self._push.include_every_zone()
             self._apply(step)
         self._apply_pending()
 
@@ -310,23 +286,7 @@
     def _pull_from(self, peer: NodeId, revision: int, now: float) -> list[Command]:
         if revision <= self.applied_revision or self._service.fetch is not None:
             return []
-        if self._pull is not None and now < self._pull.retry_at and self._pull.peer != peer:
-            self._pull.target_revision = max(self._pull.target_revision, revision)
-            return []
-        self._pull = _Pull(revision, peer, now + PULL_RETRY)
-        self._counters.pulls += 1
-        return [SendMessage(peer, ChangesRequested(self.applied_revision))]
-
-    def _retry_pull(self, pull: _Pull, now: float) -> list[Command]:
-        """Ask another peer; after some attempts leave it to anti-entropy."""
-        peers = self._peers.some(1)
-        if not peers or pull.attempts >= MAXIMUM_PULL_ATTEMPTS:
-            self._pull = None
-            return []
-        pull.attempts += 1
-        pull.peer = peers[0]
-        pull.retry_at = now + PULL_RETRY
-        return [SendMessage(pull.peer, ChangesRequested(self.applied_revision))]
+        return self._pull.ask(peer, revision, self.applied_revision, now)
 
     def _changes_requested(
         self, sender: NodeId, message: ChangesRequested, now: float
@@ -338,7 +298,7 @@
     ) -> list[Command]:
         if message.applied_revision <= self.applied_revision or self._service.fetch is not None:
             return []
-        self._pull = None
+        self._pull.abandon()
         self._service.fetch = SnapshotFetch(self.applied_revision, self._chance, now)
         return self._service.fetch.ask(self._peers.all)
 
@@ -372,19 +332,6 @@
         self._apply_pending()
         return commands + self._pull_from(sender, self._join.target_revision, now)
 
-    def _forward_changes(self, now: float) -> list[Command]:
-        """Push what was applied; the next push waits so that pushes keep to their rate."""
-        steps, self._forward = self._forward, []
-        size = sum(encoded_size(step) for step in steps)
-        peers = self._peers.some(GOSSIP_FANOUT if size <= BULK_BYTES else BULK_FANOUT)
-        if self._forward_to_every_zone:
-            self._forward_to_every_zone = False
-            peers = self._peers.with_every_zone(peers)
-        messages = self._service.push(steps)
-        pause = size * len(peers) / FORWARD_BYTES_PER_SECOND
-        self._forward_at = now + max(FORWARD_INTERVAL, min(pause, MAXIMUM_FORWARD_PAUSE))
-        return [SendMessage(peer, message) for peer in peers for message in messages]
-
     def _offer_digests(self, now: float) -> list[Command]:
         self._digest_at = now + ANTI_ENTROPY_INTERVAL
         digest = self._digest(wants_answer=not self.ready)
