Repair offline and shedding backends by a digest of their own

Cause: with all load reports drifting, nearly all 128 buckets differ at all times, so a node that a push missed waited over a minute for the repair of a change of status. Change: the register keeps the records of backends that are offline or shedding apart, with a digest that goes to a random peer every 2 s; who differs sends those records (StatusExceptions, kind 64), gets back what the other knows better, and answers an outdated record with the newer one. Conclusion: changes of status no longer queue behind weights.

--- a/src/beamloom/protocol/backend_messages.py
+++ b/src/beamloom/protocol/backend_messages.py
@@ -14,6 +14,7 @@
 BUCKET_COUNT = 128
 BUCKET_DIGEST_SIZE = 4
 MAXIMUM_BATCH_RECORDS = 60
+MAXIMUM_RECORDS_OF_REPAIR = 90
 
 
 def _require_integers(name: str, values: object) -> None:
@@ -21,6 +22,29 @@
         raise ValueError(f"{name} is not a list of integers")
 
 
+def _require_records(values: list[int], maximum: int) -> None:
+    _require_integers("records", values)
+    if len(values) % 2 or len(values) > 2 * maximum:
+        raise ValueError(f"records are not pairs, or more than {maximum}")
+
+
+@register_message(64, Priority.STATUS)
+@dataclass(frozen=True, slots=True)
+class StatusExceptions(Message):
+    """The sender's records of backends that are offline or shedding, as `StatusBatch` has them.
+
+    Where they do not all fit, they are a random part, and `complete` is False. The receiver takes
+    what is newer; when `wants_reply`, it sends back what it knows better.
+    """
+
+    records: list[int]
+    complete: bool
+    wants_reply: bool
+
+    def __post_init__(self) -> None:
+        _require_records(self.records, MAXIMUM_RECORDS_OF_REPAIR)
+
+
 @register_message(65, Priority.STATUS)
 @dataclass(frozen=True, slots=True)
 class WatcherOpinion(Message):
@@ -38,12 +62,20 @@
 @register_message(66, Priority.STATUS)
 @dataclass(frozen=True, slots=True)
 class StatusDigest(Message):
-    """The digest of all the sender's records; a receiver whose own differs sends its buckets."""
+    """Digests of the sender's records; a receiver whose own differ answers.
+
+    `exceptions` covers the backends that are offline or shedding; a receiver that differs sends its
+    `StatusExceptions`. `root` covers all records, None when it is not to be compared this time; a
+    receiver that differs sends its `StatusBuckets`.
+    """
 
-    root: int
+    exceptions: int
+    root: int | None
 
     def __post_init__(self) -> None:
-        _require_integers("root", [self.root])
+        _require_integers("digest", [self.exceptions])
+        if self.root is not None:
+            _require_integers("root", [self.root])
 
 
 @register_message(67, Priority.STATUS)
@@ -71,9 +103,7 @@
     fresh: bool
 
     def __post_init__(self) -> None:
-        _require_integers("records", self.records)
-        if len(self.records) % 2 or len(self.records) > 2 * MAXIMUM_BATCH_RECORDS:
-            raise ValueError(f"records are not pairs, or more than {MAXIMUM_BATCH_RECORDS}")
+        _require_records(self.records, MAXIMUM_BATCH_RECORDS)
 
 
 @register_message(69, Priority.STATUS)
--- a/src/beamloom/replication/backend_status/gossip.py
+++ b/src/beamloom/replication/backend_status/gossip.py
@@ -16,9 +16,11 @@
     BUCKET_COUNT,
     BUCKET_DIGEST_SIZE,
     MAXIMUM_BATCH_RECORDS,
+    MAXIMUM_RECORDS_OF_REPAIR,
     StatusBatch,
     StatusBuckets,
     StatusDigest,
+    StatusExceptions,
     StatusPull,
 )
 from beamloom.protocol.commands import Command, SendMessage
@@ -33,6 +35,7 @@
 CROWDED_QUEUE = 60
 RETRY_INTERVAL = 1.0
 DIGEST_INTERVAL = 10.0
+EXCEPTIONS_INTERVAL = 2.0
 BEHIND_INTERVAL = 4.0
 JOINING_INTERVAL = 0.5
 PULLED_BUCKETS = 32
@@ -71,6 +74,7 @@
         self._refilled_at = now
         self._push_at = now + chance.random() * PUSH_INTERVAL
         self._digest_at = now + chance.random() * JOINING_INTERVAL
+        self._exceptions_at = now + chance.random() * EXCEPTIONS_INTERVAL
         self._joining = True
         self._behind = False
         self._pushed = 0
@@ -95,13 +99,35 @@
             self._push_at = min(self._push_at, now + URGENT_DELAY)
 
     def receive_digest(self, sender: NodeId, message: StatusDigest, now: float) -> list[Command]:
-        """Answer a digest that differs with the digests of the buckets."""
+        """Answer a digest that differs: exceptions first, then the digests of the buckets."""
+        commands: list[Command] = []
+        if message.exceptions != self._register.exceptions_root:
+            commands += self._send_exceptions(sender, now)
+        if message.root is None:
+            return commands
         if message.root == self._register.root:
             self._joining = self._behind = False
-            return []
+            return commands
         answer = StatusBuckets(self._register.bucket_digests())
         size = MESSAGE_OVERHEAD + BUCKET_COUNT * BUCKET_DIGEST_SIZE
-        return self._send_within_rate([sender], answer, size, now)
+        return commands + self._send_within_rate([sender], answer, size, now)
+
+    def answer_exceptions(
+        self, sender: NodeId, message: StatusExceptions, now: float
+    ) -> list[Command]:
+        """Send back what this node knows better than the sender, once its records are taken.
+
+        A reply may be answered too, by greater values only, so that this comes to an end.
+        """
+        theirs = dict(zip(message.records[::2], message.records[1::2], strict=True))
+        held = [(number, self._register.value(number)) for number in theirs]
+        newer = [(number, value) for number, value in held if value > theirs[number]]
+        if message.complete and message.wants_reply:
+            own = self._register.exceptions
+            newer += [(number, own[number]) for number in own if number not in theirs]
+        if not newer:
+            return []
+        return self._send_repair(sender, newer, now, wants_reply=False)
 
     def receive_buckets(self, sender: NodeId, message: StatusBuckets, now: float) -> list[Command]:
         """Pull some of the buckets that differ."""
@@ -136,12 +162,14 @@
         if now >= self._digest_at:
             self._digest_at = now + self._digest_interval() * self._random.uniform(0.8, 1.2)
             commands += self._send_digest(now)
+        if now >= self._exceptions_at:
+            commands += self._compare_exceptions(now)
         return commands
 
     def next_timer(self) -> float:
         """Return when `poll` has something to do."""
-        waiting = self._queue or self._urgent
-        return min(self._push_at, self._digest_at) if waiting else self._digest_at
+        due = min(self._digest_at, self._exceptions_at)
+        return min(self._push_at, due) if self._queue or self._urgent else due
 
     def snapshot(self) -> GossipStatus:
         """Return the counters."""
@@ -191,9 +219,35 @@
             return []
         peer = self._random.choice(self._peers)
         return self._send_within_rate(
-            [peer], StatusDigest(self._register.root), MESSAGE_OVERHEAD, now
+            [peer],
+            StatusDigest(self._register.exceptions_root, self._register.root),
+            MESSAGE_OVERHEAD,
+            now,
         )
 
+    def _send_exceptions(self, peer: NodeId, now: float) -> list[Command]:
+        records = list(self._register.exceptions.items())
+        return self._send_repair(peer, records, now, wants_reply=True)
+
+    def _send_repair(
+        self, peer: NodeId, records: list[tuple[int, int]], now: float, *, wants_reply: bool
+    ) -> list[Command]:
+        self._refill(now)
+        room = int((self._tokens - MESSAGE_OVERHEAD) // RECORD_BYTES)
+        count = max(0, min(room, len(records), MAXIMUM_RECORDS_OF_REPAIR))
+        part = self._random.sample(records, count)
+        flat = [item for record in part for item in record]
+        message = StatusExceptions(flat, count == len(records), wants_reply)
+        return self._send_within_rate([peer], message, _batch_size(count), now, reserved=0.0)
+
+    def _compare_exceptions(self, now: float) -> list[Command]:
+        self._exceptions_at = now + EXCEPTIONS_INTERVAL * self._random.uniform(0.8, 1.2)
+        if not self._peers:
+            return []
+        message = StatusDigest(self._register.exceptions_root, None)
+        peer = self._random.choice(self._peers)
+        return self._send_within_rate([peer], message, MESSAGE_OVERHEAD, now, reserved=0.0)
+
     def _send_within_rate(
         self,
         peers: Sequence[NodeId],
--- a/src/beamloom/replication/backend_status/register.py
+++ b/src/beamloom/replication/backend_status/register.py
@@ -69,17 +69,28 @@
     )
 
 
+def _digest(backend_number: int, value: int) -> int:
+    return xxhash.xxh3_64_intdigest(_RECORD.pack(backend_number, value))
+
+
 _REASONS = frozenset(StatusReason)
+_EXCEPTIONAL = frozenset({BackendOperatingStatus.OFFLINE, BackendOperatingStatus.SHEDDING})
 
 
 class StatusRegister:
-    """Values by backend number, for the backends in force only."""
+    """Values by backend number, for the backends in force only.
+
+    `exceptions` are the records of backends that are offline or shedding, with a digest of their
+    own: few, and the ones that a home must not miss.
+    """
 
     def __init__(self) -> None:
         self._values: dict[int, int] = {}
         self._members: list[set[int]] = [set() for _ in range(BUCKET_COUNT)]
         self._digests = [0] * BUCKET_COUNT
         self.root = 0
+        self.exceptions: dict[int, int] = {}
+        self.exceptions_root = 0
 
     def __len__(self) -> int:
         """Return the number of backends that have a record."""
@@ -100,6 +111,7 @@
             return False
         if before:
             self._toggle(backend_number, before)
+        self._except(backend_number, value)
         self._values[backend_number] = value
         self._members[backend_number % BUCKET_COUNT].add(backend_number)
         self._toggle(backend_number, value)
@@ -111,6 +123,7 @@
         if value is not None:
             self._members[backend_number % BUCKET_COUNT].discard(backend_number)
             self._toggle(backend_number, value)
+            self._except(backend_number, 0)
 
     def bucket_digests(self) -> bytes:
         """Return the digests of all buckets in wire form."""
@@ -127,7 +140,15 @@
         values = self._values
         return [(number, values[number]) for bucket in buckets for number in self._members[bucket]]
 
+    def _except(self, backend_number: int, value: int) -> None:
+        before = self.exceptions.pop(backend_number, None)
+        if before is not None:
+            self.exceptions_root ^= _digest(backend_number, before)
+        if decode_record(value).status in _EXCEPTIONAL:
+            self.exceptions[backend_number] = value
+            self.exceptions_root ^= _digest(backend_number, value)
+
     def _toggle(self, backend_number: int, value: int) -> None:
-        digest = xxhash.xxh3_64_intdigest(_RECORD.pack(backend_number, value))
+        digest = _digest(backend_number, value)
         self._digests[backend_number % BUCKET_COUNT] ^= digest
         self.root ^= digest
--- a/src/beamloom/replication/backend_status/watchers.py
+++ b/src/beamloom/replication/backend_status/watchers.py
@@ -10,6 +10,7 @@
     StatusBatch,
     StatusBuckets,
     StatusDigest,
+    StatusExceptions,
     StatusPull,
     WatcherOpinion,
 )
@@ -148,13 +149,21 @@
         return self._register.items()
 
     def handle_message(self, sender: NodeId, message: Message, now: float) -> list[Command]:
-        """Take a message of kinds 65 to 69; others are ignored."""
+        """Take a message of kinds 64 to 69; others are ignored."""
         match message:
             case WatcherOpinion():
                 commands = self._checking.opinion_received(sender, message, now)
                 return commands + self._publish_changes(now)
             case StatusBatch():
                 return self._take_batch(message, now)
+            case _:
+                return self._repair(sender, message, now)
+
+    def _repair(self, sender: NodeId, message: Message, now: float) -> list[Command]:
+        match message:
+            case StatusExceptions():
+                commands = self._take_records(message.records, now, publish=False)
+                return commands + self._gossip.answer_exceptions(sender, message, now)
             case StatusDigest():
                 return self._gossip.receive_digest(sender, message, now)
             case StatusBuckets():
@@ -211,15 +220,17 @@
         return commands
 
     def _take_batch(self, message: StatusBatch, now: float) -> list[Command]:
+        if not message.fresh:
+            self._gossip.count_pulled(len(message.records) // 2)
+        return self._take_records(message.records, now, publish=message.fresh)
+
+    def _take_records(self, records: list[int], now: float, *, publish: bool) -> list[Command]:
         commands: list[Command] = []
-        records = message.records
         for number, value in zip(records[::2], records[1::2], strict=True):
             if number in self._known:
-                commands += self._apply(number, value, now, publish=message.fresh)
+                commands += self._apply(number, value, now, publish=publish)
             else:
                 self._unknown_records += 1
-        if not message.fresh:
-            self._gossip.count_pulled(len(records) // 2)
         return commands
 
     def _apply(self, number: int, value: int, now: float, *, publish: bool) -> list[Command]:
--- a/tests/measurements/backend_status.py
+++ b/tests/measurements/backend_status.py
@@ -2,7 +2,8 @@
 
 4,400 backends, with 21 node failures and 1,300 restarts of nodes and of backends a day (Poisson,
 the rate multiplied by the second argument). A third argument `drift` makes every load report
-wander by 0.3 an hour; otherwise reports only have noise. Prints one JSON line.
+wander by 0.3 an hour; otherwise reports only have noise. A third argument `cold` measures instead
+the start of a whole fleet that knows nothing. Prints one JSON line.
 """
 
 import json
@@ -23,6 +24,7 @@
 WINDOW = 60.0
 LONG_ENOUGH = 60.0
 RESTART_SECONDS = 20.0
+LONGEST_COLD_START = 180.0
 
 
 class Churn:
@@ -99,11 +101,31 @@
     return times
 
 
+def measure_cold_start(fleet: Fleet, total: int) -> dict[str, object]:
+    """Return how many nodes hold all records, and the rate of bytes, after each 30 s."""
+    progress = []
+    before = dict.fromkeys(fleet.nodes, 0)
+    while fleet.now < LONGEST_COLD_START:
+        fleet.run(30.0)
+        held = sorted(node.snapshot().records for node in fleet.nodes.values())
+        largest = max(fleet.sent_bytes[node] - before[node] for node in fleet.nodes) / 30.0
+        before = {node: fleet.sent_bytes[node] for node in fleet.nodes}
+        agree = len({frozenset(node.records()) for node in fleet.nodes.values()}) == 1
+        progress.append((fleet.now, held[0], held[len(held) // 2], held[-1], round(largest), agree))
+        if held[0] == total:
+            break
+    columns = "seconds, fewest records, median, most, largest bytes/s of a node, all agree"
+    return {"nodes": len(fleet.nodes), "backends": total, "columns": columns, "cold": progress}
+
+
 def main() -> None:
     nodes, factor = int(sys.argv[1]), float(sys.argv[2])
     fleet = Fleet(nodes, make_services(440, 10))
     churn = Churn(fleet, factor, drift="drift" in sys.argv)
     fleet.checked = churn.answer
+    if "cold" in sys.argv:
+        print(json.dumps(measure_cold_start(fleet, len(churn.numbers))))
+        return
     load_records(fleet, churn.numbers)
     run_window(fleet, churn, 20.0)
     fleet.sent_bytes.clear()
