Read both addresses of a stand-in's packet in one place

Cause: source_ip and destination_ip repeated the checks of the IP version and length, with bare numbers. Change: one function and named fields of the headers. Measured: tests.unit.test_packets, test_fabric_model, test_standins and test_tcp_connection pass. Conclusion: no change of behaviour.

--- a/src/beamloom/standins/packets.py
+++ b/src/beamloom/standins/packets.py
@@ -29,6 +29,11 @@
 PLAIN_IPV4 = 0x45
 FRAGMENT_BITS = 0x3FFF
 IPV4_HEADER_SIZE = 20
+IPV4_SOURCE = slice(12, 16)
+IPV4_DESTINATION = slice(16, 20)
+IPV6_HEADER_SIZE = 40
+IPV6_SOURCE = slice(8, 24)
+IPV6_DESTINATION = slice(24, 40)
 TCP_HEADER_SIZE = 20
 TCP_CHECKSUM_OFFSET = 16
 UDP_CHECKSUM_OFFSET = 6
@@ -108,21 +113,21 @@
 
 def destination_ip(data: bytes) -> str:
     """Return the inner destination address; raises MalformedPacketError when there is none."""
-    version = data[0] >> 4 if data else 0
-    if version == 4 and len(data) >= 20:
-        return unpack_address(data[16:20])
-    if version == 6 and len(data) >= 40:
-        return unpack_address(data[24:40])
-    raise MalformedPacketError("no IP header; send whole IPv4 or IPv6 packets")
+    return _ip_at(data, IPV4_DESTINATION, IPV6_DESTINATION)
 
 
 def source_ip(data: bytes) -> str:
     """Return the inner source address; raises MalformedPacketError when there is none."""
+    return _ip_at(data, IPV4_SOURCE, IPV6_SOURCE)
+
+
+def _ip_at(data: bytes, ipv4_field: slice, ipv6_field: slice) -> str:
+    """Return the address in one field of an IPv4 or IPv6 header."""
     version = data[0] >> 4 if data else 0
-    if version == 4 and len(data) >= 20:
-        return unpack_address(data[12:16])
-    if version == 6 and len(data) >= 40:
-        return unpack_address(data[8:24])
+    if version == 4 and len(data) >= IPV4_HEADER_SIZE:
+        return unpack_address(data[ipv4_field])
+    if version == 6 and len(data) >= IPV6_HEADER_SIZE:
+        return unpack_address(data[ipv6_field])
     raise MalformedPacketError("no IP header; send whole IPv4 or IPv6 packets")
 
 
@@ -280,7 +285,7 @@
             raise MalformedPacketError("IPv4 length differs from the datagram's; packet truncated?")
         return header
     header = ip6.IP6(data)
-    if version != 6 or header.plen + 40 != len(data):
+    if version != 6 or header.plen + IPV6_HEADER_SIZE != len(data):
         raise MalformedPacketError("no IPv6 packet of the stated length; packet truncated?")
     return header
 
@@ -310,7 +315,7 @@
 
 def _view_error(header: ip.IP | ip6.IP6, message: bytes) -> IcmpError:
     quoted = message[ICMP_HEADER_SIZE:]
-    header_size = (quoted[0] & 15) * 4 if quoted[0] >> 4 == 4 else 40
+    header_size = (quoted[0] & 15) * 4 if quoted[0] >> 4 == 4 else IPV6_HEADER_SIZE
     protocol = quoted[9] if quoted[0] >> 4 == 4 else quoted[6]
     ports = quoted[header_size : header_size + 4]
     if len(ports) < 4:
