Correct the bounds of a backend's weight factor in its docstring

Cause: neighbours.ObservedHealth said 0 to 1; load_reports.class_factor goes up to 1.125. Change: the docstring. routing/hooks.py says the same wrong thing and is another's part just now. Measured: nothing; read against load_reports.class_factor. Conclusion: one of two places is right.

--- a/src/beamloom/node/neighbours.py
+++ b/src/beamloom/node/neighbours.py
@@ -94,7 +94,7 @@
             return BackendOperatingStatus.UNKNOWN
 
     def weight_factor(self, backend_number: int) -> float:
-        """Return the factor, 0 to 1, on a backend's share."""
+        """Return the factor, 0 to 1.125, on a backend's share: load report times cold start."""
         try:
             return self._watchers.status(backend_number, self.now).weight_factor
         except UnknownBackendError:
