Look for chance, files and clocks in the core where import-linter can't

Cause: the import contract forbids modules; `random` cannot be among them, since components are handed a random.Random, and builtins are imported by nobody. Change: tests/unit/test_core_borders.py looks for them in the syntax trees, and at its own examples. Measured: passes on all modules of the core; each of six small faults is found. Conclusion: nothing to mend in the core; io.BytesIO is memory and allowed.

--- /dev/null
+++ b/tests/unit/test_core_borders.py
@@ -0,0 +1,58 @@
+"""The decision core has no chance, file or clock of its own, beyond what import-linter can see.
+
+import-linter forbids whole modules. `random` must be importable for the `random.Random` that is
+handed in, and builtins such as `open` are imported by nobody, so these are looked for here.
+"""
+
+import ast
+import unittest
+from collections.abc import Iterator
+from pathlib import Path
+
+PACKAGE = Path(__file__).resolve().parents[2] / "src" / "beamloom"
+CORE = ("world", "protocol", "routing", "admission", "membership", "replication", "node")
+FORBIDDEN_MODULES = {"os", "sys", "pathlib", "datetime", "uuid", "threading", "subprocess"}
+FORBIDDEN_BUILTINS = {"open", "print", "input"}
+
+
+def faults(source: str) -> Iterator[str]:
+    """Yield what a module of the core may not do."""
+    for node in ast.walk(ast.parse(source)):
+        match node:
+            case ast.Import(names):
+                yield from (item.name for item in names if item.name in FORBIDDEN_MODULES)
+            case ast.ImportFrom(module=module) if module in FORBIDDEN_MODULES | {"random"}:
+                yield f"from {module}"
+            case ast.Attribute(ast.Name("random"), name) if name != "Random":
+                yield f"random.{name}"
+            case ast.Attribute(ast.Name("np" | "numpy"), "random"):
+                yield "numpy.random"
+            case ast.Call(ast.Attribute(ast.Name("random"), "Random"), [], []):
+                yield "random.Random() without a seed"
+            case ast.Call(ast.Name(name)) if name in FORBIDDEN_BUILTINS:
+                yield f"{name}()"
+
+
+class CoreBordersTest(unittest.TestCase):
+    def test_core_has_no_chance_file_or_clock_of_its_own(self) -> None:
+        modules = [path for name in CORE for path in sorted((PACKAGE / name).rglob("*.py"))]
+        self.assertGreater(len(modules), len(CORE))
+        for path in modules:
+            with self.subTest(module=path.relative_to(PACKAGE)):
+                self.assertEqual(list(faults(path.read_text())), [])
+
+    def test_each_fault_is_found(self) -> None:
+        for source in (
+            "import os",
+            "from random import choice",
+            "random.choice(x)",
+            "np.random.default_rng()",
+            "chance = random.Random()",
+            "open('x')",
+        ):
+            with self.subTest(source=source):
+                self.assertEqual(len(list(faults(source))), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
