Call the parts of the timing wheel buckets

Cause: SLOT_COUNT named two things (placement slots and the wheel's), and backends have slots as well. Measured: tests.unit.admission.test_deadlines passes.

--- a/src/beamloom/admission/deadlines.py
+++ b/src/beamloom/admission/deadlines.py
@@ -1,7 +1,7 @@
 """Deadlines of flows: a hashed timing wheel (Varghese and Lauck, 1987), O(1) for each operation.
 
 A deadline is never reported early, and at most one tick after its time. Deadlines further away than
-one turn of the wheel stay in their slot until the turn in which they fall.
+one turn of the wheel stay in their bucket until the turn in which they fall.
 """
 
 from __future__ import annotations
@@ -9,7 +9,7 @@
 import math
 
 TICK_SECONDS = 0.1
-SLOT_COUNT = 1024
+WHEEL_BUCKETS = 1024
 
 
 class DeadlineCapacityError(Exception):
@@ -22,7 +22,7 @@
     def __init__(self, capacity: int, now: float = 0.0) -> None:
         self._capacity = capacity
         self._ticks: dict[int, int] = {}
-        self._slots: list[set[int]] = [set() for _ in range(SLOT_COUNT)]
+        self._buckets: list[set[int]] = [set() for _ in range(WHEEL_BUCKETS)]
         self._done_tick = math.floor(now / TICK_SECONDS)
 
     def __len__(self) -> int:
@@ -38,14 +38,14 @@
             )
         tick = max(math.ceil(at / TICK_SECONDS), self._done_tick + 1)
         self._ticks[flow_key] = tick
-        self._slots[tick % SLOT_COUNT].add(flow_key)
+        self._buckets[tick % WHEEL_BUCKETS].add(flow_key)
 
     def cancel(self, flow_key: int) -> bool:
         """Drop a flow's deadline; returns whether there was one."""
         tick = self._ticks.pop(flow_key, None)
         if tick is None:
             return False
-        self._slots[tick % SLOT_COUNT].discard(flow_key)
+        self._buckets[tick % WHEEL_BUCKETS].discard(flow_key)
         return True
 
     def due(self, now: float) -> list[int]:
@@ -53,21 +53,21 @@
         current = math.floor(now / TICK_SECONDS)
         if current <= self._done_tick:
             return []
-        first = max(self._done_tick + 1, current - SLOT_COUNT + 1)
+        first = max(self._done_tick + 1, current - WHEEL_BUCKETS + 1)
         self._done_tick = current
         expired: list[tuple[int, int]] = []
         for tick in range(first, current + 1):
-            expired.extend(self._expired_in(self._slots[tick % SLOT_COUNT], current))
+            expired.extend(self._expired_in(self._buckets[tick % WHEEL_BUCKETS], current))
         expired.sort()
         for tick, flow_key in expired:
             del self._ticks[flow_key]
-            self._slots[tick % SLOT_COUNT].discard(flow_key)
+            self._buckets[tick % WHEEL_BUCKETS].discard(flow_key)
         return [flow_key for _, flow_key in expired]
 
     def next_timer(self) -> float | None:
         """Return the time of the next tick, None while no deadline is held."""
         return (self._done_tick + 1) * TICK_SECONDS if self._ticks else None
 
-    def _expired_in(self, slot: set[int], current: int) -> list[tuple[int, int]]:
+    def _expired_in(self, bucket: set[int], current: int) -> list[tuple[int, int]]:
         ticks = self._ticks
-        return [(ticks[key], key) for key in slot if ticks[key] <= current]
+        return [(ticks[key], key) for key in bucket if ticks[key] <= current]
--- a/tests/unit/admission/test_deadlines.py
+++ b/tests/unit/admission/test_deadlines.py
@@ -6,8 +6,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from beamloom.admission.deadlines import (
-    SLOT_COUNT,
     TICK_SECONDS,
+    WHEEL_BUCKETS,
     DeadlineCapacityError,
     DeadlineWheel,
 )
@@ -25,7 +25,7 @@
         self.now = 0.0
         self.deadlines: dict[int, float] = {}
 
-    @rule(key=st.integers(0, 12), delay=st.floats(-1.0, 3 * SLOT_COUNT * TICK_SECONDS))
+    @rule(key=st.integers(0, 12), delay=st.floats(-1.0, 3 * WHEEL_BUCKETS * TICK_SECONDS))
     def schedule(self, key: int, delay: float) -> None:
         at = self.now + delay
         if key not in self.deadlines and len(self.deadlines) >= CAPACITY:
@@ -39,7 +39,7 @@
     def cancel(self, key: int) -> None:
         assert self.wheel.cancel(key) == (self.deadlines.pop(key, None) is not None)
 
-    @rule(passed=st.floats(0.0, 2 * SLOT_COUNT * TICK_SECONDS))
+    @rule(passed=st.floats(0.0, 2 * WHEEL_BUCKETS * TICK_SECONDS))
     def advance(self, passed: float) -> None:
         self.now += passed
         due = self.wheel.due(self.now)
