Let a joiner that knows no member wait for peers before it applies a listing

Cause: a joining node that became a store reader before it had heard of any member applied the store's listing at once. A listing has no backend sets of the past, so the node placed flows of an older base revision by the newest generation. Change: the listing waits for LISTING_PATIENCE also while no other member is known.

--- a/src/beamloom/replication/configuration_replica.py
+++ b/src/beamloom/replication/configuration_replica.py
@@ -165,7 +165,8 @@
         if revision <= self.applied_revision:
             self._join.level_with_store()
             return []
-        may_be_ready = self.applied_revision > 0 or self._peers.any_alive
+        none_known = not self._peers.all
+        may_be_ready = self.applied_revision > 0 or self._peers.any_alive or none_known
         patience = LISTING_PATIENCE * (lease_number + may_be_ready)
         self._listing = _Listing(
             revision, tuple(objects), now + patience, now + patience + FETCH_PATIENCE
--- a/tests/unit/test_configuration_replica.py
+++ b/tests/unit/test_configuration_replica.py
@@ -19,7 +19,7 @@
 from beamloom.protocol.messages import Message
 from beamloom.replication.backend_history import HISTORY_LENGTH
 from beamloom.replication.change_log import ChangeLog
-from beamloom.replication.configuration_replica import ConfigurationReplica
+from beamloom.replication.configuration_replica import LISTING_PATIENCE, ConfigurationReplica
 from beamloom.replication.configuration_state import (
     ConfigurationState,
     SnapshotCorruptError,
@@ -54,6 +54,17 @@
     return [message for message in sent if isinstance(message, kind)]
 
 
+class ListingTest(unittest.TestCase):
+    def test_listing_waits_while_no_member_is_known_yet(self) -> None:
+        """Found by rolling-replacement, seed 1: a listing has no backend sets of the past."""
+        replica = make_replica()
+        replica.accept_listing(9, [stored("tenant/t", 9)], 0.0)
+        replica.poll(LISTING_PATIENCE - 0.1)
+        self.assertEqual(replica.applied_revision, 0)
+        replica.poll(LISTING_PATIENCE)
+        self.assertEqual(replica.applied_revision, 9)
+
+
 class OrderTest(unittest.TestCase):
     def test_gap_waits_and_is_pulled_from_the_sender(self) -> None:
         replica = make_replica()
