Let a node that knows no member wait before it owns partitions

Cause: a joiner that was alive before it had heard of any member owned all 4,096 partitions as FRESH, beside the owners. Change: a node is left out of its own map until it knows of a member that may own, or has been alone for ALONE_SECONDS (2 s).

--- a/src/beamloom/routing/ownership.py
+++ b/src/beamloom/routing/ownership.py
@@ -24,6 +24,7 @@
 DETOUR_SECONDS = 10.0
 NEWCOMER_SECONDS = 30.0
 MAXIMUM_ASKED = 8
+ALONE_SECONDS = 2.0
 
 
 class Acquisition(Enum):
@@ -96,6 +97,8 @@
         self.detours: dict[int, float] = {}
         self.leaving = False
         self._started_at: float | None = None
+        self._listed_at: float | None = None
+        self._settled = False
 
     def answers(self, node_id: NodeId | None) -> bool:
         """Whether a node is a member that takes packets and messages."""
@@ -105,11 +108,31 @@
     def update(self, members: Sequence[Member], now: float) -> list[Acquired]:
         """Take over a member list; returns the partitions that fall to this node at once."""
         self.members = {member.machine.node_id: member for member in members}
+        self._listed_at = now if self._listed_at is None else self._listed_at
         return self.reassign(now)
 
+    def settles(self, now: float) -> bool:
+        """Whether this node has been alone for so long that it is to reassign and own."""
+        alone_since = None if self._settled else self._listed_at
+        return alone_since is not None and now - alone_since >= ALONE_SECONDS
+
+    def _settle(self, now: float) -> bool:
+        """Whether this node may be home: it knows of another that is, or there is none.
+
+        A node that joins may be configured before it has heard of any member. If it owned at once,
+        it would decide beside the owners that it does not know of yet.
+        """
+        others = (item for key, item in self.members.items() if key != self.node_id)
+        self._settled = (
+            self._settled
+            or self.settles(now)
+            or any(item.may_be_home or item.state is MemberState.LEAVING for item in others)
+        )
+        return self._settled
+
     def reassign(self, now: float) -> list[Acquired]:
         """Reckon the homes anew from the members, this node left out while it leaves."""
-        machines = self._home_machines()
+        machines = self._home_machines(now)
         before = self.homes
         self.previous_map = self.map
         self.map = PartitionMap(machines, self.map)
@@ -134,11 +157,12 @@
         if home is not None:
             self.former[partition] = home
 
-    def _home_machines(self) -> list[Machine]:
+    def _home_machines(self, now: float) -> list[Machine]:
+        self_excluded = self.leaving or not self._settle(now)
         return [
             member.machine
             for node_id, member in self.members.items()
-            if member.may_be_home and not (self.leaving and node_id == self.node_id)
+            if member.may_be_home and not (self_excluded and node_id == self.node_id)
         ]
 
     def _home_changed(self, partition: int, former: NodeId | None, now: float) -> list[Acquired]:
--- a/src/beamloom/routing/transfers.py
+++ b/src/beamloom/routing/transfers.py
@@ -325,6 +325,8 @@
     def poll(self, now: float) -> list[Command]:
         """Plan hand-overs, ask owners, move bases, send what is due."""
         self._now = now
+        if self._ownership.settles(now):
+            self.members_changed(self._ownership.reassign(now), now)
         for item in self._ownership.unconfirmed(now):
             self.acquire(item, now)
         if self._plan_due <= now:
--- a/tests/unit/routing/test_requests.py
+++ b/tests/unit/routing/test_requests.py
@@ -12,6 +12,7 @@
     RoutingHooks,
     SilentRefusal,
 )
+from beamloom.routing.ownership import ALONE_SECONDS
 from beamloom.routing.packet import DropReason
 from beamloom.world.addresses import TransportProtocol
 from beamloom.world.contracts import (
@@ -108,6 +109,7 @@
 
     def test_a_lone_node_goes_on_alone(self) -> None:
         fleet = fleet_of(0, contract=service(BACKENDS, TransportProtocol.UDP, NEVER))
+        fleet.run(ALONE_SECONDS)
         self.assertIsNotNone(fleet.send(udp(1)))
 
     def test_a_bound_request_stays_bound_after_its_home_crashed(self) -> None:
