Let the first claim hold a contested virtual address

Cause: the service with the lower creation revision held a contested address, so an older service that was moved onto a younger tenant's address took its traffic. The same happened when a deleted tenant was created again while another tenant served at its service's address.

Change: a claim dates from the last change of the service object, or from its tenant's creation where that came later; the earliest holds the address.

Conclusion: no write to one tenant takes an address from another.

--- a/src/beamloom/settings/configuration.py
+++ b/src/beamloom/settings/configuration.py
@@ -56,7 +56,7 @@
     revision: int = 0
     _tree: SettingsTree = field(default_factory=SettingsTree)
     _contracts: dict[str, ServiceContract] = field(default_factory=dict)
-    _tenant_names: set[str] = field(default_factory=set)
+    _tenants_created: dict[str, int] = field(default_factory=dict)
     _tenants: dict[str, TenantContract] = field(default_factory=dict)
     _by_address: dict[VirtualAddress, ServiceContract] = field(default_factory=dict)
     _records: dict[str, ServiceRecord] = field(default_factory=dict)
@@ -126,7 +126,7 @@
         for name, record in configuration._records.items():
             backends = configuration._backends.get(name, {}).values()
             record.update_generation(backends, _oldest_possible_revision(record, backends))
-        configuration._refresh(_Affected(configuration._records, configuration._tenant_names))
+        configuration._refresh(_Affected(configuration._records, configuration._tenants_created))
         return configuration
 
     def apply(self, change: StoredObject) -> ConfigurationDelta:
@@ -192,9 +192,9 @@
 
     def _take_tenant(self, tenant: str, change: StoredObject) -> _Affected:
         if change.value is None:
-            self._tenant_names.discard(tenant)
+            self._tenants_created.pop(tenant, None)
         else:
-            self._tenant_names.add(tenant)
+            self._tenants_created[tenant] = change.created_revision
         return _Affected(self._services_of.get(tenant, ()), (tenant,))
 
     def _take_service(self, name: str, change: StoredObject) -> _Affected:
@@ -252,7 +252,7 @@
             self._tree.replace(scope, good, change.revision)
             self._report(change, *errors)
         if scope.tenant is None:
-            return _Affected(self._records, self._tenant_names)
+            return _Affected(self._records, self._tenants_created)
         if scope.service is not None:
             return _Affected((f"{scope.tenant}/{scope.service}",))
         return _Affected(self._services_of.get(scope.tenant, ()), (scope.tenant,))
@@ -290,7 +290,7 @@
         changed, removed = [], []
         for tenant in sorted(tenants):
             before = self._tenants.pop(tenant, None)
-            if tenant in self._tenant_names:
+            if tenant in self._tenants_created:
                 contract = TenantContract(tenant, tenant_limits(self._tree, Scope(tenant)))
                 self._tenants[tenant] = contract
                 if contract != before:
@@ -303,8 +303,11 @@
         record = self._records.get(name)
         if record is None:
             return set()
-        wanted = record.address if _tenant_of(name) in self._tenant_names else None
-        return self._claims.move(name, record, wanted)
+        tenant_created = self._tenants_created.get(_tenant_of(name))
+        if record.address is None or tenant_created is None:
+            return self._claims.move(name, record, None)
+        claimed = max(record.stored.revision, tenant_created)
+        return self._claims.move(name, record, record.address, claimed)
 
     def _compile(self, name: str) -> ServiceContract | None:
         record = self._records.get(name)
--- a/src/beamloom/settings/configuration_changes.py
+++ b/src/beamloom/settings/configuration_changes.py
@@ -47,7 +47,7 @@
     if holder is not None:
         error = DuplicateVirtualAddressError(
             f"{record.address} belongs to service {holder} already",
-            f"give service {name} another address or delete the older service",
+            f"give service {name} another address or delete service {holder}",
         )
     return ConfigurationProblem(record.stored.key, record.stored.revision, error)
 
--- a/src/beamloom/settings/service_records.py
+++ b/src/beamloom/settings/service_records.py
@@ -16,12 +16,14 @@
 class ServiceRecord:
     """A service object with its generations, oldest first.
 
-    `address` is None while the object cannot be read; `claim` is the address it competes for.
+    `address` is None while the object cannot be read. `claim` is the address it competes for and
+    `claimed` the revision since which it does, see `AddressClaims`.
     """
 
     stored: StoredObject
     address: VirtualAddress | None = None
     claim: VirtualAddress | None = None
+    claimed: int = 0
     generations: tuple[Generation, ...] = ()
 
     def update_generation(self, unsorted: Iterable[Backend], revision: int) -> None:
@@ -42,18 +44,25 @@
 
 @dataclass(slots=True)
 class AddressClaims:
-    """Which services ask for which address; the oldest of them holds it."""
+    """Which services ask for which address; the one with the earliest claim holds it.
+
+    A claim dates from the last change of its service object, or from its tenant's creation where
+    that came later: so a service that moves, or comes back with its tenant, comes after whoever
+    has the address by then. Both stand in the stored objects, so every node agrees.
+    """
 
     _claims: dict[VirtualAddress, dict[str, ServiceRecord]] = field(default_factory=dict)
 
-    def move(self, name: str, record: ServiceRecord, wanted: VirtualAddress | None) -> set[str]:
-        """Let a service compete for another address; return the other services concerned."""
-        if record.claim == wanted:
+    def move(
+        self, name: str, record: ServiceRecord, wanted: VirtualAddress | None, claimed: int = 0
+    ) -> set[str]:
+        """Let a service compete for an address; return the other services concerned."""
+        if (record.claim, record.claimed) == (wanted, claimed):
             return set()
         concerned: set[str] = set()
         if record.claim is not None:
             concerned.update(self._withdraw(name, record.claim))
-        record.claim = wanted
+        record.claim, record.claimed = wanted, claimed
         if wanted is not None:
             competitors = self._claims.setdefault(wanted, {})
             concerned.update(competitors)
@@ -63,7 +72,7 @@
     def holder(self, address: VirtualAddress) -> str:
         """Return the service that keeps an address which at least one claims."""
         competitors = self._claims[address]
-        return min(competitors, key=lambda name: (_service_number(competitors[name]), name))
+        return min(competitors, key=lambda name: _seniority(competitors[name]))
 
     def _withdraw(self, name: str, address: VirtualAddress) -> list[str]:
         competitors = self._claims[address]
@@ -73,5 +82,6 @@
         return list(competitors)
 
 
-def _service_number(record: ServiceRecord) -> int:
-    return record.stored.created_revision
+def _seniority(record: ServiceRecord) -> tuple[int, int]:
+    """Order claims; services that came back with one tenant are told apart by their change."""
+    return record.claimed, record.stored.revision
--- a/tests/functional/test_object_commands.py
+++ b/tests/functional/test_object_commands.py
@@ -57,9 +57,12 @@
         await self.assert_refused("there is no tenant/t: check", *service)
         await self.create_all()
         twice = ("service", "create", "t/z", "--address", "tcp://10.0.0.1:80")
+        other = ("service", "create", "o/z", "--address", "tcp://10.0.0.1:80")
+        self.assertEqual((await self.write("tenant", "create", "o"))[0], 0)
         for expected, arguments in (
             ("tenant/t", ("tenant", "create", "t")),
-            ("tcp://10.0.0.1:80", twice),
+            ("tcp://10.0.0.1:80 belongs to service t/s", twice),
+            ("tcp://10.0.0.1:80 belongs to service t/s", other),
             ("no key of a service", ("service", "create", "s", "--address", "tcp://10.0.0.1:81")),
             ("there is no service/t/x", ("backend", "create", "t/x/b", *BACKEND)),
             ("weight = -1", ("backend", "create", "t/s/c", *BACKEND, "--weight=-1")),
--- a/tests/unit/settings/test_configuration.py
+++ b/tests/unit/settings/test_configuration.py
@@ -19,7 +19,8 @@
 )
 from beamloom.settings.service_records import GENERATIONS_KEPT
 from beamloom.settings.tree import Scope
-from beamloom.world.contracts import PlacementPreference
+from beamloom.world.addresses import TransportProtocol, VirtualAddress
+from beamloom.world.contracts import PlacementPreference, ServiceContract
 from tests.unit.settings.objects import backend, service, stored, values
 
 
@@ -35,7 +36,7 @@
 
 
 class ConfigurationTest(unittest.TestCase):
-    def test_duplicate_address_stays_with_the_older_service(self) -> None:
+    def test_duplicate_address_stays_with_the_earlier_service(self) -> None:
         older, newer = service("b/old", 3), service("a/new", 4)
         tenants = stored("tenant/a", {}, 1), stored("tenant/b", {}, 2)
         configuration = applied(*tenants, older, newer)
@@ -46,6 +47,29 @@
         self.assertEqual([new.service_id for new in delta.services_changed], ["a/new"])
         self.assertEqual(configuration.problems, ())
 
+    def test_older_service_that_moves_to_another_tenants_address_does_not_get_it(self) -> None:
+        tenants = stored("tenant/a", {}, 1), stored("tenant/b", {}, 2)
+        moved = stored("service/a/old", service("a/old", 5).value, 5, created=3)
+        objects = (*tenants, service("a/old", 3, ip="10.0.0.2"), service("b/young", 4))
+        configuration = applied(*objects)
+        delta = configuration.apply(moved)
+        self.assertEqual([gone.service_id for gone in delta.services_removed], ["a/old"])
+        loaded = Configuration.load((*tenants, objects[3], moved))
+        contested = VirtualAddress("10.0.0.1", TransportProtocol.TCP, 80)
+        for found in (configuration, loaded):
+            self.assertEqual(found.by_virtual_address[contested].service_id, "b/young")
+            self.assertIn("belongs to service b/young", str(found.problems[0]))
+
+    def test_service_that_comes_back_with_its_tenant_does_not_take_its_address_back(self) -> None:
+        first = stored("tenant/a", {}, 1), service("a/s", 2), stored("tenant/b", {}, 3)
+        deleted, second = stored("tenant/a", None, 4, created=1), service("b/s", 5)
+        returned = stored("tenant/a", {}, 6)
+        configuration = applied(*first, deleted, second, returned)
+        loaded = Configuration.load((first[1], first[2], second, returned))
+        unseen = applied(*first, second, returned)
+        for found in (configuration, loaded, unseen):
+            self.assertEqual(list(found.services), ["b/s"])
+
     def test_service_without_tenant_waits_for_it(self) -> None:
         configuration = applied(service("t/s", 1), backend("t/s/b", 2))
         self.assertEqual(error_types(configuration), [MissingParentError])
@@ -155,6 +179,7 @@
     def write(self, key: str, value: object) -> None:
         self.revision += 1
         before = self.store.get(key)
+        in_force = dict(self.configuration.by_virtual_address)
         created = self.revision if before is None else before.created_revision
         change = StoredObject(key, value, self.revision, created)
         delta = self.configuration.apply(change)
@@ -166,6 +191,15 @@
             self.store.pop(key, None)
         else:
             self.store[key] = change
+        self.assert_holders_stay(key, in_force)
+
+    def assert_holders_stay(self, key: str, before: dict[VirtualAddress, ServiceContract]) -> None:
+        """Nobody loses an address by what is written to another service or another tenant."""
+        for address, contract in before.items():
+            own = f"service/{contract.service_id}", f"tenant/{contract.tenant}"
+            if key not in own:
+                after = self.configuration.by_virtual_address[address]
+                self.assert_equal(after.service_id, contract.service_id)
 
     @rule(tenant=st.sampled_from(TENANTS), exists=st.booleans())
     def tenant(self, tenant: str, exists: bool) -> None:
