End TCP flows at their request.deadline by a reset to each side

Cause: request.deadline had no effect. The timing wheel and the resets for running flows existed and nothing called them.

Change: the home enters a deadline for each TCP flow of a service that has one, keeps the headers of the client's newest packet, and at the deadline resets backend and client, marks the entry as ended and frees it 10 s later. Packets that come late are answered by exact resets and go no further. No cached answers for such services, so that the home sees every packet. Counted as flows_past_deadline, deadline_passed and the gauge deadlines; explain flow shows the rest. The wheel moves to routing, which may not import admission.

The hot path is the same code with another constant; the forwarding bench was not run.

Conclusion: a late flow is ended at both sides and frees its state, where its home saw its packets.

--- a/src/beamloom/node/neighbours.py
+++ b/src/beamloom/node/neighbours.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from beamloom.admission.limits import (
     AdmissionDecision,
@@ -10,11 +10,17 @@
     TenantAdmission,
     UnknownTenantError,
 )
-from beamloom.admission.refusal import RefusalError, RefusalReason, build_refusal
+from beamloom.admission.refusal import (
+    RefusalError,
+    RefusalReason,
+    build_backend_reset,
+    build_client_reset,
+    build_refusal,
+)
 from beamloom.admission.retry_budget import RetryBudget
 from beamloom.protocol.commands import Command
 from beamloom.replication.backend_status.watchers import BackendWatchers, UnknownBackendError
-from beamloom.routing.hooks import FlowVerdict, TrafficMeter
+from beamloom.routing.hooks import Cancellation, FlowVerdict, TrafficMeter
 from beamloom.world.contracts import BackendOperatingStatus, ServiceContract
 
 
@@ -70,13 +76,27 @@
 class ClientRefusals:
     """Routing's `RefusalBuilder`: resets with a time to come back, or ICMP errors."""
 
+    def cancel(self, packet: bytes, may_have_run: bool) -> Cancellation:
+        """Return the resets that end a TCP flow at both sides, from its client's newest packet.
+
+        A client that still waits for its connection is told that nothing ran, where that is so.
+        """
+        to_client = _built(lambda: build_client_reset(packet))
+        if to_client is None and not may_have_run:
+            to_client = self.build(packet, 0.0, no_backend=False)
+        return Cancellation(to_client, _built(lambda: build_backend_reset(packet)))
+
     def build(self, packet: bytes, retry_after: float, no_backend: bool) -> bytes | None:
         """Return the answer to a flow's first packet, or None to stay silent."""
         reason = RefusalReason.NO_BACKEND if no_backend else RefusalReason.PROHIBITED
-        try:
-            return build_refusal(packet, retry_after, reason)
-        except RefusalError:
-            return None
+        return _built(lambda: build_refusal(packet, retry_after, reason))
+
+
+def _built(build: Callable[[], bytes]) -> bytes | None:
+    try:
+        return build()
+    except RefusalError:
+        return None
 
 
 class ObservedHealth:
--- a/src/beamloom/admission/deadlines.py
+++ b/src/beamloom/routing/deadlines.py
@@ -64,10 +64,6 @@
             self._slots[tick % SLOT_COUNT].discard(flow_key)
         return [flow_key for _, flow_key in expired]
 
-    def next_timer(self) -> float | None:
-        """Return the time of the next tick, None while no deadline is held."""
-        return (self._done_tick + 1) * TICK_SECONDS if self._ticks else None
-
     def _expired_in(self, slot: set[int], current: int) -> list[tuple[int, int]]:
         ticks = self._ticks
         return [(ticks[key], key) for key in slot if ticks[key] <= current]
--- a/src/beamloom/routing/deciding.py
+++ b/src/beamloom/routing/deciding.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from beamloom.protocol.commands import Command, LocalSocket, SendPacket
@@ -13,6 +14,7 @@
 from beamloom.routing.flow_table import FlowFlag
 from beamloom.routing.hashing import partition_of
 from beamloom.routing.home import BOTH_CLOSED, Home
+from beamloom.routing.late_flows import LateFlows
 from beamloom.routing.openings import KeptOpenings
 from beamloom.routing.ownership import Acquisition
 from beamloom.routing.packet import PROTOCOL_TCP, TCP_RST, DropReason, PacketView
@@ -21,9 +23,9 @@
 from beamloom.routing.selection import Choice, PlacementReason
 from beamloom.routing.services import ServiceRoute
 from beamloom.routing.transfers import Transfers
+from beamloom.world.addresses import SocketAddress
 from beamloom.world.machines import NodeId
 
-CLOSED_SECONDS = 10.0
 TAKEOVER_SECONDS = 3.0
 UNKNOWN_BINDING_SECONDS = 30.0
 
@@ -63,6 +65,7 @@
         sender: ReplicaSender,
         transfers: Transfers,
         counters: Counter[str],
+        gateway: Callable[[int], SocketAddress],
     ) -> None:
         self._home = home
         self._table = home.table
@@ -73,6 +76,7 @@
         self._counters = counters
         self._bindings = Bindings()
         self._openings = KeptOpenings()
+        self._late = LateFlows(home, gateway, counters)
 
     @property
     def bindings_waiting(self) -> int:
@@ -105,8 +109,12 @@
         if self._table.flags[row] & FlowFlag.HELD:
             held = self._bindings.hold(key, packet.data)
             return Decision(drop=None if held else DropReason.UNKNOWN_BINDING)
-        if not view.is_error:
-            self._note_progress(packet, row, now)
+        if view.is_error:
+            return Decision(self._table.backend[row])
+        if self._late.is_late(row) and not view.tcp_flags & TCP_RST:
+            resets = tuple(self._late.resets(key, row, packet.data))
+            return Decision(commands=resets, drop=DropReason.DEADLINE_PASSED)
+        self._note_progress(packet, row, now)
         return Decision(self._table.backend[row])
 
     def _is_over(self, row: int) -> bool:
@@ -226,13 +234,20 @@
         if not view.opens_flow:
             self._openings.take(packet.key)
         table.deadline[row] = now + packet.service.idle_timeout
+        if table.flags[row] & FlowFlag.DEADLINE:
+            ending = self._home.deadlines.get(packet.key)
+            if ending is not None:
+                ending.note_packet(packet.data, view)
         if view.closes_flow:
-            self._note_closing(row, view, FlowFlag.CLIENT_CLOSED, now)
+            self._note_closing(packet.key, row, view, FlowFlag.CLIENT_CLOSED, now)
 
-    def _note_closing(self, row: int, view: PacketView, side: FlowFlag, now: float) -> None:
+    def _note_closing(
+        self, key: int, row: int, view: PacketView, side: FlowFlag, now: float
+    ) -> None:
         self._table.flags[row] |= BOTH_CLOSED if view.tcp_flags & TCP_RST else side
         if self._table.flags[row] & BOTH_CLOSED == BOTH_CLOSED:
-            self._table.deadline[row] = now + CLOSED_SECONDS
+            self._home.close(row, now)
+            self._home.lift_deadline(key, row)
 
     def payload_may_be_sent(self, key: int) -> None:
         """Note that another node is given this flow's answer and may forward payload unseen."""
@@ -256,7 +271,7 @@
             retried = self._offer_again(key, row, service, now)
             if retried is not None:
                 return retried
-        self._note_closing(row, view, FlowFlag.BACKEND_CLOSED, now)
+        self._note_closing(key, row, view, FlowFlag.BACKEND_CLOSED, now)
         return Decision()
 
     def _may_be_wrong_guess(self, key: int, row: int, now: float) -> bool:
@@ -268,7 +283,8 @@
     def _offer_again(
         self, key: int, row: int, service: ServiceRoute, now: float
     ) -> Decision | None:
-        if self._table.flags[row] & (FlowFlag.PAYLOAD_SENT | FlowFlag.HELD):
+        flags = self._table.flags[row]
+        if flags & (FlowFlag.PAYLOAD_SENT | FlowFlag.HELD) or self._late.is_late(row):
             return None
         opening = self._openings.take(key)
         choice = self._home.choose(key, service, now, excluded=self._table.backend[row])
@@ -293,9 +309,9 @@
         return Decision(commands=(again,), swallowed=True)
 
     def poll(self, now: float) -> list[Command]:
-        """Go on with bindings whose holder is silent."""
+        """Go on with bindings whose holder is silent, and end flows past their deadline."""
         commands, released = self._bindings.poll(now)
         for flow in released:
             self._counters["bound_alone"] += 1
             commands.extend(self._release(flow))
-        return commands
+        return commands + self._late.poll(now)
--- a/src/beamloom/routing/explanation.py
+++ b/src/beamloom/routing/explanation.py
@@ -8,6 +8,7 @@
 from beamloom.routing.flow_table import FlowFlag
 from beamloom.routing.hashing import partition_of
 from beamloom.routing.home import Home
+from beamloom.routing.late_flows import ENDED_LATE
 from beamloom.routing.packet import FlowTuple
 from beamloom.routing.replicas import ReplicaStore
 from beamloom.routing.selection import PlacementReason
@@ -29,7 +30,8 @@
 
     `since` is when this node first knew of the flow; `is_exception` says that it is not where
     generation `base_revision` places it; `lease_end` is set for cached copies; `decider` is the
-    node that decides the flow's partition, as far as this node knows.
+    node that decides the flow's partition, as far as this node knows; `deadline` is when its home
+    will end it, and `ended_at_deadline` says that it did.
     """
 
     service_id: str | None
@@ -42,6 +44,8 @@
     is_exception: bool = False
     base_revision: int | None = None
     lease_end: float | None = None
+    deadline: float | None = None
+    ended_at_deadline: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +60,7 @@
     replicas_held: int
     records_waiting: int
     bindings_waiting: int
+    deadlines: int
     open_flows: dict[int, int]
     counters: dict[str, int]
 
@@ -97,20 +102,29 @@
         is_home = bool(table.flags[row] & FlowFlag.HOME)
         owned = ownership.owned.get(partition)
         found = self._home.exceptions.get(partition, {}).get(key)
+        number = table.backend[row]
         reason = PlacementReason.BASE_GENERATION if found is None else found
         return FlowExplanation(
             service_id,
             partition,
             FlowRole.HOME if is_home else FlowRole.CACHED,
             ownership.deciders[partition],
-            self._backend_id(table.backend[row]),
+            self._backend_id(number),
             table.created[row],
             reason if is_home else PlacementReason.CACHED_ANSWER,
             found is not None,
             None if owned is None else owned.base,
             None if is_home else table.deadline[row],
+            self._deadline(key, number),
+            table.flags[row] & ENDED_LATE == ENDED_LATE,
         )
 
+    def _deadline(self, key: int, backend_number: int) -> float | None:
+        flow = self._home.deadlines.get(key)
+        route = self._home.routes.backends.get(backend_number)
+        allowed = 0.0 if route is None else route.service.deadline
+        return flow.began + allowed if flow is not None and allowed else None
+
     def _backend_id(self, number: int) -> str | None:
         route = self._home.routes.backends.get(number)
         return None if route is None else route.backend.backend_id
--- /dev/null
+++ b/src/beamloom/routing/flow_deadlines.py
@@ -0,0 +1,95 @@
+"""Which flows of a home end when, and the newest packet of each one's client.
+
+See docs/design/requests.md.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from beamloom.routing.deadlines import DeadlineCapacityError, DeadlineWheel
+from beamloom.routing.packet import IPV4_HEADER_SIZE, IPV6_HEADER_SIZE, TCP_FIN, TCP_SYN, PacketView
+
+MAXIMUM_FLOWS = 1 << 20
+SEQUENCE_OFFSET = 4
+SEQUENCE_SIZE = 4
+SEQUENCE_MODULUS = 1 << 32
+HALF_SEQUENCE_SPACE = 1 << 31
+
+
+@dataclass(slots=True)
+class FlowDeadline:
+    """One flow: when it began, and its client's newest TCP packet.
+
+    Only the headers of that packet are kept; `sequence_end` is the number after its last byte.
+    """
+
+    began: float
+    headers: bytes = b""
+    payload_size: int = 0
+    sequence_end: int | None = None
+
+    @property
+    def newest_packet(self) -> bytes:
+        """The newest packet, with zeros for its payload; empty when none was seen."""
+        return self.headers + bytes(self.payload_size)
+
+    def note_packet(self, data: bytes, view: PacketView) -> None:
+        """Keep a packet of the client unless a newer one came before it (RFC 9293, 3.4)."""
+        end = _sequence_end(data, view)
+        known = self.sequence_end
+        if known is not None and (end - known) % SEQUENCE_MODULUS >= HALF_SEQUENCE_SPACE:
+            return
+        self.headers = data[: len(data) - view.payload_size]
+        self.payload_size = view.payload_size
+        self.sequence_end = end
+
+
+class FlowDeadlines:
+    """Deadlines of the flows that this node is home of, at most `capacity`.
+
+    A flow beyond that has no deadline, which `not_kept` counts.
+    """
+
+    def __init__(self, capacity: int = MAXIMUM_FLOWS) -> None:
+        self._wheel = DeadlineWheel(capacity)
+        self._flows: dict[int, FlowDeadline] = {}
+        self.not_kept = 0
+
+    def __len__(self) -> int:
+        """Return the number of flows with a deadline."""
+        return len(self._flows)
+
+    def get(self, key: int) -> FlowDeadline | None:
+        """Return what is known of a flow with a deadline."""
+        return self._flows.get(key)
+
+    def set(self, key: int, flow: FlowDeadline, at: float) -> bool:
+        """Set a flow's deadline; returns whether there was room."""
+        try:
+            self._wheel.schedule(key, at)
+        except DeadlineCapacityError:
+            self._flows.pop(key, None)
+            self.not_kept += 1
+            return False
+        self._flows[key] = flow
+        return True
+
+    def take(self, key: int) -> FlowDeadline | None:
+        """Drop a flow's deadline; returns what was known of it."""
+        flow = self._flows.pop(key, None)
+        if flow is not None:
+            self._wheel.cancel(key)
+        return flow
+
+    def due(self, now: float) -> list[tuple[int, FlowDeadline]]:
+        """Remove and return the flows whose deadline has passed."""
+        return [(key, self._flows.pop(key)) for key in self._wheel.due(now)]
+
+
+def _sequence_end(data: bytes, view: PacketView) -> int:
+    header = IPV6_HEADER_SIZE if data[0] >> 4 == 6 else IPV4_HEADER_SIZE
+    start = header + SEQUENCE_OFFSET
+    sequence = int.from_bytes(data[start : start + SEQUENCE_SIZE], "big")
+    counted = bool(view.tcp_flags & TCP_SYN) + bool(view.tcp_flags & TCP_FIN)
+    return (sequence + view.payload_size + counted) % SEQUENCE_MODULUS
--- a/src/beamloom/routing/flow_table.py
+++ b/src/beamloom/routing/flow_table.py
@@ -23,7 +23,9 @@
     """What is known of one flow's entry.
 
     `PAYLOAD_SENT` is also set when payload may have been sent by another node. `GUESSED` marks an
-    entry that a home made after a crash for a flow it did not know.
+    entry that a home made after a crash for a flow it did not know. `DEADLINE` marks a flow whose
+    home must see each packet, since it ends it at its deadline; closed on both sides as well, one
+    that was ended so.
     """
 
     HOME = 1
@@ -33,6 +35,7 @@
     REPLICATED = 16
     GUESSED = 32
     HELD = 64
+    DEADLINE = 128
 
 
 class FlowTable:
--- a/src/beamloom/routing/forwarder.py
+++ b/src/beamloom/routing/forwarder.py
@@ -72,7 +72,7 @@
 _FAST_HEADER = struct.Struct("!BxHxxHBBxx12s")
 _HOME = int(FlowFlag.HOME)
 _PAYLOAD_SENT = int(FlowFlag.PAYLOAD_SENT)
-_FAST_MASK = int(FlowFlag.PAYLOAD_SENT | FlowFlag.HELD)
+_FAST_MASK = int(FlowFlag.PAYLOAD_SENT | FlowFlag.HELD | FlowFlag.DEADLINE)
 
 
 class Forwarder:
@@ -103,7 +103,9 @@
             self.ownership, self.home, self.replicas, self._sender, self._partition_acquired
         )
         self.home.listeners.extend((self._sender, self._transfers))
-        self._deciding = Deciding(self.home, self._sender, self._transfers, self.counters)
+        self._deciding = Deciding(
+            self.home, self._sender, self._transfers, self.counters, self._gateway
+        )
         self._awaiting = AwaitingPackets()
         self._explainer = Explainer(self.home, self.replicas)
         self._answers = AnswerBatches()
@@ -311,7 +313,8 @@
         number = decision.backend_number
         if number is None:
             return None
-        if packet.relay is not None and not (packet.view.opens_flow or packet.view.closes_flow):
+        may_be_cached = not (packet.view.opens_flow or packet.view.closes_flow)
+        if packet.relay is not None and may_be_cached and not packet.service.deadline:
             self._deciding.payload_may_be_sent(packet.key)
             self._answers.put(packet.relay, FlowRecord(packet.key, number), now)
         return self.routes.backends[number].address
@@ -413,6 +416,7 @@
             replicas_held=self.replicas.record_count,
             records_waiting=self._sender.streams.waiting_records,
             bindings_waiting=self._deciding.bindings_waiting,
+            deadlines=len(self.home.deadlines),
             open_flows=open_flows,
             counters=dict(self.counters),
         )
--- a/src/beamloom/routing/home.py
+++ b/src/beamloom/routing/home.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Protocol
 
+from beamloom.routing.flow_deadlines import FlowDeadline, FlowDeadlines
 from beamloom.routing.flow_table import FlowFlag, FlowTable
 from beamloom.routing.hashing import partition_of, slot_of
 from beamloom.routing.hooks import RoutingHooks
@@ -18,6 +19,7 @@
 from beamloom.routing.services import RouteTable, ServiceRoute
 
 CACHE_LEASE_SECONDS = 30.0
+CLOSED_SECONDS = 10.0
 BOTH_CLOSED = FlowFlag.CLIENT_CLOSED | FlowFlag.BACKEND_CLOSED
 _UNSET = 0xFF
 _OPEN_HOME = int(FlowFlag.HOME)
@@ -45,6 +47,7 @@
         self.hooks = hooks
         self.exceptions: dict[int, dict[int, PlacementReason]] = {}
         self.listeners: list[ExceptionListener] = []
+        self.deadlines = FlowDeadlines()
 
     # -- what the base says ----------------------------------------------------------------------
 
@@ -110,8 +113,13 @@
 
     def enter(self, key: int, choice: Choice, service: ServiceRoute, flags: int, now: float) -> int:
         """Enter a flow at its home and return its row."""
+        known = self.deadlines.take(key)
         self.forget(key)
         number = choice.backend_number
+        if service.deadline:
+            known = known or FlowDeadline(now)
+            if self.deadlines.set(key, known, known.began + service.deadline):
+                flags |= FlowFlag.DEADLINE
         deadline = now + service.contract.policy.flow_idle_timeout
         row = self.table.insert(key, number, _OPEN_HOME | flags, deadline, now)
         service.open_flows[number] = service.open_flows.get(number, 0) + 1
@@ -124,12 +132,28 @@
     def _is_exception(self, key: int, number: int, service: ServiceRoute) -> bool:
         return service.binds_first or number != self.base_backend(service, key)
 
+    def backend_of(self, row: int) -> int:
+        """Return the number of the backend of a row."""
+        return self.table.backend[row]
+
+    def close(self, row: int, now: float) -> None:
+        """Note that a flow has ended at both sides; its entry stays for late packets."""
+        self.table.flags[row] |= BOTH_CLOSED
+        self.table.deadline[row] = now + CLOSED_SECONDS
+
+    def lift_deadline(self, key: int, row: int) -> None:
+        """Take a flow's deadline away, unless it has passed."""
+        if self.deadlines.take(key) is not None:
+            self.table.flags[row] &= ~FlowFlag.DEADLINE & _UNSET
+
     def forget(self, key: int) -> None:
         """Remove a flow's entry, counting it as ended where it was the home's."""
         row = self.table.rows.get(key)
         if row is None:
             return
         flags = self.table.flags[row]
+        if flags & FlowFlag.DEADLINE:
+            self.deadlines.take(key)
         if flags & _OPEN_HOME:
             self._count_ended(self.table.backend[row])
             self._end_exception(key, bool(flags & FlowFlag.REPLICATED))
@@ -171,10 +195,11 @@
 
     def demote(self, partitions: Iterable[int], now: float) -> None:
         """Turn the entries of partitions that are handed over into leased copies."""
-        for _, row in self.table.rows_in(partitions):
+        for key, row in self.table.rows_in(partitions):
             if not self.table.flags[row] & _OPEN_HOME:
                 continue
             self._count_ended(self.table.backend[row])
+            self.lift_deadline(key, row)
             self.table.flags[row] &= ~(FlowFlag.HOME | FlowFlag.REPLICATED | FlowFlag.HELD) & _UNSET
             if self.table.flags[row] & BOTH_CLOSED != BOTH_CLOSED:
                 self.table.deadline[row] = now + CACHE_LEASE_SECONDS
--- a/src/beamloom/routing/hooks.py
+++ b/src/beamloom/routing/hooks.py
@@ -35,12 +35,23 @@
         """Return whether a refused flow may be offered to a second backend."""
 
 
+@dataclass(frozen=True, slots=True)
+class Cancellation:
+    """Packets that end a flow; None where none can be made and the next packet must be awaited."""
+
+    to_client: bytes | None = None
+    to_backend: bytes | None = None
+
+
 class RefusalBuilder(Protocol):
-    """Makes the packet that tells a client that its flow was refused."""
+    """Makes the packets that refuse a flow, or end one that ran."""
 
     def build(self, packet: bytes, retry_after: float, no_backend: bool) -> bytes | None:
         """Return the answer to a flow's first packet, or None to stay silent."""
 
+    def cancel(self, packet: bytes, may_have_run: bool) -> Cancellation:
+        """Return what ends a TCP flow at both sides; `packet` is its client's newest."""
+
 
 class BackendHealth(Protocol):
     """What is observed of backends."""
@@ -77,6 +88,10 @@
         """Return nothing to send."""
         return None
 
+    def cancel(self, packet: bytes, may_have_run: bool) -> Cancellation:
+        """Return nothing to send."""
+        return Cancellation()
+
 
 class AssumedHealth:
     """Takes every backend for online and at full weight."""
--- /dev/null
+++ b/src/beamloom/routing/late_flows.py
@@ -0,0 +1,67 @@
+"""Ends flows whose `request.deadline` has passed: a reset to each side, and packets no further."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from beamloom.protocol.commands import Command, LocalSocket, SendPacket
+from beamloom.routing.deadlines import TICK_SECONDS
+from beamloom.routing.flow_deadlines import FlowDeadline
+from beamloom.routing.flow_table import FlowFlag
+from beamloom.routing.home import BOTH_CLOSED, Home
+from beamloom.world.addresses import SocketAddress
+
+ENDED_LATE = BOTH_CLOSED | FlowFlag.DEADLINE
+
+
+class LateFlows:
+    """The flows of one home that are past their deadline; `gateway` tells where a client is."""
+
+    def __init__(
+        self, home: Home, gateway: Callable[[int], SocketAddress], counters: Counter[str]
+    ) -> None:
+        self._home = home
+        self._gateway = gateway
+        self._counters = counters
+
+    def is_late(self, row: int) -> bool:
+        """Whether a flow was ended at its deadline."""
+        return self._home.table.flags[row] & ENDED_LATE == ENDED_LATE
+
+    def poll(self, now: float) -> list[Command]:
+        """End the flows whose deadline has passed; returns the resets."""
+        commands: list[Command] = []
+        for key, flow in self._home.deadlines.due(now):
+            commands.extend(self._deadline_reached(key, flow, now))
+        return commands
+
+    def _deadline_reached(self, key: int, flow: FlowDeadline, now: float) -> list[Command]:
+        """End a flow, unless its service's deadline was raised or taken away since."""
+        row = self._home.table.rows.get(key)
+        route = None if row is None else self._home.routes.backends.get(self._home.backend_of(row))
+        if row is None or route is None:
+            return []
+        allowed = route.service.deadline
+        until = flow.began + allowed
+        if allowed and until <= now + TICK_SECONDS:
+            self._home.close(row, now)
+            self._counters["flows_past_deadline"] += 1
+            return self.resets(key, row, flow.newest_packet)
+        if not allowed or not self._home.deadlines.set(key, flow, until):
+            self._home.table.flags[row] &= ~FlowFlag.DEADLINE & 0xFF
+        return []
+
+    def resets(self, key: int, row: int, packet: bytes) -> list[Command]:
+        """Return resets for both sides made from a client's packet, as far as it allows."""
+        if not packet:
+            return []
+        may_have_run = bool(self._home.table.flags[row] & FlowFlag.PAYLOAD_SENT)
+        made = self._home.hooks.refusals.cancel(packet, may_have_run)
+        route = self._home.routes.backends.get(self._home.backend_of(row))
+        commands: list[Command] = []
+        if made.to_client is not None:
+            commands.append(SendPacket(LocalSocket.DATA, self._gateway(key), made.to_client))
+        if made.to_backend is not None and route is not None:
+            commands.append(SendPacket(LocalSocket.DATA, route.address, made.to_backend))
+        return commands
--- a/src/beamloom/routing/packet.py
+++ b/src/beamloom/routing/packet.py
@@ -62,6 +62,7 @@
     REFUSED = "refused"
     NOT_READY = "not_ready"
     UNKNOWN_FLOW = "unknown_flow"
+    DEADLINE_PASSED = "deadline_passed"
 
 
 class PacketError(Exception):
--- a/src/beamloom/routing/services.py
+++ b/src/beamloom/routing/services.py
@@ -16,8 +16,8 @@
     """One service: its contract, the tables of its generations and its senders' addresses.
 
     Tables are built when first asked for; `open_flows` counts, by backend number, the flows that
-    this node is home of; `meter` is the tenant's. The last four
-    repeat parts of the contract for the hot path.
+    this node is home of; `meter` is the tenant's. The last five
+    repeat parts of the contract for the hot path; `deadline` is in seconds, 0 where there is none.
     """
 
     contract: ServiceContract
@@ -26,6 +26,7 @@
     open_flows: dict[int, int] = field(default_factory=dict)
     meter: TrafficMeter = field(default_factory=TrafficMeter)
     idle_timeout: float = 0.0
+    deadline: float = 0.0
     ip_bytes: bytes = b""
     port_bytes: bytes = b""
     protocol: int = 0
@@ -113,6 +114,8 @@
         route.ip_bytes = contract.virtual_address.packed_ip
         route.port_bytes = contract.virtual_address.port.to_bytes(2, "big")
         route.idle_timeout = contract.policy.flow_idle_timeout
+        if contract.virtual_address.protocol is TransportProtocol.TCP:
+            route.deadline = contract.policy.request_deadline
         route.meter = self.meters.setdefault(contract.tenant, TrafficMeter())
         self.revision = max(self.revision, contract.current_generation.revision)
         previous = self.by_service_number.get(contract.service_number)
--- a/src/beamloom/runtime/node_metrics.py
+++ b/src/beamloom/runtime/node_metrics.py
@@ -30,6 +30,7 @@
     "replicas_held": "Records kept for other homes.",
     "records_waiting": "Records that wait for the control budget or an acknowledgement.",
     "bindings_waiting": "First packets held until their binding is replicated.",
+    "deadlines": "Flows that this node will end at their deadline.",
 }
 
 
--- a/src/beamloom/runtime/node_status.py
+++ b/src/beamloom/runtime/node_status.py
@@ -118,6 +118,10 @@
         "lease_seconds_left": (
             None if known.lease_end is None else round(known.lease_end - now, 3)
         ),
+        "deadline_seconds_left": (
+            None if known.deadline is None else round(known.deadline - now, 3)
+        ),
+        "ended_at_deadline": known.ended_at_deadline,
     }
 
 
--- a/src/beamloom/settings/declarations.py
+++ b/src/beamloom/settings/declarations.py
@@ -204,7 +204,8 @@
         SettingType.FLOAT,
         "seconds",
         _POLICY.request_deadline,
-        "A flow still open after this time is closed at client and backend; 0 means never.",
+        "A TCP flow still open after this time is reset at client and backend; 0 means never. "
+        "Its home then sees each of its packets. UDP has nothing to reset and is not cut.",
         minimum=0.0,
         maximum=_DAY,
     ),
--- a/tests/unit/routing/fleet.py
+++ b/tests/unit/routing/fleet.py
@@ -31,9 +31,11 @@
 PORT = 443
 
 
-def tcp(client: int, flags: int, payload: bytes = b"", port: int = PORT) -> bytes:
+def tcp(
+    client: int, flags: int, payload: bytes = b"", port: int = PORT, sequence: int = 1
+) -> bytes:
     """Build a TCP packet from client number `client` (no checksums: nothing here checks them)."""
-    segment = struct.pack("!HHIIBBHHH", 1000, port, 1, 1, 0x50, flags, 100, 0, 0) + payload
+    segment = struct.pack("!HHIIBBHHH", 1000, port, sequence, 1, 0x50, flags, 100, 0, 0) + payload
     return _ip(client, 6, segment)
 
 
--- a/tests/unit/admission/test_deadlines.py
+++ b/tests/unit/routing/test_deadlines.py
@@ -5,13 +5,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from beamloom.admission.deadlines import (
+from beamloom.admission.pending_packets import PendingPackets
+from beamloom.routing.deadlines import (
     SLOT_COUNT,
     TICK_SECONDS,
     DeadlineCapacityError,
     DeadlineWheel,
 )
-from beamloom.admission.pending_packets import PendingPackets
 
 CAPACITY = 8
 
