--- a/src/beamloom/settings/declarations.py
+++ b/src/beamloom/settings/declarations.py
@@ -204,8 +204,8 @@
         SettingType.FLOAT,
         "seconds",
         _POLICY.request_deadline,
-        "How long a request may take; 0 means no limit. Not yet enforced on open flows: it bounds "
-        "how long unknown requests are dropped after a crash where request.repeat is never.",
+        "A TCP flow still open after this time is reset at client and backend; 0 means never. "
+        "Its home then sees each of its packets. UDP has nothing to reset and is not cut.",
         minimum=0.0,
         maximum=_DAY,
     ),
