Let homes hold refusals and answer times against what backends report

Cause: BackendWatchers.observe_refusal and observe_answer_time were never called, so no lying report was ever contradicted in a running node.

Change: the home tells BackendHealth of a reset that answers an opening while the client has sent nothing else, also for the second backend of a flow that was offered again, and of the time from first payload to first answer where both pass through it. SYN to SYN-ACK is not taken: it measures the distance, not the load, and would void true reports of near backends.

Conclusion: refusals speak at any size; answer times are rare in large fleets (about one flow in n squared, by reasoning, not measured).

--- a/src/beamloom/node/neighbours.py
+++ b/src/beamloom/node/neighbours.py
@@ -120,6 +120,14 @@
         except UnknownBackendError:
             return 1.0
 
+    def observe_refusal(self, backend_number: int, now: float) -> None:
+        """Pass on that a backend refused a connection."""
+        self._watchers.observe_refusal(backend_number, now)
+
+    def observe_answer_time(self, backend_number: int, seconds: float, now: float) -> None:
+        """Pass on how long a backend took to answer."""
+        self._watchers.observe_answer_time(backend_number, seconds, now)
+
 
 METERING_SECONDS = 0.09
 """Least seconds between two looks at the meters of all tenants; limits refill every 0.1 s."""
--- a/src/beamloom/replication/backend_status/evidence.py
+++ b/src/beamloom/replication/backend_status/evidence.py
@@ -41,7 +41,7 @@
             self.paused_until = now + PAUSE_SECONDS
 
     def add_answer_time(self, seconds: float, now: float) -> None:
-        """Take the time from a flow's first packet to its first answer."""
+        """Take the time from a flow's first payload to its first answer."""
         if now - self.sampled_at > SAMPLES_EXPIRE:
             self.samples = 0
         weight = max(ANSWER_SMOOTHING, 1.0 / (self.samples + 1))
--- a/src/beamloom/replication/backend_status/watchers.py
+++ b/src/beamloom/replication/backend_status/watchers.py
@@ -122,7 +122,7 @@
             evidence.add_refusal(now)
 
     def observe_answer_time(self, backend_number: int, seconds: float, now: float) -> None:
-        """Take the time that the backend took to answer a first packet of this home."""
+        """Take the time that the backend took to answer a flow's first payload."""
         evidence = self._evidence_of(backend_number)
         if evidence is not None:
             evidence.add_answer_time(seconds, now)
--- /dev/null
+++ b/src/beamloom/routing/answer_times.py
@@ -0,0 +1,33 @@
+"""How long backends take to answer, sampled by the homes of flows.
+
+Measured is the time from a flow's first payload to the first payload in answer, where the home sees
+both. A SYN is not measured: the backend's kernel answers it before the application has a say.
+"""
+
+from __future__ import annotations
+
+from beamloom.routing.hooks import BackendHealth
+
+AWAITED_FLOWS = 2048
+LONGEST_SECONDS = 30.0
+
+
+class AnswerTimes:
+    """First payloads that wait for their answer: backend and time by flow key, oldest give way."""
+
+    def __init__(self, health: BackendHealth) -> None:
+        self._health = health
+        self._awaited: dict[int, tuple[int, float]] = {}
+
+    def payload_sent(self, key: int, backend_number: int, now: float) -> None:
+        """Note that a flow's first payload leaves for a backend."""
+        self._awaited.pop(key, None)
+        self._awaited[key] = backend_number, now
+        if len(self._awaited) > AWAITED_FLOWS:
+            del self._awaited[next(iter(self._awaited))]
+
+    def answered(self, key: int, now: float) -> None:
+        """Take a payload of the backend; only the first after `payload_sent` counts."""
+        sent = self._awaited.pop(key, None)
+        if sent is not None and now - sent[1] <= LONGEST_SECONDS:
+            self._health.observe_answer_time(sent[0], now - sent[1], now)
--- a/src/beamloom/routing/deciding.py
+++ b/src/beamloom/routing/deciding.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from beamloom.protocol.commands import Command, LocalSocket, SendPacket
+from beamloom.routing.answer_times import AnswerTimes
 from beamloom.routing.bindings import Bindings, ReleasedFlow
 from beamloom.routing.flow_table import FlowFlag
 from beamloom.routing.hashing import partition_of
@@ -76,6 +77,7 @@
         self._counters = counters
         self._bindings = Bindings()
         self._openings = KeptOpenings()
+        self.answer_times = AnswerTimes(home.hooks.health)
         self._late = LateFlows(home, gateway, counters)
 
     @property
@@ -230,6 +232,8 @@
     def _note_progress(self, packet: FlowPacket, row: int, now: float) -> None:
         table, view = self._table, packet.view
         if view.payload_size:
+            if not table.flags[row] & (FlowFlag.PAYLOAD_SENT | FlowFlag.HELD):
+                self.answer_times.payload_sent(packet.key, table.backend[row], now)
             table.flags[row] |= FlowFlag.PAYLOAD_SENT
         if not view.opens_flow:
             self._openings.take(packet.key)
@@ -268,7 +272,10 @@
         if view.tcp_flags & TCP_RST:
             if self._may_be_wrong_guess(key, row, now):
                 return Decision(swallowed=True)
-            retried = self._offer_again(key, row, service, now)
+            opening = self._openings.take(key)
+            if opening is not None:
+                self._hooks.health.observe_refusal(self._table.backend[row], now)
+            retried = self._offer_again(key, row, service, opening, now)
             if retried is not None:
                 return retried
         self._note_closing(key, row, view, FlowFlag.BACKEND_CLOSED, now)
@@ -281,14 +288,14 @@
         return bool(guessed) and now - owned.since < TAKEOVER_SECONDS
 
     def _offer_again(
-        self, key: int, row: int, service: ServiceRoute, now: float
+        self, key: int, row: int, service: ServiceRoute, opening: bytes | None, now: float
     ) -> Decision | None:
+        """Offer a flow whose client has sent nothing but `opening` to another backend, once."""
         flags = self._table.flags[row]
         if flags & (FlowFlag.PAYLOAD_SENT | FlowFlag.HELD) or self._late.is_late(row):
             return None
-        opening = self._openings.take(key)
         choice = self._home.choose(key, service, now, excluded=self._table.backend[row])
-        if opening is None or choice.backend_number == NO_CANDIDATE:
+        if not opening or choice.backend_number == NO_CANDIDATE:
             return None
         if not self._hooks.admission.take_retry(service.contract, now):
             return None
@@ -300,6 +307,7 @@
         flags = FlowFlag.HELD if bind else FlowFlag(0)
         retried = Choice(number, PlacementReason.RETRIED_AFTER_REFUSAL)
         self._home.enter(key, retried, service, flags, now)
+        self._openings.keep(key, b"")
         self._counters["flows_offered_again"] += 1
         if bind:
             self._bindings.hold(key, opening)
--- a/src/beamloom/routing/forwarder.py
+++ b/src/beamloom/routing/forwarder.py
@@ -333,6 +333,8 @@
         now: float,
     ) -> SocketAddress | None:
         key = self._key(view.flow.reversed())
+        if view.payload_size:
+            self._deciding.answer_times.answered(key, now)
         if not view.closes_flow:
             return self._gateway(key)
         decider = self.ownership.deciders[partition_of(key)]
--- a/src/beamloom/routing/hooks.py
+++ b/src/beamloom/routing/hooks.py
@@ -62,6 +62,12 @@
     def weight_factor(self, backend_number: int) -> float:
         """Return the factor, 0 to 1, on a backend's share (cold start, distrust)."""
 
+    def observe_refusal(self, backend_number: int, now: float) -> None:
+        """Take that a backend refused a connection: a reset in answer to its opening packet."""
+
+    def observe_answer_time(self, backend_number: int, seconds: float, now: float) -> None:
+        """Take how long a backend took from a flow's first payload to its first answer."""
+
 
 class PermissiveAdmission:
     """Admits every flow and allows every retry."""
@@ -104,6 +110,12 @@
         """Return 1."""
         return 1.0
 
+    def observe_refusal(self, backend_number: int, now: float) -> None:
+        """Take no notice."""
+
+    def observe_answer_time(self, backend_number: int, seconds: float, now: float) -> None:
+        """Take no notice."""
+
 
 @dataclass(slots=True)
 class TrafficMeter:
--- a/src/beamloom/routing/openings.py
+++ b/src/beamloom/routing/openings.py
@@ -20,7 +20,7 @@
         self._bytes = 0
 
     def keep(self, key: int, packet: bytes) -> None:
-        """Keep a flow's opening packet."""
+        """Keep a flow's opening packet; an empty one says that it is not to be offered again."""
         self.take(key)
         self._packets[key] = packet
         self._bytes += len(packet)
--- a/tests/unit/routing/fleet.py
+++ b/tests/unit/routing/fleet.py
@@ -49,10 +49,10 @@
     return head + source + destination + body
 
 
-def answer(client: int, flags: int, port: int = PORT) -> bytes:
+def answer(client: int, flags: int, port: int = PORT, payload: bytes = b"") -> bytes:
     """Build the backend's TCP packet towards a client."""
-    segment = struct.pack("!HHIIBBHHH", port, 1000, 1, 1, 0x50, flags, 100, 0, 0)
-    head = struct.pack("!BBHHHBBH", 0x45, 0, 40, 0, 0, 64, 6, 0)
+    segment = struct.pack("!HHIIBBHHH", port, 1000, 1, 1, 0x50, flags, 100, 0, 0) + payload
+    head = struct.pack("!BBHHHBBH", 0x45, 0, 20 + len(segment), 0, 0, 64, 6, 0)
     return head + VirtualAddress(SERVICE_IP, 6, 1).packed_ip + _address(client) + segment
 
 
