Remove the second keeper of first packets, and names that nothing uses

Cause: admission/pending_packets.py did the job of routing/openings.py and nothing called it. A search for names that occur once in src found more: DropReason.NOT_READY, IpAddress, REGION_DELAY.

Change: all four are gone.

Conclusion: one module keeps first packets.

--- a/src/beamloom/admission/__init__.py
+++ b/src/beamloom/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Limits per tenant, retry budgets, deadlines and refusals."""
+"""Limits per tenant, retry budgets and refusals."""
--- a/src/beamloom/routing/packet.py
+++ b/src/beamloom/routing/packet.py
@@ -60,7 +60,6 @@
     UNKNOWN_BINDING = "unknown_binding"
     PACKET_LIMIT = "packet_limit"
     REFUSED = "refused"
-    NOT_READY = "not_ready"
     UNKNOWN_FLOW = "unknown_flow"
     DEADLINE_PASSED = "deadline_passed"
 
--- a/src/beamloom/settings/file_models.py
+++ b/src/beamloom/settings/file_models.py
@@ -32,7 +32,6 @@
 from beamloom.world.zones import Zone
 
 IpNetwork = ipaddress.IPv4Network | ipaddress.IPv6Network
-IpAddress = ipaddress.IPv4Address | ipaddress.IPv6Address
 Model = TypeVar("Model", bound=BaseModel)
 MAXIMUM_PORT = 65_535
 _URL = re.compile(r"https?://[^/\s]+/?")
--- a/src/beamloom/simulation/deployment.py
+++ b/src/beamloom/simulation/deployment.py
@@ -15,8 +15,6 @@
 PLATFORM_ZONE = "platform"
 PLATFORM_DELAY = 0.002
 """One-way delay from a zone to the platform's store, in seconds."""
-REGION_DELAY = 0.030
-"""One-way delay between zones of two regions, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/unit/routing/test_deadlines.py
+++ b/tests/unit/routing/test_deadlines.py
@@ -5,7 +5,6 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from beamloom.admission.pending_packets import PendingPackets
 from beamloom.routing.deadlines import (
     SLOT_COUNT,
     TICK_SECONDS,
@@ -59,16 +58,5 @@
 TestDeadlineWheel.settings = settings(derandomize=True, max_examples=60, stateful_step_count=40)
 
 
-class PendingPacketsTest(unittest.TestCase):
-    def test_packets_beyond_the_bound_are_not_held_and_release_frees_room(self) -> None:
-        pending = PendingPackets(100)
-        self.assertTrue(pending.hold(1, bytes(60)))
-        self.assertFalse(pending.hold(2, bytes(60)))
-        self.assertTrue(pending.hold(1, bytes(90)))
-        self.assertEqual(pending.release(1), bytes(90))
-        self.assertIsNone(pending.release(1))
-        self.assertEqual((pending.held_bytes, pending.not_held), (0, 1))
-
-
 if __name__ == "__main__":
     unittest.main()
