Let a packet say that it made the core's timer earlier

Cause: the socket adapter reads next_timer only after commands, so a timer set by a packet alone (the first cached answer of a batch) waited for the next event. With today's tick of 0.1 s under the batch's 0.2 s that costs nothing, but nothing said so and a longer tick would have made it late. The simulator read the timer after each packet and so did not show it.

Change: the forwarder sets has_commands when a packet's timer comes before the one that it last told; both adapters then read next_timer. No call of next_timer per packet, and the simulator's adapter now arms its timer as the sockets' one does.

Measured: tests.unit.routing.test_forwarder with a tick of 10 s: before, the batch's timer is not told (1 failure of 12); after, 12 of 12. With the tick of 0.1 s a packet asks for nothing, as before.

--- a/src/beamloom/node/core.py
+++ b/src/beamloom/node/core.py
@@ -105,7 +105,7 @@
 
     @property
     def has_commands(self) -> bool:
-        """Whether `take_commands` would return anything after `packet_received`."""
+        """Whether to call `take_commands` and read `next_timer` after `packet_received`."""
         return self.forwarder.has_commands
 
     def take_commands(self, now: float) -> list[Command]:
--- a/src/beamloom/routing/answers.py
+++ b/src/beamloom/routing/answers.py
@@ -21,11 +21,13 @@
         self._records: dict[NodeId, list[FlowRecord]] = {}
         self._due: float | None = None
 
-    def put(self, relay: NodeId, record: FlowRecord, now: float) -> None:
-        """Queue one answer."""
+    def put(self, relay: NodeId, record: FlowRecord, now: float) -> bool:
+        """Queue one answer; returns whether it is the first of a batch, so that a timer is set."""
         self._records.setdefault(relay, []).append(record)
-        if self._due is None:
-            self._due = now + BATCH_SECONDS
+        if self._due is not None:
+            return False
+        self._due = now + BATCH_SECONDS
+        return True
 
     def poll(self, now: float) -> list[Command]:
         """Return the batches to send, if they are due."""
--- a/src/beamloom/routing/forwarder.py
+++ b/src/beamloom/routing/forwarder.py
@@ -116,6 +116,8 @@
         self._peers: dict[SocketAddress, NodeId] = {}
         self._commands: list[Command] = []
         self._tick_due = 0.0
+        self._timer_told = 0.0
+        self._timer_moved = False
         self._leave_complete = False
 
     # -- what the node tells -------------------------------------------------------------------
@@ -154,12 +156,13 @@
     def take_commands(self) -> list[Command]:
         """Return and clear what forwarding asked for besides the answered address."""
         commands, self._commands = self._commands, []
+        self._timer_moved = False
         return commands
 
     @property
     def has_commands(self) -> bool:
-        """Whether `take_commands` would return anything."""
-        return bool(self._commands)
+        """Whether a packet left commands to take, or made the timer earlier than was last told."""
+        return bool(self._commands) or self._timer_moved
 
     # -- the hot path --------------------------------------------------------------------------
 
@@ -316,7 +319,8 @@
         may_be_cached = not (packet.view.opens_flow or packet.view.closes_flow)
         if packet.relay is not None and may_be_cached and not packet.service.deadline:
             self._deciding.payload_may_be_sent(packet.key)
-            self._answers.put(packet.relay, FlowRecord(packet.key, number), now)
+            if self._answers.put(packet.relay, FlowRecord(packet.key, number), now):
+                self._timer_moved = self._next_due() < self._timer_told
         return self.routes.backends[number].address
 
     def _send_to_client(self, key: int, packet: bytes) -> None:
@@ -396,6 +400,10 @@
 
     def next_timer(self) -> float | None:
         """Return when `poll` has something to do."""
+        self._timer_told = self._next_due()
+        return self._timer_told
+
+    def _next_due(self) -> float:
         return min(self._answers.next_timer() or self._tick_due, self._tick_due)
 
     # -- explanations --------------------------------------------------------------------------
--- a/src/beamloom/simulation/node_adapter.py
+++ b/src/beamloom/simulation/node_adapter.py
@@ -166,8 +166,6 @@
             self._network.send(self.host, self.machine.data_address, destination, data)
         if self.core.has_commands:
             self._execute(self.core.take_commands(now))
-        else:
-            self._arm_timer()
 
     def _control_received(self, data: bytes, source: SocketAddress) -> None:
         self.handle(ControlDatagramReceived(data, source))
--- a/tests/unit/routing/test_forwarder.py
+++ b/tests/unit/routing/test_forwarder.py
@@ -4,6 +4,7 @@
 
 import struct
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -48,6 +49,38 @@
     return head + source + destination + body
 
 
+class TimerTest(unittest.TestCase):
+    @patch("beamloom.routing.forwarder.TICK_SECONDS", 10.0)
+    def test_a_packet_that_makes_the_timer_earlier_says_so_once(self) -> None:
+        fleet = fleet_of(0, 1)
+        fleet.run(10.0)
+        client = next(n for n in range(100) if self.is_home(fleet, n))
+        fleet.open(client)
+        node, relay = fleet.nodes[NodeId("n0")], fleet.members[NodeId("n1")].machine.peer_address
+        node.take_commands()
+        node.poll(fleet.now)
+        before = node.next_timer() or 0.0
+        self.assertGreater(before, fleet.now + 1.0)
+        node.forward(tcp(client, ACK), relay, True, fleet.now)
+        self.assertTrue(node.has_commands)
+        self.assertEqual(node.take_commands(), [])
+        self.assertLess(node.next_timer() or 0.0, fleet.now + 1.0)
+        node.forward(tcp(client, ACK), relay, True, fleet.now)
+        self.assertFalse(node.has_commands)
+
+    def test_packets_that_set_no_earlier_timer_ask_for_nothing(self) -> None:
+        fleet = fleet_of(0, 1)
+        client = next(n for n in range(100) if self.is_home(fleet, n))
+        fleet.open(client)
+        node, relay = fleet.nodes[NodeId("n0")], fleet.members[NodeId("n1")].machine.peer_address
+        node.next_timer()
+        node.forward(tcp(client, ACK), relay, True, fleet.now)
+        self.assertFalse(node.has_commands)
+
+    def is_home(self, fleet: Fleet, client: int) -> bool:
+        return fleet.nodes[NodeId("n0")].explain(flow_tuple(client)).decider == "n0"
+
+
 class AdversarialPacketsTest(unittest.TestCase):
     fleet = fleet_of(0, 1)
 
