Let online at neutral weight need no record

Change: a backend without a record counts as online once a peer's digest of exceptions agrees, or its list was taken whole; until then, or when it came while this node ran, it is unknown. Watchers write the first record when there is something to say: not online, a weight that is not neutral, a new backend.

--- a/src/beamloom/replication/backend_status/checking.py
+++ b/src/beamloom/replication/backend_status/checking.py
@@ -4,7 +4,7 @@
 
 import heapq
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from beamloom.protocol.backend_messages import WatcherOpinion
 from beamloom.protocol.commands import CheckBackend, Command, SendMessage
@@ -14,6 +14,7 @@
     StatusReason,
     StatusRecord,
     StatusRegister,
+    assumed_online,
     decode_record,
 )
 from beamloom.replication.backend_status.watching import WatchedBackend
@@ -29,9 +30,16 @@
 class BackendChecking:
     """Schedules checks and weighs their outcomes; `changes` collects records to publish."""
 
-    def __init__(self, node_id: NodeId, register: StatusRegister, chance: random.Random) -> None:
+    def __init__(
+        self,
+        node_id: NodeId,
+        register: StatusRegister,
+        created: Set[int],
+        chance: random.Random,
+    ) -> None:
         self._node_id = node_id
         self._register = register
+        self._created = created
         self._random = chance
         self._watched: dict[int, WatchedBackend] = {}
         self._heap: list[tuple[float, int]] = []
@@ -151,7 +159,7 @@
         if status is BackendOperatingStatus.UNKNOWN or self.distrusts_itself:
             return []
         number = item.backend.backend_number
-        held = decode_record(self._register.value(number))
+        held = self._held(number)
         if held.status is status:
             item.stop_asking()
             self._consider_weight(item, held, now)
@@ -164,6 +172,11 @@
             return []
         return [SendMessage(item.co_watcher, WatcherOpinion(number, int(status), True))]
 
+    def _held(self, number: int) -> StatusRecord:
+        """Return the record in force; that an old backend is online needs no record."""
+        value = self._register.value(number)
+        return decode_record(value) if value or number in self._created else assumed_online()
+
     def _consider_weight(self, item: WatchedBackend, held: StatusRecord, now: float) -> None:
         if not item.is_first or held.status is not BackendOperatingStatus.ONLINE:
             return
--- a/src/beamloom/replication/backend_status/gossip.py
+++ b/src/beamloom/replication/backend_status/gossip.py
@@ -75,6 +75,7 @@
         self._push_at = now + chance.random() * PUSH_INTERVAL
         self._digest_at = now + chance.random() * JOINING_INTERVAL
         self._exceptions_at = now + chance.random() * EXCEPTIONS_INTERVAL
+        self.agrees_on_exceptions = False
         self._joining = True
         self._behind = False
         self._pushed = 0
@@ -101,7 +102,9 @@
     def receive_digest(self, sender: NodeId, message: StatusDigest, now: float) -> list[Command]:
         """Answer a digest that differs: exceptions first, then the digests of the buckets."""
         commands: list[Command] = []
-        if message.exceptions != self._register.exceptions_root:
+        if message.exceptions == self._register.exceptions_root:
+            self.agrees_on_exceptions = True
+        else:
             commands += self._send_exceptions(sender, now)
         if message.root is None:
             return commands
@@ -119,6 +122,7 @@
 
         A reply may be answered too, by greater values only, so that this comes to an end.
         """
+        self.agrees_on_exceptions = self.agrees_on_exceptions or message.complete
         theirs = dict(zip(message.records[::2], message.records[1::2], strict=True))
         held = [(number, self._register.value(number)) for number in theirs]
         newer = [(number, value) for number, value in held if value > theirs[number]]
@@ -243,6 +247,7 @@
     def _compare_exceptions(self, now: float) -> list[Command]:
         self._exceptions_at = now + EXCEPTIONS_INTERVAL * self._random.uniform(0.8, 1.2)
         if not self._peers:
+            self.agrees_on_exceptions = True
             return []
         message = StatusDigest(self._register.exceptions_root, None)
         peer = self._random.choice(self._peers)
--- a/src/beamloom/replication/backend_status/register.py
+++ b/src/beamloom/replication/backend_status/register.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from beamloom.protocol.backend_messages import BUCKET_COUNT, BUCKET_DIGEST_SIZE
+from beamloom.replication.backend_status.load_reports import NEUTRAL_CLASS
 from beamloom.world.contracts import BackendOperatingStatus
 
 STATUS_BITS = 2
@@ -57,6 +58,11 @@
         return value | self.status
 
 
+def assumed_online() -> StatusRecord:
+    """Return what stands for no record: the watchers find nothing amiss, the weight is neutral."""
+    return StatusRecord(0, False, StatusReason.NONE, NEUTRAL_CLASS, BackendOperatingStatus.ONLINE)
+
+
 def decode_record(value: int) -> StatusRecord:
     """Return the record of a value; an unknown reason, of a newer node, becomes NONE."""
     reason = value >> REASON_SHIFT & ((1 << REASON_BITS) - 1)
--- a/src/beamloom/replication/backend_status/views.py
+++ b/src/beamloom/replication/backend_status/views.py
@@ -12,7 +12,7 @@
 RAMP_START = 0.1
 
 REASON_TEXTS = {
-    StatusReason.NONE: "no watcher has reported yet",
+    StatusReason.NONE: "no watcher has found anything amiss",
     StatusReason.CHECKS_PASSED: "health checks pass",
     StatusReason.CHECKS_FAILED: "health checks fail from both watchers",
     StatusReason.CHECKS_FAILED_OTHER_WATCHER_SILENT: (
--- a/src/beamloom/replication/backend_status/watchers.py
+++ b/src/beamloom/replication/backend_status/watchers.py
@@ -21,7 +21,12 @@
 from beamloom.replication.backend_status.checking import BackendChecking
 from beamloom.replication.backend_status.evidence import BackendEvidence, usual_answer_seconds
 from beamloom.replication.backend_status.gossip import GossipStatus, StatusGossip
-from beamloom.replication.backend_status.register import StatusRegister, decode_record
+from beamloom.replication.backend_status.register import (
+    StatusRecord,
+    StatusRegister,
+    assumed_online,
+    decode_record,
+)
 from beamloom.replication.backend_status.views import (
     REASON_TEXTS,
     BackendView,
@@ -71,10 +76,10 @@
         self._register = StatusRegister()
         self._assignment = WatcherAssignment()
         self._gossip = StatusGossip(self._register, chance, now)
-        self._checking = BackendChecking(node_id, self._register, chance)
+        self._created: set[int] = set()
+        self._checking = BackendChecking(node_id, self._register, self._created, chance)
         self._known: dict[int, _KnownBackend] = {}
         self._has_backends = False
-        self._created: set[int] = set()
         self._inputs: dict[int, ViewInputs] = {}
         self._evidence: dict[int, BackendEvidence] = {}
         self._services: dict[int, list[int]] = {}
@@ -137,7 +142,7 @@
         inputs = self._inputs.get(backend_number)
         if inputs is None:
             inputs = ViewInputs(known.ramp_seconds, self._started_at)
-        record = decode_record(self._register.value(backend_number))
+        record = self._record(backend_number)
         return make_view(record, inputs, self._evidence.get(backend_number), now)
 
     def watchers(self, backend_number: int) -> tuple[NodeId, ...]:
@@ -234,7 +239,7 @@
         return commands
 
     def _apply(self, number: int, value: int, now: float, *, publish: bool) -> list[Command]:
-        before = decode_record(self._register.value(number))
+        before = self._record(number)
         if not self._register.apply(number, value):
             return []
         after = decode_record(value)
@@ -262,10 +267,7 @@
         after: BackendOperatingStatus,
         now: float,
     ) -> None:
-        inputs = self._inputs.get(number)
-        if inputs is None:
-            inputs = ViewInputs(self._known[number].ramp_seconds, now)
-            self._inputs[number] = inputs
+        inputs = self._inputs_of(number, now)
         inputs.since = now
         new = before is BackendOperatingStatus.UNKNOWN and number in self._created
         if after is BackendOperatingStatus.ONLINE and (
@@ -274,6 +276,23 @@
             inputs.ramp_from = now
         self._created.discard(number)
 
+    def _record(self, number: int) -> StatusRecord:
+        """Return a backend's record; none means online, once a peer knows of nothing else either.
+
+        A backend that came while this node ran is unknown until a watcher has found it online.
+        """
+        value = self._register.value(number)
+        if value or number in self._created or not self._gossip.agrees_on_exceptions:
+            return decode_record(value)
+        return assumed_online()
+
+    def _inputs_of(self, number: int, now: float) -> ViewInputs:
+        inputs = self._inputs.get(number)
+        if inputs is None:
+            inputs = ViewInputs(self._known[number].ramp_seconds, now)
+            self._inputs[number] = inputs
+        return inputs
+
     def _evidence_of(self, backend_number: int) -> BackendEvidence | None:
         known = self._known.get(backend_number)
         if known is None:
@@ -292,11 +311,10 @@
         }
         usual = usual_answer_seconds(evidence.values(), now)
         for number, item in evidence.items():
-            inputs = self._inputs.get(number)
-            if inputs is not None:
-                weight_class = decode_record(self._register.value(number)).weight_class
-                judged = usual is not None and item.counts(now)
-                inputs.contradicted = judged and item.contradicts(weight_class, usual or 0.0, now)
+            weight_class = self._record(number).weight_class
+            judged = usual is not None and item.counts(now)
+            contradicted = judged and item.contradicts(weight_class, usual or 0.0, now)
+            self._inputs_of(number, now).contradicted = contradicted
 
     def _forget(self, number: int) -> None:
         self._register.remove(number)
