Let a closed flow end at its home, and count it as open no longer

Cause: the client's last acknowledgement, after both sides had closed, set the entry's deadline back to the idle timeout (an hour), on the fast path and on the checked one. Entries of short flows stayed for that hour and counted as open: against the tenant's limit and against the backend's share. Packets of flows with a closed side leave the fast path. Cost not measured: packets of half-closed flows take the checked path.

--- a/src/beamloom/routing/deciding.py
+++ b/src/beamloom/routing/deciding.py
@@ -225,13 +225,14 @@
             table.flags[row] |= FlowFlag.PAYLOAD_SENT
         if not view.opens_flow:
             self._openings.take(packet.key)
-        table.deadline[row] = now + packet.service.idle_timeout
+        if not self._home.is_over(row):
+            table.deadline[row] = now + packet.service.idle_timeout
         if view.closes_flow:
             self._note_closing(row, view, FlowFlag.CLIENT_CLOSED, now)
 
     def _note_closing(self, row: int, view: PacketView, side: FlowFlag, now: float) -> None:
-        self._table.flags[row] |= BOTH_CLOSED if view.tcp_flags & TCP_RST else side
-        if self._table.flags[row] & BOTH_CLOSED == BOTH_CLOSED:
+        sides = BOTH_CLOSED if view.tcp_flags & TCP_RST else side
+        if self._home.close(row, sides):
             self._table.deadline[row] = now + CLOSED_SECONDS
 
     def payload_may_be_sent(self, key: int) -> None:
--- a/src/beamloom/routing/forwarder.py
+++ b/src/beamloom/routing/forwarder.py
@@ -72,7 +72,9 @@
 _FAST_HEADER = struct.Struct("!BxHxxHBBxx12s")
 _HOME = int(FlowFlag.HOME)
 _PAYLOAD_SENT = int(FlowFlag.PAYLOAD_SENT)
-_FAST_MASK = int(FlowFlag.PAYLOAD_SENT | FlowFlag.HELD)
+_FAST_MASK = int(
+    FlowFlag.PAYLOAD_SENT | FlowFlag.HELD | FlowFlag.CLIENT_CLOSED | FlowFlag.BACKEND_CLOSED
+)
 
 
 class Forwarder:
--- a/src/beamloom/routing/home.py
+++ b/src/beamloom/routing/home.py
@@ -131,13 +131,31 @@
             return
         flags = self.table.flags[row]
         if flags & _OPEN_HOME:
-            self._count_ended(self.table.backend[row])
+            self._count_ended(row)
             self._end_exception(key, bool(flags & FlowFlag.REPLICATED))
         self.table.remove(key)
 
-    def _count_ended(self, number: int) -> None:
+    def close(self, row: int, sides: int) -> bool:
+        """Note which sides closed a flow; returns whether it is over.
+
+        A flow that is over is open no more, though its entry stays for what is retransmitted.
+        """
+        if self.is_over(row):
+            return True
+        if (self.table.flags[row] | sides) & BOTH_CLOSED == BOTH_CLOSED:
+            self._count_ended(row)
+        self.table.flags[row] |= sides
+        return self.is_over(row)
+
+    def is_over(self, row: int) -> bool:
+        """Whether both sides closed a flow."""
+        return self.table.flags[row] & BOTH_CLOSED == BOTH_CLOSED
+
+    def _count_ended(self, row: int) -> None:
+        """Count a flow as ended, unless it was when both sides closed it."""
+        number = self.table.backend[row]
         route = self.routes.backends.get(number)
-        if route is not None:
+        if route is not None and not self.is_over(row):
             open_flows = route.service.open_flows
             open_flows[number] = max(open_flows.get(number, 0) - 1, 0)
             self.hooks.admission.flow_ended(route.service.contract)
@@ -174,7 +192,7 @@
         for _, row in self.table.rows_in(partitions):
             if not self.table.flags[row] & _OPEN_HOME:
                 continue
-            self._count_ended(self.table.backend[row])
+            self._count_ended(row)
             self.table.flags[row] &= ~(FlowFlag.HOME | FlowFlag.REPLICATED | FlowFlag.HELD) & _UNSET
             if self.table.flags[row] & BOTH_CLOSED != BOTH_CLOSED:
                 self.table.deadline[row] = now + CACHE_LEASE_SECONDS
