Round shares up to whole flows, and break ties of homes by slot

Cause: a backend had room while it held less than its bound, so one more flow could put it a whole flow over; with few flows at each home that is far more than the bound. Preference `balance` only compared two candidates. Ties in the fallback went to the backend first in the list at every home. Change: one rule for both preferences: a candidate has room if one more flow leaves it within max(share * (1 + bound), share rounded up); with `balance` the bound is 0. Otherwise the least loaded backend takes the flow, ties broken by a hash of slot and backend.

--- a/src/beamloom/routing/selection.py
+++ b/src/beamloom/routing/selection.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import math
 from dataclasses import dataclass
 from enum import IntEnum
 
+import xxhash
+
 from beamloom.routing.hooks import BackendHealth
 from beamloom.routing.placement import NO_CANDIDATE
 from beamloom.routing.services import RouteTable, ServiceRoute
@@ -16,6 +18,7 @@
     PlacementPreference,
 )
 
+SLOT_BYTES = 2
 UNFIT_STATUSES = frozenset({BackendOperatingStatus.OFFLINE, BackendOperatingStatus.SHEDDING})
 
 
@@ -56,38 +59,40 @@
 
     `preferred` takes it where it is fit: a dead home may have placed the flow there.
 
-    With preference `balance` the candidate with fewer open flows at this home wins; with
-    `stickiness` the first wins unless it is over its share by more than the service's bound. A
-    candidate that is draining, offline or shedding is passed over; when neither is fit, the
-    least loaded fit backend of the service takes the flow.
+    The first of the slot's two candidates that has room takes it. A backend has room while it
+    holds no more than its share of this home's flows, rounded up; with preference `stickiness`
+    it may exceed its share by the service's bound. A candidate that is draining, offline or
+    shedding is passed over; when neither has room, the least loaded fit backend takes the flow.
     """
     shares = _shares(service, health, excluded)
     if not shares:
         return Choice(NO_CANDIDATE, PlacementReason.NO_FIT_BACKEND)
     if preferred in shares:
         return Choice(preferred, PlacementReason.BASE_GENERATION)
-    table = service.current_table
-    candidates = (table.first[slot], table.second[slot])
+    candidates = service.current_table.first[slot], service.current_table.second[slot]
     fit = [item for item in candidates if item in shares and routes.has_backend(item)]
-    if not fit:
-        return Choice(_least_loaded(service, shares, list(shares)), PlacementReason.LEAST_LOADED)
-    if service.contract.policy.placement_prefer is PlacementPreference.BALANCE:
-        return Choice(_least_loaded(service, shares, fit), PlacementReason.BALANCE)
-    return _first_with_room(service, shares, candidates, fit)
+    return _first_with_room(service, shares, slot, candidates, fit)
 
 
 def _first_with_room(
-    service: ServiceRoute, shares: dict[int, float], candidates: tuple[int, int], fit: list[int]
+    service: ServiceRoute,
+    shares: dict[int, float],
+    slot: int,
+    candidates: tuple[int, int],
+    fit: list[int],
 ) -> Choice:
     first, second = candidates
+    over_share = PlacementReason.FIRST_OVER_SHARE
+    if _prefers_balance(service):
+        over_share = PlacementReason.BALANCE
     reasons = {
         first: PlacementReason.FIRST_CANDIDATE,
-        second: PlacementReason.FIRST_OVER_SHARE if first in fit else PlacementReason.FIRST_UNFIT,
+        second: over_share if first in fit else PlacementReason.FIRST_UNFIT,
     }
     for number in fit:
-        if not _over_share(service, shares, number):
+        if _has_room(service, shares, number):
             return Choice(number, reasons[number])
-    return Choice(_least_loaded(service, shares, list(shares)), PlacementReason.LEAST_LOADED)
+    return Choice(_least_loaded(service, shares, slot), PlacementReason.LEAST_LOADED)
 
 
 def _shares(service: ServiceRoute, health: BackendHealth, excluded: int) -> dict[int, float]:
@@ -106,13 +111,38 @@
     return active and health.status(backend.backend_number) not in UNFIT_STATUSES
 
 
-def _least_loaded(service: ServiceRoute, shares: dict[int, float], numbers: Sequence[int]) -> int:
-    return min(numbers, key=lambda item: service.open_flows.get(item, 0) / shares[item])
+def _least_loaded(service: ServiceRoute, shares: dict[int, float], slot: int) -> int:
+    """Return the fit backend with the fewest open flows for its share; the slot breaks ties.
+
+    Ties are common where a home has few flows of a service. An order that all homes share would
+    send every such flow of the fleet to the same backend.
+    """
+    seed = slot.to_bytes(SLOT_BYTES, "big")
+    return min(
+        shares,
+        key=lambda item: (
+            service.open_flows.get(item, 0) / shares[item],
+            xxhash.xxh3_64_intdigest(seed, item),
+        ),
+    )
+
 
+def _has_room(service: ServiceRoute, shares: dict[int, float], number: int) -> bool:
+    """Whether one more flow leaves a backend within its bounded share of this home's flows.
 
-def _over_share(service: ServiceRoute, shares: dict[int, float], number: int) -> bool:
-    """Whether one more flow would put a backend over its bounded share of this home's flows."""
+    A share is rounded up to whole flows, so that some backend always has room (Mirrokni, Thorup
+    and Zadimoghaddam 2018).
+    """
     total_flows = sum(service.open_flows.get(item, 0) for item in shares) + 1
     share = total_flows * shares[number] / sum(shares.values())
-    bound = share * (1 + service.contract.policy.placement_imbalance_bound)
-    return service.open_flows.get(number, 0) >= max(bound, 1)
+    bound = max(share * (1 + _imbalance_bound(service)), math.ceil(share))
+    return service.open_flows.get(number, 0) + 1 <= bound
+
+
+def _prefers_balance(service: ServiceRoute) -> bool:
+    return service.contract.policy.placement_prefer is PlacementPreference.BALANCE
+
+
+def _imbalance_bound(service: ServiceRoute) -> float:
+    """Return by how much a backend may exceed its share; with `balance`, by rounding alone."""
+    return 0.0 if _prefers_balance(service) else service.contract.policy.placement_imbalance_bound
