Say over how many services the imbalance was judged

Change: the report carries `imbalance_services`; the table says "not judged" where it is 0, and a goal on imbalance is missed then. Conclusion: no goal on imbalance can pass emptily.

--- a/src/beamloom/simulation/report.py
+++ b/src/beamloom/simulation/report.py
@@ -39,7 +39,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SimulationResult:
-    """What a run showed; `imbalance` is the largest max/mean of open flows over backends."""
+    """What a run showed; `imbalance` is the largest max/mean of open flows over backends.
+
+    `imbalance_services` is how many services had enough open flows to be judged; where none had,
+    `imbalance` is 1.0 and says nothing.
+    """
 
     scenario: str
     seed: int
@@ -50,6 +54,7 @@
     broken_flows: int
     refused_flows: int
     imbalance: float
+    imbalance_services: int
     violations: tuple[Violation, ...]
     config_in_force_seconds: InForceSeconds
     control_bytes_per_second: ControlBytesPerSecond
@@ -84,6 +89,12 @@
     return json.dumps({**asdict(result), "passed": result.passed})
 
 
+def _imbalance_text(result: SimulationResult) -> str:
+    if not result.imbalance_services:
+        return "not judged: no service had enough open flows"
+    return f"{result.imbalance:.3f} over {result.imbalance_services} services"
+
+
 def to_table(result: SimulationResult) -> Table:
     """Return the result as a table for people."""
     table = Table(title=f"{result.scenario}, seed {result.seed}, {result.placement}")
@@ -95,7 +106,7 @@
         ("flows", f"{result.flows}"),
         ("broken flows", f"{result.broken_flows}"),
         ("refused flows", f"{result.refused_flows}"),
-        ("imbalance (max/mean)", f"{result.imbalance:.3f}"),
+        ("imbalance (max/mean)", _imbalance_text(result)),
         ("in force p50 / p99 / max", f"{in_force.p50} / {in_force.p99} / {in_force.max} s"),
         ("control median / max", f"{control.median} / {control.max} bytes/s"),
         ("packets forwarded", f"{result.packets}"),
--- a/src/beamloom/simulation/scenario.py
+++ b/src/beamloom/simulation/scenario.py
@@ -62,8 +62,14 @@
 
 
 def imbalance_at_most(limit: float) -> Goal:
-    """Return the goal that no backend holds more than `limit` times the mean of its service."""
-    return Goal(f"imbalance <= {limit:.2f}", lambda result: result.imbalance <= limit)
+    """Return the goal that no backend holds more than `limit` times the mean of its service.
+
+    A run in which no service had enough open flows to be judged misses it.
+    """
+    return Goal(
+        f"imbalance <= {limit:.2f}",
+        lambda result: result.imbalance_services > 0 and result.imbalance <= limit,
+    )
 
 
 NO_BROKEN_FLOW = broken_share_at_most(0.0)
--- a/src/beamloom/simulation/simulation.py
+++ b/src/beamloom/simulation/simulation.py
@@ -124,9 +124,9 @@
     def run(self) -> SimulationResult:
         """Run to the end and judge what was seen."""
         self.fleet.clock.run_until(self.duration)
-        imbalance = self._imbalance()
+        imbalances = self._imbalances()
         self.fleet.clock.run_until(self.duration + SETTLE_SECONDS)
-        return self._result(imbalance)
+        return self._result(imbalances)
 
     def violations(self) -> list[Violation]:
         """Judge what was seen until now."""
@@ -137,7 +137,7 @@
         ]
         return judge(self.seen)
 
-    def _result(self, imbalance: float) -> SimulationResult:
+    def _result(self, imbalances: list[float]) -> SimulationResult:
         violations = self.violations()
         measured = self.fleet.measurements
         flows = [flow for flow in self.seen.flows if flow.truth.established_at is not None]
@@ -155,7 +155,8 @@
             flows=len(flows),
             broken_flows=sum(self._broke(flow) for flow in flows),
             refused_flows=sum(flow.truth.outcome is Outcome.REFUSED for flow in self.seen.flows),
-            imbalance=round(imbalance, 4),
+            imbalance=round(max(imbalances, default=1.0), 4),
+            imbalance_services=len(imbalances),
             violations=tuple(violations),
             config_in_force_seconds=in_force_summary(seconds),
             control_bytes_per_second=control_summary(measured.control_windows()),
@@ -173,20 +174,20 @@
         """Whether a flow broke although its backend lives."""
         return flow.truth.broken and not self._crashed_backends.intersection(flow.truth.backends)
 
-    def _imbalance(self) -> float:
-        """Return the largest max/mean of open flows over a service's active, living backends."""
+    def _imbalances(self) -> list[float]:
+        """Return max/mean of open flows over active, living backends, by service with enough."""
         drained = {drain.backend_id for drain in self.seen.drains}
         counts: dict[str, list[int]] = {}
         for backend_id, backend in self.fleet.backends.items():
             if backend.host.running and backend_id not in drained:
                 service_id = backend.placed.service.service_id
                 counts.setdefault(service_id, []).append(backend.model.open_connections)
-        ratios = [1.0]
-        for open_flows in counts.values():
-            mean = sum(open_flows) / len(open_flows)
-            if mean >= MINIMUM_MEAN_FLOWS:
-                ratios.append(max(open_flows) / mean)
-        return max(ratios)
+        means = {service_id: sum(found) / len(found) for service_id, found in counts.items()}
+        return [
+            max(counts[service_id]) / mean
+            for service_id, mean in means.items()
+            if mean >= MINIMUM_MEAN_FLOWS
+        ]
 
 
 def simulate(scenario: Scenario, options: RunOptions) -> SimulationResult:
