--- a/src/beamloom/routing/deciding.py
+++ b/src/beamloom/routing/deciding.py
@@ -237,7 +237,8 @@
             table.flags[row] |= FlowFlag.PAYLOAD_SENT
         if not view.opens_flow:
             self._openings.take(packet.key)
-        table.deadline[row] = now + packet.service.idle_timeout
+        if not self._home.is_over(row):
+            table.deadline[row] = now + packet.service.idle_timeout
         if table.flags[row] & FlowFlag.DEADLINE:
             ending = self._home.deadlines.get(packet.key)
             if ending is not None:
@@ -248,9 +249,8 @@
     def _note_closing(
         self, key: int, row: int, view: PacketView, side: FlowFlag, now: float
     ) -> None:
-        self._table.flags[row] |= BOTH_CLOSED if view.tcp_flags & TCP_RST else side
-        if self._table.flags[row] & BOTH_CLOSED == BOTH_CLOSED:
-            self._home.close(row, now)
+        sides = BOTH_CLOSED if view.tcp_flags & TCP_RST else side
+        if self._home.close(row, sides, now):
             self._home.lift_deadline(key, row)
 
     def payload_may_be_sent(self, key: int) -> None:
--- a/src/beamloom/routing/home.py
+++ b/src/beamloom/routing/home.py
@@ -136,11 +136,6 @@
         """Return the number of the backend of a row."""
         return self.table.backend[row]
 
-    def close(self, row: int, now: float) -> None:
-        """Note that a flow has ended at both sides; its entry stays for late packets."""
-        self.table.flags[row] |= BOTH_CLOSED
-        self.table.deadline[row] = now + CLOSED_SECONDS
-
     def lift_deadline(self, key: int, row: int) -> None:
         """Take a flow's deadline away, unless it has passed."""
         if self.deadlines.take(key) is not None:
@@ -155,13 +150,33 @@
         if flags & FlowFlag.DEADLINE:
             self.deadlines.take(key)
         if flags & _OPEN_HOME:
-            self._count_ended(self.table.backend[row])
+            self._count_ended(row)
             self._end_exception(key, bool(flags & FlowFlag.REPLICATED))
         self.table.remove(key)
 
-    def _count_ended(self, number: int) -> None:
+    def close(self, row: int, sides: int, now: float) -> bool:
+        """Note which sides closed a flow; returns whether it is over.
+
+        A flow that is over is open no more, though its entry stays for what is retransmitted.
+        """
+        if self.is_over(row):
+            return True
+        over = (self.table.flags[row] | sides) & BOTH_CLOSED == BOTH_CLOSED
+        if over:
+            self._count_ended(row)
+            self.table.deadline[row] = now + CLOSED_SECONDS
+        self.table.flags[row] |= sides
+        return over
+
+    def is_over(self, row: int) -> bool:
+        """Whether both sides closed a flow."""
+        return self.table.flags[row] & BOTH_CLOSED == BOTH_CLOSED
+
+    def _count_ended(self, row: int) -> None:
+        """Count a flow as ended, unless it was when both sides closed it."""
+        number = self.table.backend[row]
         route = self.routes.backends.get(number)
-        if route is not None:
+        if route is not None and not self.is_over(row):
             open_flows = route.service.open_flows
             open_flows[number] = max(open_flows.get(number, 0) - 1, 0)
             self.hooks.admission.flow_ended(route.service.contract)
@@ -198,7 +213,7 @@
         for key, row in self.table.rows_in(partitions):
             if not self.table.flags[row] & _OPEN_HOME:
                 continue
-            self._count_ended(self.table.backend[row])
+            self._count_ended(row)
             self.lift_deadline(key, row)
             self.table.flags[row] &= ~(FlowFlag.HOME | FlowFlag.REPLICATED | FlowFlag.HELD) & _UNSET
             if self.table.flags[row] & BOTH_CLOSED != BOTH_CLOSED:
--- a/src/beamloom/routing/late_flows.py
+++ b/src/beamloom/routing/late_flows.py
@@ -45,7 +45,7 @@
         allowed = route.service.deadline
         until = flow.began + allowed
         if allowed and until <= now + TICK_SECONDS:
-            self._home.close(row, now)
+            self._home.close(row, BOTH_CLOSED, now)
             self._counters["flows_past_deadline"] += 1
             return self.resets(key, row, flow.newest_packet)
         if not allowed or not self._home.deadlines.set(key, flow, until):
