Leave out steps that a failure does not need

Cause: a fleet's failure found in 75 s still had 10 and 20 steps, since hypothesis shrinks in many runs of several seconds each. Change: after hypothesis, steps are left out one at a time within half the budget.

--- a/src/beamloom/cli/fuzz.py
+++ b/src/beamloom/cli/fuzz.py
@@ -40,7 +40,7 @@
     seed
         Where the search begins; each round takes the next number.
     budget
-        Seconds to search; a failure is then shrunk for up to half as long again.
+        Seconds to search; a failure is then shrunk for up to three quarters as long again.
     machine
         What is searched.
     replay
--- a/src/beamloom/fuzzing/search.py
+++ b/src/beamloom/fuzzing/search.py
@@ -12,11 +12,14 @@
 
 from beamloom.fuzzing.catalogue import SUBJECTS, SubjectName
 from beamloom.fuzzing.machine import UNLIMITED, BudgetSpent, Recorder, make_machine
+from beamloom.fuzzing.shortening import shorten
 from beamloom.fuzzing.steps import Failure, SubjectFactory
 from beamloom.fuzzing.strategies import STRATEGIES
 
-SHRINK_SHARE = 0.5
-"""How much longer than its budget a search may take to shrink a failure, as a share of it."""
+SHRINK_SHARE = 0.25
+"""How long hypothesis may shrink a failure, as a share of the search's budget."""
+SHORTEN_SHARE = 0.5
+"""How long steps may be left out after that, as a share of the search's budget."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +66,11 @@
     while recorder.shortest is None and clock() < deadline:
         _run_round(recorder, seed + rounds, SIZES[name], budget_seconds * SHRINK_SHARE)
         rounds += 1
-    return SearchResult(rounds, recorder.runs, recorder.shortest)
+    shortest = recorder.shortest
+    if shortest is not None:
+        end = clock() + budget_seconds * SHORTEN_SHARE
+        shortest = shorten(shortest, recorder.make_subject, lambda: clock() >= end)
+    return SearchResult(rounds, recorder.runs, shortest)
 
 
 def search_fixed(
--- a/tests/unit/fuzzing/test_machines.py
+++ b/tests/unit/fuzzing/test_machines.py
@@ -10,8 +10,9 @@
 from beamloom.fuzzing.catalogue import SubjectName, replay
 from beamloom.fuzzing.errors import ReplayTokenError
 from beamloom.fuzzing.search import SearchSize, search, search_fixed
-from beamloom.fuzzing.steps import Failure, Step, decode_token, encode_token
-from beamloom.fuzzing.subjects.codec import PARSERS, Parser
+from beamloom.fuzzing.shortening import shorten
+from beamloom.fuzzing.steps import Failure, Step, decode_token, encode_token, run_steps
+from beamloom.fuzzing.subjects.codec import PARSERS, CodecSubject, Parser
 from beamloom.fuzzing.subjects.fleet import FleetSubject
 from beamloom.fuzzing.subjects.flow_table import FlowTableSubject
 from beamloom.fuzzing.subjects.settings import SettingsSubject
@@ -115,6 +116,30 @@
         self.assertEqual(len(failure.steps), 1)
 
 
+class ShorteningTest(unittest.TestCase):
+    def setUp(self) -> None:
+        planted = {"packet": Parser(lambda data: data[3], (ValueError,))}
+        patch = mock.patch.dict(PARSERS, planted)
+        patch.start()
+        self.addCleanup(patch.stop)
+        harmless, failing = (
+            Step("parse", {"parser": parser, "data": "00"}) for parser in ("flow-records", "packet")
+        )
+        self.failing = failing
+        steps = (harmless, harmless, harmless, failing)
+        failure = run_steps("codec", CodecSubject, steps)
+        assert failure is not None
+        self.failure = failure
+
+    def test_steps_without_effect_are_left_out(self) -> None:
+        shortest = shorten(self.failure, CodecSubject, lambda: False)
+        self.assertEqual(shortest.steps, (self.failure.steps[0], self.failing))
+        self.assertEqual(shortest.error, self.failure.error)
+
+    def test_nothing_is_tried_when_time_is_up(self) -> None:
+        self.assertEqual(shorten(self.failure, CodecSubject, lambda: True), self.failure)
+
+
 class CommandTest(unittest.TestCase):
     def _call(self, *tokens: str) -> tuple[int, str]:
         output = io.StringIO()
