--- a/src/beamloom/admission/limits.py
+++ b/src/beamloom/admission/limits.py
@@ -2,7 +2,7 @@
 
 New flows are decided by homes and partitions are spread evenly, so a node enforces the limit times
 its share of the partitions. Packets are sprayed evenly, so their limit is divided by the number of
-live nodes. The packet check is one integer countdown that `poll` refills.
+live nodes. Packets are charged to a countdown that `poll` refills, after they have passed.
 """
 
 from __future__ import annotations
@@ -61,15 +61,11 @@
     open_flow_quota: int
     admitted: int
     refused: dict[AdmissionDecision, int]
-    packets_refused: int
 
 
 @dataclass(slots=True)
 class TenantAccount:
-    """What one tenant has left on this node.
-
-    A caller on the hot path keeps the account and calls `take_packet`, which saves the lookup.
-    """
+    """What one tenant has left on this node; `packets_left` is below 0 after a burst."""
 
     limits: TenantLimits
     tokens: float = FLOW_BURST_MINIMUM
@@ -85,18 +81,13 @@
     packet_rate: float = math.inf
     packet_fraction: float = 0.0
     packet_burst: int = UNLIMITED_PACKETS
-    packets_refused: int = 0
     admitted: int = 0
     refused: dict[AdmissionDecision, int] = field(default_factory=dict)
 
-    def take_packet(self) -> bool:
-        """Count one packet; False when the tenant has used up its packets until the next refill."""
-        left = self.packets_left - 1
-        if left < 0:
-            self.packets_refused += 1
-            return False
-        self.packets_left = left
-        return True
+    def charge_packets(self, count: int) -> bool:
+        """Take packets that have passed; returns whether none are left until the next refill."""
+        self.packets_left -= count
+        return self.packets_left <= 0
 
     def refill_packets(self, elapsed: float) -> None:
         """Add what `elapsed` seconds allow, up to the burst."""
@@ -178,10 +169,6 @@
                 f"no contract for tenant {tenant!r}; create it before its services"
             ) from None
 
-    def admit_packet(self, tenant: str) -> bool:
-        """Return whether one more packet of the tenant may pass now."""
-        return self._accounts[tenant].take_packet()
-
     def admit_flow(self, tenant: str, now: float) -> AdmissionAnswer:
         """Decide one new flow; an admitted one counts as open until `flow_closed`."""
         account = self.account(tenant)
@@ -286,5 +273,4 @@
         open_flow_quota=account.open_flow_quota,
         admitted=account.admitted,
         refused=dict(account.refused),
-        packets_refused=account.packets_refused,
     )
--- a/src/beamloom/node/neighbours.py
+++ b/src/beamloom/node/neighbours.py
@@ -6,7 +6,6 @@
 
 from beamloom.admission.limits import (
     AdmissionDecision,
-    TenantAccount,
     TenantAdmission,
     UnknownTenantError,
 )
@@ -157,11 +156,5 @@
                 account = self._admission.account(tenant)
             except UnknownTenantError:
                 continue
-            meter.blocked = _charge(account, used)
+            meter.blocked = account.charge_packets(used)
         return commands
-
-
-def _charge(account: TenantAccount, used: int) -> bool:
-    """Take used packets from an account; return whether nothing is left."""
-    account.packets_left -= used
-    return account.packets_left <= 0
