--- a/src/beamloom/membership/prober.py
+++ b/src/beamloom/membership/prober.py
@@ -88,10 +88,10 @@
     def poll(self, now: float) -> None:
         """Go on with probes and relays that are due, and start the next probe."""
         for number, probe in list(self._probes.items()):
-            if now >= probe.final_deadline:
-                self._fail(number, probe, now)
-            elif now >= probe.direct_deadline and not probe.helpers:
+            if now >= probe.direct_deadline and not probe.helpers:
                 self._ask_helpers(number, probe, now)
+            elif now >= probe.final_deadline:
+                self._fail(number, probe, now)
         for number, relay in list(self._relays.items()):
             self._poll_relay(number, relay, now)
         if now >= self._next_recheck:
--- a/tests/functional/test_membership.py
+++ b/tests/functional/test_membership.py
@@ -126,6 +126,15 @@
     def test_a_tenth_lost(self) -> None:
         self.assert_no_false_death(0.1, minutes=10, seed=8)
 
+    def test_far_members_are_asked_through_helpers_before_they_are_suspected(self) -> None:
+        fleet = Fleet.settled(24, seed=8)
+        fleet.loss = lambda sender, receiver: 0.1
+        fleet.run(100.0)
+        counters = [core.snapshot().counters for core in fleet.cores.values()]
+        raised = sum(item.suspicions_raised for item in counters)
+        probes = sum(item.probes_sent for item in counters)
+        self.assertLess(raised, 0.005 * probes)
+
     def test_three_tenths_lost(self) -> None:
         self.assert_no_false_death(0.3, minutes=5, seed=9)
 
