Ask all nodes again for an owner only where one of them named a member

Cause: with the commit before, any answer but NEWCOMER led to three rounds of questions. After a crash every answer is NOBODY, and a partition without an owner waited for all three. Change: a further round is asked only where an answer of this round named a member; an owner unknown here still excludes FRESH.

--- a/src/beamloom/routing/ownership.py
+++ b/src/beamloom/routing/ownership.py
@@ -58,7 +58,8 @@
     """A partition that this node is to own: who owns it, and when that was last confirmed.
 
     `disclaimed` holds the nodes that were asked in this round and do not own it; `confirmed` says
-    that the owner has said so itself; `newcomers_only` that nobody asked could know of an owner.
+    that the owner has said so itself; `newcomers_only` that nobody asked could know of an owner; `named` that one
+    asked in this round named a member.
     """
 
     owner: NodeId
@@ -68,6 +69,7 @@
     confirmed: bool = False
     wait: float = FIRST_REQUEST_SECONDS
     newcomers_only: bool = True
+    named: bool = False
     rounds_left: int = ROUNDS_OF_ASKING - 1
 
 
@@ -213,6 +215,7 @@
             awaited.confirmed_at = previous.confirmed_at
             awaited.disclaimed = previous.disclaimed
             awaited.newcomers_only = previous.newcomers_only
+            awaited.named = previous.named
             awaited.rounds_left = previous.rounds_left
         self.awaited[partition] = awaited
         self.deciders[partition] = owner
@@ -224,18 +227,19 @@
     def await_next(self, partition: int, now: float) -> bool:
         """Ask the next node in order that has not disclaimed; returns False when none is left.
 
-        Where some node asked knew of an owner, all are asked again: what they disclaimed may have
-        been on its way to them, or to the node that they named.
+        Where some node asked named a member, all are asked again: the partition may have been on
+        its way to that one.
         """
         awaited = self.awaited[partition]
         candidate = self._next_candidate(partition, awaited)
         if candidate is not None:
             self.await_owner(partition, candidate, now)
             return True
-        if awaited.newcomers_only or not awaited.rounds_left:
+        if not awaited.named or not awaited.rounds_left:
             return False
         awaited.rounds_left -= 1
         awaited.disclaimed = set()
+        awaited.named = False
         candidate = self._next_candidate(partition, awaited)
         if candidate is None:
             return False
--- a/src/beamloom/routing/transfers.py
+++ b/src/beamloom/routing/transfers.py
@@ -305,6 +305,7 @@
                 continue
             awaited.disclaimed.add(sender)
             awaited.newcomers_only &= message.status == OwnershipStatus.NEWCOMER
+            awaited.named |= bool(message.owner)
             known = {*awaited.disclaimed, self._ownership.node_id}
             if message.owner not in known and self._ownership.answers(message.owner):
                 self._ownership.await_owner(partition, message.owner, now)
