Show tenants' limits and the status of backends in the metrics

Change: runtime/admission_metrics.py (by tenant: open flows, entries, this node's part, admitted, refused by decision, packets, blocked) and rows for the watchers; the watchers count refusals, answer times and contradicted reports. Conclusion: a scrape costs one row by tenant and metric; nothing on the packet path changed.

--- a/src/beamloom/replication/backend_status/watchers.py
+++ b/src/beamloom/replication/backend_status/watchers.py
@@ -53,6 +53,9 @@
     records: int
     distrusts_itself: bool
     unknown_records: int
+    refusals_seen: int
+    answer_times_seen: int
+    contradicted: int
     gossip: GossipStatus
 
 
@@ -86,6 +89,8 @@
         self._sampled_services: set[int] = set()
         self._judge_at = now + JUDGE_INTERVAL
         self._unknown_records = 0
+        self._refusals_seen = 0
+        self._answer_times_seen = 0
 
     def update_members(self, members: Iterable[Member], now: float) -> None:
         """Take the members; watchers and peers follow."""
@@ -124,12 +129,14 @@
         """Count a connection that the backend refused to a flow of this home."""
         evidence = self._evidence_of(backend_number)
         if evidence is not None:
+            self._refusals_seen += 1
             evidence.add_refusal(now)
 
     def observe_answer_time(self, backend_number: int, seconds: float, now: float) -> None:
         """Take the time that the backend took to answer a flow's first payload."""
         evidence = self._evidence_of(backend_number)
         if evidence is not None:
+            self._answer_times_seen += 1
             evidence.add_answer_time(seconds, now)
 
     def status(self, backend_number: int, now: float) -> BackendView:
@@ -205,6 +212,9 @@
             records=len(self._register),
             distrusts_itself=self._checking.distrusts_itself,
             unknown_records=self._unknown_records,
+            refusals_seen=self._refusals_seen,
+            answer_times_seen=self._answer_times_seen,
+            contradicted=sum(inputs.contradicted for inputs in self._inputs.values()),
             gossip=self._gossip.snapshot(),
         )
 
--- /dev/null
+++ b/src/beamloom/runtime/admission_metrics.py
@@ -0,0 +1,67 @@
+"""The metrics of tenants at one node: what they use, what they may, what was refused."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+
+from beamloom.admission.limits import TenantAdmissionStatus
+from beamloom.node.core import NodeCore
+from beamloom.telemetry.counters import Metric, MetricKind, Sample, labelled
+
+LABEL = "tenant"
+
+
+def read_tenants(core: NodeCore) -> Iterator[Metric]:
+    """Yield the metrics of each tenant in force."""
+    tenants = core.admission.snapshot()
+    open_flows = {name: float(status.open_flows) for name, status in tenants.items()}
+    entries = {name: float(status.table_entries) for name, status in tenants.items()}
+    admitted = {name: float(status.admitted) for name, status in tenants.items()}
+    yield _gauge("tenant_open_flows", "Flows open at this home.", open_flows)
+    yield _gauge("tenant_table_entries", "Entries of the flow table.", entries)
+    yield labelled(
+        "tenant_flows_admitted", MetricKind.COUNTER, "New flows admitted here.", LABEL, admitted
+    )
+    yield _refusals(tenants)
+    yield from _limits(core, tenants)
+    yield from _packets(core)
+
+
+def _limits(core: NodeCore, tenants: dict[str, TenantAdmissionStatus]) -> Iterator[Metric]:
+    rates = {
+        name: status.flow_rate for name, status in tenants.items() if status.flow_rate != math.inf
+    }
+    quotas = {
+        name: float(status.open_flow_quota)
+        for name, status in tenants.items()
+        if core.admission.account(name).limits.open_flows
+    }
+    yield _gauge("tenant_flow_rate", "New flows a second allowed here.", rates)
+    yield _gauge("tenant_open_flow_quota", "Open flows allowed here.", quotas)
+
+
+def _packets(core: NodeCore) -> Iterator[Metric]:
+    meters = core.forwarder.routes.meters
+    packets = {name: float(meter.packets) for name, meter in meters.items()}
+    blocked = {name: float(meter.blocked) for name, meter in meters.items()}
+    yield labelled(
+        "tenant_packets", MetricKind.COUNTER, "Packets of clients taken here.", LABEL, packets
+    )
+    yield _gauge("tenant_blocked", "Whether the tenant is over its packets now.", blocked)
+
+
+def _refusals(tenants: dict[str, TenantAdmissionStatus]) -> Metric:
+    samples = tuple(
+        Sample(float(count), (name, decision.value))
+        for name, status in sorted(tenants.items())
+        for decision, count in status.refused.items()
+    )
+    help_text = "New flows refused here, by the limit."
+    return Metric(
+        "tenant_flows_refused", MetricKind.COUNTER, help_text, samples, (LABEL, "decision")
+    )
+
+
+def _gauge(name: str, help_text: str, values: dict[str, float]) -> Metric:
+    return labelled(name, MetricKind.GAUGE, help_text, LABEL, values)
--- a/src/beamloom/runtime/node_metrics.py
+++ b/src/beamloom/runtime/node_metrics.py
@@ -6,7 +6,9 @@
 from dataclasses import asdict, dataclass, field
 
 from beamloom.node.core import NodeCore
+from beamloom.replication.backend_status.watchers import BackendWatchersStatus
 from beamloom.replication.budget import BudgetSnapshot
+from beamloom.runtime.admission_metrics import read_tenants
 from beamloom.runtime.balancer import BalancerProcess
 from beamloom.telemetry.counters import Metric, MetricKind, Sample, counter, gauge, labelled
 
@@ -21,6 +23,12 @@
     "corrupt_snapshots": "Configuration snapshots refused as corrupt.",
 }
 
+GOSSIP_COUNTERS = {
+    "pushed_records": "Statuses of backends sent on at once.",
+    "pulled_records": "Statuses of backends that peers' digests brought.",
+    "deferred": "Messages of backend status held back by their rate limit.",
+}
+
 ROUTING_GAUGES = {
     "flows": "Flows in this node's table.",
     "partitions_owned": "Partitions that this node decides.",
@@ -48,6 +56,8 @@
         yield from _packets(core)
         yield from _members(core)
         yield from _configuration(core)
+        yield from read_tenants(core)
+        yield from _backends(core)
         yield from _budget(core.channel.snapshot())
         yield from self._process()
 
@@ -102,6 +112,45 @@
     yield counter("fleet_status_questions", "Questions where a revision is.", status.questions)
 
 
+def _backends(core: NodeCore) -> Iterator[Metric]:
+    watchers = core.watchers.snapshot()
+    yield gauge("backends_watched", "Backends that this node checks.", watchers.watched)
+    yield gauge("backend_records", "Backends whose status is known here.", watchers.records)
+    yield gauge(
+        "backend_checks_distrusted",
+        "Whether this node's own checks all fail, so that it says nothing of backends.",
+        watchers.distrusts_itself,
+    )
+    yield counter(
+        "backend_records_unknown",
+        "Statuses received of backends that are not in force here.",
+        watchers.unknown_records,
+    )
+    yield from _observed_backends(watchers)
+    gossip = watchers.gossip
+    yield gauge("backend_status_queued", "Statuses that wait to be sent on.", gossip.queued)
+    for name, help_text in GOSSIP_COUNTERS.items():
+        yield counter(f"backend_status_{name}", help_text, getattr(gossip, name))
+
+
+def _observed_backends(watchers: BackendWatchersStatus) -> Iterator[Metric]:
+    yield counter(
+        "backend_refusals_seen",
+        "Connections that backends refused to flows of this home.",
+        watchers.refusals_seen,
+    )
+    yield counter(
+        "backend_answer_times_seen",
+        "Answer times taken from flows of this home.",
+        watchers.answer_times_seen,
+    )
+    yield gauge(
+        "backend_reports_contradicted",
+        "Backends whose load report has no say at this home.",
+        watchers.contradicted,
+    )
+
+
 def _budget(snapshot: BudgetSnapshot) -> Iterator[Metric]:
     yield counter("control_bytes_sent", "Control bytes sent, headers too.", snapshot.sent_bytes)
     yield counter("control_datagrams_sent", "Control datagrams sent.", snapshot.sent_datagrams)
--- a/tests/functional/test_node_process.py
+++ b/tests/functional/test_node_process.py
@@ -141,6 +141,38 @@
         for query in ("setting?name=no.such", "backend?name=t/s/x", "backend?name=t"):
             self.assertEqual((await self.get(second, f"/v1/explain/{query}"))[0], 404)
 
+    async def test_metrics_of_tenants_and_backends(self) -> None:
+        await self.client.write("tenant/t", {}, 0)
+        await self.client.write("service/t/s", {"ip": "10.0.0.1", "protocol": "tcp", "port": 80}, 0)
+        backend = {"address": FREE_BACKEND, "health": FREE_BACKEND, "zone": "z"}
+        await self.client.write("backend/t/s/b", backend, 0)
+        values = {"values": {"limit.open_flows": 1}}
+        revision = await self.client.write("settings/tenant/t", values, 0)
+        node = await self.start_node("one")
+        await self.wait_in_force(node, revision)
+        core = node.balancer.core
+        number = core.configuration.configuration.services["t/s"].backends[0].backend_number
+        for _ in range(3):
+            core.admission.admit_flow("t", 0.0)
+        core.watchers.observe_refusal(number, 0.0)
+        core.forwarder.routes.meters["t"].packets += 5
+        metrics = (await self.get(node, "/metrics"))[1].splitlines()
+        for line in (
+            'beamloom_tenant_open_flows{tenant="t"} 1.0',
+            'beamloom_tenant_open_flow_quota{tenant="t"} 1.0',
+            'beamloom_tenant_flows_admitted_total{tenant="t"} 1.0',
+            'beamloom_tenant_flows_refused_total{decision="refuse_open_flows",tenant="t"} 2.0',
+            'beamloom_tenant_packets_total{tenant="t"} 5.0',
+            'beamloom_tenant_blocked{tenant="t"} 0.0',
+            "beamloom_backends_watched 1.0",
+            "beamloom_backend_refusals_seen_total 1.0",
+            "beamloom_backend_reports_contradicted 0.0",
+        ):
+            self.assertIn(line, metrics)
+        self.assertFalse(
+            [line for line in metrics if line.startswith("beamloom_tenant_flow_rate{")]
+        )
+
     async def test_in_force_is_told_only_when_every_node_has_it(self) -> None:
         first, _ = await self.start_two()
         newest = await self.client.write("tenant/t", {}, 0)
