--- a/tests/unit/routing/test_closed_flows.py
+++ b/tests/unit/routing/test_closed_flows.py
@@ -4,8 +4,9 @@
 
 import unittest
 
-from beamloom.routing.deciding import CLOSED_SECONDS
 from beamloom.routing.hashing import flow_key, flow_seed, partition_of
+from beamloom.routing.home import CLOSED_SECONDS
+from beamloom.routing.ownership import ALONE_SECONDS
 from beamloom.world.machines import NodeId
 from tests.unit.routing.fleet import (
     ACK,
@@ -29,7 +30,7 @@
         self.fleet = Fleet()
         self.fleet.configure(service([[BACKEND]]))
         self.fleet.add(0)
-        self.fleet.run(1.0)
+        self.fleet.run(ALONE_SECONDS + 0.5)
         self.node = self.fleet.nodes[NodeId("n0")]
 
     def client_sends(self, flags: int, payload: bytes = b"") -> None:
