Merge a small fleet within seconds after a split

Cause: a node compares digests with one other every 10 s, and with a member believed dead in a quarter of the cases. Three nodes on each side meet a dead member every 13 s on average, so the side that had lost the platform heard of changes 10 s and more after the split had healed. Change: while at least one member is dead for every two alive, half of the comparisons go to dead members, and one node or another of each side does so about every 0.5 s (each at most every 1 s). From about 40 nodes a side on the interval stays 10 s: there are enough nodes to ask.

--- a/src/beamloom/membership/synchronizer.py
+++ b/src/beamloom/membership/synchronizer.py
@@ -32,6 +32,12 @@
 NEVER = float("inf")
 MEMBERS_PER_QUESTION = 8
 QUESTION_INTERVAL = 0.5
+SPLIT_SHARE = 2
+"""From one dead member for so many live ones on, a split is likelier than crashes."""
+SPLIT_DEAD_SHARE = 0.5
+SPLIT_CONTACT_SECONDS = 0.5
+"""How often one node or another of this side asks a member that is believed dead."""
+SPLIT_DIGEST_FLOOR = 1.0
 JITTER = 0.25
 
 
@@ -202,7 +208,8 @@
         stranger = self._listed_stranger()
         if stranger is not None:
             self._introduce(stranger.control_address)
-        dead_first = bool(table.dead) and self._random.random() < self._settings.digest_dead_share
+        share = SPLIT_DEAD_SHARE if self._looks_split() else self._settings.digest_dead_share
+        dead_first = bool(table.dead) and self._random.random() < share
         candidates = table.dead if dead_first else table.peers
         if candidates:
             peer = self._random.choice(candidates)
@@ -251,7 +258,16 @@
 
     def _digest_delay(self) -> float:
         spread = self._random.uniform(1.0 - JITTER, 1.0 + JITTER)
-        return self._settings.digest_interval * spread
+        interval = self._settings.digest_interval
+        if self._looks_split():
+            wanted = (len(self._tracker.table.peers) + 1) * SPLIT_DEAD_SHARE * SPLIT_CONTACT_SECONDS
+            interval = min(interval, max(SPLIT_DIGEST_FLOOR, wanted))
+        return interval * spread
+
+    def _looks_split(self) -> bool:
+        """Whether so many members are dead that a cut network is likelier than crashes."""
+        table = self._tracker.table
+        return len(table.dead) * SPLIT_SHARE >= len(table.peers) + 1
 
     def _send(self, destination: NodeId | SocketAddress, message: Message) -> None:
         self._tracker.outbox.append(SendMessage(destination, message))
--- a/tests/functional/test_membership.py
+++ b/tests/functional/test_membership.py
@@ -187,6 +187,19 @@
         self.assertTrue(fleet.all_alive())
         self.assertEqual(len({core.view.member(node(0)) for core in fleet.cores.values()}), 1)
 
+    def test_small_fleet_merges_within_seconds_seeds_1_to_8(self) -> None:
+        for seed in range(1, 9):
+            fleet = Fleet.settled(6, seed)
+            region = {item.node_id: item.zone.region for item in fleet.machines.values()}
+            fleet.blocks = lambda sender, receiver, region=region: (
+                region[sender] != region[receiver]
+            )
+            fleet.run(60.0)
+            self.assertFalse(fleet.all_alive())
+            fleet.blocks = lambda sender, receiver: False
+            fleet.run(3.0)
+            self.assertTrue(fleet.all_alive(), f"seed {seed}")
+
 
 class ViewTest(unittest.TestCase):
     def test_versions_rise_only_with_changes_and_views_are_frozen(self) -> None:
