--- a/src/beamloom/routing/ownership.py
+++ b/src/beamloom/routing/ownership.py
@@ -58,8 +58,8 @@
     """A partition that this node is to own: who owns it, and when that was last confirmed.
 
     `disclaimed` holds the nodes that were asked in this round and do not own it; `confirmed` says
-    that the owner has said so itself; `newcomers_only` that nobody asked could know of an owner; `named` that one
-    asked in this round named a member.
+    that the owner has said so itself; `newcomers_only` that nobody asked could know of an owner;
+    `named` that one asked in this round named a member.
     """
 
     owner: NodeId
