Answer a relaying node from its second packet on, and keep components' timers

Cause: (1) 42-56% of the control bytes at 70 and 140 hollow nodes were cached answers, of which nearly each paid for a datagram; under a spraying fabric a node that relays a flow once seldom sees it again. (2) NodeCore.next_timer asked all components after every event: two fifths of its processor time. Change: (1) RelayedFlows remembers relays in two bounded generations; (2) node/timers.py keeps each group's timer until it is touched, and gives a message only to the group that takes its kind. Ruled out: longer batches of answers: at 560 nodes the records still have different destinations.

--- a/src/beamloom/node/core.py
+++ b/src/beamloom/node/core.py
@@ -8,7 +8,6 @@
 import itertools
 import random
 from collections.abc import Sequence
-from typing import Protocol
 
 from beamloom.admission.limits import TenantAdmission
 from beamloom.membership.core import MembershipCore
@@ -17,6 +16,7 @@
 from beamloom.node.errors import UnknownEventError
 from beamloom.node.neighbours import ClientRefusals, ObservedHealth, PacketMetering, TenantGate
 from beamloom.node.options import NodeOptions
+from beamloom.node.timers import ComponentGroup, ComponentTimers
 from beamloom.protocol.commands import Command, StopNode
 from beamloom.protocol.events import (
     BackendChecked,
@@ -27,7 +27,6 @@
     StoreAnswer,
     TimerExpired,
 )
-from beamloom.protocol.messages import Message
 from beamloom.replication.backend_status.watchers import BackendWatchers
 from beamloom.replication.configuration_replica import ConfigurationReplica
 from beamloom.replication.fleet_status import FleetStatus
@@ -38,18 +37,11 @@
 from beamloom.world.addresses import SocketAddress
 from beamloom.world.machines import MemberState, NodeId
 
-
-class Component(Protocol):
-    """What every component of the core offers; see docs/design/core.md."""
-
-    def handle_message(self, sender: NodeId, message: Message, now: float) -> list[Command]:
-        """Take one message."""
-
-    def poll(self, now: float) -> list[Command]:
-        """Do whatever is due."""
-
-    def next_timer(self) -> float | None:
-        """Return when `poll` has something to do."""
+MEMBERSHIP_KINDS = (range(1, 20), range(0))
+CONFIGURATION_KINDS = (range(20, 40), range(60, 64))
+FLOW_KINDS = (range(40, 60), range(0))
+BACKEND_KINDS = (range(64, 70), range(0))
+"""Kind numbers of the messages that each part takes; see docs/design/core.md."""
 
 
 class NodeCore:
@@ -79,13 +71,18 @@
             options.control_bytes_per_second,
         )
         self._follower = ConfigurationFollower(self.replica)
-        self._components: tuple[Component, ...] = (
-            self.election,
-            self.membership,
-            self.replica,
-            self.fleet_status,
-            self.watchers,
-            self.forwarder,
+        configuration = (self.election, self.replica, self.fleet_status)
+        self._configuration_group = ComponentGroup(configuration, *CONFIGURATION_KINDS)
+        self._membership_group = ComponentGroup((self.membership,), *MEMBERSHIP_KINDS)
+        self._watchers_group = ComponentGroup((self.watchers,), *BACKEND_KINDS)
+        self._forwarder_group = ComponentGroup((self.forwarder,), *FLOW_KINDS)
+        self._timers = ComponentTimers(
+            (
+                self._configuration_group,
+                self._membership_group,
+                self._watchers_group,
+                self._forwarder_group,
+            )
         )
         self._view_version = -1
         self._stop_by: float | None = None
@@ -95,6 +92,7 @@
 
     def start(self, now: float) -> list[Command]:
         """Begin: returns the first commands."""
+        self._timers.touch_all()
         return self._finish(self.membership.start(now), now)
 
     def packet_received(
@@ -110,6 +108,8 @@
 
     def take_commands(self, now: float) -> list[Command]:
         """Return and clear the commands that packets gave rise to."""
+        self._forwarder_group.touch()
+        self._watchers_group.touch()
         return self.channel.send(self.forwarder.take_commands(), now)
 
     def handle(self, event: Event, now: float) -> list[Command]:
@@ -118,8 +118,7 @@
 
     def next_timer(self) -> float | None:
         """Return when `TimerExpired` is wanted."""
-        times = [component.next_timer() for component in self._components]
-        times.append(self.channel.next_timer())
+        times = [self._timers.next_timer(), self.channel.next_timer()]
         if not self._stopped:
             times.append(self._stop_by)
         return min((time for time in times if time is not None), default=None)
@@ -143,6 +142,7 @@
 
     def ask_in_force(self, revision: int, now: float) -> list[Command]:
         """Begin to find out where a revision is in force; `fleet_status.in_force` tells."""
+        self._configuration_group.touch()
         return self._finish(self.fleet_status.ask(revision, now), now)
 
     # -- events --------------------------------------------------------------------------------
@@ -154,12 +154,15 @@
             case ControlDatagramReceived(data):
                 return self._control_received(data, now)
             case MachinesListed(live, leaving):
+                self._membership_group.touch()
                 return self.membership.machines_listed(live, leaving, now)
             case BackendChecked():
+                self._watchers_group.touch()
                 return self.watchers.backend_checked(event, now)
             case StopRequested():
                 return self._begin_stop(now)
             case StoreAnswer():
+                self._configuration_group.touch()
                 return self.election.handle(event, now)
             case _:
                 raise UnknownEventError(event)
@@ -167,10 +170,7 @@
     def _poll(self, now: float) -> list[Command]:
         self._health.now = now
         commands = self._metering.poll(self.forwarder.routes.meters, now)
-        for component in self._components:
-            due = component.next_timer()
-            if due is not None and due <= now:
-                commands.extend(component.poll(now))
+        commands.extend(self._timers.poll(now))
         return commands
 
     def _control_received(self, data: bytes, now: float) -> list[Command]:
@@ -179,14 +179,14 @@
             return []
         commands: list[Command] = []
         for message in envelope.messages:
-            for component in self._components:
-                commands.extend(component.handle_message(envelope.sender, message, now))
+            commands.extend(self._timers.handle_message(envelope.sender, message, now))
         return commands
 
     def _begin_stop(self, now: float) -> list[Command]:
         if self._stop_by is not None:
             return []
         self._stop_by = now + self.options.stop_timeout
+        self._timers.touch_all()
         self.forwarder.begin_leave(now)
         return self.membership.leave(now)
 
@@ -205,6 +205,7 @@
         if view.version == self._view_version:
             return []
         self._view_version = view.version
+        self._timers.touch_all()
         members = [view.members[node_id] for node_id in sorted(view.members)]
         answering = [member for member in members if member.answers]
         self.replica.update_members(answering, now)
@@ -221,10 +222,12 @@
             self._put_in_force(delta, now)
         own = self.membership.view.member(self.options.machine.node_id)
         if self.replica.ready and own is not None and own.state is MemberState.JOINING:
+            self._membership_group.touch()
             return self.membership.become_alive(now)
         return []
 
     def _put_in_force(self, delta: ConfigurationDelta, now: float) -> None:
+        self._timers.touch_all()
         configuration = self._follower.configuration
         if delta.tenants_changed or delta.tenants_removed:
             self.admission.update_contracts(configuration.tenants.values(), now)
@@ -243,6 +246,7 @@
         if not complete and now < self._stop_by:
             return []
         self._stopped = True
+        self._timers.touch_all()
         reason = "every flow was handed over" if complete else "the time for a stop is over"
         return [*self.membership.leave_complete(now), StopNode(complete, reason)]
 
--- a/src/beamloom/routing/answers.py
+++ b/src/beamloom/routing/answers.py
@@ -12,6 +12,31 @@
 from beamloom.world.machines import NodeId
 
 BATCH_SECONDS = 0.2
+REMEMBERED_SECONDS = 30.0
+MAXIMUM_REMEMBERED = 65_536
+
+
+class RelayedFlows:
+    """Which flows each node has relayed lately, in two generations of bounded size.
+
+    A node that relays a flow once may never see it again, since the fabric sprays; its copy would
+    cost bytes and serve nothing. Forgetting early only delays an answer by one relayed packet.
+    """
+
+    def __init__(self) -> None:
+        self._newer: set[tuple[int, NodeId]] = set()
+        self._older: set[tuple[int, NodeId]] = set()
+        self._rotate_at = 0.0
+
+    def is_repeated(self, key: int, relay: NodeId, now: float) -> bool:
+        """Note that a node relayed a flow; returns whether it did so before."""
+        if now >= self._rotate_at or len(self._newer) >= MAXIMUM_REMEMBERED:
+            self._older, self._newer = self._newer, set()
+            self._rotate_at = now + REMEMBERED_SECONDS
+        relayed = (key, relay)
+        repeated = relayed in self._newer or relayed in self._older
+        self._newer.add(relayed)
+        return repeated
 
 
 class AnswerBatches:
--- a/src/beamloom/routing/forwarder.py
+++ b/src/beamloom/routing/forwarder.py
@@ -24,7 +24,7 @@
     unpack_records,
 )
 from beamloom.protocol.messages import Message
-from beamloom.routing.answers import AnswerBatches
+from beamloom.routing.answers import AnswerBatches, RelayedFlows
 from beamloom.routing.deciding import Deciding, FlowPacket
 from beamloom.routing.explanation import Explainer, FlowExplanation, RoutingSnapshot
 from beamloom.routing.flow_table import FlowFlag, FlowTable
@@ -115,6 +115,7 @@
         self._awaiting = AwaitingPackets()
         self._explainer = Explainer(self.home, self.replicas)
         self._answers = AnswerBatches()
+        self._relayed = RelayedFlows()
         self._gateways = tuple(gateways)
         self._seeds = {
             protocol: flow_seed(hash_key, protocol) for protocol in (PROTOCOL_TCP, PROTOCOL_UDP)
@@ -322,13 +323,18 @@
         number = decision.backend_number
         if number is None:
             return None
-        may_be_cached = not (packet.view.opens_flow or packet.view.closes_flow)
-        if packet.relay is not None and may_be_cached and not packet.service.deadline:
+        if packet.relay is not None and self._is_answer_wanted(packet, packet.relay, now):
             self._deciding.payload_may_be_sent(packet.key)
             if self._answers.put(packet.relay, FlowRecord(packet.key, number), now):
                 self._timer_moved = self._next_due() < self._timer_told
         return self.routes.backends[number].address
 
+    def _is_answer_wanted(self, packet: FlowPacket, relay: NodeId, now: float) -> bool:
+        """Whether the relaying node may keep a copy, and has had this flow before."""
+        if packet.view.opens_flow or packet.view.closes_flow or packet.service.deadline:
+            return False
+        return self._relayed.is_repeated(packet.key, relay, now)
+
     def _send_to_client(self, key: int, packet: bytes) -> None:
         self._commands.append(SendPacket(LocalSocket.DATA, self._gateway(key), packet))
 
--- a/tests/unit/routing/test_forwarder.py
+++ b/tests/unit/routing/test_forwarder.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from beamloom.protocol.flow_messages import ReplicaRecords, TransferRecords
+from beamloom.routing.answers import MAXIMUM_REMEMBERED, REMEMBERED_SECONDS, RelayedFlows
 from beamloom.routing.explanation import FlowRole
 from beamloom.routing.hooks import (
     AssumedHealth,
@@ -57,6 +58,7 @@
         client = next(n for n in range(100) if self.is_home(fleet, n))
         fleet.open(client)
         node, relay = fleet.nodes[NodeId("n0")], fleet.members[NodeId("n1")].machine.peer_address
+        node.forward(tcp(client, ACK), relay, True, fleet.now)
         node.take_commands()
         node.poll(fleet.now)
         before = node.next_timer() or 0.0
@@ -168,7 +170,7 @@
     def test_explanations_name_the_role_of_each_node(self) -> None:
         fleet = fleet_of(0, 1, 2)
         address = fleet.open(3)
-        for node_id in fleet.nodes:
+        for node_id in [*fleet.nodes, *fleet.nodes]:
             fleet.send(tcp(3, ACK), node_id)
         fleet.run(0.5)
         told = [node.explain(flow_tuple(3)) for node in fleet.nodes.values()]
@@ -177,5 +179,26 @@
         self.assertTrue(all(item.lease_end for item in told if item.role is FlowRole.CACHED))
 
 
+class AnswersTest(unittest.TestCase):
+    def test_a_node_that_relayed_a_flow_once_is_told_nothing(self) -> None:
+        fleet = fleet_of(0, 1, 2)
+        fleet.open(3)
+        for node_id in fleet.nodes:
+            fleet.send(tcp(3, ACK), node_id)
+        fleet.run(0.5)
+        roles = sorted(node.explain(flow_tuple(3)).role.value for node in fleet.nodes.values())
+        self.assertEqual(roles, ["home", "none", "none"])
+
+    def test_what_is_remembered_of_relays_is_bounded_and_forgotten(self) -> None:
+        relayed, relay = RelayedFlows(), NodeId("n1")
+        self.assertFalse(relayed.is_repeated(1, relay, 0.0))
+        self.assertTrue(relayed.is_repeated(1, relay, REMEMBERED_SECONDS - 1))
+        self.assertFalse(relayed.is_repeated(1, NodeId("n2"), REMEMBERED_SECONDS - 1))
+        self.assertFalse(relayed.is_repeated(2, relay, 3 * REMEMBERED_SECONDS))
+        for key in range(3 * MAXIMUM_REMEMBERED):
+            relayed.is_repeated(key, relay, 3 * REMEMBERED_SECONDS)
+        self.assertLessEqual(len(relayed._newer) + len(relayed._older), 2 * MAXIMUM_REMEMBERED)
+
+
 if __name__ == "__main__":
     unittest.main()
