Send replicas anew after a false suspicion of their owner has ended

Cause: a node that took a partition over from a falsely suspected owner used up the replicas it held. After it had handed back, the owner, which never stopped, took it for an up-to-date holder. At the next takeover nothing but the base was known. Change: an owner that is handed a partition it owns sends it to all its holders again. Conclusion: costs the partition's records once for each holder, only when a false suspicion ends.

--- a/src/beamloom/routing/transfers.py
+++ b/src/beamloom/routing/transfers.py
@@ -247,11 +247,17 @@
             self._home.take_records({key: number}, PlacementReason.TRANSFERRED, now)
 
     def _take_note(self, sender: NodeId, partition: int, note: PartitionNote, now: float) -> None:
+        """Take a mark; a HANDOVER of what is owned here ends a false suspicion of this node.
+
+        The other owner used up the replicas that it held, so all holders are sent them again.
+        """
         owned = partition in self._ownership.owned
         if note.mark is PartitionMark.HANDOVER:
             if not owned:
                 item = Acquired(partition, Acquisition.TRANSFER, sender)
                 self.acquire(item, now, note.base)
+            else:
+                self._sender.synchronize(partition, anew=True)
         elif owned:
             if note.mark is PartitionMark.PUSHED:
                 self._pushed_by.setdefault(partition, set()).add(sender)
--- a/tests/unit/routing/test_transfers.py
+++ b/tests/unit/routing/test_transfers.py
@@ -90,6 +90,26 @@
         self.assertEqual(refusals, [])
 
 
+class FalseSuspicionTest(TransfersCase):
+    def test_flows_survive_two_false_suspicions_of_their_owner(self) -> None:
+        """Found by storm, seed 1: the first one used up the replicas that the second needed."""
+        fleet = self.started(2.0)
+        fleet.configure(service(CHANGED))
+        flows = {client: fleet.open(client) for client in range(FLOWS)}
+        fleet.run(4.0)
+        for _ in range(2):
+            fleet.set_state(N1, MemberState.DEAD)
+            fleet.tell([N0, N2])
+            fleet.run(1.0)
+            fleet.set_state(N1, MemberState.ALIVE)
+            fleet.tell()
+            fleet.run(8.0)
+        fleet.crash(N1)
+        fleet.run(1.0)
+        broken = [client for client, address in flows.items() if fleet.reach(client) != address]
+        self.assertEqual(broken, [])
+
+
 class BudgetTest(TransfersCase):
     def test_every_node_replaced_within_the_control_budget(self) -> None:
         fleet = self.started(10.0, CONTROL_BYTES)
