Let `lying-load` mislead, and give each user's deployment its preference

Both deployments had preference `stickiness`. Change: honest backends of the service report a load of 0.9, one report is frozen at idle and one claims it, and 210 more long flows open once weights have moved. The deployment in Nairobi has `placement.prefer = balance`.

--- a/src/beamloom/simulation/deployment.py
+++ b/src/beamloom/simulation/deployment.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.world.contracts import PlacementPreference
 from beamloom.world.zones import Link, Zone
 
 DATA_PORT = 5555
@@ -41,7 +42,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Site:
-    """One user's region: zones, one-way delays in seconds, and the services exposed there."""
+    """One user's region: zones, one-way delays in seconds, and the services exposed there.
+
+    `preference` is what the user weighs more: `stickiness` or `balance`.
+    """
 
     region: str
     zone_names: tuple[str, ...]
@@ -49,6 +53,7 @@
     client_delay: float
     number: int
     services: tuple[ServiceShape, ...]
+    preference: PlacementPreference = PlacementPreference.STICKINESS
 
     @property
     def zones(self) -> tuple[Zone, ...]:
@@ -104,6 +109,7 @@
         ServiceShape("tairi", "bay-desk", "203.0.113.1", 7, repeatable=False),
         ServiceShape("tairi", "catalogue", "203.0.113.2", 3),
     ),
+    PlacementPreference.BALANCE,
 )
 
 
@@ -138,7 +144,8 @@
     """Yield keys and values of the objects that the site's operators created, parents first."""
     for tenant in sorted({service.tenant for service in site.services}):
         yield f"tenant/{tenant}", {}
-        yield f"settings/tenant/{tenant}", {"values": {}}
+        values: dict[str, Any] = {"placement.prefer": site.preference.value}
+        yield f"settings/tenant/{tenant}", {"values": values}
     for service in site.services:
         address = service.virtual_address
         yield (
--- a/src/beamloom/simulation/scenarios/load.py
+++ b/src/beamloom/simulation/scenarios/load.py
@@ -17,6 +17,10 @@
 TRACKER = VAKATALE.services[0]
 LIMIT = "limit.new_flows_per_second"
 COLD_SECONDS = 30.0
+LATE_STREAMS = 210
+"""Long flows that open in `lying-load` once reports have had their effect on weights."""
+HONEST_LOAD = 0.9
+"""What honest backends report in `lying-load`, as a share of their slots."""
 NOISY_FLOWS_PER_SECOND = 50
 NOISY_SECONDS = 30
 
@@ -28,10 +32,21 @@
 
 
 def _lying_load(world: World) -> None:
+    """Freeze one report at idle and let another claim it, while honest ones tell of real load.
+
+    The simulated requests hardly load a backend, so what honest reports would say is given.
+    """
     frozen = HealthFaults(frozen=True)
     idle = HealthFaults(load=0.0)
+    busy = HealthFaults(load=HONEST_LOAD)
+    for index in range(3, TRACKER.backend_count + 1):
+        world.at(0.0, partial(world.faults.mislead_health, f"tracker-{index}", busy))
     world.at(0.0, partial(world.faults.mislead_health, "tracker-1", frozen))
     world.at(0.0, partial(world.faults.mislead_health, "tracker-2", idle))
+    edge, service = world.workload.target("vakatale")
+    for number in range(LATE_STREAMS):
+        share = 0.4 + 0.5 * number / LATE_STREAMS
+        world.at(share, partial(world.workload.open_stream, edge, service))
 
 
 def _noisy_tenant(world: World) -> None:
