Let a former owner follow the home when its successor is gone

The trace shows one node dropping that flow's packets from 12.9 s to 20.9 s: it had handed the partition to a balancer that then left, and kept pointing at it until 25 s had passed. Ruled out: member lists (the node knew that the successor had left: it dropped with NO_HOME). Change: where the node that packets go to for a while answers no more, they go to the home at once, for hand-overs as for detours already.

--- a/src/beamloom/routing/ownership.py
+++ b/src/beamloom/routing/ownership.py
@@ -276,12 +276,18 @@
             for partition, successor in self.frozen.items()
             if not self.answers(successor)
         )
-        for partition in list(self.detours):
-            if not self.answers(self.deciders[partition]):
-                del self.detours[partition]
-                self.deciders[partition] = self.homes[partition]
+        self._leave_dead_deciders()
         return acquired
 
+    def _leave_dead_deciders(self) -> None:
+        """Send packets to the home where the node they went to for a while answers no more."""
+        for remembered in (self.detours, self.handed):
+            for partition in list(remembered):
+                if partition in self.awaited or self.answers(self.deciders[partition]):
+                    continue
+                del remembered[partition]
+                self.deciders[partition] = self.homes[partition]
+
     def own(self, acquired: Acquired, base: int, now: float) -> None:
         """Make this node the decider of a partition."""
         partition = acquired.partition
--- a/tests/unit/routing/test_transfers.py
+++ b/tests/unit/routing/test_transfers.py
@@ -76,6 +76,19 @@
                 self.run_with_one_owner(fleet, 8.0)
                 self.assert_all_owned(fleet)
 
+    def test_former_owner_follows_the_home_when_its_successor_is_gone(self) -> None:
+        """Found by the demo: it went on relaying to a node that had left, until 25 s were over."""
+        fleet = self.started(NEWCOMER_SECONDS + 5.0)
+        fleet.add(3)
+        fleet.run(6.0)
+        node = fleet.nodes[N0].ownership
+        handed = [item for item in node.handed if node.deciders[item] == N3]
+        fleet.add(4)
+        self.assertTrue(fleet.leave(N3))
+        self.assertTrue([item for item in handed if node.homes[item] == N4])
+        lost = [item for item in handed if not node.answers(node.deciders[item])]
+        self.assertEqual(lost, [])
+
     def test_leaving_node_is_not_offered_what_it_has_just_handed_over(self) -> None:
         """Found by rolling-replacement, seed 1: 1,430 partitions went back, and were refused."""
         fleet = self.started(5.0)
