Ask a dead member at each comparison while split, and survive a malformed ping

Change: while a split is likely, a node sends a digest to a live and to a dead member each time, about every 0.25 s for the side (each at most every 0.5 s). `answer_ping` looks at lists only. Control bytes in a split were not measured again.

--- a/src/beamloom/membership/prober.py
+++ b/src/beamloom/membership/prober.py
@@ -112,7 +112,7 @@
         """Acknowledge a ping; a sender that doubts this node is told its state each time."""
         updates = self._tracker.updates_for(sender)
         own_id = self._tracker.own_id
-        if any(parts[0] == own_id for parts in ping.updates):
+        if any(isinstance(parts, list) and parts[:1] == [own_id] for parts in ping.updates):
             updates = [self._tracker.table.update_of(own_id).encode(), *updates]
         self._send(sender, Acknowledge(ping.probe, updates))
 
--- a/src/beamloom/membership/synchronizer.py
+++ b/src/beamloom/membership/synchronizer.py
@@ -27,17 +27,16 @@
 )
 from beamloom.protocol.messages import Message
 from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, NodeId
+from beamloom.world.machines import Machine, Member, NodeId
 
 NEVER = float("inf")
 MEMBERS_PER_QUESTION = 8
 QUESTION_INTERVAL = 0.5
 SPLIT_SHARE = 2
 """From one dead member for so many live ones on, a split is likelier than crashes."""
-SPLIT_DEAD_SHARE = 0.5
-SPLIT_CONTACT_SECONDS = 0.5
+SPLIT_CONTACT_SECONDS = 0.25
 """How often one node or another of this side asks a member that is believed dead."""
-SPLIT_DIGEST_FLOOR = 1.0
+SPLIT_DIGEST_FLOOR = 0.5
 JITTER = 0.25
 
 
@@ -208,12 +207,17 @@
         stranger = self._listed_stranger()
         if stranger is not None:
             self._introduce(stranger.control_address)
-        share = SPLIT_DEAD_SHARE if self._looks_split() else self._settings.digest_dead_share
-        dead_first = bool(table.dead) and self._random.random() < share
-        candidates = table.dead if dead_first else table.peers
+        dead_first = bool(table.dead) and self._random.random() < self._settings.digest_dead_share
+        if self._looks_split():
+            self._send_digest(table.dead)
+            dead_first = False
+        self._send_digest(table.dead if dead_first else table.peers)
+
+    def _send_digest(self, candidates: Sequence[Member]) -> None:
         if candidates:
             peer = self._random.choice(candidates)
-            self._send(peer.machine.node_id, StateDigest(tuple(table.buckets)))
+            digest = StateDigest(tuple(self._tracker.table.buckets))
+            self._send(peer.machine.node_id, digest)
 
     def _listed_stranger(self) -> Machine | None:
         known = self._tracker.table.members
@@ -260,7 +264,7 @@
         spread = self._random.uniform(1.0 - JITTER, 1.0 + JITTER)
         interval = self._settings.digest_interval
         if self._looks_split():
-            wanted = (len(self._tracker.table.peers) + 1) * SPLIT_DEAD_SHARE * SPLIT_CONTACT_SECONDS
+            wanted = (len(self._tracker.table.peers) + 1) * SPLIT_CONTACT_SECONDS
             interval = min(interval, max(SPLIT_DIGEST_FLOOR, wanted))
         return interval * spread
 
