--- a/src/beamloom/routing/selection.py
+++ b/src/beamloom/routing/selection.py
@@ -130,9 +130,9 @@
 def _has_room(service: ServiceRoute, shares: dict[int, float], number: int) -> bool:
     """Whether one more flow leaves a backend within its bounded share of this home's flows.
 
-    A share is rounded to the next greater whole flow, so that some backend always has room (Mirrokni,
-    Thorup and Zadimoghaddam 2018). A whole share has one more: where a service has few flows at
-    this home, its short requests would all go to one backend otherwise.
+    A share is rounded to the next greater whole flow, so that some backend always has room
+    (Mirrokni, Thorup and Zadimoghaddam 2018). A whole share has one more: where a service has few
+    flows at this home, its short requests would all go to one backend otherwise.
     """
     total_flows = sum(service.open_flows.get(item, 0) for item in shares) + 1
     share = total_flows * shares[number] / sum(shares.values())
