--- a/src/beamloom/bench/scale_fleet.py
+++ b/src/beamloom/bench/scale_fleet.py
@@ -35,7 +35,6 @@
 from beamloom.simulation.network import Network, PathCondition
 from beamloom.simulation.node_adapter import NodeSurroundings
 from beamloom.simulation.randomness import derive_seed, random_stream
-from beamloom.simulation.store_link import StoreLink
 from beamloom.standins.platform_store import PlatformStore
 from beamloom.world.addresses import SocketAddress
 from beamloom.world.machines import Machine, NodeId
@@ -133,17 +132,7 @@
         metered = MeteredCore(core, self.samples)
         node = HollowNode(metered, machine, host, LocalClock(self.clock), surroundings)
         self.nodes[machine.node_id] = node
-        self.measurements.node_started(machine.node_id)
-        self.store.machines.register(machine, self.clock.now)
-        link = StoreLink(
-            self.clock,
-            self.network,
-            self.store,
-            store_host=self._store_host,
-            node_host=host,
-            deliver=node.handle,
-        )
-        node.start(link)
+        node.start(self.store, self._store_host)
         return node
 
     def start_node(self) -> HollowNode:
--- a/src/beamloom/cli/load.py
+++ b/src/beamloom/cli/load.py
@@ -15,7 +15,7 @@
 from beamloom.standins.client_model import Outcome
 from beamloom.standins.load import LoadResult, run_load
 from beamloom.standins.load_profiles import ProfileName
-from beamloom.world.addresses import TransportProtocol, VirtualAddress
+from beamloom.world.addresses import VirtualAddress
 
 Positive = Parameter(validator=Number(gt=0))
 COLUMNS = ("measure", "value")
@@ -57,9 +57,7 @@
 def example_services(profile: ProfileName) -> dict[str, VirtualAddress]:
     """Return the virtual addresses of a user's example deployment, by service name."""
     return {
-        service.name: VirtualAddress(
-            service.ip, TransportProtocol[service.protocol.upper()], service.port
-        )
+        service.name: service.virtual_address
         for tenant in example_deployment(profile).tenants
         for service in tenant.services
     }
--- a/src/beamloom/demo/tenants.py
+++ b/src/beamloom/demo/tenants.py
@@ -11,7 +11,7 @@
 from beamloom.settings.deployment_model import ServiceTable, TenantTable
 from beamloom.settings.tree import Scope
 from beamloom.standins.load_profiles import ProfileName
-from beamloom.world.addresses import TransportProtocol, VirtualAddress
+from beamloom.world.addresses import VirtualAddress
 
 ADDRESS_STEP = 1
 
@@ -47,7 +47,13 @@
         table = _renamed(example.tenants[0], number // len(ProfileName))
         tables.append(table)
         settings.update(_renamed_settings(example, table.name))
-        tenants.append(DemoTenant(table.name, profile, _virtual_addresses(table)))
+        tenants.append(
+            DemoTenant(
+                table.name,
+                profile,
+                {service.name: service.virtual_address for service in table.services},
+            )
+        )
     deployment = Deployment(base.zones, base.links, base.client_delay, tuple(tables), settings)
     return deployment, tenants
 
@@ -70,12 +76,3 @@
         for scope, values in example.settings.items()
         if scope.tenant is not None
     }
-
-
-def _virtual_addresses(table: TenantTable) -> dict[str, VirtualAddress]:
-    return {
-        service.name: VirtualAddress(
-            service.ip, TransportProtocol[service.protocol.upper()], service.port
-        )
-        for service in table.services
-    }
--- a/src/beamloom/routing/services.py
+++ b/src/beamloom/routing/services.py
@@ -92,7 +92,7 @@
         lost: set[int] = set()
         for contract in changed:
             lost |= self._numbers_of(contract.service_number)
-            lost -= {backend.backend_number for backend in _known_backends(contract)}
+            lost -= {backend.backend_number for backend in contract.backends}
         for service_number in removed:
             lost |= self._numbers_of(service_number)
         return lost
@@ -101,7 +101,7 @@
         route = self.by_service_number.get(service_number)
         if route is None:
             return set()
-        return {backend.backend_number for backend in _known_backends(route.contract)}
+        return {backend.backend_number for backend in route.contract.backends}
 
     def update(self, contracts: Iterable[ServiceContract]) -> None:
         """Put new or changed services in force."""
@@ -126,7 +126,7 @@
             self._forget_backends(previous)
         self.by_service_number[contract.service_number] = route
         self.by_destination[route.destination_key] = route
-        for backend in _known_backends(contract):
+        for backend in contract.backends:
             self.backends[backend.backend_number] = BackendRoute(
                 backend, backend.data_address, route
             )
@@ -140,7 +140,7 @@
         self._forget_backends(route)
 
     def _forget_backends(self, route: ServiceRoute) -> None:
-        for backend in _known_backends(route.contract):
+        for backend in route.contract.backends:
             self.backends.pop(backend.backend_number, None)
 
     def has_backend(self, number: int) -> bool:
@@ -148,12 +148,8 @@
         return number != NO_CANDIDATE and number in self.backends
 
 
-def _known_backends(contract: ServiceContract) -> tuple[Backend, ...]:
-    return contract.backends
-
-
 def _senders(contract: ServiceContract) -> frozenset[SocketAddress]:
-    return frozenset(backend.data_address for backend in _known_backends(contract))
+    return frozenset(backend.data_address for backend in contract.backends)
 
 
 def _destination_key(contract: ServiceContract) -> bytes:
--- a/src/beamloom/settings/deployment_model.py
+++ b/src/beamloom/settings/deployment_model.py
@@ -14,7 +14,13 @@
     Name,
     ZoneTable,
 )
-from beamloom.settings.stored_objects import DEFAULT_WEIGHT, MAXIMUM_PORT, MAXIMUM_WEIGHT
+from beamloom.settings.stored_objects import (
+    DEFAULT_WEIGHT,
+    MAXIMUM_PORT,
+    MAXIMUM_WEIGHT,
+    PROTOCOLS,
+)
+from beamloom.world.addresses import VirtualAddress
 from beamloom.world.zones import Link
 
 SettingsTable = dict[str, Any]
@@ -64,6 +70,11 @@
     settings: SettingsTable = Field(default_factory=dict)
     backends: Items[BackendTable] = ()
 
+    @property
+    def virtual_address(self) -> VirtualAddress:
+        """The service's name on the network."""
+        return VirtualAddress(self.ip, PROTOCOLS[self.protocol], self.port)
+
 
 class TenantTable(FileModel):
     """`[[tenants]]`: one tenant."""
--- a/src/beamloom/simulation/fleet.py
+++ b/src/beamloom/simulation/fleet.py
@@ -27,7 +27,6 @@
 from beamloom.simulation.node_adapter import DecisionCore, NodeSurroundings, SimulatedNode
 from beamloom.simulation.operators import Operators
 from beamloom.simulation.randomness import derive_seed, random_stream
-from beamloom.simulation.store_link import StoreLink
 from beamloom.simulation.traffic import (
     ClientEdge,
     HealthChecks,
@@ -147,17 +146,7 @@
         )
         node = SimulatedNode(core, machine, host, local_clock, surroundings)
         self.nodes[machine.node_id] = node
-        self.measurements.node_started(machine.node_id)
-        self.store.machines.register(machine, self.clock.now)
-        link = StoreLink(
-            self.clock,
-            self.network,
-            self.store,
-            store_host=self.store_host,
-            node_host=host,
-            deliver=node.handle,
-        )
-        node.start(link)
+        node.start(self.store, self.store_host)
 
     def start_node(self) -> SimulatedNode:
         """Start one more balancer, which knows a few of the running ones."""
--- a/src/beamloom/simulation/node_adapter.py
+++ b/src/beamloom/simulation/node_adapter.py
@@ -32,6 +32,7 @@
 from beamloom.simulation.measurements import Measurements
 from beamloom.simulation.network import Network
 from beamloom.simulation.store_link import StoreLink
+from beamloom.standins.platform_store import PlatformStore
 from beamloom.world.addresses import SocketAddress
 from beamloom.world.machines import Machine
 
@@ -117,10 +118,20 @@
         running = self.host.running and not self.host.paused
         return running and not self.leaving and self.core.ready
 
-    def start(self, store: StoreLink) -> None:
-        """Open the sockets and start the core."""
-        self._store = store
+    def start(self, store: PlatformStore, store_host: Host) -> None:
+        """Appear in the platform's list, open the sockets and start the core."""
         machine = self.machine
+        clock = self._surroundings.clock
+        self._measurements.node_started(machine.node_id)
+        store.machines.register(machine, clock.now)
+        self._store = StoreLink(
+            clock,
+            self._network,
+            store,
+            store_host=store_host,
+            node_host=self.host,
+            deliver=self.handle,
+        )
         self._network.attach(machine.data_address, self.host, self._data_received)
         self._network.attach(machine.peer_address, self.host, self._peer_received)
         self._network.attach(machine.control_address, self.host, self._control_received)
--- a/tests/unit/settings/test_configuration.py
+++ b/tests/unit/settings/test_configuration.py
@@ -5,7 +5,7 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+from hypothesis.stateful import invariant, rule, run_state_machine_as_test
 
 from beamloom.protocol.events import StoredObject
 from beamloom.settings.configuration import Configuration, ConfigurationDelta
@@ -21,6 +21,7 @@
 from beamloom.settings.tree import Scope
 from beamloom.world.addresses import TransportProtocol, VirtualAddress
 from beamloom.world.contracts import PlacementPreference, ServiceContract
+from tests.unit.settings.object_rules import SCOPES, ObjectMachine
 from tests.unit.settings.objects import backend, service, stored, values
 
 
@@ -162,11 +163,7 @@
         )
 
 
-TENANTS, SERVICES, BACKENDS = ("t", "u"), ("t/s", "t/r", "u/s"), ("1", "2")
-SCOPES = ("global", "tenant/t", "service/t/s", "service/u/s")
-
-
-class ConfigurationMachine(RuleBasedStateMachine):
+class ConfigurationMachine(ObjectMachine):
     """Applies any changes; a snapshot with the histories must give the very same contracts."""
 
     def __init__(self) -> None:
@@ -201,27 +198,6 @@
                 after = self.configuration.by_virtual_address[address]
                 self.assert_equal(after.service_id, contract.service_id)
 
-    @rule(tenant=st.sampled_from(TENANTS), exists=st.booleans())
-    def tenant(self, tenant: str, exists: bool) -> None:
-        self.write(f"tenant/{tenant}", {} if exists else None)
-
-    @rule(
-        name=st.sampled_from(SERVICES),
-        ip=st.sampled_from(["10.0.0.1", "10.0.0.2", "bad", None]),
-    )
-    def service(self, name: str, ip: str | None) -> None:
-        value = {"ip": ip, "protocol": "udp", "port": 53}
-        self.write(f"service/{name}", None if ip is None else value)
-
-    @rule(
-        name=st.sampled_from(SERVICES),
-        number=st.sampled_from(BACKENDS),
-        address=st.sampled_from(["127.0.0.1:1", "[::1]:2", "bad", None]),
-    )
-    def backend(self, name: str, number: str, address: str | None) -> None:
-        value = {"address": address, "health": "127.0.0.1:9", "zone": "z"}
-        self.write(f"backend/{name}/{number}", None if address is None else value)
-
     @rule(
         scope=st.sampled_from(SCOPES),
         chosen=st.sampled_from(
--- a/tests/unit/test_configuration_follower.py
+++ b/tests/unit/test_configuration_follower.py
@@ -6,7 +6,7 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+from hypothesis.stateful import invariant, rule, run_state_machine_as_test
 
 from beamloom.node.configuration_follower import ConfigurationFollower, read_generations
 from beamloom.protocol.configuration_messages import ReplicatedChange
@@ -17,9 +17,7 @@
 from beamloom.replication.configuration_state import ConfigurationState, snapshot_digest
 from beamloom.settings.configuration import Configuration
 from beamloom.world.contracts import ServiceContract
-
-TENANTS, SERVICES, BACKENDS = ("t", "u"), ("t/s", "t/r", "u/s"), ("1", "2")
-SCOPES = ("global", "tenant/t", "service/t/s", "service/u/s")
+from tests.unit.settings.object_rules import SCOPES, ObjectMachine
 
 
 class Node:
@@ -49,7 +47,7 @@
             self.told[contract.service_id] = contract
 
 
-class FollowerMachine(RuleBasedStateMachine):
+class FollowerMachine(ObjectMachine):
     """One node sees every step, one catches up by snapshots, one is loaded anew each time."""
 
     def __init__(self) -> None:
@@ -93,24 +91,6 @@
             self.late.applied.load(state)
             self.late.catch_up()
 
-    @rule(tenant=st.sampled_from(TENANTS), exists=st.booleans())
-    def tenant(self, tenant: str, exists: bool) -> None:
-        self.write(f"tenant/{tenant}", {} if exists else None)
-
-    @rule(name=st.sampled_from(SERVICES), ip=st.sampled_from(["10.0.0.1", "10.0.0.2", "x", None]))
-    def service(self, name: str, ip: str | None) -> None:
-        value = {"ip": ip, "protocol": "udp", "port": 53}
-        self.write(f"service/{name}", None if ip is None else value)
-
-    @rule(
-        name=st.sampled_from(SERVICES),
-        number=st.sampled_from(BACKENDS),
-        address=st.sampled_from(["127.0.0.1:1", "[::1]:2", "bad", None]),
-    )
-    def backend(self, name: str, number: str, address: str | None) -> None:
-        value = {"address": address, "health": "127.0.0.1:9", "zone": "z"}
-        self.write(f"backend/{name}/{number}", None if address is None else value)
-
     @rule(scope=st.sampled_from(SCOPES), value=st.sampled_from([None, "never", 3]))
     def settings(self, scope: str, value: object) -> None:
         values = {"values": {"request.repeat": value}}
