--- a/src/beamloom/cli/admin_access.py
+++ b/src/beamloom/cli/admin_access.py
@@ -18,8 +18,8 @@
     AdminUnreachableError,
 )
 from beamloom.cli.token_files import read_token
-from beamloom.platform.options import TlsFiles, client_tls_context
-from beamloom.platform.statuses import HttpStatus
+from beamloom.object_api.options import TlsFiles, client_tls_context
+from beamloom.object_api.statuses import HttpStatus
 
 ADMIN_VARIABLE = "BEAMLOOM_ADMIN"
 TOKEN_VARIABLE = "BEAMLOOM_ADMIN_TOKEN_FILE"
--- a/src/beamloom/cli/main.py
+++ b/src/beamloom/cli/main.py
@@ -14,7 +14,7 @@
 from beamloom.cli.output import write_error
 from beamloom.experiments.errors import ExperimentError
 from beamloom.fuzzing.errors import FuzzingError
-from beamloom.platform.errors import PlatformError
+from beamloom.object_api.errors import PlatformError
 from beamloom.runtime.errors import NodeProcessError
 from beamloom.settings.errors import SettingsError
 
--- a/src/beamloom/cli/platform_access.py
+++ b/src/beamloom/cli/platform_access.py
@@ -13,10 +13,10 @@
 
 from beamloom.cli.errors import PlatformNotNamedError
 from beamloom.cli.token_files import read_token
-from beamloom.platform.client import PlatformClient
-from beamloom.platform.operator import OperatorWriter
-from beamloom.platform.options import PlatformOptions, TlsFiles
-from beamloom.platform.retry import Retrier
+from beamloom.object_api.client import PlatformClient
+from beamloom.object_api.operator import OperatorWriter
+from beamloom.object_api.options import PlatformOptions, TlsFiles
+from beamloom.object_api.retry import Retrier
 
 URL_VARIABLE = "BEAMLOOM_PLATFORM"
 TOKEN_VARIABLE = "BEAMLOOM_PLATFORM_TOKEN_FILE"
--- a/src/beamloom/cli/settings_commands.py
+++ b/src/beamloom/cli/settings_commands.py
@@ -13,9 +13,9 @@
 from beamloom.cli.output import FormatFlag, OutputFormat, write_line, write_rows
 from beamloom.cli.platform_access import PlatformAccess, PlatformSession, open_platform
 from beamloom.cli.waiting import WaitFlags, make_waiter, tell_in_force
-from beamloom.platform.errors import WatchGoneError
-from beamloom.platform.operator import AcceptedWrite
-from beamloom.platform.wire import ChangeBatch
+from beamloom.object_api.errors import WatchGoneError
+from beamloom.object_api.operator import AcceptedWrite
+from beamloom.object_api.wire import ChangeBatch
 from beamloom.protocol.events import StoredObject
 from beamloom.settings.configuration import Configuration
 from beamloom.settings.errors import MissingParentError
--- a/src/beamloom/cli/waiting.py
+++ b/src/beamloom/cli/waiting.py
@@ -11,7 +11,7 @@
 from beamloom.cli.admin_access import AdminAccess, AdminClient, Answer, make_admin_client
 from beamloom.cli.errors import NotInForceError
 from beamloom.cli.output import write_line
-from beamloom.platform.operator import AcceptedWrite
+from beamloom.object_api.operator import AcceptedWrite
 
 DEFAULT_WAIT_SECONDS = 30.0
 PAUSE_SECONDS = 0.1
--- a/src/beamloom/demo/fleet.py
+++ b/src/beamloom/demo/fleet.py
@@ -13,10 +13,10 @@
 from beamloom.demo.tenants import DemoTenant
 from beamloom.node.core import NodeCore
 from beamloom.node.options import NodeOptions
-from beamloom.platform.adapter import StoreAdapter
-from beamloom.platform.client import PlatformClient
-from beamloom.platform.options import PlatformOptions
-from beamloom.platform.retry import Retrier, RetryPolicy
+from beamloom.object_api.adapter import StoreAdapter
+from beamloom.object_api.client import PlatformClient
+from beamloom.object_api.options import PlatformOptions
+from beamloom.object_api.retry import Retrier, RetryPolicy
 from beamloom.protocol.codec import KeyRing
 from beamloom.runtime.balancer import BalancerProcess
 from beamloom.runtime.health_checks import HealthChecks
--- a/src/beamloom/fuzzing/subjects/codec.py
+++ b/src/beamloom/fuzzing/subjects/codec.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from beamloom.fuzzing.errors import BrokenPromiseError
-from beamloom.platform.errors import PlatformError
-from beamloom.platform.wire import (
+from beamloom.object_api.errors import PlatformError
+from beamloom.object_api.wire import (
     batch_from_json,
     decode,
     listing_from_json,
--- a/src/beamloom/fuzzing/subjects/store.py
+++ b/src/beamloom/fuzzing/subjects/store.py
@@ -9,9 +9,9 @@
 from typing import Any
 
 from beamloom.fuzzing.errors import BrokenPromiseError
-from beamloom.platform.errors import ObjectNotFoundError, PlatformError
-from beamloom.platform.operator import AcceptedWrite, OperatorWriter, WriteUnresolvedError
-from beamloom.platform.retry import Retrier, RetryPolicy
+from beamloom.object_api.errors import ObjectNotFoundError, PlatformError
+from beamloom.object_api.operator import AcceptedWrite, OperatorWriter, WriteUnresolvedError
+from beamloom.object_api.retry import Retrier, RetryPolicy
 from beamloom.simulation.clock import VirtualClock
 from beamloom.simulation.coroutines import run_coroutine, sleep
 from beamloom.simulation.operators import SimulatedStoreClient
--- /dev/null
+++ b/src/beamloom/object_api/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform's object API."""
--- a/src/beamloom/platform/adapter.py
+++ b/src/beamloom/object_api/adapter.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from contextlib import aclosing
 
-from beamloom.platform.errors import PlatformError, StoreConflictError, WatchGoneError
-from beamloom.platform.object_client import ObjectClient
+from beamloom.object_api.errors import PlatformError, StoreConflictError, WatchGoneError
+from beamloom.object_api.object_client import ObjectClient
 from beamloom.protocol.commands import (
     Command,
     ListStore,
--- a/src/beamloom/platform/client.py
+++ b/src/beamloom/object_api/client.py
@@ -15,8 +15,8 @@
 
 import aiohttp
 
-from beamloom.platform import wire
-from beamloom.platform.errors import (
+from beamloom.object_api import wire
+from beamloom.object_api.errors import (
     MachineNotRegisteredError,
     MalformedAnswerError,
     OutcomeUnknownError,
@@ -26,10 +26,10 @@
     TooManyReadersError,
     WatchGoneError,
 )
-from beamloom.platform.options import PlatformOptions
-from beamloom.platform.retry import Retrier
-from beamloom.platform.statuses import HttpStatus, error_for_status
-from beamloom.platform.transport import open_session
+from beamloom.object_api.options import PlatformOptions
+from beamloom.object_api.retry import Retrier
+from beamloom.object_api.statuses import HttpStatus, error_for_status
+from beamloom.object_api.transport import open_session
 from beamloom.world.machines import Machine, NodeId
 
 Result = TypeVar("Result")
--- a/src/beamloom/platform/differences.py
+++ b/src/beamloom/object_api/differences.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from beamloom.platform.errors import PlatformError
+from beamloom.object_api.errors import PlatformError
 from beamloom.protocol.events import StoredObject
 
 OPERATION_FIELD = "operation"
--- a/src/beamloom/platform/object_client.py
+++ b/src/beamloom/object_api/object_client.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncGenerator
 from typing import Any, Protocol
 
-from beamloom.platform.wire import ChangeBatch, ObjectListing, ObjectReading
+from beamloom.object_api.wire import ChangeBatch, ObjectListing, ObjectReading
 
 
 class ObjectClient(Protocol):
--- a/src/beamloom/platform/operator.py
+++ b/src/beamloom/object_api/operator.py
@@ -13,8 +13,8 @@
 from random import Random
 from typing import Any
 
-from beamloom.platform.differences import OPERATION_FIELD, EditConflictError, operation_of
-from beamloom.platform.errors import (
+from beamloom.object_api.differences import OPERATION_FIELD, EditConflictError, operation_of
+from beamloom.object_api.errors import (
     ObjectNotFoundError,
     OutcomeUnknownError,
     PlatformError,
@@ -23,8 +23,8 @@
     TooManyReadersError,
     WatchGoneError,
 )
-from beamloom.platform.object_client import ObjectClient
-from beamloom.platform.retry import Retrier
+from beamloom.object_api.object_client import ObjectClient
+from beamloom.object_api.retry import Retrier
 from beamloom.protocol.events import StoredObject
 
 OPERATION_ID_BITS = 128
--- a/src/beamloom/platform/options.py
+++ b/src/beamloom/object_api/options.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from beamloom.platform.errors import TlsConfigurationError
-from beamloom.platform.retry import RetryPolicy
+from beamloom.object_api.errors import TlsConfigurationError
+from beamloom.object_api.retry import RetryPolicy
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/platform/statuses.py
+++ b/src/beamloom/object_api/statuses.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from http import HTTPStatus as HttpStatus
 
-from beamloom.platform.errors import (
+from beamloom.object_api.errors import (
     OutcomeUnknownError,
     PlatformError,
     RequestRefusedError,
--- a/src/beamloom/platform/transport.py
+++ b/src/beamloom/object_api/transport.py
@@ -4,12 +4,12 @@
 
 import aiohttp
 
-from beamloom.platform.errors import (
+from beamloom.object_api.errors import (
     OutcomeUnknownError,
     StoreUnavailableError,
     TlsConfigurationError,
 )
-from beamloom.platform.options import PlatformOptions, client_tls_context
+from beamloom.object_api.options import PlatformOptions, client_tls_context
 
 
 async def raise_typed_failures(
--- a/src/beamloom/platform/wire.py
+++ b/src/beamloom/object_api/wire.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from beamloom.platform.errors import MalformedAnswerError
+from beamloom.object_api.errors import MalformedAnswerError
 from beamloom.protocol.events import StoredObject
 from beamloom.world.addresses import SocketAddress
 from beamloom.world.machines import Machine, NodeId
--- /dev/null
+++ b/src/beamloom/platform/packet_layout.py
@@ -0,0 +1,81 @@
+"""The platform's packets: a fixed head, big-endian, followed by the data."""
+
+from __future__ import annotations
+
+import struct
+
+from beamloom.routing.tokens.packets import ClientPacket, ForwardPacket, PacketKind
+from beamloom.routing.tokens.token import NO_TOKEN
+
+HEAD = struct.Struct("!4sH4sHIIHIIB3s")
+"""dst, sport, src, dport, seq, ack, len, echo, sum, flags, pad."""
+_READ_FIELDS = struct.Struct("!16xIHI4xB3x")
+"""Of a head: ack, len, echo, flags."""
+_FLOW = slice(0, 12)
+_CLIENT_ADDRESS = slice(6, 10)
+_ECHO_OFFSET = 22
+_ECHO_END = 26
+_IDENTITY = struct.Struct("!Q")
+_ECHO = struct.Struct("!I")
+_PORT = struct.Struct("!H")
+
+FLAG_SYN = 2
+FLAG_RST = 4
+FLAG_FIN = 8
+FLAG_ACK = 32
+_ENDING = FLAG_FIN | FLAG_RST
+_PADDING = bytes(3)
+
+
+def parse_packet(data: bytes) -> ClientPacket | None:
+    """Read a client's packet; None where it is shorter than it says."""
+    if len(data) < HEAD.size:
+        return None
+    acknowledged, data_length, echo, flags = _READ_FIELDS.unpack_from(data)
+    if len(data) != HEAD.size + data_length:
+        return None
+    if flags & FLAG_SYN:
+        kind = PacketKind.OPEN
+    elif flags & _ENDING:
+        kind = PacketKind.END
+    else:
+        kind = PacketKind.DATA
+    destination = data[0:4] + data[10:12]
+    return ClientPacket(kind, data[_FLOW], destination, echo, acknowledged, data_length, data)
+
+
+def destination_key(address: bytes, port: int) -> bytes:
+    """Return the form that a destination has in `ClientPacket.destination`."""
+    return address + _PORT.pack(port)
+
+
+def encode_forward(command: ForwardPacket) -> bytes:
+    """Return the datagram for a backend: which incarnation is meant, then the packet."""
+    data = command.packet.data
+    identity = _IDENTITY.pack(command.identity)
+    if command.token == NO_TOKEN:
+        return identity + data
+    return identity + data[:_ECHO_OFFSET] + _ECHO.pack(command.token) + data[_ECHO_END:]
+
+
+def encode_reset(packet: ClientPacket) -> bytes:
+    """Return the reset that answers an opening packet."""
+    destination, client_port, client, service_port = struct.unpack_from("!4sH4sH", packet.data)
+    return HEAD.pack(
+        client, service_port, destination, client_port, 0, 0, 0, 0, 0, FLAG_RST, _PADDING
+    )
+
+
+def client_host(packet: ClientPacket) -> str:
+    """Return the address of the client's end, as text."""
+    return ".".join(str(byte) for byte in packet.data[_CLIENT_ADDRESS])
+
+
+def describe_flow(flow: bytes) -> str:
+    """Return a flow's id as logs show it: client address and port, then destination."""
+    destination, client_port, client, service_port = struct.unpack("!4sH4sH", flow)
+    return f"{_dotted(client)}:{client_port}>{_dotted(destination)}:{service_port}"
+
+
+def _dotted(address: bytes) -> str:
+    return ".".join(str(byte) for byte in address)
--- /dev/null
+++ b/src/beamloom/platform/store_objects.py
@@ -0,0 +1,139 @@
+"""The platform's store: paths of calls, and its objects translated to beamloom's records."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+from beamloom.platform.errors import PlatformFormatError
+from beamloom.platform.packet_layout import destination_key
+from beamloom.replication.object_watch import (
+    ChangeBatch,
+    ListPage,
+    ListRequest,
+    NamedRecord,
+    ObjectChange,
+    WatchRequest,
+)
+from beamloom.routing.tokens.records import (
+    BackendRecord,
+    BackendState,
+    RoutePart,
+    RouteRecord,
+    RoutingConfiguration,
+)
+
+READINESS_PATH = "/beamloom/readiness"
+OBJECTS_PATH = "/beamloom/objects/"
+BACKENDS_KIND = "servers"
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+
+MILLISECONDS = 1000
+
+Record = TypeVar("Record")
+Translate = Callable[[str, Mapping[str, Any]], Record]
+
+
+def list_path(kind: str, request: ListRequest) -> str:
+    """Return the path that lists a kind."""
+    after = f"?after={quote(request.after, safe='')}" if request.after else ""
+    return f"{OBJECTS_PATH}{kind}{after}"
+
+
+def watch_path(kind: str, request: WatchRequest, wait_seconds: float) -> str:
+    """Return the path that waits for changes of a kind."""
+    wait = int(wait_seconds * MILLISECONDS)
+    return f"{OBJECTS_PATH}{kind}?watch={request.revision}&wait-ms={wait}"
+
+
+def read_page(body: bytes, translate: Translate[Record]) -> ListPage[Record]:
+    """Read the answer to a list; raises PlatformFormatError."""
+    document = _load(body)
+    try:
+        objects = [_read_object(entry, translate) for entry in document["items"]]
+        last = objects[-1].name if objects else ""
+        return ListPage(tuple(objects), bool(document["more"]), int(document["at"]), last)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise PlatformFormatError(f"a list of the store cannot be read: {error!r}") from error
+
+
+def read_changes(body: bytes, translate: Translate[Record]) -> ChangeBatch[Record]:
+    """Read the answer to a watch; raises PlatformFormatError."""
+    document = _load(body)
+    try:
+        changes = tuple(_read_change(event, translate) for event in document["events"])
+        return ChangeBatch(changes, int(document["at"]))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise PlatformFormatError(f"changes of the store cannot be read: {error!r}") from error
+
+
+def translate_backend(name: str, entry: Mapping[str, Any]) -> BackendRecord:
+    """Translate the entry of an endpoint."""
+    host, _, port = str(entry["address"]).rpartition(":")
+    state = BackendState.DRAINING if entry["state"] == "draining" else BackendState.READY
+    return BackendRecord(
+        name=name,
+        identity=identity_of(name),
+        service=str(entry["service"]),
+        host=host,
+        port=int(port),
+        zone=str(entry.get("zone", "")),
+        slots=int(entry.get("slots", 1)),
+        state=state,
+        warm_up_seconds=float(entry.get("warmup-left-ms", 0)) / MILLISECONDS,
+    )
+
+
+def identity_of(name: str) -> int:
+    """Return the number made of the hex digits of an endpoint's id."""
+    _, _, digits = name.rpartition("-")
+    return int(digits, 16)
+
+
+def translate_configuration(_name: str, entry: Mapping[str, Any]) -> RoutingConfiguration:
+    """Translate the operator's configuration."""
+    limits = entry.get("limits", {})
+    return RoutingConfiguration(
+        version=int(entry["version"]),
+        routes=tuple(_translate_route(route) for route in entry["routes"]),
+        idle_seconds=float(limits.get("idle-timeout-ms", 15_000)) / MILLISECONDS,
+    )
+
+
+def _translate_route(route: Mapping[str, Any]) -> RouteRecord:
+    address = socket.inet_aton(route["hostname"])
+    port = int(str(route["path-prefix"]).strip("/"))
+    split = route.get("split") or [{"service": route.get("service"), "weight": 1}]
+    parts = tuple(RoutePart(str(part["service"]), float(part["weight"])) for part in split)
+    return RouteRecord(str(route["name"]), destination_key(address, port), parts)
+
+
+def _read_object(entry: Mapping[str, Any], translate: Translate[Record]) -> NamedRecord[Record]:
+    meta = entry["meta"]
+    name = str(meta["name"])
+    return NamedRecord(name, int(meta["revision"]), translate(name, _content(entry)))
+
+
+def _read_change(event: Mapping[str, Any], translate: Translate[Record]) -> ObjectChange[Record]:
+    entry = event["object"]
+    meta = entry["meta"]
+    name = str(meta["name"])
+    record = None if event["gone"] else translate(name, _content(entry))
+    return ObjectChange(name, int(meta["revision"]), record)
+
+
+def _content(entry: Mapping[str, Any]) -> Mapping[str, Any]:
+    content: Mapping[str, Any] = entry["spec"] or entry["status"]
+    return content
+
+
+def _load(body: bytes) -> Mapping[str, Any]:
+    try:
+        document: Mapping[str, Any] = json.loads(body)
+    except ValueError as error:
+        raise PlatformFormatError(f"an answer of the store is not JSON: {error}") from error
+    return document
--- /dev/null
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -0,0 +1,137 @@
+"""Backends by token and by service, with what this node saw of them.
+
+A backend that has gone from the store may serve on, so its token is decoded for as long as a flow
+may last. That ends early when its address passes to another incarnation.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from beamloom.routing.tokens.records import BackendRecord, BackendState
+from beamloom.routing.tokens.token import token_of
+
+GONE_BACKEND_SECONDS = 75.0
+"""Longer than a flow is kept (60 s)."""
+
+
+class Backend:
+    """One incarnation: its record, when it went, and this node's own view of its load.
+
+    `pending` openings have not been answered yet, `open` flows have; of those `busy` ones wait for
+    an answer. `failures` counts openings in a row that were not answered. Times are in seconds.
+    """
+
+    __slots__ = (
+        "busy",
+        "failures",
+        "gone_at",
+        "open",
+        "pending",
+        "record",
+        "suspect_until",
+        "token",
+        "token_is_shared",
+        "warm_at",
+    )
+
+    def __init__(self, record: BackendRecord, now: float) -> None:
+        self.record = record
+        self.token = token_of(record.identity)
+        self.token_is_shared = False
+        self.warm_at = now + record.warm_up_seconds
+        self.gone_at: float | None = None
+        self.pending = 0
+        self.open = 0
+        self.busy = 0
+        self.failures = 0
+        self.suspect_until = 0.0
+
+    @property
+    def takes_flows(self) -> bool:
+        """Whether the store lists it as ready."""
+        return self.gone_at is None and self.record.state is BackendState.READY
+
+
+class BackendTable:
+    """All backends that packets may go to."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, Backend] = {}
+        self._by_token: dict[int, Backend] = {}
+        self._by_service: dict[str, list[Backend]] = {}
+        self._by_address: dict[tuple[str, int], Backend] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def decode(self, token: int) -> Backend | None:
+        """Return the backend that a token names."""
+        return self._by_token.get(token)
+
+    def of_service(self, service: str) -> list[Backend]:
+        """Return the backends of a service, gone ones among them."""
+        return self._by_service.get(service, [])
+
+    def replace_all(self, records: Iterable[BackendRecord], now: float) -> list[BackendRecord]:
+        """Take a whole list of the store; return the records that changed."""
+        listed = {record.name: record for record in records}
+        changed = [record for record in listed.values() if self.update(record, now)]
+        for name, backend in list(self._by_name.items()):
+            if name not in listed and self.remove(name, now):
+                changed.append(backend.record)
+        return changed
+
+    def update(self, record: BackendRecord, now: float) -> bool:
+        """Take one record of the store; return whether it changes anything."""
+        self._forget_gone(now)
+        known = self._by_name.get(record.name)
+        if known is None:
+            self._add(record, now)
+            return True
+        came_back = known.gone_at is not None
+        known.gone_at = None
+        if known.record == record and not came_back:
+            return False
+        if known.record.service != record.service:
+            self._forget(known)
+            self._add(record, now)
+            return True
+        known.record = record
+        known.warm_at = now + record.warm_up_seconds
+        return True
+
+    def remove(self, name: str, now: float) -> bool:
+        """Note that the store no longer lists a backend; return whether that is new."""
+        known = self._by_name.get(name)
+        if known is None or known.gone_at is not None:
+            return False
+        known.gone_at = now
+        return True
+
+    def _add(self, record: BackendRecord, now: float) -> None:
+        backend = Backend(record, now)
+        address = (record.host, record.port)
+        former = self._by_address.get(address)
+        if former is not None:
+            self._forget(former)
+        holder = self._by_token.setdefault(backend.token, backend)
+        backend.token_is_shared = holder is not backend
+        self._by_name[record.name] = backend
+        self._by_service.setdefault(record.service, []).append(backend)
+        self._by_address[address] = backend
+
+    def _forget_gone(self, now: float) -> None:
+        for backend in list(self._by_name.values()):
+            if backend.gone_at is not None and backend.gone_at + GONE_BACKEND_SECONDS <= now:
+                self._forget(backend)
+
+    def _forget(self, backend: Backend) -> None:
+        record = backend.record
+        del self._by_name[record.name]
+        self._by_service[record.service].remove(backend)
+        if self._by_token.get(backend.token) is backend:
+            del self._by_token[backend.token]
+        address = (record.host, record.port)
+        if self._by_address.get(address) is backend:
+            del self._by_address[address]
--- /dev/null
+++ b/src/beamloom/routing/tokens/packets.py
@@ -0,0 +1,81 @@
+"""A client's packet as a token router reads it, and what the router answers.
+
+Commands are slotted and not frozen: one is made for each packet, and a frozen dataclass costs three
+times as much to make.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class PacketKind(Enum):
+    """What a packet does to its flow."""
+
+    OPEN = "open"
+    DATA = "data"
+    END = "end"
+
+
+class DropReason(Enum):
+    """Why a packet was dropped; the values are counter labels."""
+
+    MALFORMED = "malformed"
+    NO_TOKEN = "no_token"
+    UNKNOWN_TOKEN = "unknown_token"
+    FOREIGN_TOKEN = "foreign_token"
+    UNKNOWN_ROUTE = "unknown_route"
+    NO_BACKEND_FOR_COPY = "no_backend_for_copy"
+
+
+class RefusalReason(Enum):
+    """Why the opening of a flow was refused with a reset."""
+
+    NO_ROUTE = "no_route"
+    NO_BACKEND = "no_backend"
+
+
+@dataclass(slots=True)
+class ClientPacket:
+    """The fields of one packet. `flow` is its 4-tuple as on the wire, `destination` part of it.
+
+    `acknowledged` is the client's `ack`; in an opening packet it counts the copies sent before.
+    """
+
+    kind: PacketKind
+    flow: bytes
+    destination: bytes
+    token: int
+    acknowledged: int
+    data_length: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class ForwardPacket:
+    """Send the packet to a backend; `token`, unless NO_TOKEN, is written into it."""
+
+    packet: ClientPacket
+    identity: int
+    address: tuple[str, int]
+    token: int
+
+
+@dataclass(slots=True)
+class ResetFlow:
+    """Answer an opening packet with a reset at once: the flow was not opened."""
+
+    packet: ClientPacket
+    reason: RefusalReason
+
+
+@dataclass(slots=True)
+class DropPacket:
+    """Do nothing: silence breaks no open flow."""
+
+    packet: ClientPacket
+    reason: DropReason
+
+
+RouterCommand = ForwardPacket | ResetFlow | DropPacket
--- /dev/null
+++ b/src/beamloom/routing/tokens/placement.py
@@ -0,0 +1,86 @@
+"""Which backend a new flow gets, from what this node sees alone.
+
+The cost of a backend is its load relative to what it can do, plus a surcharge in another zone.
+Backends that did not answer lately come after those that did, and a backend that has just gone from
+the store without a word comes last: the store at times forgets backends that serve on.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from beamloom.routing.tokens.backend_table import Backend
+from beamloom.routing.tokens.records import BackendState
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementSettings:
+    """Leanings of a deployment.
+
+    `other_zone_surcharge` is in units of a backend's full load. `warm_up_share` is what a backend
+    can do while it warms up. `resting_flow_load` is the load of an open flow without a request.
+    `gone_grace_seconds` is how long a backend that has gone may still be used where no other is
+    left; it must stay below the time in which a backend that left must be rid of new flows.
+    """
+
+    other_zone_surcharge: float = 0.5
+    warm_up_share: float = 0.6
+    resting_flow_load: float = 0.05
+    gone_grace_seconds: float = 2.0
+
+
+class Placement:
+    """Chooses backends for one node in `zone`; ties are broken by `chance`."""
+
+    def __init__(self, zone: str, settings: PlacementSettings, chance: random.Random) -> None:
+        self._zone = zone
+        self._settings = settings
+        self._chance = chance
+
+    def choose(
+        self, backends: Collection[Backend], tried: Collection[Backend], now: float
+    ) -> Backend | None:
+        """Return the backend for a new flow, or None where no backend may take it.
+
+        `tried` ones got an earlier copy of the opening packet and did not answer it.
+        """
+        ready = [backend for backend in backends if self._may_take(backend)]
+        fresh = [backend for backend in ready if backend not in tried]
+        answering = [backend for backend in fresh if backend.suspect_until <= now]
+        for candidates in (answering, fresh, ready):
+            if candidates:
+                return self._cheapest(candidates, now)
+        lately_gone = [backend for backend in backends if self._is_lately_gone(backend, now)]
+        return self._cheapest(lately_gone, now) if lately_gone else None
+
+    def _may_take(self, backend: Backend) -> bool:
+        return backend.takes_flows and not backend.token_is_shared
+
+    def _is_lately_gone(self, backend: Backend, now: float) -> bool:
+        return (
+            backend.gone_at is not None
+            and backend.record.state is BackendState.READY
+            and not backend.token_is_shared
+            and now - backend.gone_at < self._settings.gone_grace_seconds
+        )
+
+    def _cheapest(self, candidates: list[Backend], now: float) -> Backend:
+        if len(candidates) == 1:
+            return candidates[0]
+        return min(candidates, key=lambda backend: (self._cost(backend, now), self._draw()))
+
+    def _draw(self) -> float:
+        return self._chance.random()
+
+    def _cost(self, backend: Backend, now: float) -> float:
+        settings = self._settings
+        load = backend.pending + backend.busy + settings.resting_flow_load * backend.open
+        capacity = float(max(1, backend.record.slots))
+        if backend.warm_at > now:
+            capacity *= settings.warm_up_share
+        cost = (load + 1.0) / capacity
+        if backend.record.zone != self._zone:
+            cost += settings.other_zone_surcharge
+        return cost
--- /dev/null
+++ b/src/beamloom/routing/tokens/records.py
@@ -0,0 +1,60 @@
+"""What a token router is told: backends, routes and the configuration in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+DEFAULT_IDLE_SECONDS = 15.0
+
+
+class BackendState(Enum):
+    """What a backend says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class BackendRecord:
+    """One incarnation of a backend as it stands in the store.
+
+    `identity` is the number (64 bits) by which datagrams name the incarnation. `slots` is how many
+    requests it runs at once. `warm_up_seconds` is how much longer it is slow, from its start on.
+    """
+
+    name: str
+    identity: int
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    state: BackendState
+    warm_up_seconds: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class RoutePart:
+    """A service that gets `weight` of a route's new flows, relative to the route's other parts."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRecord:
+    """Where new flows to one destination go. `destination` is address and port as in packets."""
+
+    name: str
+    destination: bytes
+    parts: tuple[RoutePart, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingConfiguration:
+    """One version of the routes. A flow that rests for `idle_seconds` may be forgotten."""
+
+    version: int
+    routes: tuple[RouteRecord, ...]
+    idle_seconds: float = DEFAULT_IDLE_SECONDS
--- a/src/beamloom/runtime/admin.py
+++ b/src/beamloom/runtime/admin.py
@@ -17,7 +17,7 @@
 
 from aiohttp import web
 
-from beamloom.platform.statuses import HttpStatus
+from beamloom.object_api.statuses import HttpStatus
 from beamloom.routing.packet import FlowTuple
 from beamloom.runtime import node_status
 from beamloom.runtime.balancer import BalancerProcess
--- a/src/beamloom/runtime/health_checks.py
+++ b/src/beamloom/runtime/health_checks.py
@@ -15,7 +15,7 @@
 import aiohttp
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from beamloom.platform.statuses import HttpStatus
+from beamloom.object_api.statuses import HttpStatus
 from beamloom.protocol.commands import CheckBackend, Command
 from beamloom.protocol.events import BackendChecked, Event
 
--- a/src/beamloom/runtime/machine_list.py
+++ b/src/beamloom/runtime/machine_list.py
@@ -13,8 +13,8 @@
 
 import structlog
 
-from beamloom.platform.errors import MachineNotRegisteredError, PlatformError
-from beamloom.platform.wire import MachineListing
+from beamloom.object_api.errors import MachineNotRegisteredError, PlatformError
+from beamloom.object_api.wire import MachineListing
 from beamloom.protocol.events import Event, MachinesListed
 from beamloom.world.machines import Machine, NodeId
 
--- a/src/beamloom/runtime/node_process.py
+++ b/src/beamloom/runtime/node_process.py
@@ -19,10 +19,10 @@
 
 from beamloom.node.core import NodeCore
 from beamloom.node.options import NodeOptions
-from beamloom.platform.adapter import StoreAdapter
-from beamloom.platform.client import PlatformClient
-from beamloom.platform.options import PlatformOptions, TlsFiles
-from beamloom.platform.retry import Retrier
+from beamloom.object_api.adapter import StoreAdapter
+from beamloom.object_api.client import PlatformClient
+from beamloom.object_api.options import PlatformOptions, TlsFiles
+from beamloom.object_api.retry import Retrier
 from beamloom.protocol.events import StopRequested
 from beamloom.runtime.admin import AdminServer
 from beamloom.runtime.balancer import BalancerProcess
--- /dev/null
+++ b/src/beamloom/settings/token_node.py
@@ -0,0 +1,43 @@
+"""What a token node must know before it starts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An IP address and port."""
+
+    host: str
+    port: int
+
+    @property
+    def pair(self) -> tuple[str, int]:
+        """The form that sockets take."""
+        return (self.host, self.port)
+
+
+@dataclass(frozen=True, slots=True)
+class TokenNodeSettings:
+    """Addresses and bounds of one node; bounds are in seconds.
+
+    A configuration must be in force within `apply_seconds`, a leaving backend be rid of new flows
+    within `drain_seconds`; both hold for nodes that have had `contact_seconds` of undisturbed
+    contact. A flow may be forgotten after `flow_seconds`. After SIGTERM a node has `stop_seconds`.
+    """
+
+    node: str
+    host: str
+    zone: str
+    packets: Endpoint
+    readiness: Endpoint
+    store: Endpoint
+    peer_port: int
+    metrics_port: int
+    seeds: tuple[str, ...]
+    stop_seconds: float
+    flow_seconds: float
+    apply_seconds: float
+    drain_seconds: float
+    contact_seconds: float
--- a/src/beamloom/simulation/operations.py
+++ b/src/beamloom/simulation/operations.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from beamloom.platform.operator import AcceptedWrite
+from beamloom.object_api.operator import AcceptedWrite
 from beamloom.simulation.deployment import ServiceShape, Site
 from beamloom.simulation.fleet import Fleet
 from beamloom.simulation.observations import (
--- a/src/beamloom/simulation/operators.py
+++ b/src/beamloom/simulation/operators.py
@@ -6,10 +6,10 @@
 from collections.abc import AsyncGenerator, Callable, Coroutine
 from typing import Any
 
-from beamloom.platform.errors import OutcomeUnknownError, PlatformError, StoreUnavailableError
-from beamloom.platform.operator import AcceptedWrite, OperatorWriter
-from beamloom.platform.retry import Retrier, RetryPolicy
-from beamloom.platform.wire import ChangeBatch, ObjectListing, ObjectReading
+from beamloom.object_api.errors import OutcomeUnknownError, PlatformError, StoreUnavailableError
+from beamloom.object_api.operator import AcceptedWrite, OperatorWriter
+from beamloom.object_api.retry import Retrier, RetryPolicy
+from beamloom.object_api.wire import ChangeBatch, ObjectListing, ObjectReading
 from beamloom.simulation.clock import VirtualClock
 from beamloom.simulation.coroutines import run_coroutine, sleep
 from beamloom.simulation.deployment import PLATFORM_DELAY
--- a/src/beamloom/simulation/store_link.py
+++ b/src/beamloom/simulation/store_link.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from beamloom.platform.errors import PlatformError, WatchGoneError
+from beamloom.object_api.errors import PlatformError, WatchGoneError
 from beamloom.protocol.commands import (
     Command,
     ListStore,
--- a/src/beamloom/standins/platform_machines.py
+++ b/src/beamloom/standins/platform_machines.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, replace
 
-from beamloom.platform.wire import MachineListing
+from beamloom.object_api.wire import MachineListing
 from beamloom.world.machines import Machine, NodeId
 
 
--- a/src/beamloom/standins/platform_server.py
+++ b/src/beamloom/standins/platform_server.py
@@ -10,16 +10,16 @@
 
 from aiohttp import web
 
-from beamloom.platform import wire
-from beamloom.platform.errors import (
+from beamloom.object_api import wire
+from beamloom.object_api.errors import (
     PlatformError,
     StoreConflictError,
     StoreUnavailableError,
     TooManyReadersError,
     WatchGoneError,
 )
-from beamloom.platform.retry import Sleep
-from beamloom.platform.statuses import HttpStatus
+from beamloom.object_api.retry import Sleep
+from beamloom.object_api.statuses import HttpStatus
 from beamloom.standins.platform_faults import FaultPlan
 from beamloom.standins.platform_store import PlatformStore, StoreWatch
 from beamloom.world.addresses import SocketAddress
--- a/src/beamloom/standins/platform_store.py
+++ b/src/beamloom/standins/platform_store.py
@@ -13,13 +13,13 @@
 from random import Random
 from typing import Any
 
-from beamloom.platform.errors import (
+from beamloom.object_api.errors import (
     StoreConflictError,
     StoreUnavailableError,
     TooManyReadersError,
     WatchGoneError,
 )
-from beamloom.platform.wire import ChangeBatch, ObjectListing, ObjectReading
+from beamloom.object_api.wire import ChangeBatch, ObjectListing, ObjectReading
 from beamloom.protocol.commands import ListStore, ReadObject, WriteObject
 from beamloom.protocol.events import (
     Event,
--- a/tests/functional/platform_case.py
+++ b/tests/functional/platform_case.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from random import Random
 
-from beamloom.platform.client import PlatformClient
-from beamloom.platform.options import PlatformOptions
-from beamloom.platform.retry import Retrier, RetryPolicy
+from beamloom.object_api.client import PlatformClient
+from beamloom.object_api.options import PlatformOptions
+from beamloom.object_api.retry import Retrier, RetryPolicy
 from beamloom.standins.platform_machines import MachineDirectory, MachineListSettings
 from beamloom.standins.platform_server import PlatformServer
 from beamloom.standins.platform_store import PlatformStore
--- a/tests/functional/test_node_process.py
+++ b/tests/functional/test_node_process.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from beamloom.admission.retry_budget import MINIMUM_RETRIES
-from beamloom.platform.errors import PlatformError
+from beamloom.object_api.errors import PlatformError
 from beamloom.protocol.codec import KeyRing
 from beamloom.protocol.events import TimerExpired
 from beamloom.runtime.errors import (
--- a/tests/functional/test_platform_adapter.py
+++ b/tests/functional/test_platform_adapter.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from beamloom.platform.adapter import StoreAdapter
+from beamloom.object_api.adapter import StoreAdapter
 from beamloom.protocol.commands import (
     Command,
     ListStore,
--- a/tests/functional/test_platform_http.py
+++ b/tests/functional/test_platform_http.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from beamloom.platform.errors import (
+from beamloom.object_api.errors import (
     MachineNotRegisteredError,
     OutcomeUnknownError,
     PlatformError,
@@ -20,8 +20,8 @@
     UnauthorizedError,
     WatchGoneError,
 )
-from beamloom.platform.operator import OperatorWriter
-from beamloom.platform.options import TlsFiles, client_tls_context
+from beamloom.object_api.operator import OperatorWriter
+from beamloom.object_api.options import TlsFiles, client_tls_context
 from beamloom.protocol.events import StoredObject
 from beamloom.standins.platform_faults import FaultPlan
 from beamloom.standins.platform_server import PlatformServer
--- a/tests/unit/fuzzing/test_machines.py
+++ b/tests/unit/fuzzing/test_machines.py
@@ -16,8 +16,8 @@
 from beamloom.fuzzing.subjects.fleet import FleetSubject
 from beamloom.fuzzing.subjects.flow_table import FlowTableSubject
 from beamloom.fuzzing.subjects.settings import SettingsSubject
-from beamloom.platform.errors import StoreConflictError
-from beamloom.platform.operator import OperatorWriter
+from beamloom.object_api.errors import StoreConflictError
+from beamloom.object_api.operator import OperatorWriter
 from beamloom.routing.flow_table import FlowTable
 from beamloom.settings.tree import SettingsTree
 from beamloom.standins.platform_store import PlatformStore
--- a/tests/unit/test_platform_operator.py
+++ b/tests/unit/test_platform_operator.py
@@ -10,16 +10,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from beamloom.platform.differences import EditConflictError, FieldDifference, operation_of
-from beamloom.platform.errors import (
+from beamloom.object_api.differences import EditConflictError, FieldDifference, operation_of
+from beamloom.object_api.errors import (
     ObjectNotFoundError,
     OutcomeUnknownError,
     PlatformError,
     StoreUnavailableError,
 )
-from beamloom.platform.operator import AcceptedWrite, OperatorWriter, WriteUnresolvedError
-from beamloom.platform.retry import Retrier, RetryPolicy
-from beamloom.platform.wire import ChangeBatch, ObjectListing, ObjectReading
+from beamloom.object_api.operator import AcceptedWrite, OperatorWriter, WriteUnresolvedError
+from beamloom.object_api.retry import Retrier, RetryPolicy
+from beamloom.object_api.wire import ChangeBatch, ObjectListing, ObjectReading
 from beamloom.standins.platform_store import PlatformStore
 
 KEY = "service/a/web"
--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from beamloom.platform.errors import (
+from beamloom.object_api.errors import (
     StoreConflictError,
     StoreUnavailableError,
     TooManyReadersError,
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -7,9 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from beamloom.platform import wire
-from beamloom.platform.errors import MalformedAnswerError
-from beamloom.platform.retry import Retrier, RetryPolicy
+from beamloom.object_api import wire
+from beamloom.object_api.errors import MalformedAnswerError
+from beamloom.object_api.retry import Retrier, RetryPolicy
 
 SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5)
 NAMES = st.sampled_from(
