--- /dev/null
+++ b/tests/unit/platform_adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/unit/tokens/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of routing by tokens."""
--- /dev/null
+++ b/tests/unit/tokens/builders.py
@@ -0,0 +1,98 @@
+"""Records and packets for tests of the token router."""
+
+import random
+
+from beamloom.routing.tokens.decisions import Decision
+from beamloom.routing.tokens.packets import (
+    ClientPacket,
+    ForwardPacket,
+    PacketKind,
+    RouterCommand,
+)
+from beamloom.routing.tokens.placement import Placement, PlacementSettings
+from beamloom.routing.tokens.records import (
+    BackendRecord,
+    BackendState,
+    RoutePart,
+    RouteRecord,
+    RoutingConfiguration,
+)
+from beamloom.routing.tokens.router import TokenRouter
+from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
+
+KEY = bytes(range(16))
+DESTINATION = bytes((198, 18, 0, 1, 1, 187))
+OTHER_DESTINATION = bytes((198, 18, 0, 2, 1, 187))
+ZONE = "west"
+
+
+def backend(
+    number: int,
+    service: str = "tracker",
+    *,
+    state: BackendState = BackendState.READY,
+    zone: str = ZONE,
+    port: int | None = None,
+    slots: int = 2,
+    warm_up: float = 0.0,
+) -> BackendRecord:
+    port = 8000 + number if port is None else port
+    return BackendRecord(
+        f"i-{number:08x}", number, service, "127.0.0.1", port, zone, slots, state, warm_up
+    )
+
+
+def configuration(
+    version: int, *services: str, destination: bytes = DESTINATION
+) -> RoutingConfiguration:
+    parts = tuple(RoutePart(service, 1.0) for service in services)
+    return RoutingConfiguration(version, (RouteRecord("route", destination, parts),))
+
+
+def flow_id(client: int, destination: bytes = DESTINATION) -> bytes:
+    return (
+        destination[:4]
+        + client.to_bytes(2, "big")
+        + bytes((100, 64, client >> 8, client & 255))
+        + destination[4:]
+    )
+
+
+def packet(
+    client: int,
+    kind: PacketKind = PacketKind.DATA,
+    *,
+    token: int = NO_TOKEN,
+    acknowledged: int = 0,
+    data_length: int = 0,
+    destination: bytes = DESTINATION,
+) -> ClientPacket:
+    flow = flow_id(client, destination)
+    return ClientPacket(kind, flow, destination, token, acknowledged, data_length, b"")
+
+
+def opening(client: int, copies: int = 0, destination: bytes = DESTINATION) -> ClientPacket:
+    return packet(client, PacketKind.OPEN, acknowledged=copies, destination=destination)
+
+
+def make_router(
+    *records: BackendRecord,
+    services: tuple[str, ...] = ("tracker",),
+    version: int = 1,
+    settings: PlacementSettings | None = None,
+    decisions: list[Decision] | None = None,
+) -> TokenRouter:
+    """Return a router that knows the backends and routes DESTINATION to the services."""
+    heard: list[Decision] = [] if decisions is None else decisions
+    placement = Placement(ZONE, settings or PlacementSettings(), random.Random(1))
+    router = TokenRouter(placement, heard.append)
+    router.codec = TokenCodec(KEY)
+    router.put_in_force(configuration(version, *services))
+    router.backends.replace_all(records, now=0.0)
+    return router
+
+
+def forwarded_to(command: RouterCommand) -> int:
+    """Return the identity of the backend that a packet was forwarded to; fails otherwise."""
+    assert isinstance(command, ForwardPacket), command
+    return command.identity
--- /dev/null
+++ b/tests/unit/tokens/test_object_watch.py
@@ -0,0 +1,63 @@
+"""Following one kind of object: lists of several pages, watches, lost history, pauses."""
+
+import random
+import unittest
+
+from beamloom.replication.object_watch import (
+    LONGEST_PAUSE_SECONDS,
+    ChangeBatch,
+    ListPage,
+    ListRequest,
+    NamedRecord,
+    ObjectChange,
+    ObjectWatch,
+    WatchRequest,
+)
+
+
+def page(names: str, more: bool, revision: int) -> ListPage[str]:
+    records = tuple(NamedRecord(name, 1, name.upper()) for name in names)
+    return ListPage(records, more, revision, names[-1:] if names else "")
+
+
+class ObjectWatchTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.watch: ObjectWatch[str] = ObjectWatch(random.Random(1))
+
+    def test_it_lists_all_pages_and_watches_from_the_first_ones_revision(self) -> None:
+        self.assertEqual(self.watch.next_request(), ListRequest(""))
+        self.assertIsNone(self.watch.take_page(page("ab", True, 10), now=1.0))
+        self.assertFalse(self.watch.listed)
+        self.assertEqual(self.watch.next_request(), ListRequest("b"))
+        whole = self.watch.take_page(page("cd", False, 14), now=1.1)
+        assert whole is not None
+        self.assertEqual([record.name for record in whole.records], ["a", "b", "c", "d"])
+        self.assertTrue(self.watch.listed)
+        self.assertEqual(self.watch.next_request(), WatchRequest(10))
+
+    def test_it_goes_on_from_the_revision_that_a_watch_told(self) -> None:
+        self.watch.take_page(page("a", False, 10), now=1.0)
+        self.watch.take_changes(ChangeBatch((ObjectChange("a", 12, None),), 12), now=2.0)
+        self.assertEqual(self.watch.next_request(), WatchRequest(12))
+        self.watch.take_changes(ChangeBatch((), 11), now=3.0)
+        self.assertEqual(self.watch.next_request(), WatchRequest(12))
+
+    def test_after_a_lost_history_it_lists_again(self) -> None:
+        self.watch.take_page(page("a", False, 10), now=1.0)
+        self.watch.take_lost_history(now=2.0)
+        self.assertEqual(self.watch.next_request(), ListRequest(""))
+        self.assertTrue(self.watch.listed)
+        whole = self.watch.take_page(page("b", False, 30), now=2.1)
+        assert whole is not None
+        self.assertEqual([record.name for record in whole.records], ["b"])
+
+    def test_pauses_are_drawn_from_zero_to_a_bound_that_doubles(self) -> None:
+        pauses = [self.watch.take_failure() for _ in range(200)]
+        self.assertLessEqual(max(pauses), LONGEST_PAUSE_SECONDS)
+        self.assertLess(min(pauses), 0.05)
+        self.watch.take_changes(ChangeBatch((), 1), now=1.0)
+        self.assertEqual(self.watch.failures, 0)
+
+    def test_a_list_that_repeats_its_last_name_ends(self) -> None:
+        self.watch.take_page(page("a", True, 10), now=1.0)
+        self.assertIsNotNone(self.watch.take_page(page("a", True, 10), now=1.1))
--- /dev/null
+++ b/tests/unit/tokens/test_placement_by_view.py
@@ -0,0 +1,124 @@
+"""Which backend new flows get, and what a node concludes from its flows."""
+
+import unittest
+from collections import Counter
+
+from beamloom.routing.tokens.packets import ForwardPacket, PacketKind
+from beamloom.routing.tokens.placement import PlacementSettings
+from beamloom.routing.tokens.records import RoutePart, RouteRecord, RoutingConfiguration
+from beamloom.routing.tokens.router import TokenRouter
+from tests.unit.tokens.builders import (
+    DESTINATION,
+    backend,
+    forwarded_to,
+    make_router,
+    opening,
+    packet,
+)
+
+
+def open_flow(router: TokenRouter, client: int, now: float) -> tuple[int, int]:
+    """Open a flow and send its first packet; return the backend's identity and the token."""
+    command = router.handle(opening(client), now)
+    assert isinstance(command, ForwardPacket)
+    router.handle(packet(client, token=command.token), now + 0.01)
+    return command.identity, command.token
+
+
+class BalanceTest(unittest.TestCase):
+    def test_new_flows_go_to_the_backend_with_the_fewest(self) -> None:
+        router = make_router(*(backend(number) for number in range(1, 5)))
+        counts = Counter(open_flow(router, client, 1.0)[0] for client in range(40))
+        self.assertEqual(set(counts.values()), {10})
+
+    def test_a_backend_with_more_slots_gets_more(self) -> None:
+        router = make_router(backend(1, slots=1), backend(2, slots=3))
+        counts = Counter(forwarded_to(router.handle(opening(n), 1.0)) for n in range(40))
+        self.assertEqual(counts[2], 30)
+
+    def test_a_backend_that_warms_up_gets_less(self) -> None:
+        router = make_router(backend(1), backend(2, warm_up=5.0))
+        counts = Counter(forwarded_to(router.handle(opening(n), 1.0)) for n in range(40))
+        self.assertLess(counts[2], 18)
+        self.assertGreater(counts[2], 10)
+
+    def test_the_own_zone_is_preferred_until_it_is_busy(self) -> None:
+        settings = PlacementSettings(other_zone_surcharge=1.25)
+        router = make_router(backend(1), backend(2, zone="east"), settings=settings)
+        chosen = [forwarded_to(router.handle(opening(n), 1.0)) for n in range(5)]
+        self.assertEqual(chosen, [1, 1, 1, 2, 1])
+
+    def test_a_request_under_way_counts_until_its_answer_is_acknowledged(self) -> None:
+        router = make_router(backend(1), backend(2))
+        identity, token = open_flow(router, 1, 1.0)
+        other_identity, other_token = open_flow(router, 2, 1.0)
+        self.assertNotEqual(identity, other_identity)
+        router.handle(packet(1, token=token, data_length=100), 1.1)
+        self.assertEqual(forwarded_to(router.handle(opening(3), 1.2)), other_identity)
+        router.handle(packet(1, token=token, acknowledged=900), 1.3)
+        router.handle(packet(2, token=other_token, data_length=100), 1.3)
+        self.assertEqual(forwarded_to(router.handle(opening(4), 1.4)), identity)
+
+    def test_flows_that_end_or_rest_too_long_count_no_more(self) -> None:
+        router = make_router(backend(1))
+        _, token = open_flow(router, 1, 1.0)
+        open_flow(router, 2, 1.0)
+        router.handle(packet(1, PacketKind.END, token=token), 1.5)
+        self.assertEqual(len(router.flows), 1)
+        router.advance(now=40.0)
+        self.assertEqual(len(router.flows), 0)
+        held = router.backends.of_service("tracker")[0]
+        self.assertEqual((held.pending, held.open, held.busy), (0, 0, 0))
+
+
+class SplitTest(unittest.TestCase):
+    def test_parts_get_their_shares_exactly(self) -> None:
+        router = make_router(backend(1), backend(2, "labeller"))
+        parts = (RoutePart("tracker", 90), RoutePart("labeller", 10))
+        route = RouteRecord("route", DESTINATION, parts)
+        router.put_in_force(RoutingConfiguration(2, (route,)))
+        counts = Counter(forwarded_to(router.handle(opening(n), 1.0)) for n in range(100))
+        self.assertEqual(counts, {1: 90, 2: 10})
+
+    def test_a_part_without_backends_is_made_up_by_the_other(self) -> None:
+        router = make_router(backend(1), services=("tracker", "labeller"))
+        counts = Counter(forwarded_to(router.handle(opening(n), 1.0)) for n in range(10))
+        self.assertEqual(counts, {1: 10})
+
+
+class SilentBackendTest(unittest.TestCase):
+    def test_a_backend_that_does_not_answer_is_passed_over_and_tried_again(self) -> None:
+        router = make_router(backend(1), backend(2))
+        silent = router.backends.of_service("tracker")[0]
+        for client in range(30):
+            now = client * 0.1
+            command = router.handle(opening(client), now)
+            assert isinstance(command, ForwardPacket)
+            if command.identity != silent.record.identity:
+                router.handle(packet(client, token=command.token), now + 0.01)
+            router.advance(now + 0.05)
+        router.advance(3.6)
+        self.assertGreater(silent.suspect_until, 3.6)
+        chosen = {forwarded_to(router.handle(opening(100 + n), 3.7)) for n in range(6)}
+        self.assertEqual(chosen, {2})
+        later = [forwarded_to(router.handle(opening(200 + n), 9.0)) for n in range(6)]
+        self.assertIn(1, later)
+
+    def test_an_answer_ends_the_suspicion(self) -> None:
+        router = make_router(backend(1))
+        for client in range(3):
+            router.handle(opening(client), 1.0)
+        router.advance(2.0)
+        held = router.backends.of_service("tracker")[0]
+        self.assertGreater(held.suspect_until, 2.0)
+        open_flow(router, 50, 2.1)
+        self.assertEqual((held.failures, held.suspect_until), (0, 0.0))
+
+    def test_a_whole_service_that_goes_at_once_serves_on_for_a_moment(self) -> None:
+        """The store at times forgets backends that live; they announce themselves again."""
+        router = make_router(backend(1), backend(2))
+        router.backends.replace_all([], now=10.0)
+        self.assertIn(forwarded_to(router.handle(opening(1), 10.5)), (1, 2))
+        grace = PlacementSettings().gone_grace_seconds
+        command = router.handle(opening(2), 10.0 + grace)
+        self.assertNotIsInstance(command, ForwardPacket)
--- /dev/null
+++ b/tests/unit/tokens/test_router.py
@@ -0,0 +1,172 @@
+"""What the token router decides for one packet."""
+
+import unittest
+
+from beamloom.routing.tokens.decisions import (
+    Decision,
+    FlowPlaced,
+    FlowRefused,
+    OpeningUnanswered,
+    PacketDropped,
+)
+from beamloom.routing.tokens.packets import (
+    DropPacket,
+    DropReason,
+    ForwardPacket,
+    PacketKind,
+    RefusalReason,
+    ResetFlow,
+)
+from beamloom.routing.tokens.records import BackendState
+from beamloom.routing.tokens.token import NO_TOKEN
+from tests.unit.tokens.builders import (
+    OTHER_DESTINATION,
+    backend,
+    configuration,
+    forwarded_to,
+    make_router,
+    opening,
+    packet,
+)
+
+
+class OpeningsTest(unittest.TestCase):
+    def test_an_opening_goes_to_a_backend_with_its_token(self) -> None:
+        command = make_router(backend(7)).handle(opening(1), now=1.0)
+        assert isinstance(command, ForwardPacket)
+        self.assertEqual(command.identity, 7)
+        self.assertEqual(command.address, ("127.0.0.1", 8007))
+        self.assertNotEqual(command.token, NO_TOKEN)
+
+    def test_without_a_route_it_is_refused_at_once(self) -> None:
+        command = make_router(backend(7)).handle(opening(1, destination=OTHER_DESTINATION), now=1.0)
+        assert isinstance(command, ResetFlow)
+        self.assertIs(command.reason, RefusalReason.NO_ROUTE)
+
+    def test_without_a_backend_it_is_refused_at_once(self) -> None:
+        command = make_router().handle(opening(1), now=1.0)
+        assert isinstance(command, ResetFlow)
+        self.assertIs(command.reason, RefusalReason.NO_BACKEND)
+
+    def test_a_copy_without_a_backend_is_dropped_as_its_flow_may_be_open(self) -> None:
+        command = make_router().handle(opening(1, copies=1), now=1.0)
+        assert isinstance(command, DropPacket)
+        self.assertIs(command.reason, DropReason.NO_BACKEND_FOR_COPY)
+
+    def test_a_copy_goes_to_another_backend(self) -> None:
+        router = make_router(backend(7), backend(8))
+        first = forwarded_to(router.handle(opening(1), now=1.0))
+        second = forwarded_to(router.handle(opening(1, copies=1), now=1.2))
+        self.assertNotEqual(first, second)
+
+    def test_a_copy_goes_to_the_same_backend_where_there_is_no_other(self) -> None:
+        router = make_router(backend(7))
+        router.handle(opening(1), now=1.0)
+        self.assertEqual(forwarded_to(router.handle(opening(1, copies=1), now=1.2)), 7)
+
+    def test_a_late_copy_of_an_open_flow_stays_with_its_backend(self) -> None:
+        router = make_router(backend(7), backend(8))
+        command = router.handle(opening(1), now=1.0)
+        assert isinstance(command, ForwardPacket)
+        router.handle(packet(1, token=command.token), now=1.1)
+        late = router.handle(opening(1, copies=1), now=1.2)
+        assert isinstance(late, ForwardPacket)
+        self.assertEqual((late.identity, late.token), (command.identity, command.token))
+
+    def test_draining_and_gone_backends_get_no_openings(self) -> None:
+        router = make_router(backend(7), backend(8, state=BackendState.DRAINING), backend(9))
+        router.backends.remove(backend(9).name, now=1.0)
+        for client in range(20):
+            self.assertEqual(forwarded_to(router.handle(opening(client), now=1.1)), 7)
+
+    def test_without_the_key_nothing_is_forwarded(self) -> None:
+        router = make_router(backend(7))
+        router.codec = None
+        command = router.handle(opening(1), now=1.0)
+        assert isinstance(command, DropPacket)
+        self.assertIs(command.reason, DropReason.NO_KEY)
+
+
+class OpenFlowsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.records = [backend(number) for number in range(1, 9)]
+        self.router = make_router(*self.records)
+        command = self.router.handle(opening(1), now=1.0)
+        assert isinstance(command, ForwardPacket)
+        self.identity, self.token = command.identity, command.token
+
+    def test_its_packets_stay_with_the_backend(self) -> None:
+        for kind in (PacketKind.DATA, PacketKind.END):
+            command = self.router.handle(packet(1, kind, token=self.token), now=2.0)
+            assert isinstance(command, ForwardPacket)
+            self.assertEqual((command.identity, command.token), (self.identity, NO_TOKEN))
+
+    def test_a_node_that_has_just_started_sends_them_there_too(self) -> None:
+        other = make_router(*self.records)
+        command = other.handle(packet(1, token=self.token), now=0.1)
+        self.assertEqual(forwarded_to(command), self.identity)
+
+    def test_a_changed_route_moves_no_open_flow_also_on_a_node_without_history(self) -> None:
+        """Found by quiet-1 of vtl-suva: nodes added after the change dropped the tokens."""
+        labellers = [backend(number, "labeller") for number in range(20, 24)]
+        fresh = make_router(*self.records, *labellers, services=("labeller",), version=9)
+        command = fresh.handle(packet(1, token=self.token), now=0.1)
+        self.assertEqual(forwarded_to(command), self.identity)
+
+    def test_a_draining_or_gone_backend_keeps_its_flows(self) -> None:
+        record = next(record for record in self.records if record.identity == self.identity)
+        draining = backend(record.identity, state=BackendState.DRAINING)
+        self.router.backends.update(draining, now=2.0)
+        self.assertEqual(
+            forwarded_to(self.router.handle(packet(1, token=self.token), now=2.1)), self.identity
+        )
+        self.router.backends.remove(record.name, now=3.0)
+        self.assertEqual(
+            forwarded_to(self.router.handle(packet(1, token=self.token), now=50.0)), self.identity
+        )
+
+    def test_an_address_that_passed_on_gets_no_packets_of_the_former_backend(self) -> None:
+        self.router.handle(packet(1, token=self.token), now=1.5)
+        successor = backend(99, "labeller", port=8000 + self.identity)
+        self.router.backends.update(successor, now=2.0)
+        command = self.router.handle(packet(1, token=self.token), now=2.1)
+        assert isinstance(command, DropPacket)
+        self.assertIs(command.reason, DropReason.UNKNOWN_TOKEN)
+
+    def test_forged_and_missing_tokens_are_dropped_and_never_reset(self) -> None:
+        forged = self.router.handle(packet(1, token=self.token ^ 1), now=2.0)
+        borrowed = self.router.handle(packet(2, token=self.token), now=2.0)
+        missing = self.router.handle(packet(1), now=2.0)
+        for command, reason in (
+            (forged, DropReason.UNKNOWN_TOKEN),
+            (borrowed, DropReason.UNKNOWN_TOKEN),
+            (missing, DropReason.NO_TOKEN),
+        ):
+            assert isinstance(command, DropPacket)
+            self.assertIs(command.reason, reason)
+        self.assertEqual(self.router.counters["dropped_unknown_token"], 2)
+        self.assertEqual(self.router.counters["dropped_no_token"], 1)
+
+
+class DecisionsTest(unittest.TestCase):
+    def test_openings_refusals_drops_and_missing_answers_are_told(self) -> None:
+        heard: list[Decision] = []
+        router = make_router(backend(7), decisions=heard)
+        router.handle(opening(1), now=1.0)
+        router.handle(opening(2, destination=OTHER_DESTINATION), now=1.0)
+        router.handle(packet(3, token=5), now=1.0)
+        router.advance(now=2.0)
+        self.assertEqual(
+            [type(decision) for decision in heard],
+            [FlowPlaced, FlowRefused, PacketDropped, OpeningUnanswered],
+        )
+        placed = heard[0]
+        assert isinstance(placed, FlowPlaced)
+        self.assertEqual((placed.backend, placed.version, placed.candidates), ("i-00000007", 1, 1))
+
+    def test_a_version_never_goes_back(self) -> None:
+        router = make_router(backend(7), version=5)
+        self.assertFalse(router.put_in_force(configuration(4, "labeller")))
+        self.assertFalse(router.put_in_force(configuration(5, "labeller")))
+        self.assertEqual(router.routes.version, 5)
+        self.assertTrue(router.put_in_force(configuration(6, "labeller")))
