Bind the packets' socket first and read it once the node is ready

Cause: packets that reached a node while it started were lost or dropped, and clients send again only after 0.2 to 1.6 s.

--- a/src/beamloom/runtime/packet_socket.py
+++ b/src/beamloom/runtime/packet_socket.py
@@ -9,37 +9,32 @@
 from beamloom.platform import packet_layout
 from beamloom.routing.tokens.packets import DropPacket, DropReason, ForwardPacket, RouterCommand
 from beamloom.routing.tokens.router import TokenRouter
-from beamloom.settings.token_node import Endpoint
 
 BATCH_SIZE = 64
 LARGEST_DATAGRAM = 2048
-RECEIVE_BUFFER_BYTES = 4 << 20
 
 
 class PacketSocket:
     """The socket that routers send clients' packets to.
 
+    `datagrams` is bound and does not block; clients take resets at the same port number.
     `on_fault` hears of errors of our own; each costs the one packet that met it.
     """
 
     def __init__(
-        self, address: Endpoint, router: TokenRouter, on_fault: Callable[[Exception], None]
+        self,
+        datagrams: socket.socket,
+        router: TokenRouter,
+        on_fault: Callable[[Exception], None],
     ) -> None:
-        self._client_port = address.port
+        self._client_port = datagrams.getsockname()[1]
         self._router = router
         self._on_fault = on_fault
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        try:
-            self._socket.bind(address.pair)
-        except OSError:
-            self._socket.close()
-            raise
+        self._socket = datagrams
         self._loop = asyncio.get_running_loop()
 
     def start(self) -> None:
-        """Take packets from now on."""
+        """Take packets from now on, those that have waited first; a second call does nothing."""
         self._loop.add_reader(self._socket, self._read_batch)
 
     def close(self) -> None:
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 import signal
+import socket
 from collections.abc import Callable
 
 from beamloom.platform import packet_layout, store_objects
@@ -24,6 +25,10 @@
 from beamloom.telemetry.event_log import EventLog, standard_output
 
 TICK_SECONDS = 0.25
+LONGEST_QUEUE_SECONDS = 1.0
+"""Packets that arrive while a node starts wait in its socket for it to become ready: a client would
+send them again only after 0.2 to 1.6 s. Those that waited longer are of no use to anybody.
+"""
 FORWARD_AFTER_STOP_SECONDS = 2.5
 """The routers ask twice a second and turn away after two misses; the rest is for late packets."""
 
@@ -31,12 +36,18 @@
 class TokenNode:
     """One node; `run` returns when it has stopped as planned.
 
-    `read_settings` is called at the start and at each reload; it raises ValueError.
+    `read_settings` is called at each reload and raises ValueError. `packets` is the bound socket of
+    clients' packets.
     """
 
-    def __init__(self, read_settings: Callable[[], TokenNodeSettings]) -> None:
+    def __init__(
+        self,
+        settings: TokenNodeSettings,
+        read_settings: Callable[[], TokenNodeSettings],
+        packets: socket.socket,
+    ) -> None:
+        self.settings = settings
         self._read_settings = read_settings
-        settings = self.settings = read_settings()
         chance = random.Random()
         self.log = EventLog(settings.node, standard_output())
         self.decisions = DecisionLog(self.log, packet_layout.describe_flow, self._view_age)
@@ -45,7 +56,7 @@
         self.follower = StoreFollower(
             settings, self.router, self.decisions, chance, self._note_ready
         )
-        self._packets = PacketSocket(settings.packets, self.router, self._note_fault)
+        self._packets = PacketSocket(packets, self.router, self._note_fault)
         self._responder = HttpResponder({store_objects.READINESS_PATH: self._answer_readiness})
         self._stop_asked = asyncio.Event()
         self._was_ready = False
@@ -80,10 +91,9 @@
     async def run(self) -> None:
         """Serve until a stop is asked for, then until it is complete."""
         self._handle_signals()
-        self._packets.start()
         await self._responder.start(*self.settings.readiness.pair)
         self.decisions.life("Started", zone=self.settings.zone)
-        jobs = (self.follower.run(), self._tick())
+        jobs = (self.follower.run(), self._tick(), self._take_packets_at_last())
         tasks = [asyncio.create_task(job) for job in jobs]
         stop = asyncio.create_task(self._wait_for_stop())
         done, _ = await asyncio.wait({*tasks, stop}, return_when=asyncio.FIRST_COMPLETED)
@@ -94,6 +104,12 @@
         for task in done:
             task.result()
 
+    async def _take_packets_at_last(self) -> None:
+        """Read packets, and count them as dropped, where the node is not ready for long."""
+        await asyncio.sleep(LONGEST_QUEUE_SECONDS)
+        self._packets.start()
+        await asyncio.Event().wait()
+
     async def _wait_for_stop(self) -> None:
         """Return when a stop was asked for and the routers have had time to turn away."""
         await self._stop_asked.wait()
@@ -123,6 +139,7 @@
         """Tell once that the node has become ready."""
         if self.ready and not self._was_ready:
             self._was_ready = True
+            self._packets.start()
             version = self.router.routes.version
             self.decisions.life("Ready", version=version, backends=len(self.router.backends))
 
