Simulate token nodes with an oracle, fuzz the token router, count only readers as readers

Cause (found by the new simulator): a node that asked once, as its view was stale, told peers that it read the store; such nodes kept all others from reading, and changes were heard up to 2 s late. Change: only a reader's answers count. Fuzzing gets the token router and the new parsers.

--- a/src/beamloom/cli/commands.py
+++ b/src/beamloom/cli/commands.py
@@ -15,6 +15,7 @@
     run,
     settings_commands,
     simulate,
+    simulate_tokens,
     status,
 )
 
@@ -27,6 +28,7 @@
     check.register,
     load.register,
     simulate.register,
+    simulate_tokens.register,
     bench.register,
     fuzz.register,
     experiment.register,
--- /dev/null
+++ b/src/beamloom/cli/simulate_tokens.py
@@ -0,0 +1,82 @@
+"""`beamloom simulate-tokens`: token nodes on the virtual clock under faults drawn by chance."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from cyclopts import App, Parameter
+from cyclopts.validators import Number
+from rich.console import Console
+from rich.table import Table
+
+from beamloom.cli.exit_status import ExitStatus
+from beamloom.simulation.tokens.run import TokenRunOptions, TokenRunResult, run_tokens
+
+MAXIMUM_NODES = 300
+MAXIMUM_FAULTS = 1000
+SHOWN_VIOLATIONS = 10
+
+
+def register(app: App) -> None:
+    """Add the command."""
+    app.command(simulate_tokens)
+
+
+def simulate_tokens(
+    *,
+    seed: int = 1,
+    seeds: Annotated[int, Parameter(validator=Number(gte=1))] = 1,
+    duration: Annotated[float, Parameter(validator=Number(gt=0))] = 60.0,
+    faults: Annotated[int, Parameter(validator=Number(gte=0, lte=MAXIMUM_FAULTS))] = 12,
+    nodes: Annotated[int, Parameter(validator=Number(gte=1, lte=MAXIMUM_NODES))] = 7,
+    steady: bool = True,
+) -> int:
+    """Simulate nodes that route by tokens, with faults drawn by chance, and judge what happens.
+
+    The same seed gives the same run. The exit status is 1 when something that must always hold was
+    violated.
+
+    Parameters
+    ----------
+    seed
+        Decides every random draw; the first of `seeds` runs.
+    seeds
+        How many runs, with seeds that follow one another.
+    duration
+        Virtual seconds of traffic.
+    faults
+        How many faults strike.
+    nodes
+        How many nodes the fleet begins with.
+    steady
+        Routers that move only the flows of a node that comes or goes; --no-steady: nearly all.
+
+    """
+    table = Table("seed", "done", "other ends", "answers", "store calls", "violations")
+    results = [
+        (number, run_tokens(TokenRunOptions(number, duration, faults, nodes, steady)))
+        for number in range(seed, seed + seeds)
+    ]
+    for number, result in results:
+        _add_row(table, number, result)
+    console = Console()
+    console.print(table)
+    failed = [(number, result) for number, result in results if result.violations]
+    for number, result in failed:
+        console.print(f"seed {number} struck: {', '.join(result.faults)}")
+        for violation in result.violations[:SHOWN_VIOLATIONS]:
+            console.print(f"  {violation.at:.2f} {violation.rule}: {violation.detail}")
+    return ExitStatus.FAILED if failed else ExitStatus.GOOD
+
+
+def _add_row(table: Table, seed: int, result: TokenRunResult) -> None:
+    ends = {"done", "answers", "unfinished"}
+    others = sum(count for name, count in result.flows.items() if name not in ends)
+    table.add_row(
+        str(seed),
+        str(result.flows["done"]),
+        str(others),
+        str(result.flows["answers"]),
+        str(result.store_calls),
+        str(len(result.violations)),
+    )
--- a/src/beamloom/fuzzing/catalogue.py
+++ b/src/beamloom/fuzzing/catalogue.py
@@ -11,6 +11,7 @@
 from beamloom.fuzzing.subjects.flow_table import FlowTableSubject
 from beamloom.fuzzing.subjects.settings import SettingsSubject
 from beamloom.fuzzing.subjects.store import StoreSubject
+from beamloom.fuzzing.subjects.token_router import TokenRouterSubject
 
 
 class SubjectName(StrEnum):
@@ -20,6 +21,7 @@
     SETTINGS = "settings"
     STORE = "store"
     FLOW_TABLE = "flow-table"
+    TOKEN_ROUTER = "token-router"
     CODEC = "codec"
 
 
@@ -28,6 +30,7 @@
     SubjectName.SETTINGS: SettingsSubject,
     SubjectName.STORE: StoreSubject,
     SubjectName.FLOW_TABLE: FlowTableSubject,
+    SubjectName.TOKEN_ROUTER: TokenRouterSubject,
     SubjectName.CODEC: CodecSubject,
 }
 
--- a/src/beamloom/fuzzing/search.py
+++ b/src/beamloom/fuzzing/search.py
@@ -36,6 +36,7 @@
     SubjectName.SETTINGS: SearchSize(100, 30),
     SubjectName.STORE: SearchSize(100, 30),
     SubjectName.FLOW_TABLE: SearchSize(100, 50),
+    SubjectName.TOKEN_ROUTER: SearchSize(200, 50),
     SubjectName.CODEC: SearchSize(200, 50),
 }
 
--- a/src/beamloom/fuzzing/strategies.py
+++ b/src/beamloom/fuzzing/strategies.py
@@ -134,6 +134,26 @@
     "scan_backend": {"backend": st.integers(0, 4)},
 }
 
+_CLIENT: Arguments = {"client": st.integers(1, 12)}
+_ROUTER: Arguments = {"node": st.integers(0, 1)}
+_BACKEND: Arguments = {"number": st.integers(0, 5)}
+_DESTINATION: Arguments = {"destination": st.integers(0, 2)}
+TOKEN_ROUTER: Actions = {
+    "add": {**_BACKEND, "service": st.integers(0, 1)},
+    "drain": _BACKEND,
+    "remove": _BACKEND,
+    "route": {**_DESTINATION, "service": st.integers(0, 1)},
+    "open": {**_CLIENT, **_DESTINATION, **_ROUTER},
+    "send": {**_CLIENT, **_ROUTER, "size": st.integers(0, 99)},
+    "forge": {
+        **_CLIENT,
+        **_DESTINATION,
+        **_ROUTER,
+        "token": st.integers(0, 0xFFFF_FFFF),
+    },
+    "wait": {"tenths": st.integers(0, 299)},
+}
+
 _ITEMS = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=8) | st.binary(max_size=24),
     lambda inner: st.lists(inner, max_size=5) | st.dictionaries(st.text(max_size=4), inner),
@@ -177,5 +197,6 @@
     SubjectName.SETTINGS: SETTINGS,
     SubjectName.STORE: STORE,
     SubjectName.FLOW_TABLE: FLOW_TABLE,
+    SubjectName.TOKEN_ROUTER: TOKEN_ROUTER,
     SubjectName.CODEC: CODEC,
 }
--- a/src/beamloom/fuzzing/subjects/codec.py
+++ b/src/beamloom/fuzzing/subjects/codec.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from beamloom.fuzzing.errors import BrokenPromiseError
+from beamloom.node.view_codecs import BACKEND_CODEC, CONFIGURATION_CODEC
 from beamloom.object_api.errors import PlatformError
 from beamloom.object_api.wire import (
     batch_from_json,
@@ -17,6 +18,7 @@
     machines_from_json,
     reading_from_json,
 )
+from beamloom.platform import flow_packets, packet_layout, store_objects
 from beamloom.protocol.codec import KeyRing, decode_datagram
 from beamloom.protocol.errors import ProtocolError
 from beamloom.protocol.flow_messages import unpack_records
@@ -69,6 +71,19 @@
     "partition-set": Parser(partial(unpack_partitions, limit=PARTITION_COUNT), (ProtocolError,)),
     "node-settings": Parser(partial(_settings_file, check_node_settings), (SettingsError,)),
     "deployment": Parser(partial(_settings_file, check_deployment), (SettingsError,)),
+    "token-packet": Parser(packet_layout.parse_packet, ()),
+    "flow-packet": Parser(flow_packets.decode_packet, ()),
+    "forwarded-packet": Parser(flow_packets.decode_forwarded, ()),
+    "backend-delta": Parser(BACKEND_CODEC.decode, (ValueError,)),
+    "configuration-delta": Parser(CONFIGURATION_CODEC.decode, (ValueError,)),
+    "backend-list": Parser(
+        partial(store_objects.read_page, translate=store_objects.translate_backend), (ValueError,)
+    ),
+    "configuration-changes": Parser(
+        partial(store_objects.read_changes, translate=store_objects.translate_configuration),
+        (ValueError,),
+    ),
+    "secret": Parser(store_objects.read_secret, (ValueError,)),
     "platform-listing": Parser(partial(_platform_answer, listing_from_json), (PlatformError,)),
     "platform-reading": Parser(partial(_platform_answer, reading_from_json), (PlatformError,)),
     "platform-watch": Parser(partial(_platform_answer, batch_from_json), (PlatformError,)),
--- /dev/null
+++ b/src/beamloom/fuzzing/subjects/token_router.py
@@ -0,0 +1,187 @@
+"""The token router against a plain model: which flow is at which backend, and what may be sent."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+
+from beamloom.fuzzing.errors import BrokenPromiseError
+from beamloom.routing.tokens.packets import (
+    ClientPacket,
+    DropPacket,
+    ForwardPacket,
+    PacketKind,
+    ResetFlow,
+)
+from beamloom.routing.tokens.placement import Placement, PlacementSettings
+from beamloom.routing.tokens.records import (
+    BackendRecord,
+    BackendState,
+    RoutePart,
+    RouteRecord,
+    RoutingConfiguration,
+)
+from beamloom.routing.tokens.router import TokenRouter
+from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
+
+SERVICES = ("tracker", "labeller")
+_KEY = bytes(16)
+_GRACE_SECONDS = PlacementSettings().gone_grace_seconds
+
+
+class TokenRouterSubject:
+    """Two routers with one key and the same news: any of them must carry a flow on."""
+
+    def __init__(self) -> None:
+        self._routers = [self._make_router(seed) for seed in range(2)]
+        self._now = 0.0
+        self._version = 0
+        self._routes: dict[int, str] = {}
+        self._backends: dict[int, BackendRecord] = {}
+        self._gone: dict[int, float] = {}
+        self._flows: dict[int, tuple[int, int, int]] = {}
+
+    @property
+    def actions(self) -> Mapping[str, Callable[..., object]]:
+        """What can be done to the routers."""
+        return {
+            "add": self._add,
+            "drain": self._drain,
+            "remove": self._remove,
+            "route": self._route,
+            "open": self._open,
+            "send": self._send,
+            "forge": self._forge,
+            "wait": self._wait,
+        }
+
+    def finish(self) -> None:
+        """Send one more packet on each flow, through both routers."""
+        for client in list(self._flows):
+            for node in range(len(self._routers)):
+                self._send(client, node, 0)
+
+    def _make_router(self, seed: int) -> TokenRouter:
+        router = TokenRouter(Placement("west", PlacementSettings(), random.Random(seed)))
+        router.codec = TokenCodec(_KEY)
+        return router
+
+    def _add(self, number: int, service: int) -> None:
+        if number in self._backends or number in self._gone:
+            return
+        record = BackendRecord(
+            f"i-{number:x}",
+            number + 1,
+            SERVICES[service % 2],
+            "127.0.0.1",
+            9000 + number,
+            "west",
+            2,
+            BackendState.READY,
+        )
+        self._backends[number] = record
+        self._tell(record)
+
+    def _drain(self, number: int) -> None:
+        record = self._backends.get(number)
+        if record is None:
+            return
+        draining = BackendRecord(
+            record.name,
+            record.identity,
+            record.service,
+            record.host,
+            record.port,
+            record.zone,
+            record.slots,
+            BackendState.DRAINING,
+        )
+        self._backends[number] = draining
+        self._tell(draining)
+
+    def _remove(self, number: int) -> None:
+        record = self._backends.pop(number, None)
+        if record is None:
+            return
+        self._gone[number] = self._now
+        for router in self._routers:
+            router.backends.remove(record.name, self._now)
+
+    def _route(self, destination: int, service: int) -> None:
+        self._routes[destination % 3] = SERVICES[service % 2]
+        self._version += 1
+        records = tuple(
+            RouteRecord(f"r-{key}", _destination(key), (RoutePart(name, 1.0),))
+            for key, name in self._routes.items()
+        )
+        for router in self._routers:
+            router.put_in_force(RoutingConfiguration(self._version, records))
+
+    def _open(self, client: int, destination: int, node: int) -> None:
+        destination %= 3
+        if client in self._flows:
+            return
+        packet = _packet(PacketKind.OPEN, client, destination, NO_TOKEN)
+        command = self._routers[node % 2].handle(packet, self._now)
+        service = self._routes.get(destination)
+        ready = [
+            record.identity
+            for record in self._backends.values()
+            if record.service == service and record.state is BackendState.READY
+        ]
+        if isinstance(command, ForwardPacket):
+            self._check_placed(command.identity, ready)
+            self._flows[client] = (destination, command.identity, command.token)
+        elif not isinstance(command, ResetFlow) or ready:
+            raise BrokenPromiseError(f"{command} although {ready} are ready")
+
+    def _check_placed(self, identity: int, ready: list[int]) -> None:
+        lately_gone = [
+            number + 1 for number, at in self._gone.items() if self._now - at < _GRACE_SECONDS
+        ]
+        allowed = ready or lately_gone
+        if identity not in allowed:
+            raise BrokenPromiseError(f"a flow was placed on {identity}, allowed are {allowed}")
+
+    def _send(self, client: int, node: int, size: int) -> None:
+        if client not in self._flows:
+            return
+        destination, identity, token = self._flows[client]
+        packet = _packet(PacketKind.DATA, client, destination, token, size % 100)
+        command = self._routers[node % 2].handle(packet, self._now)
+        forgotten = self._now - self._gone.get(identity - 1, self._now) >= 75.0
+        if forgotten:
+            return
+        if not isinstance(command, ForwardPacket) or command.identity != identity:
+            raise BrokenPromiseError(f"a packet of a flow at {identity} became {command}")
+
+    def _forge(self, client: int, destination: int, token: int, node: int) -> None:
+        destination %= 3
+        known = self._flows.get(client)
+        if known is not None and known[2] == token and known[0] == destination:
+            return
+        packet = _packet(PacketKind.DATA, client, destination, token & 0xFFFF_FFFF)
+        command = self._routers[node % 2].handle(packet, self._now)
+        if not isinstance(command, DropPacket):
+            raise BrokenPromiseError(f"a made-up token was answered with {command}")
+
+    def _wait(self, tenths: int) -> None:
+        self._now += (tenths % 300) / 10
+        for router in self._routers:
+            router.advance(self._now)
+
+    def _tell(self, record: BackendRecord) -> None:
+        for router in self._routers:
+            router.backends.update(record, self._now)
+
+
+def _destination(number: int) -> bytes:
+    return bytes((198, 18, 0, number, 1, 187))
+
+
+def _packet(
+    kind: PacketKind, client: int, destination: int, token: int, size: int = 0
+) -> ClientPacket:
+    key = _destination(destination)
+    flow = key[:4] + client.to_bytes(2, "big") + bytes((100, 64, 0, 1)) + key[4:]
+    return ClientPacket(kind, flow, key, token, 0, 0, size, b"")
--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -36,8 +36,13 @@
         self._starts_at: float | None = None
 
     def note_answer(self, now: float) -> None:
-        """Note that the store answered this node."""
-        self._heard[self.reader_id] = now
+        """Note that the store answered this node.
+
+        Only a reader's answers count: a node that asked once, as its view was stale, would keep
+        others from becoming readers.
+        """
+        if self.reading:
+            self._heard[self.reader_id] = now
 
     def note_reader(self, reader_id: str, at: float) -> None:
         """Note that the store answered another node at a moment."""
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from beamloom.routing.tokens.records import BackendRecord, BackendState
 from beamloom.routing.tokens.token import bucket_of_identity, bucket_of_token
 
@@ -65,6 +67,10 @@
     def __len__(self) -> int:
         return len(self._by_name)
 
+    def all(self) -> Iterable[Backend]:
+        """Return every backend, gone ones among them."""
+        return self._by_name.values()
+
     def candidates(self, token: int) -> list[Backend]:
         """Return the few backends that a token may have been minted for."""
         return self._by_bucket.get(bucket_of_token(token), [])
--- /dev/null
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -0,0 +1,349 @@
+"""Nodes, routers, endpoints and clients of one simulated deployment."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from dataclasses import replace
+
+from beamloom.platform.flow_packets import FlowEnd, FlowPacket, decode_forwarded, decode_packet
+from beamloom.platform.packet_layout import FLAG_RST, FLAG_SYN
+from beamloom.protocol.messages import Message
+from beamloom.routing.tokens.records import (
+    BackendRecord,
+    BackendState,
+    RoutePart,
+    RouteRecord,
+    RoutingConfiguration,
+)
+from beamloom.simulation.clock import VirtualClock
+from beamloom.simulation.tokens.node import (
+    BACKENDS,
+    CONFIGURATION,
+    CONFIGURATION_NAME,
+    SimulatedTokenNode,
+)
+from beamloom.simulation.tokens.oracle import TokenOracle
+from beamloom.simulation.tokens.store_link import StoreFault, StoreLink
+from beamloom.standins.token_client import FlowPlan, FlowState, TokenClientFlow
+from beamloom.standins.token_endpoint import TokenEndpoint
+from beamloom.standins.token_store import TokenStore
+
+SECRET = bytes(16)
+ZONES = ("west", "middle", "east")
+SERVICE_PORT = 443
+NETWORK_SECONDS = 0.0015
+READINESS_SECONDS = 0.5
+STEP_SECONDS = 0.02
+START_SECONDS = 0.5
+SERVE_ON_SECONDS = 4.0
+"""How long an endpoint that leaves serves on."""
+
+
+class Endpoint:
+    """A simulated endpoint: the model, where it is, and whether it still runs."""
+
+    def __init__(self, model: TokenEndpoint, record: BackendRecord) -> None:
+        self.model = model
+        self.record = record
+        self.alive = True
+
+
+class TokenFleet:
+    """Everything of one run; `steady` routers move only the flows of a node that comes or goes."""
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        nodes: int = 7,
+        endpoints: int = 8,
+        steady: bool = True,
+        loss: float = 0.0,
+    ) -> None:
+        self.chance = random.Random(seed)
+        self.clock = VirtualClock()
+        self.store = TokenStore()
+        self.link = StoreLink(self.clock, self.store)
+        self.oracle = TokenOracle()
+        self.nodes: dict[str, SimulatedTokenNode] = {}
+        self.endpoints: dict[tuple[str, int], Endpoint] = {}
+        self.flows: dict[FlowEnd, TokenClientFlow] = {}
+        self.finished: list[TokenClientFlow] = []
+        self.peer_cuts: set[str] = set()
+        self._loss = loss
+        self._steady = steady
+        self._misses: dict[str, int] = {}
+        self._next_identity = 0x7F3A9100
+        self._next_port = 1024
+        self._next_host = 10
+        self.version = 0
+        self.routes: dict[bytes, frozenset[str]] = {}
+        for number in range(endpoints):
+            self.add_endpoint("tracker" if number % 4 else "labeller")
+        self.set_routes({_destination(1): {"tracker"}, _destination(2): {"labeller"}})
+        for number in range(nodes):
+            self.add_node(ZONES[number % len(ZONES)])
+        self._poll_readiness()
+        self._step()
+
+    def add_node(self, zone: str) -> str:
+        """Start a node; it runs after START_SECONDS."""
+        number = len(self._misses)
+        name, host = f"node-{number}", f"10.1.0.{number + 1}"
+        self._misses[name] = 2
+        self.clock.call_later(START_SECONDS, self._start_node, name, host, zone)
+        self.oracle.note_disturbed(name, self.clock.now + START_SECONDS)
+        return name
+
+    def kill_node(self, name: str, *, restart: bool = True) -> None:
+        """Kill a node; another takes its place."""
+        node = self.nodes[name]
+        node.kill()
+        self.oracle.note_disturbed(name, self.clock.now + START_SECONDS)
+        if restart:
+            self.clock.call_later(START_SECONDS, self._start_node, name, node.host, node.zone)
+
+    def stop_node(self, name: str) -> None:
+        """Stop a node as planned and start it again."""
+        self.nodes[name].stopping = True
+        self.oracle.note_disturbed(name, self.clock.now + 3.0)
+        self.clock.call_later(2.5, self.kill_node, name)
+
+    def freeze_node(self, name: str, seconds: float) -> None:
+        """Let a node stand still."""
+        self.nodes[name].freeze(seconds)
+        self.oracle.note_disturbed(name, self.clock.now + seconds)
+
+    def cut_from_store(self, name: str, seconds: float) -> None:
+        """Let a node's calls to the store vanish."""
+        host = self.nodes[name].host
+        self.link.cut.add(host)
+        self.oracle.note_disturbed(name, self.clock.now + seconds)
+        self.clock.call_later(seconds, self.link.cut.discard, host)
+
+    def refuse_node(self, name: str, seconds: float) -> None:
+        """Let the store turn a node away while it serves others; its way to the store is open."""
+        host = self.nodes[name].host
+        self.link.refused.add(host)
+        self.clock.call_later(seconds, self.link.refused.discard, host)
+
+    def cut_from_peers(self, name: str, seconds: float) -> None:
+        """Let a node's messages to and from other nodes vanish."""
+        host = self.nodes[name].host
+        self.peer_cuts.add(host)
+        self.clock.call_later(seconds, self.peer_cuts.discard, host)
+
+    def disturb_store(self, fault: StoreFault, seconds: float) -> None:
+        """Let the store refuse or swallow all calls."""
+        self.link.fault = fault
+        self.oracle.note_store_disturbed(self.clock.now + seconds)
+        self.clock.call_later(seconds, setattr, self.link, "fault", StoreFault.NONE)
+
+    def compact_store(self) -> None:
+        """Let the store forget its history."""
+        self.store.forget_history()
+
+    def add_endpoint(self, service: str, address: tuple[str, int] | None = None) -> Endpoint:
+        """Start an endpoint and let the store list it."""
+        self._next_identity += 0x101
+        identity = self._next_identity
+        if address is None:
+            self._next_host += 1
+            address = (f"10.128.0.{self._next_host}", 8080)
+        name = f"i-{identity:08x}"
+        zone = ZONES[self._next_host % len(ZONES)]
+        record = BackendRecord(
+            name, identity, service, address[0], address[1], zone, 2, BackendState.READY
+        )
+        endpoint = Endpoint(TokenEndpoint(name, identity), record)
+        self.endpoints[address] = endpoint
+        self.store.put(BACKENDS, name, record)
+        return endpoint
+
+    def running_endpoints(self, service: str) -> list[Endpoint]:
+        """Return those of a service that run and do not leave."""
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.alive and not endpoint.model.draining and endpoint.record.service == service
+        ]
+
+    def drain_endpoint(self, endpoint: Endpoint) -> None:
+        """Let an endpoint leave: it says so, serves on for a while, and ends."""
+        endpoint.model.draining = True
+        draining = replace(endpoint.record, state=BackendState.DRAINING)
+        self.store.put(BACKENDS, endpoint.record.name, draining)
+        self.oracle.note_left(endpoint.record.name, self.clock.now)
+        self.clock.call_later(SERVE_ON_SECONDS, self._end_endpoint, endpoint)
+
+    def crash_endpoint(self, endpoint: Endpoint) -> None:
+        """Let an endpoint die without a word; the store notices after three heartbeats."""
+        endpoint.alive = False
+        self.clock.call_later(3.6, self._forget_endpoint, endpoint)
+
+    def reuse_address(self, endpoint: Endpoint, service: str) -> None:
+        """Let an endpoint end and its address pass to another service."""
+        self.drain_endpoint(endpoint)
+        address = (endpoint.record.host, endpoint.record.port)
+        self.clock.call_later(SERVE_ON_SECONDS + 2.0, self.add_endpoint, service, address)
+
+    def set_routes(self, routes: dict[bytes, set[str]]) -> None:
+        """Write a configuration."""
+        self.version += self.chance.randrange(1, 4)
+        self.routes = {key: frozenset(services) for key, services in routes.items()}
+        records = tuple(
+            RouteRecord(
+                f"r-{key.hex()}", key, tuple(RoutePart(name, 1.0) for name in sorted(services))
+            )
+            for key, services in routes.items()
+        )
+        configuration = RoutingConfiguration(self.version, records)
+        self.store.put(CONFIGURATION, CONFIGURATION_NAME, configuration)
+        self.oracle.note_routes(self.routes, self.clock.now)
+
+    def open_flow(self, service: int, plan: FlowPlan) -> TokenClientFlow:
+        """Let a client open a flow to one of the addresses."""
+        self._next_port += 1
+        source = FlowEnd(bytes((100, 64, 0, self._next_port % 200 + 1)), self._next_port)
+        flow = TokenClientFlow(source, _service_end(service), plan, self.clock.now)
+        self.flows[source] = flow
+        return flow
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.run_until(self.clock.now + seconds)
+
+    def _start_node(self, name: str, host: str, zone: str) -> None:
+        self.nodes[name] = SimulatedTokenNode(
+            name,
+            host,
+            zone,
+            self.clock,
+            self.link,
+            chance=random.Random(self.chance.getrandbits(64)),
+            seeds=tuple(f"10.1.0.{number + 1}" for number in range(3)),
+            secret=SECRET,
+            forward=lambda data, address: self._send(name, data, address),
+            send_message=self._send_message,
+        )
+
+    def _send_message(self, source: str, host: str, message: Message) -> None:
+        if {source, host} & self.peer_cuts or self._is_lost():
+            return
+        for node in self.nodes.values():
+            if node.host == host and node.alive:
+                self.clock.call_later(NETWORK_SECONDS, node.take_message, source, message)
+
+    def _send(self, node: str, data: bytes, address: tuple[str, int]) -> None:
+        if self._is_lost():
+            return
+        if address[1] == 0:
+            self.clock.call_later(NETWORK_SECONDS, self._arrive_at_client, data, node)
+        else:
+            self.clock.call_later(NETWORK_SECONDS, self._arrive_at_endpoint, node, data, address)
+
+    def _arrive_at_endpoint(self, node: str, data: bytes, address: tuple[str, int]) -> None:
+        endpoint = self.endpoints.get(address)
+        forwarded = decode_forwarded(data)
+        if endpoint is None or not endpoint.alive or forwarded is None:
+            return
+        identity, packet = forwarded
+        now = self.clock.now
+        if not packet.is_intact:
+            self.oracle.report("unasked", now, f"an altered packet at {endpoint.record.name}")
+        if packet.flags & FLAG_SYN and identity == endpoint.model.identity:
+            destination = _key(packet.destination)
+            record = endpoint.record
+            self.oracle.judge_opening(node, record.name, record.service, destination, now)
+        self._deliver(endpoint.model.handle(identity, packet, now))
+
+    def _deliver(self, packets: list[FlowPacket]) -> None:
+        for packet in packets:
+            if not self._is_lost():
+                signed = not packet.flags & FLAG_RST
+                data = packet.encode(signed=signed)
+                self.clock.call_later(NETWORK_SECONDS, self._arrive_at_client, data, None)
+
+    def _arrive_at_client(self, data: bytes, node: str | None) -> None:
+        packet = decode_packet(data)
+        assert packet is not None
+        flow = self.flows.get(packet.destination)
+        if flow is None or flow.ended:
+            return
+        if node is not None:
+            self._judge_reset(flow, node)
+        first = flow.answers[0] if flow.answers else None
+        count = len(flow.answers)
+        replies = flow.handle(packet, self.clock.now)
+        if len(flow.answers) > count:
+            self.oracle.judge_answer(first, flow.answers[-1], str(flow.source), self.clock.now)
+        for text in flow.mixed:
+            self.oracle.report("mixed", self.clock.now, text)
+        self._send_to_nodes(replies)
+
+    def _judge_reset(self, flow: TokenClientFlow, node: str) -> None:
+        if flow.state is not FlowState.OPENING:
+            self.oracle.report("flow", self.clock.now, f"{node} reset {flow.source}")
+            return
+        self.oracle.judge_refusal(node, _key(flow.service), self.clock.now)
+
+    def _send_to_nodes(self, packets: list[FlowPacket]) -> None:
+        for packet in packets:
+            node = self._pick_node(packet.source)
+            if node is not None and not self._is_lost():
+                self.clock.call_later(NETWORK_SECONDS, node.take_datagram, packet.encode())
+
+    def _pick_node(self, source: FlowEnd) -> SimulatedTokenNode | None:
+        names = sorted(name for name in self.nodes if self._misses[name] < 2)
+        if not names:
+            names = sorted(self.nodes)
+        if not names:
+            return None
+        text = str(source)
+        if self._steady:
+            return self.nodes[max(names, key=lambda name: _hash(f"{text}|{name}"))]
+        return self.nodes[names[_hash(text) % len(names)]]
+
+    def _poll_readiness(self) -> None:
+        for name, node in self.nodes.items():
+            self._misses[name] = 0 if node.ready else self._misses[name] + 1
+        self.clock.call_later(READINESS_SECONDS, self._poll_readiness)
+
+    def _step(self) -> None:
+        now = self.clock.now
+        for source, flow in list(self.flows.items()):
+            self._send_to_nodes(flow.advance(now))
+            if flow.ended:
+                self.finished.append(self.flows.pop(source))
+        for endpoint in self.endpoints.values():
+            if endpoint.alive:
+                self._deliver(endpoint.model.advance(now))
+        self.clock.call_later(STEP_SECONDS, self._step)
+
+    def _end_endpoint(self, endpoint: Endpoint) -> None:
+        endpoint.alive = False
+        self._forget_endpoint(endpoint)
+
+    def _forget_endpoint(self, endpoint: Endpoint) -> None:
+        self.store.remove(BACKENDS, endpoint.record.name)
+        self.oracle.note_left(endpoint.record.name, self.clock.now)
+
+    def _is_lost(self) -> bool:
+        return self._loss > 0.0 and self.chance.random() < self._loss
+
+
+def _destination(number: int) -> bytes:
+    return bytes((198, 18, 0, number)) + SERVICE_PORT.to_bytes(2, "big")
+
+
+def _service_end(number: int) -> FlowEnd:
+    return FlowEnd(bytes((198, 18, 0, number)), SERVICE_PORT)
+
+
+def _key(end: FlowEnd) -> bytes:
+    return end.address + end.port.to_bytes(2, "big")
+
+
+def _hash(text: str) -> int:
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
--- /dev/null
+++ b/src/beamloom/simulation/tokens/node.py
@@ -0,0 +1,246 @@
+"""A simulated token node: the core, its reads of the store, and its ticks, on the virtual clock."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from beamloom.node.token_core import TokenCore
+from beamloom.platform import packet_layout
+from beamloom.protocol.messages import Message
+from beamloom.replication.object_watch import ObjectWatch
+from beamloom.replication.reader_duty import ReadingTurn
+from beamloom.replication.store_view import ObjectChange
+from beamloom.routing.tokens.decisions import Decision
+from beamloom.routing.tokens.packets import DropPacket, ForwardPacket
+from beamloom.routing.tokens.records import BackendRecord
+from beamloom.simulation.clock import VirtualClock
+from beamloom.simulation.tokens.store_link import StoreAnswer, StoreLink
+
+TICK_SECONDS = 0.25
+CALL_PATIENCE_SECONDS = 0.7
+BACKENDS = "backends"
+CONFIGURATION = "configuration"
+CONFIGURATION_NAME = "main"
+
+Forward = Callable[[bytes, tuple[str, int]], None]
+SendMessage = Callable[[str, str, Message], None]
+
+
+class QuietObserver:
+    """Counts what a core believes and decides."""
+
+    def __init__(self) -> None:
+        self.counters: Counter[str] = Counter()
+
+    def decision(self, decision: Decision) -> None:
+        """Count a decision by its type."""
+        self.counters[type(decision).__name__] += 1
+
+    def backend_changed(self, record: BackendRecord, revision: int, source: str) -> None:
+        """Count a changed backend."""
+        self.counters[f"backend_{source}"] += 1
+
+    def backend_gone(self, name: str, revision: int, source: str) -> None:
+        """Count a backend that has gone."""
+        self.counters[f"gone_{source}"] += 1
+
+    def configuration(self, version: int, before: int, routes: int, source: str) -> None:
+        """Count a version."""
+        self.counters[f"configuration_{source}"] += 1
+
+    def reader_duty(self, reading: bool) -> None:
+        """Count a duty taken up or given up."""
+        self.counters["duty"] += 1
+
+    def stalled(self, seconds: float) -> None:
+        """Count a stall."""
+        self.counters["stalled"] += 1
+
+
+class _Reader:
+    """The reads of one kind: one call at a time, each with a deadline."""
+
+    def __init__(
+        self,
+        node: SimulatedTokenNode,
+        kind: str,
+        watch: ObjectWatch[Any],
+        turn: ReadingTurn,
+        take: Callable[[tuple[ObjectChange[Any], ...], float], None],
+    ) -> None:
+        self._node = node
+        self._kind = kind
+        self._watch = watch
+        self._turn = turn
+        self._take = take
+        self._call = 0
+        self._busy = False
+
+    def advance(self) -> None:
+        """Ask where it is this node's turn."""
+        if not self._busy and self._turn.must_ask(self._node.clock.now):
+            self._ask()
+
+    def _ask(self) -> None:
+        self._busy = True
+        self._call += 1
+        call, asked_at = self._call, self._node.clock.now
+        wait = 0.0 if self._watch.must_list else self._turn.wait_seconds
+
+        def take_answer(answer: StoreAnswer) -> None:
+            if call == self._call:
+                self._call += 1
+                self._node.when_running(lambda: self._take_answer(answer, asked_at))
+
+        def give_up() -> None:
+            take_answer(StoreAnswer())
+
+        request = self._watch.next_request()
+        self._node.link.call(self._node.host, self._kind, request, wait, take_answer)
+        self._node.clock.call_later(wait + CALL_PATIENCE_SECONDS, give_up)
+
+    def _take_answer(self, answer: StoreAnswer, asked_at: float) -> None:
+        now = self._node.clock.now
+        changes: tuple[ObjectChange[Any], ...] = ()
+        if answer.page is not None:
+            changes = self._watch.take_page(answer.page, asked_at)
+        elif answer.batch is not None:
+            changes = self._watch.take_changes(answer.batch, now)
+        elif answer.history_gone:
+            self._watch.take_lost_history()
+        else:
+            self._node.clock.call_later(self._watch.take_failure(), self._rest)
+            return
+        if not answer.history_gone:
+            self._turn.note_answer()
+            self._take(changes, now)
+            self._node.send_messages()
+        self._rest()
+
+    def _rest(self) -> None:
+        self._busy = False
+        self._node.when_running(self.advance)
+
+
+class SimulatedTokenNode:
+    """One start of a node. Packets that arrive while it is frozen wait; a killed one is dead."""
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        zone: str,
+        clock: VirtualClock,
+        link: StoreLink,
+        *,
+        chance: random.Random,
+        seeds: tuple[str, ...],
+        secret: bytes,
+        forward: Forward,
+        send_message: SendMessage,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.zone = zone
+        self.clock = clock
+        self.link = link
+        self.alive = True
+        self.stopping = False
+        self.observer = QuietObserver()
+        reader_id = f"{chance.getrandbits(32):08x}"
+        self.core = TokenCore(zone, reader_id, CONFIGURATION_NAME, self.observer, chance=chance)
+        self._frozen_until = 0.0
+        self._waiting: list[Callable[[], None]] = []
+        self._forward = forward
+        self._send_message = send_message
+        core = self.core
+        self._readers = (
+            _Reader(self, BACKENDS, core.backend_watch, core.backend_turn, core.take_backends),
+            _Reader(
+                self,
+                CONFIGURATION,
+                core.configuration_watch,
+                core.configuration_turn,
+                core.take_configuration,
+            ),
+        )
+        core.use_key(secret)
+        core.join_peers(host, seeds)
+        self._tick()
+
+    @property
+    def frozen(self) -> bool:
+        """Whether the process stands still."""
+        return self.clock.now < self._frozen_until
+
+    @property
+    def ready(self) -> bool:
+        """What its readiness address answers."""
+        return self.alive and not self.frozen and not self.stopping and self.core.complete
+
+    def kill(self) -> None:
+        """End it without a word."""
+        self.alive = False
+
+    def freeze(self, seconds: float) -> None:
+        """Let the process stand still."""
+        self._frozen_until = self.clock.now + seconds
+        self.clock.call_later(seconds, self._wake)
+
+    def when_running(self, act: Callable[[], None]) -> None:
+        """Do something now, or once the process runs again; never, where it is dead."""
+        if not self.alive:
+            return
+        if self.frozen:
+            self._waiting.append(act)
+        else:
+            act()
+
+    def take_datagram(self, datagram: bytes) -> None:
+        """Take a client's packet."""
+        self.when_running(lambda: self._handle_packet(datagram))
+
+    def take_message(self, host: str, message: Message) -> None:
+        """Take a message of another node."""
+
+        def handle() -> None:
+            self.core.handle_message(host, message, self.clock.now)
+            self.send_messages()
+
+        self.when_running(handle)
+
+    def send_messages(self) -> None:
+        """Send what the core wants to tell its peers."""
+        for send in self.core.take_sends():
+            self._send_message(self.host, send.host, send.message)
+
+    def _handle_packet(self, datagram: bytes) -> None:
+        packet = packet_layout.parse_packet(datagram)
+        if packet is None:
+            return
+        command = self.core.router.handle(packet, self.clock.now)
+        if isinstance(command, ForwardPacket):
+            self._forward(packet_layout.encode_forward(command), command.address)
+        elif not isinstance(command, DropPacket):
+            self._forward(
+                packet_layout.encode_reset(packet), (packet_layout.client_host(packet), 0)
+            )
+
+    def _tick(self) -> None:
+        if not self.alive:
+            return
+        self.clock.call_later(TICK_SECONDS, self._tick)
+        if self.frozen:
+            return
+        self.core.advance(self.clock.now)
+        for reader in self._readers:
+            reader.advance()
+        self.send_messages()
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for act in waiting:
+            self.when_running(act)
--- a/tests/unit/fuzzing/test_machines.py
+++ b/tests/unit/fuzzing/test_machines.py
@@ -19,6 +19,8 @@
 from beamloom.object_api.errors import StoreConflictError
 from beamloom.object_api.operator import OperatorWriter
 from beamloom.routing.flow_table import FlowTable
+from beamloom.routing.tokens.backend_table import Backend, BackendTable
+from beamloom.routing.tokens.token import TokenCodec
 from beamloom.settings.tree import SettingsTree
 from beamloom.standins.platform_store import PlatformStore
 from tests.unit.simulation.broken_cores import MixesServices
@@ -28,9 +30,11 @@
     SubjectName.SETTINGS: SearchSize(40, 20),
     SubjectName.STORE: SearchSize(60, 25),
     SubjectName.FLOW_TABLE: SearchSize(50, 30),
+    SubjectName.TOKEN_ROUTER: SearchSize(60, 40),
     SubjectName.CODEC: SearchSize(30, 20),
 }
 SMALL = SearchSize(100, 20, shrink_runs=200)
+LARGER = SearchSize(400, 50, shrink_runs=200)
 
 
 class MixesServicesAtOnce(MixesServices):
@@ -48,8 +52,8 @@
 
 
 class PlantedFaultTest(unittest.TestCase):
-    def _assert_found(self, name: SubjectName, promise: str) -> Failure:
-        result = search_fixed(name, SMALL)
+    def _assert_found(self, name: SubjectName, promise: str, size: SearchSize = SMALL) -> Failure:
+        result = search_fixed(name, size)
         assert result.failure is not None
         self.assertIn(promise, result.failure.error)
         self.assertEqual(replay(result.failure.token), result.failure)
@@ -106,6 +110,20 @@
         with mock.patch.object(FlowTable, "remove", remove):
             self._assert_found(SubjectName.FLOW_TABLE, "entries")
 
+    def test_tokens_that_are_not_bound_to_their_flow_are_found(self) -> None:
+        def find(_codec: TokenCodec, _flow: bytes, _token: int, candidates: list) -> object:
+            return candidates[0] if candidates else None
+
+        with (
+            mock.patch.object(TokenCodec, "find", find),
+            mock.patch.object(BackendTable, "candidates", lambda table, _: [*table.all()]),
+        ):
+            self._assert_found(SubjectName.TOKEN_ROUTER, "made-up token")
+
+    def test_a_router_that_goes_on_placing_on_draining_backends_is_found(self) -> None:
+        with mock.patch.object(Backend, "takes_flows", True):
+            self._assert_found(SubjectName.TOKEN_ROUTER, "was placed on", LARGER)
+
     def test_parser_with_a_foreign_error_is_found(self) -> None:
         def parse(data: bytes) -> object:
             return data[3]
--- /dev/null
+++ b/tests/unit/simulation/test_token_fleet.py
@@ -0,0 +1,176 @@
+"""The simulated token deployment: rules hold under faults, and the oracle sees them broken."""
+
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from beamloom.replication.store_view import StoreView
+from beamloom.routing.tokens.backend_table import Backend, BackendTable
+from beamloom.routing.tokens.packets import (
+    ClientPacket,
+    ForwardPacket,
+    RefusalReason,
+    ResetFlow,
+    RouterCommand,
+)
+from beamloom.routing.tokens.route_table import RouteTable
+from beamloom.routing.tokens.router import TokenRouter
+from beamloom.routing.tokens.token import TokenCodec
+from beamloom.simulation.tokens.fleet import TokenFleet
+from beamloom.simulation.tokens.run import TokenRunOptions, run_tokens
+from beamloom.simulation.tokens.store_link import StoreFault
+from beamloom.standins.token_client import FlowPlan, FlowState
+
+CALM_SEEDS = range(1, 3)
+FAULTY_SEEDS = range(100, 112)
+
+
+class RulesTest(unittest.TestCase):
+    def test_a_calm_run_serves_every_flow(self) -> None:
+        for seed in CALM_SEEDS:
+            for steady in (True, False):
+                result = run_tokens(TokenRunOptions(seed, faults=0, steady=steady, loss=0.0))
+                self.assertEqual(result.violations, [])
+                self.assertEqual(set(result.flows) - {"done", "answers", "unfinished"}, set())
+                self.assertEqual(result.flows["unfinished"], 0)
+
+    def test_no_rule_breaks_under_faults_with_either_kind_of_router(self) -> None:
+        for seed in FAULTY_SEEDS:
+            with self.subTest(seed=seed):
+                options = TokenRunOptions(seed, faults=25, steady=seed % 2 == 0)
+                result = run_tokens(options)
+                self.assertEqual(result.violations, [])
+                self.assertGreater(result.flows["done"], 0.9 * 600)
+
+    def test_the_same_seed_gives_the_same_run(self) -> None:
+        options = TokenRunOptions(5, faults=20)
+        first, second = run_tokens(options), run_tokens(options)
+        self.assertEqual(first, second)
+
+    def test_all_nodes_killed_at_once_carry_the_open_flows_on(self) -> None:
+        fleet = TokenFleet(seed=3)
+        fleet.run(6.0)
+        flows = [fleet.open_flow(1, FlowPlan(requests=4, rest_seconds=1.0)) for _ in range(40)]
+        fleet.run(1.0)
+        for name in list(fleet.nodes):
+            fleet.kill_node(name)
+        fleet.run(15.0)
+        self.assertEqual({flow.state for flow in flows}, {FlowState.DONE})
+        self.assertEqual({len(set(flow.answers)) for flow in flows}, {1})
+        self.assertEqual(fleet.oracle.violations, [])
+
+    def test_a_node_that_the_store_refuses_hears_from_its_peers(self) -> None:
+        fleet = TokenFleet(seed=4)
+        fleet.run(6.0)
+        name = next(iter(fleet.nodes))
+        fleet.refuse_node(name, 30.0)
+        fleet.run(3.0)
+        endpoint = fleet.running_endpoints("tracker")[0]
+        fleet.drain_endpoint(endpoint)
+        fleet.run(0.5)
+        node = fleet.nodes[name]
+        held = [
+            backend
+            for backend in node.core.router.backends.of_service("tracker")
+            if backend.record.name == endpoint.record.name
+        ]
+        self.assertFalse(held[0].takes_flows)
+        self.assertGreater(node.observer.counters["backend_peer"], 0)
+
+    def test_after_a_silent_store_all_hear_within_the_contact_time(self) -> None:
+        fleet = TokenFleet(seed=5)
+        fleet.run(6.0)
+        fleet.disturb_store(StoreFault.SILENT, 6.0)
+        fleet.run(3.0)
+        fleet.set_routes({key: {"labeller"} for key in fleet.routes})
+        fleet.run(3.0 + 2.5)
+        versions = {node.core.router.routes.version for node in fleet.nodes.values()}
+        self.assertEqual(versions, {fleet.version})
+
+    def test_the_store_is_asked_by_few(self) -> None:
+        calls = {}
+        for nodes in (7, 40):
+            fleet = TokenFleet(seed=6, nodes=nodes)
+            fleet.run(10.0)
+            before = fleet.link.calls
+            fleet.run(30.0)
+            calls[nodes] = fleet.link.calls - before
+        self.assertLess(calls[7], 7 * 30)
+        self.assertLess(calls[40], 1.5 * calls[7])
+
+
+def _any_backend(
+    _codec: TokenCodec, flow: bytes, _token: int, candidates: list[Backend]
+) -> Backend | None:
+    return candidates[0] if candidates else None
+
+
+class BrokenCoresTest(unittest.TestCase):
+    """Each core breaks one promise on purpose; the oracle must say which."""
+
+    def play(self, seeds: range, faults: int = 25) -> set[str]:
+        results = [run_tokens(TokenRunOptions(seed, faults=faults)) for seed in seeds]
+        return {violation.rule for result in results for violation in result.violations}
+
+    def test_a_reset_on_an_open_flow_is_seen(self) -> None:
+        original = TokenRouter.handle
+
+        def reset_unknown(router: TokenRouter, packet: ClientPacket, now: float) -> RouterCommand:
+            command = original(router, packet, now)
+            if isinstance(command, ForwardPacket) and packet.data_length and packet.flow[5] == 7:
+                return ResetFlow(packet, RefusalReason.NO_BACKEND)
+            return command
+
+        with mock.patch.object(TokenRouter, "handle", reset_unknown):
+            self.assertIn("flow", self.play(range(1, 2), faults=0))
+
+    def test_a_node_deaf_to_drains_is_seen(self) -> None:
+        with mock.patch.object(BackendTable, "remove", lambda *_: False):
+            original = BackendTable.update
+
+            def only_ready(table: BackendTable, record: object, now: float) -> bool:
+                if record.state.value == "draining":  # type: ignore[attr-defined]
+                    return False
+                return original(table, record, now)  # type: ignore[arg-type]
+
+            with mock.patch.object(BackendTable, "update", only_ready):
+                self.assertIn("drain", self.play(range(100, 104)))
+
+    def test_a_node_that_keeps_an_old_configuration_is_seen(self) -> None:
+        original = RouteTable.put_in_force
+
+        def only_first(table: RouteTable, configuration: object) -> bool:
+            return table.version < 0 and original(table, configuration)  # type: ignore[arg-type]
+
+        with mock.patch.object(RouteTable, "put_in_force", only_first):
+            self.assertIn("configuration", self.play(range(100, 104)))
+
+    def test_refusals_although_there_is_a_route_are_seen(self) -> None:
+        def refuse(_router: TokenRouter, packet: ClientPacket, *_: object) -> RouterCommand:
+            return ResetFlow(packet, RefusalReason.NO_ROUTE)
+
+        with mock.patch.object(TokenRouter, "_open", refuse):
+            self.assertIn("configuration", self.play(range(1, 2), faults=0))
+
+    def test_altered_packets_are_seen(self) -> None:
+        from beamloom.platform import packet_layout
+
+        original: Callable[[ForwardPacket], bytes] = packet_layout.encode_forward
+
+        def alter(command: ForwardPacket) -> bytes:
+            data = original(command)
+            return data[:-1] + b"!" if command.packet.data_length else data
+
+        with mock.patch.object(packet_layout, "encode_forward", alter):
+            self.assertIn("unasked", self.play(range(1, 2), faults=0))
+
+    def test_a_view_that_stops_learning_from_peers_and_store_is_seen(self) -> None:
+        original = StoreView.apply
+
+        def late(view: StoreView[object], changes: object, revision: int) -> tuple[object, ...]:
+            original(view, (), revision)
+            return ()
+
+        with mock.patch.object(StoreView, "apply", late):
+            rules = self.play(range(100, 104))
+        self.assertTrue(rules & {"drain", "configuration"})
--- a/tests/unit/views/test_reader_duty.py
+++ b/tests/unit/views/test_reader_duty.py
@@ -77,6 +77,12 @@
         fleet.run(3.0)
         self.assertEqual(len(fleet.readers), TARGET_READERS)
 
+    def test_a_node_that_asked_only_once_is_no_reader(self) -> None:
+        """Found by the simulator: such nodes kept all others from reading."""
+        duty = ReaderDuty("5", random.Random(1))
+        duty.note_answer(10.0)
+        self.assertEqual(duty.recent(10.1), {})
+
     def test_what_is_heard_late_does_not_set_a_reader_back(self) -> None:
         duty = ReaderDuty("5", random.Random(1))
         duty.note_reader("1", 10.0)
