Tell figures on a metrics address; test token nodes as processes against stand-ins

The stand-in of the platform's store (refusing, silent, throttling, slow, losing answers, turning single hosts away), endpoints and clients surround real processes in tests/functional/test_token_node.py. They found that calls to the store left from whatever address the system chose; they leave from the node's own now. Counters and histograms are kept from the start; prometheus-client is imported at the first scrape. A test lists what may not be imported before a node is ready.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -20,6 +20,7 @@
 from beamloom.routing.tokens.records import BackendRecord, RoutingConfiguration
 from beamloom.routing.tokens.router import TokenRouter
 from beamloom.routing.tokens.token import TokenCodec
+from beamloom.telemetry.histogram import LatencyHistogram
 
 if TYPE_CHECKING:
     from beamloom.replication.view_exchange import SendToHost, ViewExchange
@@ -76,6 +77,7 @@
         self.backend_turn = ReadingTurn(self.backend_watch, self.duty, chance)
         self.configuration_turn = ReadingTurn(self.configuration_watch, self.duty, chance)
         self.exchange: ViewExchange | None = None
+        self.catch_up_seconds = LatencyHistogram()
         self.on_progress: Callable[[], None] = lambda: None
         self._configuration_name = configuration_name
         self._observer = observer
@@ -112,6 +114,7 @@
         )
         peers = PeerTable(host, seeds, self._chance)
         self.exchange = ViewExchange(views, peers, self.duty, self._chance)
+        self.exchange.catch_up_seconds = self.catch_up_seconds
 
     def advance(self, now: float) -> None:
         """Let time pass; to be called a few times a second."""
--- a/src/beamloom/platform/node_settings.py
+++ b/src/beamloom/platform/node_settings.py
@@ -12,6 +12,8 @@
 from beamloom.settings.token_node import Endpoint, TokenNodeSettings
 
 SETTINGS_VARIABLE = "BEAMLOOM_CONFIG"
+METRICS_VARIABLE = "BEAMLOOM_METRICS_PORT"
+"""Set by deploy/system.toml, next to the address that it tells the platform."""
 DEFAULT_SETTINGS_PATH = "/etc/beamloom/node.toml"
 
 
@@ -35,7 +37,7 @@
 def _translate(document: Mapping[str, Any]) -> TokenNodeSettings:
     addresses = document["bind-addrs"]
     bounds = document.get("bounds", {})
-    first_port, last_port = document["port-range"]
+    first_port, _ = document["port-range"]
     return TokenNodeSettings(
         node=str(document["node-name"]),
         host=str(document["ip"]),
@@ -44,7 +46,7 @@
         readiness=_endpoint(addresses["readiness"]),
         store=_endpoint(document["platform"]["address"]),
         peer_port=int(first_port),
-        metrics_port=int(last_port),
+        metrics=_metrics_endpoint(str(document["ip"])),
         seeds=tuple(_endpoint(seed).host for seed in document.get("seeds", ())),
         stop_seconds=float(bounds.get("grace-s", 6)),
         flow_seconds=float(bounds.get("flow-max-s", 60)),
@@ -54,6 +56,11 @@
     )
 
 
+def _metrics_endpoint(host: str) -> Endpoint | None:
+    port = os.environ.get(METRICS_VARIABLE, "")
+    return Endpoint(host, int(port)) if port else None
+
+
 def _endpoint(text: str) -> Endpoint:
     host, _, port = text.rpartition(":")
     return Endpoint(host, int(port))
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -20,6 +20,7 @@
 from beamloom.replication.reader_duty import ReaderDuty
 from beamloom.replication.store_view import ObjectChange, StoreView, ViewDelta
 from beamloom.replication.view_transfer import Reassembly, split
+from beamloom.telemetry.histogram import LatencyHistogram
 
 Record = TypeVar("Record")
 
@@ -65,6 +66,7 @@
     ) -> None:
         self.view = view
         self.requested_at = float("-inf")
+        self.behind_since: float | None = None
         self._codec = codec
         self._on_changes = on_changes
 
@@ -92,7 +94,10 @@
 
 
 class ViewExchange:
-    """Digests, requests and parts of one node; `take_sends` hands out what is to be sent."""
+    """Digests, requests and parts of one node; `take_sends` hands out what is to be sent.
+
+    `catch_up_seconds` is from hearing that a peer knows more to knowing it.
+    """
 
     def __init__(
         self,
@@ -102,6 +107,7 @@
         chance: random.Random,
     ) -> None:
         self.counters: Counter[str] = Counter()
+        self.catch_up_seconds = LatencyHistogram()
         self.peers = peers
         self._views = views
         self._duty = duty
@@ -169,6 +175,7 @@
         ):
             mine = NEVER if shared.view.revision is None else shared.view.revision
             if revision > mine:
+                shared.behind_since = now if shared.behind_since is None else shared.behind_since
                 self._request(host, index, shared, mine, now)
             elif revision < mine:
                 behind = True
@@ -225,6 +232,9 @@
             self.counters["unreadable"] += 1
             return
         shared.requested_at = float("-inf")
+        if merged and shared.behind_since is not None:
+            self.catch_up_seconds.observe(now - shared.behind_since)
+            shared.behind_since = None
         if merged:
             self.counters["merged"] += 1
             if len(self.peers) > DIRECT_PEERS:
--- a/src/beamloom/routing/tokens/flow_observer.py
+++ b/src/beamloom/routing/tokens/flow_observer.py
@@ -14,6 +14,7 @@
 from beamloom.routing.tokens.decisions import Decision, OpeningUnanswered, RequestStalled
 from beamloom.routing.tokens.packets import ClientPacket
 from beamloom.routing.tokens.token import NO_TOKEN
+from beamloom.telemetry.histogram import LatencyHistogram
 
 OPENING_PATIENCE_SECONDS = 0.5
 """An opening that neither went on nor was repeated by then has failed. Copies come 0.2 and 0.4 s
@@ -41,6 +42,7 @@
         "busy",
         "last_packet",
         "opened",
+        "opening_at",
         "repeats",
         "sequence",
         "token",
@@ -57,13 +59,20 @@
         self.sequence = -1
         self.asked_at = now
         self.repeats = 0
+        self.opening_at: float | None = None
         self.last_packet = now
 
 
 class FlowObserver:
-    """The flows of one node and the load that they put on backends."""
+    """The flows of one node and the load that they put on backends.
+
+    `opening_seconds` is from an opening packet to the first one with a token, `answer_seconds` from
+    a client's data to the first sign that it got more of an answer.
+    """
 
     def __init__(self, on_decision: Callable[[Decision], None]) -> None:
+        self.opening_seconds = LatencyHistogram()
+        self.answer_seconds = LatencyHistogram()
         self._on_decision = on_decision
         self.idle_seconds = 15.0
         self._flows: dict[bytes, ObservedFlow] = {}
@@ -87,6 +96,8 @@
             flow.tried.append(flow.backend)
             flow.backend = backend
             flow.last_packet = now
+        if flow.opening_at is None:
+            flow.opening_at = now
         backend.pending += 1
         self._openings.append((now + OPENING_PATIENCE_SECONDS, key, backend))
 
@@ -99,12 +110,13 @@
         elif flow.backend is not backend:
             self._move(flow, backend)
         if not flow.opened:
-            self._note_answered(flow)
+            self._note_answered(flow, now)
         if packet.data_length:
             self._note_data(flow, packet, now)
         elif flow.busy and packet.acknowledged != flow.acknowledged:
             self._set_busy(flow, False)
             self._end_stall(flow)
+            self.answer_seconds.observe(now - flow.asked_at)
         flow.token = packet.token
         flow.acknowledged = packet.acknowledged
         flow.last_packet = now
@@ -145,8 +157,10 @@
         flow.opened = False
         backend.pending += 1
 
-    def _note_answered(self, flow: ObservedFlow) -> None:
+    def _note_answered(self, flow: ObservedFlow, now: float) -> None:
         backend = flow.backend
+        if flow.opening_at is not None:
+            self.opening_seconds.observe(now - flow.opening_at)
         flow.opened = True
         backend.pending -= 1
         backend.open += 1
--- a/src/beamloom/runtime/http_client.py
+++ b/src/beamloom/runtime/http_client.py
@@ -93,10 +93,11 @@
 
 
 class HttpConnection:
-    """Calls to one server, one after the other."""
+    """Calls to one server, one after the other, from the address `local_host`."""
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, local_host: str) -> None:
         self._host = host
+        self._local = (local_host, 0)
         self._port = port
         self._protocol: _AnswerProtocol | None = None
 
@@ -135,7 +136,7 @@
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 _, self._protocol = await loop.create_connection(
-                    _AnswerProtocol, self._host, self._port
+                    _AnswerProtocol, self._host, self._port, local_addr=self._local
                 )
         except TimeoutError:
             detail = f"not connected in {CONNECT_SECONDS:g} s"
--- a/src/beamloom/runtime/store_follower.py
+++ b/src/beamloom/runtime/store_follower.py
@@ -166,7 +166,8 @@
         return reader
 
     def _connect(self) -> HttpConnection:
-        connection = HttpConnection(*self._settings.store.pair)
+        settings = self._settings
+        connection = HttpConnection(*settings.store.pair, local_host=settings.host)
         self._connections.append(connection)
         return connection
 
--- a/src/beamloom/runtime/store_reader.py
+++ b/src/beamloom/runtime/store_reader.py
@@ -23,6 +23,7 @@
 from beamloom.replication.reader_duty import ReadingTurn
 from beamloom.replication.store_view import ObjectChange
 from beamloom.runtime.http_client import CallFailedError, HttpAnswer, HttpConnection
+from beamloom.telemetry.histogram import LatencyHistogram
 
 Record = TypeVar("Record")
 
@@ -59,6 +60,7 @@
     ) -> None:
         self.watch = watch
         self.counters: Counter[str] = Counter()
+        self.list_seconds = LatencyHistogram()
         self.on_answer: Callable[[tuple[ObjectChange[Record], ...]], None] = lambda changes: None
         self.on_failure: Callable[[str, int], None] = lambda reason, failures: None
         self.on_recovery: Callable[[int], None] = lambda failures: None
@@ -135,6 +137,7 @@
         self, request: ListRequest | WatchRequest, body: bytes, asked_at: float
     ) -> tuple[ObjectChange[Record], ...]:
         if isinstance(request, ListRequest):
+            self.list_seconds.observe(_now() - asked_at)
             return self.watch.take_page(self._kind.read_page(body), asked_at)
         return self.watch.take_changes(self._kind.read_changes(body), _now())
 
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -21,8 +21,11 @@
 from beamloom.runtime.http_responder import HttpResponder
 from beamloom.runtime.packet_socket import PacketSocket
 from beamloom.runtime.store_follower import StoreFollower
+from beamloom.runtime.token_metric_sources import METRICS_PATH, metric_sources
+from beamloom.runtime.token_metrics import TokenMetrics
 from beamloom.settings.token_node import FIELDS_OF_A_START, TokenNodeSettings, changed_fields
 from beamloom.telemetry.event_log import EventLog, standard_output
+from beamloom.telemetry.histogram import LatencyHistogram
 
 TICK_SECONDS = 0.25
 READER_ID_BYTES = 4
@@ -64,6 +67,9 @@
         self.follower = StoreFollower(settings, self.core, self.decisions, chance)
         self._packets = PacketSocket(packets, self.core.router, self._note_fault)
         self._responder = HttpResponder({store_objects.READINESS_PATH: self._answer_readiness})
+        self.loop_lag = LatencyHistogram()
+        self.metrics = TokenMetrics(metric_sources(self))
+        self._metrics_responder = HttpResponder({METRICS_PATH: self._answer_metrics})
         self._stop_asked = asyncio.Event()
         self._was_ready = False
 
@@ -98,6 +104,7 @@
         """Serve until a stop is asked for, then until it is complete."""
         self._handle_signals()
         await self._responder.start(*self.settings.readiness.pair)
+        await self._start_metrics()
         self.decisions.life("Started", zone=self.settings.zone)
         jobs = (self.follower.run(), self._tick(), self._take_packets_at_last())
         tasks = [asyncio.create_task(job) for job in jobs]
@@ -110,6 +117,16 @@
         for task in done:
             task.result()
 
+    async def _start_metrics(self) -> None:
+        """Tell figures where the settings say; a node serves without them as well."""
+        endpoint = self.settings.metrics
+        if endpoint is None:
+            return
+        try:
+            await self._metrics_responder.start(*endpoint.pair)
+        except OSError as error:
+            self.decisions.dependency_lost("metrics address", str(error), 1)
+
     async def _take_packets_at_last(self) -> None:
         """Read packets, and count them as dropped, where the node is not ready for long."""
         await asyncio.sleep(LONGEST_QUEUE_SECONDS)
@@ -122,9 +139,12 @@
         await asyncio.sleep(min(FORWARD_AFTER_STOP_SECONDS, self.settings.stop_seconds / 2))
 
     async def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            due = loop.time() + TICK_SECONDS
             await asyncio.sleep(TICK_SECONDS)
-            now = asyncio.get_running_loop().time()
+            now = loop.time()
+            self.loop_lag.observe(now - due)
             self.core.advance(now)
             self.follower.advance(now)
             self.log.flush()
@@ -138,6 +158,7 @@
     def _close(self) -> None:
         self._packets.close()
         self._responder.close()
+        self._metrics_responder.close()
         self.follower.close()
         self.decisions.life("Stopped")
         self.log.flush()
@@ -157,6 +178,9 @@
         confirmed = self.core.backends.confirmed_at
         return None if confirmed is None else asyncio.get_running_loop().time() - confirmed
 
+    def _answer_metrics(self) -> HttpAnswer:
+        return HttpAnswer(200, self.metrics.render())
+
     def _answer_readiness(self) -> HttpAnswer:
         return HttpAnswer(200, b"ready\n") if self.ready else HttpAnswer(503, b"not ready\n")
 
--- a/src/beamloom/settings/token_node.py
+++ b/src/beamloom/settings/token_node.py
@@ -24,7 +24,8 @@
 
     A configuration must be in force within `apply_seconds`, a leaving backend be rid of new flows
     within `drain_seconds`; both hold for nodes that have had `contact_seconds` of undisturbed
-    contact. A flow may be forgotten after `flow_seconds`. After SIGTERM a node has `stop_seconds`.
+    contact. `metrics` is where figures are told, if anywhere. A flow may be forgotten after
+    `flow_seconds`. After SIGTERM a node has `stop_seconds`.
     """
 
     node: str
@@ -34,7 +35,7 @@
     readiness: Endpoint
     store: Endpoint
     peer_port: int
-    metrics_port: int
+    metrics: Endpoint | None
     seeds: tuple[str, ...]
     stop_seconds: float
     flow_seconds: float
@@ -44,7 +45,7 @@
 
 
 FIELDS_OF_A_START = frozenset(
-    {"node", "host", "zone", "packets", "readiness", "peer_port", "metrics_port"}
+    {"node", "host", "zone", "packets", "readiness", "peer_port", "metrics"}
 )
 """Addresses are bound, and names used, once; a change of these waits for the next start."""
 
--- /dev/null
+++ b/src/beamloom/standins/token_store_server.py
@@ -0,0 +1,149 @@
+"""Serves a TokenStore over HTTP as the platform does, with faults that can be switched on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+from beamloom.platform import store_encoding
+from beamloom.platform.store_encoding import StoreCall
+from beamloom.platform.store_objects import OBJECTS_PATH
+from beamloom.standins.token_store import (
+    ConflictError,
+    HistoryGoneError,
+    NoSuchObjectError,
+    StoredObject,
+    TokenStore,
+)
+
+LONGEST_SILENCE_SECONDS = 60.0
+STATUS_CREATED = 200
+STATUS_TOO_MANY = 429
+
+
+@dataclass(slots=True)
+class TokenStoreFaults:
+    """What the server does to calls.
+
+    `unavailable` answers 503; `silent` takes calls and never answers; `throttled` answers 429;
+    `delay_seconds` comes before each answer; `refused_hosts` get 503 while others are served;
+    `lost_writes` does the next writes and drops the connection.
+    """
+
+    unavailable: bool = False
+    silent: bool = False
+    throttled: bool = False
+    delay_seconds: float = 0.0
+    refused_hosts: set[str] = field(default_factory=set)
+    lost_writes: int = 0
+
+
+class TokenStoreServer:
+    """One server; `calls` counts by method and status."""
+
+    def __init__(self, store: TokenStore) -> None:
+        self.store = store
+        self.faults = TokenStoreFaults()
+        self.calls: Counter[str] = Counter()
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self.port = 0
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Listen (port 0 takes any free one); raises OSError."""
+        application = web.Application()
+        application.router.add_route("*", f"{OBJECTS_PATH}{{rest:.*}}", self._handle)
+        self._runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.2)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+        self.port = int(self._runner.addresses[0][1])
+
+    async def close(self) -> None:
+        """Stop listening and end open connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def note_change(self) -> None:
+        """Wake the watches: the store was changed."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        refusal = await self._refusal(request)
+        if refusal is not None:
+            self.calls[f"{request.method} {refusal}"] += 1
+            return web.Response(status=refusal)
+        call = store_encoding.parse_call(request.path_qs)
+        if call is None:
+            return web.Response(status=404)
+        try:
+            status, body = await self._answer(request, call)
+        except NoSuchObjectError:
+            status, body = 404, {"error": "no such object"}
+        except ConflictError:
+            status, body = 409, {"error": "the object is there"}
+        except HistoryGoneError:
+            status, body = 410, {"error": "history is gone"}
+        self.calls[f"{request.method} {status}"] += 1
+        return web.json_response(body, status=status)
+
+    async def _refusal(self, request: web.Request) -> int | None:
+        faults = self.faults
+        if faults.silent:
+            await asyncio.sleep(LONGEST_SILENCE_SECONDS)
+        if faults.delay_seconds:
+            await asyncio.sleep(faults.delay_seconds)
+        if faults.throttled:
+            return STATUS_TOO_MANY
+        if faults.unavailable or request.remote in faults.refused_hosts:
+            return 503
+        return None
+
+    async def _answer(self, request: web.Request, call: StoreCall) -> tuple[int, Any]:
+        if request.method == "POST":
+            return await self._create(request, call)
+        if call.name is not None:
+            return 200, self._encode(self.store.read(call.kind, call.name))
+        if call.watch is not None:
+            return 200, await self._watch(call, call.watch)
+        objects, more = self.store.page(call.kind, call.after)
+        encoded = [self._encode(stored) for stored in objects]
+        return 200, store_encoding.encode_list(encoded, more, self.store.revision)
+
+    async def _create(self, request: web.Request, call: StoreCall) -> tuple[int, Any]:
+        document = await request.json()
+        stored = self.store.create(call.kind, document["meta"]["name"], document["spec"])
+        self.note_change()
+        if self.faults.lost_writes > 0:
+            self.faults.lost_writes -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return STATUS_CREATED, self._encode(stored)
+
+    async def _watch(self, call: StoreCall, revision: int) -> dict[str, Any]:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + call.wait_seconds
+        while True:
+            changes = self.store.changes_after(call.kind, revision)
+            left = end - loop.time()
+            if changes or left <= 0:
+                encoded = [(change.gone, self._encode(change.stored)) for change in changes]
+                return store_encoding.encode_changes(encoded, self.store.revision)
+            await self._wait_for_change(left)
+
+    async def _wait_for_change(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _encode(self, stored: StoredObject) -> dict[str, Any]:
+        return store_encoding.encode_object(
+            stored.name, stored.revision, stored.made, stored.content
+        )
--- /dev/null
+++ b/src/beamloom/telemetry/histogram.py
@@ -0,0 +1,44 @@
+"""A latency histogram that costs one bisection an observation, with Prometheus's buckets."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+
+BOUNDS_SECONDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+
+class LatencyHistogram:
+    """Counts of observations by upper bound in seconds; the last count is of those above all."""
+
+    __slots__ = ("counts", "total_seconds")
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BOUNDS_SECONDS) + 1)
+        self.total_seconds = 0.0
+
+    def __len__(self) -> int:
+        return sum(self.counts)
+
+    def observe(self, seconds: float) -> None:
+        """Count one observation."""
+        self.counts[bisect_left(BOUNDS_SECONDS, seconds)] += 1
+        self.total_seconds += seconds
+
+    def cumulative(self) -> list[tuple[str, float]]:
+        """Return the pairs of upper bound and count up to it that Prometheus expects."""
+        pairs: list[tuple[str, float]] = []
+        count = 0
+        for bound, within in zip((*map(str, BOUNDS_SECONDS), "+Inf"), self.counts, strict=True):
+            count += within
+            pairs.append((bound, float(count)))
+        return pairs
+
+    def quantile(self, share: float) -> float | None:
+        """Return the bound below which a share of the observations lies; None without any."""
+        wanted = share * len(self)
+        count = 0
+        for bound, within in zip((*BOUNDS_SECONDS, float("inf")), self.counts, strict=True):
+            count += within
+            if count >= wanted and count:
+                return bound
+        return None
--- /dev/null
+++ b/tests/functional/test_token_node.py
@@ -0,0 +1,178 @@
+"""A token node as a process: the whole path, and what it does when things change or fail."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+import time
+import unittest
+
+from beamloom.routing.tokens.records import BackendState
+from beamloom.standins.token_client import FlowPlan, FlowState
+from tests.functional.token_node_case import METRICS_PORT, TokenNodeCase
+
+LONGEST_STOP_SECONDS = 6.0
+NOT_BEFORE_READY = {
+    "aiohttp",
+    "cbor2",
+    "cyclopts",
+    "matplotlib",
+    "numpy",
+    "prometheus_client",
+    "pydantic",
+    "rich",
+    "simpy",
+    "structlog",
+    "transitions",
+}
+
+
+class TokenNodeTest(TokenNodeCase):
+    async def test_flows_are_served_and_a_stop_cuts_off_none(self) -> None:
+        endpoints = [self.add_endpoint(number) for number in (1, 2)]
+        self.configure(1, "tracker")
+        node = self.start_node(1)
+        await self.wait_until_ready(1)
+        flows = [self.new_flow(2000 + number) for number in range(20)]
+        await self.play(1, flows)
+        self.assertEqual({flow.state for flow in flows}, {FlowState.DONE})
+        self.assertEqual({len(set(flow.answers)) for flow in flows}, {1})
+        self.assertTrue(all(len(endpoint.model.openings) > 2 for endpoint in endpoints))
+        self.assertEqual([dict(endpoint.model.faults) for endpoint in endpoints], [{}, {}])
+
+        last = self.new_flow(3000, FlowPlan(requests=3, rest_seconds=0.3))
+        self.send(1, last.advance(time.monotonic()))
+        began = time.monotonic()
+        self.stop(node)
+        await self.wait_until_ready(1, status=503, seconds=1.0)
+        await self.play(1, [last], seconds=3.0)
+        self.assertIs(last.state, FlowState.DONE)
+        self.assertEqual(await asyncio.to_thread(node.wait, LONGEST_STOP_SECONDS), 0)
+        self.assertLess(time.monotonic() - began, LONGEST_STOP_SECONDS)
+        events = [line["event"] for line in self.lines(1)]
+        for event in ("Started", "Ready", "FlowPlaced", "StopRequested", "Stopped"):
+            self.assertIn(event, events)
+
+    async def test_another_node_carries_flows_on_and_unknown_routes_are_refused(self) -> None:
+        self.add_endpoint(1)
+        self.add_endpoint(2)
+        self.configure(1, "tracker")
+        first = self.start_node(1)
+        self.start_node(2)
+        await self.wait_until_ready(1)
+        await self.wait_until_ready(2)
+        flow = self.new_flow(2000, FlowPlan(requests=4, rest_seconds=0.4))
+        began = time.monotonic()
+        while not flow.answers:
+            self.assertLess(time.monotonic() - began, 3.0)
+            self.send(1, flow.advance(time.monotonic()))
+            for endpoint in self.endpoints:
+                endpoint.step()
+            self.receive(1, [flow])
+            await asyncio.sleep(0.01)
+        first.kill()
+        await self.play(2, [flow])
+        self.assertIs(flow.state, FlowState.DONE)
+        self.assertEqual(len(set(flow.answers)), 1)
+
+        self.configure(2)
+        await asyncio.sleep(0.3)
+        refused = self.new_flow(2001)
+        await self.play(2, [refused])
+        self.assertIs(refused.state, FlowState.REFUSED)
+
+    async def test_a_node_that_the_store_refuses_hears_from_another(self) -> None:
+        leaving = self.add_endpoint(1)
+        self.add_endpoint(2)
+        self.configure(1, "tracker")
+        for number in (1, 2):
+            self.start_node(number)
+            await self.wait_until_ready(number)
+        await asyncio.sleep(2.0)
+        self.store.faults.refused_hosts = {f"{self.network}.1"}
+        await asyncio.sleep(1.0)
+        self.announce(leaving, "tracker", BackendState.DRAINING)
+        self.configure(5, "tracker")
+        await asyncio.sleep(1.5)
+        heard = [line for line in self.lines(1) if line.get("source") == "peer"]
+        self.assertIn("draining", [line.get("state") for line in heard], self.logs())
+        self.assertIn(5, [line.get("version") for line in heard], self.logs())
+        flows = [self.new_flow(2100 + number) for number in range(6)]
+        await self.play(1, flows)
+        self.assertEqual({flow.answers[0] for flow in flows}, {"i-00000002"})
+
+    async def test_a_lost_creation_of_the_secret_and_a_slow_store_do_no_harm(self) -> None:
+        self.add_endpoint(1)
+        self.configure(1, "tracker")
+        self.store.faults.lost_writes = 1
+        self.store.faults.delay_seconds = 0.3
+        self.start_node(1)
+        await self.wait_until_ready(1, seconds=12.0)
+
+    async def test_no_node_is_ready_before_the_store_has_told_it_everything(self) -> None:
+        self.store.faults.unavailable = True
+        self.start_node(1)
+        await self.wait_until_ready(1, status=503)
+        await asyncio.sleep(1.0)
+        self.assertEqual(await self.readiness(1), 503)
+        self.add_endpoint(1)
+        self.configure(1, "tracker")
+        self.store.faults.unavailable = False
+        await self.wait_until_ready(1, seconds=4.0)
+        regained = [line["event"] for line in self.lines(1)]
+        self.assertIn("DependencyLost", regained)
+        self.assertIn("DependencyRegained", regained)
+
+    async def test_settings_are_read_again_and_figures_are_told(self) -> None:
+        self.add_endpoint(1)
+        self.configure(1, "tracker")
+        node = self.start_node(1)
+        await self.wait_until_ready(1)
+        path = self.write_settings(1)
+        path.write_text(path.read_text() + "\n[bounds]\ndrain-ms = 9000\n")
+        node.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.6)
+        path.write_text("= nonsense")
+        node.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.6)
+        events = {line["event"]: line for line in self.lines(1)}
+        self.assertEqual(events["SettingsReloaded"]["changed"], "drain_seconds")
+        self.assertIn("correct the file", str(events["SettingsRefused"]["reason"]))
+        await self.play(1, [self.new_flow(2000)])
+        status, text = await self.get(1, METRICS_PORT, "/metrics")
+        self.assertEqual(status, 200)
+        self.assertIn('beamloom_packets_total{event="openings"} 1.0', text)
+        self.assertIn("beamloom_opening_seconds_bucket", text)
+        self.assertIn("beamloom_configuration_version 1.0", text)
+        self.assertEqual(await self.readiness(1), 200)
+
+    async def test_faulty_settings_end_the_program_with_a_line(self) -> None:
+        path = self.write_settings(1)
+        path.write_text("node-name = 5")
+        run = await asyncio.to_thread(
+            subprocess.run,
+            [sys.executable, "-m", "beamloom.runtime.token_node_main"],
+            env={"BEAMLOOM_CONFIG": str(path), "PATH": ""},
+            capture_output=True,
+            text=True,
+            timeout=10,
+            check=False,
+        )
+        self.assertEqual(run.returncode, 2)
+        self.assertIn("correct the file", run.stderr)
+
+
+class ImportsTest(unittest.TestCase):
+    def test_heavy_modules_are_not_loaded_before_a_node_is_ready(self) -> None:
+        code = (
+            "import sys, beamloom.runtime.token_node_main, beamloom.runtime.token_node\n"
+            "print(' '.join({name.partition('.')[0] for name in sys.modules}))"
+        )
+        run = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, timeout=20, check=True
+        )
+        self.assertEqual(set(run.stdout.split()) & NOT_BEFORE_READY, set())
+
+
+if __name__ == "__main__":
+    unittest.main()
