Reset flows at once whose backend's address has passed to a later incarnation

The flow is over for certain then, so its client is told at once (the reset's sequence is what the client expects, as the platform asks). Also mended: of two incarnations in one list the last one read took the address, whichever was later; now the revision decides.

--- a/src/beamloom/fuzzing/subjects/token_router.py
+++ b/src/beamloom/fuzzing/subjects/token_router.py
@@ -36,6 +36,7 @@
         self._routers = [self._make_router(seed) for seed in range(2)]
         self._now = 0.0
         self._version = 0
+        self._revision = 0
         self._routes: dict[int, str] = {}
         self._backends: dict[int, BackendRecord] = {}
         self._gone: dict[int, float] = {}
@@ -171,8 +172,9 @@
             router.advance(self._now)
 
     def _tell(self, record: BackendRecord) -> None:
+        self._revision += 1
         for router in self._routers:
-            router.backends.update(record, self._now)
+            router.backends.update(record, self._revision, self._now)
 
 
 def _destination(number: int) -> bytes:
--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -177,7 +177,7 @@
             if change.record is None:
                 if self.router.backends.remove(change.name, self._now):
                     self._observer.backend_gone(change.name, change.revision, source)
-            elif self.router.backends.update(change.record, self._now):
+            elif self.router.backends.update(change.record, change.revision, self._now):
                 self._observer.backend_changed(change.record, change.revision, source)
         self.on_progress()
 
--- a/src/beamloom/object_api/operator.py
+++ b/src/beamloom/object_api/operator.py
@@ -1,7 +1,7 @@
 """Operators' writes: conditional, named by an operation id, and resolved when an answer is lost.
 
 A write counts as accepted only when the store said so or its history shows it, and as not done only
-when it can no longer take effect. See docs/design/platform.md for the reasoning.
+when it can no longer take effect. See docs/design/object-api.md for the reasoning.
 """
 
 from __future__ import annotations
--- a/src/beamloom/platform/packet_layout.py
+++ b/src/beamloom/platform/packet_layout.py
@@ -4,7 +4,7 @@
 
 import struct
 
-from beamloom.routing.tokens.packets import ClientPacket, ForwardPacket, PacketKind
+from beamloom.routing.tokens.packets import ClientPacket, ForwardPacket, PacketKind, ResetFlow
 from beamloom.routing.tokens.token import NO_TOKEN
 
 HEAD = struct.Struct("!4sH4sHIIHIIB3s")
@@ -60,11 +60,22 @@
     return identity + data[:_ECHO_OFFSET] + _ECHO.pack(command.token) + data[_ECHO_END:]
 
 
-def encode_reset(packet: ClientPacket) -> bytes:
-    """Return the reset that answers an opening packet."""
+def encode_reset(command: ResetFlow) -> bytes:
+    """Return the reset that answers a client's packet."""
+    packet = command.packet
     destination, client_port, client, service_port = struct.unpack_from("!4sH4sH", packet.data)
     return HEAD.pack(
-        client, service_port, destination, client_port, 0, 0, 0, 0, 0, FLAG_RST, _PADDING
+        client,
+        service_port,
+        destination,
+        client_port,
+        command.sequence,
+        0,
+        0,
+        0,
+        0,
+        FLAG_RST,
+        _PADDING,
     )
 
 
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -1,7 +1,7 @@
 """Backends by token bucket and by service, with what this node saw of them.
 
 A backend that has gone from the store may serve on, so its token is decoded for as long as a flow
-may last. That ends early when its address passes to another incarnation.
+may last. A backend whose address has passed to a later incarnation has ended for certain.
 """
 
 from __future__ import annotations
@@ -20,25 +20,30 @@
 
     `pending` openings have not been answered yet, `open` flows have; of those `busy` ones wait for
     an answer. `failures` counts openings in a row that were not answered. `stalled` requests have
-    been repeated again and again. `forgotten` means that no packet may go there any more. Times are
-    in seconds.
+    been repeated again and again. `ended` means that a later incarnation has its
+    address; `forgotten`, that nothing is known of it any more. `revision` is that of the store's
+    last word on it. Times are in seconds.
     """
 
     __slots__ = (
         "busy",
+        "ended",
         "failures",
         "forgotten",
         "gone_at",
         "open",
         "pending",
         "record",
+        "revision",
         "stalled",
         "suspect_until",
         "warm_at",
     )
 
-    def __init__(self, record: BackendRecord, now: float) -> None:
+    def __init__(self, record: BackendRecord, revision: int, now: float) -> None:
         self.record = record
+        self.revision = revision
+        self.ended = False
         self.warm_at = now + record.warm_up_seconds
         self.gone_at: float | None = None
         self.forgotten = False
@@ -52,7 +57,8 @@
     @property
     def takes_flows(self) -> bool:
         """Whether the store lists it as ready."""
-        return self.gone_at is None and self.record.state is BackendState.READY
+        listed = self.gone_at is None and not self.ended
+        return listed and self.record.state is BackendState.READY
 
 
 class BackendTable:
@@ -79,20 +85,21 @@
         """Return the backends of a service, gone ones among them."""
         return self._by_service.get(service, [])
 
-    def update(self, record: BackendRecord, now: float) -> bool:
+    def update(self, record: BackendRecord, revision: int, now: float) -> bool:
         """Take one record of the store; return whether it changes anything."""
         self._forget_gone(now)
         known = self._by_name.get(record.name)
         if known is None:
-            self._add(record, now)
+            self._add(record, revision, now)
             return True
+        known.revision = revision
         came_back = known.gone_at is not None
         known.gone_at = None
         if known.record == record and not came_back:
             return False
         if known.record.service != record.service:
             self._forget(known)
-            self._add(record, now)
+            self._add(record, revision, now)
             return True
         known.record = record
         known.warm_at = now + record.warm_up_seconds
@@ -106,17 +113,25 @@
         known.gone_at = now
         return True
 
-    def _add(self, record: BackendRecord, now: float) -> None:
-        backend = Backend(record, now)
-        address = (record.host, record.port)
-        former = self._by_address.get(address)
-        if former is not None:
-            self._forget(former)
+    def _add(self, record: BackendRecord, revision: int, now: float) -> None:
+        backend = Backend(record, revision, now)
         bucket = bucket_of_identity(record.identity)
         self._by_bucket.setdefault(bucket, []).append(backend)
         self._by_name[record.name] = backend
         self._by_service.setdefault(record.service, []).append(backend)
-        self._by_address[address] = backend
+        self._take_address(backend, now)
+
+    def _take_address(self, backend: Backend, now: float) -> None:
+        """Let the later one of two incarnations have an address; a list may name both."""
+        address = (backend.record.host, backend.record.port)
+        former = self._by_address.get(address)
+        later = backend
+        if former is not None:
+            earlier, later = sorted((former, backend), key=lambda held: held.revision)
+            earlier.ended = True
+            if earlier.gone_at is None:
+                earlier.gone_at = now
+        self._by_address[address] = later
 
     def _forget_gone(self, now: float) -> None:
         for backend in list(self._by_name.values()):
--- a/src/beamloom/routing/tokens/packets.py
+++ b/src/beamloom/routing/tokens/packets.py
@@ -29,10 +29,14 @@
 
 
 class RefusalReason(Enum):
-    """Why the opening of a flow was refused with a reset."""
+    """Why a flow was answered with a reset.
+
+    BACKEND_ENDED is the only one for a flow that was open: its backend cannot hold it any more.
+    """
 
     NO_ROUTE = "no_route"
     NO_BACKEND = "no_backend"
+    BACKEND_ENDED = "backend_ended"
 
 
 @dataclass(slots=True)
@@ -65,10 +69,14 @@
 
 @dataclass(slots=True)
 class ResetFlow:
-    """Answer an opening packet with a reset at once: the flow was not opened."""
+    """Answer a packet with a reset at once: its flow was not opened, or its backend has ended.
+
+    `sequence` is what the client expects next of its backend.
+    """
 
     packet: ClientPacket
     reason: RefusalReason
+    sequence: int = 0
 
 
 @dataclass(slots=True)
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -1,7 +1,8 @@
 """The token router: one packet of a client in, one command out.
 
 An opening packet gets a backend and its token; any other packet is sent where its token says, if
-the token was minted for this flow. No reset goes out on a flow that may be open.
+the token was minted for this flow. No reset goes out on a flow that may be open; where a later
+incarnation has the address of a flow's backend, the flow is over, and its client is told at once.
 """
 
 from __future__ import annotations
@@ -112,12 +113,21 @@
             if verified is None:
                 return self._drop(packet, DropReason.UNKNOWN_TOKEN)
             backend = verified
+        if backend.ended:
+            return self._end_flow(packet)
         if packet.kind is PacketKind.END:
             self.flows.note_end(packet.flow)
         else:
             self.flows.note_packet(packet, backend, now)
         return self._forward(packet, backend, NO_TOKEN)
 
+    def _end_flow(self, packet: ClientPacket) -> RouterCommand:
+        """Answer a packet of a flow whose backend has ended."""
+        self.flows.note_end(packet.flow)
+        refused = self._refuse(packet, RefusalReason.BACKEND_ENDED)
+        refused.sequence = packet.acknowledged
+        return refused
+
     def _tell_placed(
         self, packet: ClientPacket, route: ActiveRoute, backend: Backend, now: float
     ) -> None:
--- a/src/beamloom/runtime/packet_socket.py
+++ b/src/beamloom/runtime/packet_socket.py
@@ -70,7 +70,7 @@
             self._send(packet_layout.encode_forward(command), command.address)
         elif not isinstance(command, DropPacket):
             client = packet_layout.client_host(command.packet)
-            self._send(packet_layout.encode_reset(command.packet), (client, self._client_port))
+            self._send(packet_layout.encode_reset(command), (client, self._client_port))
 
     def _send(self, data: bytes, address: tuple[str, int]) -> None:
         try:
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -68,6 +68,7 @@
         self.oracle = TokenOracle()
         self.nodes: dict[str, SimulatedTokenNode] = {}
         self.endpoints: dict[tuple[str, int], Endpoint] = {}
+        self._every_endpoint: list[Endpoint] = []
         self.flows: dict[FlowEnd, TokenClientFlow] = {}
         self.finished: list[TokenClientFlow] = []
         self.peer_cuts: set[str] = set()
@@ -158,6 +159,7 @@
         )
         endpoint = Endpoint(TokenEndpoint(name, identity), record)
         self.endpoints[address] = endpoint
+        self._every_endpoint.append(endpoint)
         self.store.put(BACKENDS, name, record)
         return endpoint
 
@@ -284,7 +286,8 @@
 
     def _judge_reset(self, flow: TokenClientFlow, node: str) -> None:
         if flow.state is not FlowState.OPENING:
-            self.oracle.report("flow", self.clock.now, f"{node} reset {flow.source}")
+            if any(held.alive and held.model.holds(flow.source) for held in self._every_endpoint):
+                self.oracle.report("flow", self.clock.now, f"{node} reset {flow.source}")
             return
         self.oracle.judge_refusal(node, _key(flow.service), self.clock.now)
 
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -226,7 +226,7 @@
             self._forward(packet_layout.encode_forward(command), command.address)
         elif not isinstance(command, DropPacket):
             self._forward(
-                packet_layout.encode_reset(packet), (packet_layout.client_host(packet), 0)
+                packet_layout.encode_reset(command), (packet_layout.client_host(packet), 0)
             )
 
     def _tick(self) -> None:
--- a/src/beamloom/standins/token_endpoint.py
+++ b/src/beamloom/standins/token_endpoint.py
@@ -51,6 +51,10 @@
     def __len__(self) -> int:
         return sum(flow.opened for flow in self._flows.values())
 
+    def holds(self, client: FlowEnd) -> bool:
+        """Whether a flow of a client's end is open here."""
+        return any(name[0] == client and flow.opened for name, flow in self._flows.items())
+
     def handle(self, identity: int, packet: FlowPacket, now: float) -> list[FlowPacket]:
         """Take a forwarded packet; return what goes to the client."""
         fault = self._fault(identity, packet)
