--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -14,6 +14,7 @@
 from beamloom.protocol.messages import Message
 from beamloom.replication.object_watch import ObjectWatch
 from beamloom.replication.reader_duty import ReaderDuty, ReadingTurn
+from beamloom.replication.reading_times import ReadingTimes
 from beamloom.replication.store_view import ObjectChange, StoreView
 from beamloom.routing.tokens.decisions import Decision
 from beamloom.routing.tokens.placement import Placement, PlacementSettings
@@ -64,12 +65,13 @@
         observer: BeliefObserver,
         *,
         chance: random.Random,
+        times: ReadingTimes,
         placement: PlacementSettings | None = None,
     ) -> None:
         self.router = TokenRouter(
             Placement(zone, placement or PlacementSettings(), chance), observer.decision
         )
-        self.duty = ReaderDuty(reader_id, chance)
+        self.duty = ReaderDuty(reader_id, chance, times)
         self.backends: StoreView[BackendRecord] = StoreView()
         self.configuration: StoreView[RoutingConfiguration] = StoreView()
         self.backend_watch = ObjectWatch(self.backends, chance)
--- a/src/beamloom/replication/object_watch.py
+++ b/src/beamloom/replication/object_watch.py
@@ -11,13 +11,12 @@
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
+from beamloom.replication.reading_times import LONGEST_PAUSE_SECONDS
 from beamloom.replication.store_view import NamedRecord, ObjectChange, StoreView
 
 Record = TypeVar("Record")
 
 FIRST_PAUSE_SECONDS = 0.1
-LONGEST_PAUSE_SECONDS = 0.8
-"""A node must hear again within 4 s of the store's return, lists of several pages included."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -4,7 +4,7 @@
 moment drawn by chance becomes one; a reader that hears `TARGET_READERS` others with lower ids
 steps back. A reader that is killed, cut or refused is no longer heard of, and others take its
 place; two too many for a while cost a few calls, and none breaks nothing, as a node whose view has
-not been confirmed for `STALE_SECONDS` asks the store by itself.
+not been confirmed for a while asks the store by itself (`reading_times.py`).
 """
 
 from __future__ import annotations
@@ -13,23 +13,18 @@
 from typing import Any
 
 from beamloom.replication.object_watch import ObjectWatch
+from beamloom.replication.reading_times import STALE_SPREAD_SECONDS, ReadingTimes
 
 TARGET_READERS = 2
-WATCH_WAIT_SECONDS = 1.5
-READER_SILENCE_SECONDS = 3.2
-"""A reader tells each answer of the store; in a large fleet one of two may not reach a node."""
 LONGEST_HESITATION_SECONDS = 0.8
-STALE_SECONDS = 2.0
-"""Changes must be in force within 3 s also where all readers died at once."""
-STALE_SPREAD_SECONDS = 0.3
-"""Nodes whose views become stale together do not all ask at once: the first one tells the rest."""
 
 
 class ReaderDuty:
     """Whether this node reads the store. `reader_id` is this start's own; ids compare as text."""
 
-    def __init__(self, reader_id: str, chance: random.Random) -> None:
+    def __init__(self, reader_id: str, chance: random.Random, times: ReadingTimes) -> None:
         self.reading = False
+        self.times = times
         self.reader_id = reader_id
         self._chance = chance
         self._heard: dict[str, float] = {}
@@ -76,7 +71,7 @@
     def recent(self, now: float) -> dict[str, float]:
         """Return the readers heard of lately and when the store last answered each."""
         self._heard = {
-            name: at for name, at in self._heard.items() if now - at < READER_SILENCE_SECONDS
+            name: at for name, at in self._heard.items() if now - at < self.times.silence_seconds
         }
         return self._heard
 
@@ -88,12 +83,12 @@
         self._watch = watch
         self._duty = duty
         self._chance = chance
-        self._stale_after = STALE_SECONDS
+        self._stale_after = duty.times.stale_seconds
 
     @property
     def wait_seconds(self) -> float:
         """How long a watch may wait: only a reader lets it wait at all."""
-        return WATCH_WAIT_SECONDS if self._duty.reading else 0.0
+        return self._duty.times.wait_seconds if self._duty.reading else 0.0
 
     def must_ask(self, now: float) -> bool:
         """Whether to ask now: as a reader, for want of a list, or as the view has become stale."""
@@ -104,4 +99,5 @@
 
     def note_answer(self) -> None:
         """Draw anew when the view will count as stale, so that not all nodes ask at once."""
-        self._stale_after = STALE_SECONDS + self._chance.uniform(0.0, STALE_SPREAD_SECONDS)
+        spread = self._chance.uniform(0.0, STALE_SPREAD_SECONDS)
+        self._stale_after = self._duty.times.stale_seconds + spread
--- /dev/null
+++ b/src/beamloom/replication/reading_times.py
@@ -0,0 +1,52 @@
+"""How often a fleet asks the store, derived from how soon a change must be in force.
+
+A change is heard late at worst when all readers died just after their last answers: then every
+node notices that its view has become stale, and asks for itself.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+CALL_PATIENCE_SECONDS = 0.7
+"""How long an answer may take, beyond what the store was asked to wait."""
+LONGEST_PAUSE_SECONDS = 0.8
+"""The longest pause between calls that fail."""
+STALE_SPREAD_SECONDS = 0.3
+"""Nodes whose views become stale together do not all ask at once: the first one tells the rest."""
+LONGEST_STALE_SECONDS = 2.0
+LONGEST_WAIT_SECONDS = 1.5
+SHORTEST_SECONDS = 0.1
+DEFAULT_BOUND_SECONDS = 3.0
+DEFAULT_CONTACT_SECONDS = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class ReadingTimes:
+    """How long things may take.
+
+    `wait_seconds` is how long a reader lets a watch wait, `stale_seconds` after how long without a
+    confirmation a node asks for itself, `silence_seconds` after how long without an answer a reader
+    is not counted on any more.
+    """
+
+    wait_seconds: float
+    stale_seconds: float
+    silence_seconds: float
+
+
+def reading_times(
+    bound_seconds: float = DEFAULT_BOUND_SECONDS,
+    contact_seconds: float = DEFAULT_CONTACT_SECONDS,
+) -> ReadingTimes:
+    """Return the times for a bound on hearing of changes.
+
+    After an outage of the store a node must hear again within `contact_seconds`: a watch that
+    hangs, a pause and one more call fit in there.
+    """
+    call = CALL_PATIENCE_SECONDS + STALE_SPREAD_SECONDS
+    stale = min(LONGEST_STALE_SECONDS, bound_seconds - call)
+    hanging = contact_seconds - 2 * CALL_PATIENCE_SECONDS - LONGEST_PAUSE_SECONDS
+    wait = min(LONGEST_WAIT_SECONDS, 0.75 * stale, hanging)
+    wait = max(SHORTEST_SECONDS, wait)
+    return ReadingTimes(wait, max(SHORTEST_SECONDS, stale), 2 * wait + 0.2)
--- a/src/beamloom/replication/shared_secret.py
+++ b/src/beamloom/replication/shared_secret.py
@@ -9,7 +9,8 @@
 import random
 from enum import Enum
 
-from beamloom.replication.object_watch import FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS
+from beamloom.replication.object_watch import FIRST_PAUSE_SECONDS
+from beamloom.replication.reading_times import LONGEST_PAUSE_SECONDS
 
 
 class SecretStep(Enum):
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -14,6 +14,10 @@
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.records import BackendState
 
+LONGEST_GONE_GRACE_SECONDS = 2.0
+HEARING_SECONDS = 1.0
+"""How long news of a backend may take to a node, with some room."""
+
 
 @dataclass(frozen=True, slots=True)
 class PlacementSettings:
@@ -28,7 +32,13 @@
     other_zone_surcharge: float = 0.5
     warm_up_share: float = 0.6
     resting_flow_load: float = 0.05
-    gone_grace_seconds: float = 2.0
+    gone_grace_seconds: float = LONGEST_GONE_GRACE_SECONDS
+
+
+def placement_settings(drain_seconds: float) -> PlacementSettings:
+    """Return the settings for the time in which a leaving backend must be rid of new flows."""
+    grace = min(LONGEST_GONE_GRACE_SECONDS, drain_seconds - HEARING_SECONDS)
+    return PlacementSettings(gone_grace_seconds=max(0.0, grace))
 
 
 class Placement:
--- a/src/beamloom/runtime/store_reader.py
+++ b/src/beamloom/runtime/store_reader.py
@@ -21,6 +21,7 @@
     WatchRequest,
 )
 from beamloom.replication.reader_duty import ReadingTurn
+from beamloom.replication.reading_times import CALL_PATIENCE_SECONDS
 from beamloom.replication.store_view import ObjectChange
 from beamloom.runtime.http_client import CallFailedError, HttpAnswer, HttpConnection
 from beamloom.telemetry.histogram import LatencyHistogram
@@ -28,7 +29,6 @@
 Record = TypeVar("Record")
 
 LIST_SECONDS = 2.0
-WATCH_PATIENCE_SECONDS = 0.7
 
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -115,7 +115,7 @@
             return await self._connection.call("GET", self._kind.list_path(request), LIST_SECONDS)
         wait = self._turn.wait_seconds
         path = self._kind.watch_path(request, wait)
-        return await self._connection.call("GET", path, wait + WATCH_PATIENCE_SECONDS)
+        return await self._connection.call("GET", path, wait + CALL_PATIENCE_SECONDS)
 
     def _take(
         self, request: ListRequest | WatchRequest, answer: HttpAnswer, asked_at: float
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -17,6 +17,8 @@
 
 from beamloom.node.token_core import TokenCore
 from beamloom.platform import packet_layout, store_objects
+from beamloom.replication.reading_times import reading_times
+from beamloom.routing.tokens.placement import placement_settings
 from beamloom.runtime.decision_log import DecisionLog
 from beamloom.runtime.http_client import HttpAnswer
 from beamloom.runtime.http_responder import HttpResponder
@@ -65,6 +67,10 @@
             store_objects.CONFIGURATION_NAME,
             self.decisions,
             chance=chance,
+            times=reading_times(
+                min(settings.apply_seconds, settings.drain_seconds), settings.contact_seconds
+            ),
+            placement=placement_settings(settings.drain_seconds),
         )
         self.core.on_progress = self._note_ready
         self.follower = StoreFollower(settings, self.core, self.decisions, chance)
--- a/src/beamloom/settings/token_node.py
+++ b/src/beamloom/settings/token_node.py
@@ -45,7 +45,18 @@
 
 
 FIELDS_OF_A_START = frozenset(
-    {"node", "host", "zone", "packets", "readiness", "peer_port", "metrics"}
+    {
+        "node",
+        "host",
+        "zone",
+        "packets",
+        "readiness",
+        "peer_port",
+        "metrics",
+        "apply_seconds",
+        "drain_seconds",
+        "contact_seconds",
+    }
 )
 """Addresses are bound, and names used, once; a change of these waits for the next start."""
 
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -12,6 +12,7 @@
 from beamloom.protocol.messages import Message
 from beamloom.replication.object_watch import ObjectWatch
 from beamloom.replication.reader_duty import ReadingTurn
+from beamloom.replication.reading_times import CALL_PATIENCE_SECONDS, reading_times
 from beamloom.replication.store_view import ObjectChange
 from beamloom.routing.tokens.decisions import Decision
 from beamloom.routing.tokens.packets import DropPacket, ForwardPacket, PacketKind
@@ -20,7 +21,6 @@
 from beamloom.simulation.tokens.store_link import StoreAnswer, StoreLink
 
 TICK_SECONDS = 0.25
-CALL_PATIENCE_SECONDS = 0.7
 BACKENDS = "backends"
 CONFIGURATION = "configuration"
 CONFIGURATION_NAME = "main"
@@ -151,7 +151,9 @@
         self.stopping = False
         self.observer = QuietObserver()
         reader_id = f"{chance.getrandbits(32):08x}"
-        self.core = TokenCore(zone, reader_id, CONFIGURATION_NAME, self.observer, chance=chance)
+        self.core = TokenCore(
+            zone, reader_id, CONFIGURATION_NAME, self.observer, chance=chance, times=reading_times()
+        )
         self._frozen_until = 0.0
         self._waiting: list[Callable[[], None]] = []
         self._forward = forward
--- a/src/beamloom/standins/token_store_server.py
+++ b/src/beamloom/standins/token_store_server.py
@@ -89,6 +89,8 @@
             status, body = 409, {"error": "the object is there"}
         except HistoryGoneError:
             status, body = 410, {"error": "history is gone"}
+        if self._refuses(request):
+            status, body = 503, {"error": "this host is refused"}
         self.calls[f"{request.method} {status}"] += 1
         return web.json_response(body, status=status)
 
@@ -100,9 +102,10 @@
             await asyncio.sleep(faults.delay_seconds)
         if faults.throttled:
             return STATUS_TOO_MANY
-        if faults.unavailable or request.remote in faults.refused_hosts:
-            return 503
-        return None
+        return 503 if self._refuses(request) else None
+
+    def _refuses(self, request: web.Request) -> bool:
+        return self.faults.unavailable or request.remote in self.faults.refused_hosts
 
     async def _answer(self, request: web.Request, call: StoreCall) -> tuple[int, Any]:
         if request.method == "POST":
--- a/tests/unit/tokens/test_settings.py
+++ b/tests/unit/tokens/test_settings.py
@@ -61,3 +61,4 @@
         self.assertEqual(changed_fields(before, after), ["zone", "drain_seconds"])
         self.assertIn("zone", FIELDS_OF_A_START)
         self.assertNotIn("store", FIELDS_OF_A_START)
+        self.assertNotIn("stop_seconds", FIELDS_OF_A_START)
--- a/tests/unit/views/test_object_watch.py
+++ b/tests/unit/views/test_object_watch.py
@@ -4,13 +4,13 @@
 import unittest
 
 from beamloom.replication.object_watch import (
-    LONGEST_PAUSE_SECONDS,
     ChangeBatch,
     ListPage,
     ListRequest,
     ObjectWatch,
     WatchRequest,
 )
+from beamloom.replication.reading_times import LONGEST_PAUSE_SECONDS
 from beamloom.replication.store_view import NamedRecord, ObjectChange, StoreView
 
 
--- a/tests/unit/views/test_reader_duty.py
+++ b/tests/unit/views/test_reader_duty.py
@@ -5,12 +5,15 @@
 
 from beamloom.replication.reader_duty import (
     LONGEST_HESITATION_SECONDS,
-    READER_SILENCE_SECONDS,
-    STALE_SECONDS,
     TARGET_READERS,
-    WATCH_WAIT_SECONDS,
     ReaderDuty,
 )
+from beamloom.replication.reading_times import (
+    CALL_PATIENCE_SECONDS,
+    LONGEST_PAUSE_SECONDS,
+    STALE_SPREAD_SECONDS,
+    reading_times,
+)
 
 STEP_SECONDS = 0.25
 WAY_SECONDS = 0.01
@@ -23,7 +26,8 @@
         chance = random.Random(seed)
         self.now = 0.0
         self.duties = {
-            f"{number:04x}": ReaderDuty(f"{number:04x}", chance) for number in range(count)
+            f"{number:04x}": ReaderDuty(f"{number:04x}", chance, reading_times())
+            for number in range(count)
         }
 
     def run(self, seconds: float) -> None:
@@ -44,9 +48,15 @@
 
 class ReaderDutyTest(unittest.TestCase):
     def test_the_bounds_fit_together(self) -> None:
-        self.assertGreater(READER_SILENCE_SECONDS, WATCH_WAIT_SECONDS)
-        self.assertGreater(STALE_SECONDS, WATCH_WAIT_SECONDS)
-        self.assertLess(STALE_SECONDS + 0.7, 3.0)
+        for bound, contact in ((3.0, 4.0), (2.5, 4.0), (2.0, 3.0), (10.0, 20.0), (1.5, 2.5)):
+            with self.subTest(bound=bound, contact=contact):
+                times = reading_times(bound, contact)
+                self.assertGreater(times.silence_seconds, times.wait_seconds)
+                self.assertGreater(times.stale_seconds, times.wait_seconds)
+                last_chance = times.stale_seconds + STALE_SPREAD_SECONDS + CALL_PATIENCE_SECONDS
+                self.assertLessEqual(last_chance, bound + 1e-9)
+                hanging = times.wait_seconds + 2 * CALL_PATIENCE_SECONDS + LONGEST_PAUSE_SECONDS
+                self.assertLessEqual(hanging, contact + 1e-9)
 
     def test_a_fleet_settles_on_the_target(self) -> None:
         for count in (2, 3, 10, 100):
@@ -65,7 +75,7 @@
         fleet.run(5.0)
         for name in fleet.readers:
             del fleet.duties[name]
-        fleet.run(READER_SILENCE_SECONDS + LONGEST_HESITATION_SECONDS + 3 * STEP_SECONDS)
+        fleet.run(reading_times().silence_seconds + LONGEST_HESITATION_SECONDS + 3 * STEP_SECONDS)
         self.assertGreaterEqual(len(fleet.readers), 1)
         fleet.run(5.0)
         self.assertEqual(len(fleet.readers), TARGET_READERS)
@@ -79,12 +89,12 @@
 
     def test_a_node_that_asked_only_once_is_no_reader(self) -> None:
         """Found by the simulator: such nodes kept all others from reading."""
-        duty = ReaderDuty("5", random.Random(1))
+        duty = ReaderDuty("5", random.Random(1), reading_times())
         duty.note_answer(10.0)
         self.assertEqual(duty.recent(10.1), {})
 
     def test_what_is_heard_late_does_not_set_a_reader_back(self) -> None:
-        duty = ReaderDuty("5", random.Random(1))
+        duty = ReaderDuty("5", random.Random(1), reading_times())
         duty.note_reader("1", 10.0)
         duty.note_reader("1", 9.0)
         self.assertEqual(duty.recent(10.5), {"1": 10.0})
--- a/tests/unit/views/test_view_exchange.py
+++ b/tests/unit/views/test_view_exchange.py
@@ -9,6 +9,7 @@
 from beamloom.protocol.view_messages import ViewDigest, ViewPart, ViewRequest
 from beamloom.replication.peer_table import PEER_SILENCE_SECONDS, PeerTable
 from beamloom.replication.reader_duty import ReaderDuty
+from beamloom.replication.reading_times import reading_times
 from beamloom.replication.store_view import NamedRecord, ObjectChange, StoreView
 from beamloom.replication.view_exchange import SharedView, ViewExchange
 from beamloom.replication.view_transfer import PART_BYTES, Reassembly, split
@@ -26,7 +27,9 @@
         self.heard: list[str] = []
         shared = SharedView(self.view, BACKEND_CODEC, self.take)
         peers = PeerTable(host, seeds, chance)
-        self.exchange = ViewExchange([shared], peers, ReaderDuty(host, chance), chance)
+        self.exchange = ViewExchange(
+            [shared], peers, ReaderDuty(host, chance, reading_times()), chance
+        )
 
     def take(self, changes: tuple[ObjectChange[BackendRecord], ...]) -> None:
         self.heard += [change.name for change in changes]
