--- a/src/beamloom/cli/check.py
+++ b/src/beamloom/cli/check.py
@@ -11,6 +11,9 @@
 from beamloom.cli.errors import FileKindError
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.output import FormatFlag, OutputFormat, flatten, write_json, write_line
+from beamloom.platform.deploy_file import MARK_OF_DEPLOY_FILE, deploy_faults
+from beamloom.platform.errors import PlatformSettingsError
+from beamloom.platform.node_settings import MARK_OF_SETTINGS, check_settings
 from beamloom.settings.deployment import Deployment, check_deployment
 from beamloom.settings.file_faults import SettingsFileError
 from beamloom.settings.node_file import check_node_settings
@@ -19,10 +22,19 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckResult:
-    """What a file is, and its faults in the order of their lines."""
+    """What a file is, and its faults in the order of their lines.
+
+    `platform_faults` are those of the users' platform's files, which know no lines.
+    """
 
     summary: str
     faults: tuple[SettingsFileError, ...]
+    platform_faults: tuple[str, ...] = ()
+
+    @property
+    def good(self) -> bool:
+        """Whether no fault was found."""
+        return not self.faults and not self.platform_faults
 
 
 def register(app: App) -> None:
@@ -36,22 +48,24 @@
     *,
     output_format: FormatFlag = OutputFormat.TABLE,
 ) -> ExitStatus:
-    """Check a node's settings file or a deployment file, and tell all its faults at once.
+    """Check a node's settings file, a deployment file or a deploy file; tell all faults at once.
 
     Exit status: 0 the file is good, 1 it has faults.
     """
     result = check_file(file)
     if output_format is OutputFormat.JSON:
-        write_json({"file": str(file), "faults": [_to_row(fault) for fault in result.faults]})
+        rows = [_to_row(fault) for fault in result.faults]
+        rows += [{"reason": fault} for fault in result.platform_faults]
+        write_json({"file": str(file), "faults": rows})
     else:
         _write_lines(file, result)
-    return ExitStatus.FAILED if result.faults else ExitStatus.GOOD
+    return ExitStatus.GOOD if result.good else ExitStatus.FAILED
 
 
 def check_file(file: Path) -> CheckResult:
     """Return what a file is and its faults; raises FileKindError where it is neither kind."""
     try:
-        return CheckResult(_check_source(load_toml(file)), ())
+        return _check_loaded(file)
     except SettingsFileError as fault:
         return CheckResult("", (fault,))
     except ExceptionGroup as group:
@@ -59,6 +73,24 @@
         return CheckResult("", tuple(faults))
 
 
+def _check_loaded(file: Path) -> CheckResult:
+    source = load_toml(file)
+    if MARK_OF_SETTINGS in source.data:
+        return _check_platform_settings(file, source)
+    if MARK_OF_DEPLOY_FILE in source.data:
+        faults = tuple(deploy_faults(source.data))
+        return CheckResult(f"a deploy file of {len(source.data['roles'])} roles", (), faults)
+    return CheckResult(_check_source(source), ())
+
+
+def _check_platform_settings(file: Path, source: TomlSource) -> CheckResult:
+    try:
+        settings = check_settings(source.data, str(file))
+    except PlatformSettingsError as error:
+        return CheckResult("", (), (str(error),))
+    return CheckResult(f"settings of token node {settings.node} in zone {settings.zone}", ())
+
+
 def _check_source(source: TomlSource) -> str:
     if "node" in source.data:
         settings = check_node_settings(source)
@@ -78,7 +110,9 @@
 def _write_lines(file: Path, result: CheckResult) -> None:
     for fault in result.faults:
         write_line(f"{file}: {fault}")
-    if not result.faults:
+    for text in result.platform_faults:
+        write_line(f"{file}: {text}")
+    if result.good:
         write_line(f"{file}: good, {result.summary}")
 
 
--- a/src/beamloom/cli/commands.py
+++ b/src/beamloom/cli/commands.py
@@ -7,6 +7,7 @@
 from beamloom.cli import (
     bench,
     check,
+    decode,
     demo,
     experiment,
     fuzz,
@@ -17,6 +18,7 @@
     simulate,
     simulate_tokens,
     status,
+    trace,
 )
 
 COMMAND_GROUPS = (
@@ -26,6 +28,8 @@
     objects.register,
     settings_commands.register,
     check.register,
+    decode.register,
+    trace.register,
     load.register,
     simulate.register,
     simulate_tokens.register,
--- /dev/null
+++ b/src/beamloom/cli/decode.py
@@ -0,0 +1,66 @@
+"""`beamloom decode`: datagrams of the token path as a person reads them."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable, Iterator
+from typing import Annotated
+
+from cyclopts import App, Parameter
+
+from beamloom.cli.errors import UsageError
+from beamloom.cli.exit_status import ExitStatus
+from beamloom.cli.output import write_line
+from beamloom.platform.flow_packets import decode_forwarded, decode_packet
+
+
+def register(app: App) -> None:
+    """Add the command."""
+    app.command(decode)
+
+
+def decode(
+    *datagrams: Annotated[str, Parameter(help="Datagrams in hexadecimal; none: standard input.")],
+    forwarded: bool = False,
+) -> ExitStatus:
+    """Print datagrams as a person reads them, one a line.
+
+    Exit status: 0 all were read, 1 at least one is no packet.
+
+    Parameters
+    ----------
+    datagrams
+        In hexadecimal, blanks and colons allowed; without any, lines of standard input.
+    forwarded
+        Datagrams to backends: the identity that is meant comes first.
+
+    """
+    texts: Iterable[str] = datagrams or (line for line in sys.stdin if line.strip())
+    good = True
+    for line in describe_all(texts, forwarded=forwarded):
+        good = good and not line.startswith("not a packet")
+        write_line(line)
+    return ExitStatus.GOOD if good else ExitStatus.FAILED
+
+
+def describe_all(texts: Iterable[str], *, forwarded: bool) -> Iterator[str]:
+    """Yield a line for each datagram; raises UsageError where one is not hexadecimal."""
+    for text in texts:
+        try:
+            data = bytes.fromhex(text.replace(":", " "))
+        except ValueError as error:
+            raise UsageError(f"{text.strip()[:40]!r} is not hexadecimal: {error}") from error
+        yield _describe_forwarded(data) if forwarded else _describe(data)
+
+
+def _describe(data: bytes) -> str:
+    packet = decode_packet(data)
+    return f"not a packet: {len(data)} bytes" if packet is None else packet.describe()
+
+
+def _describe_forwarded(data: bytes) -> str:
+    found = decode_forwarded(data)
+    if found is None:
+        return f"not a packet: {len(data)} bytes"
+    identity, packet = found
+    return f"to {identity:016x}: {packet.describe()}"
--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -41,7 +41,7 @@
     def backend_changed(self, record: BackendRecord, revision: int, source: str) -> None:
         """Hear what the store now says of a backend."""
 
-    def backend_gone(self, name: str, revision: int, source: str) -> None:
+    def backend_gone(self, name: str, service: str, revision: int, source: str) -> None:
         """Hear that the store no longer lists a backend."""
 
     def configuration(self, version: int, before: int, routes: int, source: str) -> None:
@@ -181,8 +181,10 @@
     ) -> None:
         for change in changes:
             if change.record is None:
-                if self.router.backends.remove(change.name, self._now):
-                    self._observer.backend_gone(change.name, change.revision, source)
+                gone = self.router.backends.remove(change.name, self._now)
+                if gone is not None:
+                    service = gone.record.service
+                    self._observer.backend_gone(change.name, service, change.revision, source)
             elif self.router.backends.update(change.record, change.revision, self._now):
                 self._observer.backend_changed(change.record, change.revision, source)
         self.on_progress()
--- a/src/beamloom/platform/node_settings.py
+++ b/src/beamloom/platform/node_settings.py
@@ -4,9 +4,9 @@
 
 import os
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from beamloom.platform.errors import PlatformSettingsError
 from beamloom.settings.token_node import Endpoint, TokenNodeSettings
@@ -15,6 +15,11 @@
 METRICS_VARIABLE = "BEAMLOOM_METRICS_PORT"
 """Set by deploy/system.toml, next to the address that it tells the platform."""
 DEFAULT_SETTINGS_PATH = "/etc/beamloom/node.toml"
+MARK_OF_SETTINGS = "bind-addrs"
+"""A table that only this file has."""
+MILLISECONDS = 1000
+
+Value = TypeVar("Value")
 
 
 def settings_path() -> Path:
@@ -23,44 +28,101 @@
 
 
 def read_settings(path: Path) -> TokenNodeSettings:
-    """Read the settings file; raises PlatformSettingsError."""
+    """Read the settings file; raises PlatformSettingsError, which tells all faults at once."""
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise PlatformSettingsError(str(path), str(error)) from error
-    try:
-        return _translate(document)
-    except (KeyError, TypeError, ValueError, IndexError) as error:
-        raise PlatformSettingsError(str(path), f"field {error} is missing or not usable") from error
-
-
-def _translate(document: Mapping[str, Any]) -> TokenNodeSettings:
-    addresses = document["bind-addrs"]
-    bounds = document.get("bounds", {})
-    first_port, _ = document["port-range"]
-    return TokenNodeSettings(
-        node=str(document["node-name"]),
-        host=str(document["ip"]),
-        zone=str(document["zone"]),
-        packets=_endpoint(addresses["datagram-addr"]),
-        readiness=_endpoint(addresses["readiness"]),
-        store=_endpoint(document["platform"]["address"]),
-        peer_port=int(first_port),
-        metrics=_metrics_endpoint(str(document["ip"])),
-        seeds=tuple(_endpoint(seed).host for seed in document.get("seeds", ())),
-        stop_seconds=float(bounds.get("grace-s", 6)),
-        flow_seconds=float(bounds.get("flow-max-s", 60)),
-        apply_seconds=float(bounds.get("config-apply-ms", 3000)) / 1000,
-        drain_seconds=float(bounds.get("drain-ms", 3000)) / 1000,
-        contact_seconds=float(bounds.get("contact-ms", 4000)) / 1000,
+    return check_settings(document, str(path))
+
+
+def check_settings(document: Mapping[str, Any], path: str) -> TokenNodeSettings:
+    """Translate the fields of a settings file; raises PlatformSettingsError."""
+    fields = _Fields(document)
+    settings = TokenNodeSettings(
+        node=fields.read("node-name", _text, ""),
+        host=fields.read("ip", _text, ""),
+        zone=fields.read("zone", _text, ""),
+        packets=fields.read("bind-addrs.datagram-addr", _endpoint, _NOWHERE),
+        readiness=fields.read("bind-addrs.readiness", _endpoint, _NOWHERE),
+        store=fields.read("platform.address", _endpoint, _NOWHERE),
+        peer_port=fields.read("port-range", _first_port, 0),
+        metrics=_metrics_endpoint(document),
+        seeds=fields.read("seeds", _seeds, (), required=False),
+        stop_seconds=fields.read("bounds.grace-s", _seconds, 6.0, required=False),
+        flow_seconds=fields.read("bounds.flow-max-s", _seconds, 60.0, required=False),
+        apply_seconds=fields.read("bounds.config-apply-ms", _milliseconds, 3.0, required=False),
+        drain_seconds=fields.read("bounds.drain-ms", _milliseconds, 3.0, required=False),
+        contact_seconds=fields.read("bounds.contact-ms", _milliseconds, 4.0, required=False),
     )
+    if fields.faults:
+        raise PlatformSettingsError(path, "; ".join(fields.faults))
+    return settings
 
 
-def _metrics_endpoint(host: str) -> Endpoint | None:
-    port = os.environ.get(METRICS_VARIABLE, "")
-    return Endpoint(host, int(port)) if port else None
+class _Fields:
+    """Reads fields by dotted names and collects what is wrong with them."""
+
+    def __init__(self, document: Mapping[str, Any]) -> None:
+        self.faults: list[str] = []
+        self._document = document
+
+    def read(
+        self, name: str, convert: Callable[[Any], Value], fallback: Value, *, required: bool = True
+    ) -> Value:
+        """Return a field, or the fallback where it is missing or faulty."""
+        value: Any = self._document
+        for part in name.split("."):
+            value = value.get(part) if isinstance(value, Mapping) else None
+        if value is None:
+            if required:
+                self.faults.append(f"{name} is missing")
+            return fallback
+        try:
+            return convert(value)
+        except (TypeError, ValueError, IndexError) as error:
+            self.faults.append(f"{name} = {value!r} is not usable ({error})")
+            return fallback
+
+
+_NOWHERE = Endpoint("", 0)
+
+
+def _text(value: Any) -> str:  # noqa: ANN401 - any TOML value
+    if not isinstance(value, str) or not value:
+        raise ValueError("a text is expected")
+    return value
 
 
-def _endpoint(text: str) -> Endpoint:
-    host, _, port = text.rpartition(":")
+def _endpoint(value: Any) -> Endpoint:  # noqa: ANN401 - any TOML value
+    host, _, port = _text(value).rpartition(":")
+    if not host:
+        raise ValueError("ADDRESS:PORT is expected")
     return Endpoint(host, int(port))
+
+
+def _first_port(value: Any) -> int:  # noqa: ANN401 - any TOML value
+    first, last = value
+    if not 0 < int(first) <= int(last):
+        raise ValueError("two ports are expected, the lower one first")
+    return int(first)
+
+
+def _seeds(value: Any) -> tuple[str, ...]:  # noqa: ANN401 - any TOML value
+    return tuple(_endpoint(seed).host for seed in value)
+
+
+def _seconds(value: Any) -> float:  # noqa: ANN401 - any TOML value
+    seconds = float(value)
+    if seconds <= 0:
+        raise ValueError("a positive number is expected")
+    return seconds
+
+
+def _milliseconds(value: Any) -> float:  # noqa: ANN401 - any TOML value
+    return _seconds(value) / MILLISECONDS
+
+
+def _metrics_endpoint(document: Mapping[str, Any]) -> Endpoint | None:
+    port = os.environ.get(METRICS_VARIABLE, "")
+    return Endpoint(str(document.get("ip", "")), int(port)) if port.isdecimal() else None
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -105,13 +105,13 @@
         known.warm_at = now + record.warm_up_seconds
         return True
 
-    def remove(self, name: str, now: float) -> bool:
-        """Note that the store no longer lists a backend; return whether that is new."""
+    def remove(self, name: str, now: float) -> Backend | None:
+        """Note that the store no longer lists a backend; return it where that is new."""
         known = self._by_name.get(name)
         if known is None or known.gone_at is not None:
-            return False
+            return None
         known.gone_at = now
-        return True
+        return known
 
     def _add(self, record: BackendRecord, revision: int, now: float) -> None:
         backend = Backend(record, revision, now)
--- a/src/beamloom/routing/tokens/decisions.py
+++ b/src/beamloom/routing/tokens/decisions.py
@@ -29,12 +29,18 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowRefused:
-    """An opening packet was answered with a reset."""
+    """A packet was answered with a reset.
+
+    `services` are those of the packet's route, `known` is how many of their backends this node has
+    heard of, draining and gone ones among them.
+    """
 
     flow: bytes
     reason: RefusalReason
     version: int
     copies: int
+    services: tuple[str, ...]
+    known: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -163,8 +163,18 @@
 
     def _refuse(self, packet: ClientPacket, reason: RefusalReason) -> ResetFlow:
         self.counters[f"refused_{reason.value}"] += 1
-        copies = packet.acknowledged
-        self._on_decision(FlowRefused(packet.flow, reason, self.routes.version, copies))
+        route = self.routes.find(packet.destination)
+        parts = () if route is None else route.record.parts
+        self._on_decision(
+            FlowRefused(
+                flow=packet.flow,
+                reason=reason,
+                version=self.routes.version,
+                copies=packet.acknowledged if packet.kind is PacketKind.OPEN else 0,
+                services=tuple(part.service for part in parts),
+                known=sum(len(self.backends.of_service(part.service)) for part in parts),
+            )
+        )
         return ResetFlow(packet, reason)
 
     def _drop(self, packet: ClientPacket, reason: DropReason) -> DropPacket:
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -54,6 +54,8 @@
                     "reason": decision.reason.value,
                     "version": decision.version,
                     "copies": decision.copies,
+                    "services": ",".join(decision.services),
+                    "known": decision.known,
                 }
             case PacketDropped():
                 fields |= {
@@ -93,9 +95,14 @@
             },
         )
 
-    def backend_gone(self, name: str, revision: int, source: str) -> None:
+    def backend_gone(self, name: str, service: str, revision: int, source: str) -> None:
         """Note that the store no longer lists a backend."""
-        fields: dict[str, FieldValue] = {"backend": name, "revision": revision, "source": source}
+        fields: dict[str, FieldValue] = {
+            "backend": name,
+            "service": service,
+            "revision": revision,
+            "source": source,
+        }
         self._log.record("BackendGone", fields)
 
     def configuration(self, version: int, before: int, routes: int, source: str) -> None:
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -43,7 +43,7 @@
         """Count a changed backend."""
         self.counters[f"backend_{source}"] += 1
 
-    def backend_gone(self, name: str, revision: int, source: str) -> None:
+    def backend_gone(self, name: str, service: str, revision: int, source: str) -> None:
         """Count a backend that has gone."""
         self.counters[f"gone_{source}"] += 1
 
--- a/tests/unit/simulation/test_token_fleet.py
+++ b/tests/unit/simulation/test_token_fleet.py
@@ -127,7 +127,7 @@
             self.assertIn("flow", self.play(range(1, 2), faults=0))
 
     def test_a_node_deaf_to_drains_is_seen(self) -> None:
-        with mock.patch.object(BackendTable, "remove", lambda *_: False):
+        with mock.patch.object(BackendTable, "remove", lambda *_: None):
             original = BackendTable.update
 
             def only_ready(table: BackendTable, record: object, revision: int, now: float) -> bool:
