Judge openings after 0.15 s, and try silent backends ever more rarely

Change: an opening without a first packet after 0.15 s has failed; suspicion doubles from 1 to 8 s while nothing is answered.

--- a/src/beamloom/routing/tokens/flow_observer.py
+++ b/src/beamloom/routing/tokens/flow_observer.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.decisions import Decision, OpeningUnanswered, RequestStalled
@@ -16,10 +17,9 @@
 from beamloom.routing.tokens.token import NO_TOKEN
 from beamloom.telemetry.histogram import LatencyHistogram
 
-OPENING_PATIENCE_SECONDS = 0.5
-"""An opening that neither went on nor was repeated by then has failed. Copies come 0.2 and 0.4 s
-after the packet before them.
-"""
+OPENING_PATIENCE_SECONDS = 0.15
+"""A backend answers an opening within milliseconds; copies come after 0.2 s."""
+LONGEST_SUSPICION_DOUBLINGS = 3
 SUSPECT_AFTER_FAILURES = 2
 STALLED_AFTER_REPEATS = 2
 """A client repeats after 0.2, 0.6 and 1.4 s: the second shows 0.6 s without a sign of life."""
@@ -28,6 +28,14 @@
 """How long a backend that did not answer is passed over before it is tried again."""
 
 
+class FlowPhase(Enum):
+    """How far a flow is, as this node sees it."""
+
+    OPENING = "opening"
+    UNANSWERED = "unanswered"
+    OPEN = "open"
+
+
 class ObservedFlow:
     """One flow: its backend, the backends tried before, and whether a request is under way.
 
@@ -42,8 +50,8 @@
         "backend",
         "busy",
         "last_packet",
-        "opened",
         "opening_at",
+        "phase",
         "placed_at",
         "repeats",
         "sequence",
@@ -55,7 +63,7 @@
         self.backend = backend
         self.tried: list[Backend] = []
         self.token = NO_TOKEN
-        self.opened = False
+        self.phase = FlowPhase.OPENING
         self.busy = False
         self.acknowledged = 0
         self.sequence = -1
@@ -65,6 +73,11 @@
         self.placed_at = now
         self.last_packet = now
 
+    @property
+    def opened(self) -> bool:
+        """Whether its backend has answered the opening."""
+        return self.phase is FlowPhase.OPEN
+
 
 class FlowObserver:
     """The flows of one node and the load that they put on backends.
@@ -98,12 +111,11 @@
             self._note_unanswered(key, flow, now)
             if flow.backend is not backend:
                 flow.tried.append(flow.backend)
-            flow.backend = backend
+            self._move(flow, backend)
             flow.last_packet = now
             flow.placed_at = now
         if flow.opening_at is None:
             flow.opening_at = now
-        backend.pending += 1
         self._openings.append((now + OPENING_PATIENCE_SECONDS, key, backend))
 
     def note_packet(self, packet: ClientPacket, backend: Backend, now: float) -> None:
@@ -111,7 +123,6 @@
         flow = self._flows.get(packet.flow)
         if flow is None:
             flow = self._add(packet.flow, backend, now)
-            backend.pending += 1
         elif flow.backend is not backend:
             self._move(flow, backend)
         if not flow.opened:
@@ -137,9 +148,8 @@
         while self._openings and self._openings[0][0] <= now:
             _, key, backend = self._openings.popleft()
             flow = self._flows.get(key)
-            if flow is not None and flow.backend is backend and not flow.opened:
+            if flow is not None and flow.backend is backend:
                 self._note_unanswered(key, flow, now)
-                del self._flows[key]
         while self._resting and self._resting[0][0] <= now:
             _, key = self._resting.popleft()
             flow = self._flows.get(key)
@@ -152,34 +162,39 @@
 
     def _add(self, key: bytes, backend: Backend, now: float) -> ObservedFlow:
         flow = self._flows[key] = ObservedFlow(backend, now)
+        backend.pending += 1
         self._resting.append((now + self.idle_seconds, key))
         return flow
 
     def _move(self, flow: ObservedFlow, backend: Backend) -> None:
-        """Follow a flow to the backend that answered it, another than this node chose last."""
+        """Note that a flow is to open, or has opened, at another backend."""
         self._leave(flow)
         flow.backend = backend
-        flow.opened = False
+        flow.phase = FlowPhase.OPENING
         backend.pending += 1
 
     def _note_answered(self, flow: ObservedFlow, now: float) -> None:
         backend = flow.backend
         if flow.opening_at is not None:
             self.opening_seconds.observe(now - flow.opening_at)
-        flow.opened = True
-        backend.pending -= 1
+        if flow.phase is FlowPhase.OPENING:
+            backend.pending -= 1
+        flow.phase = FlowPhase.OPEN
         backend.open += 1
         backend.failures = 0
         backend.suspect_until = 0.0
 
     def _note_unanswered(self, key: bytes, flow: ObservedFlow, now: float) -> None:
-        backend = flow.backend
-        if flow.opened:
+        """Note that a backend did not answer an opening in time, once for each opening."""
+        if flow.phase is not FlowPhase.OPENING:
             return
+        backend = flow.backend
+        flow.phase = FlowPhase.UNANSWERED
         backend.pending -= 1
         backend.failures += 1
         if backend.failures >= SUSPECT_AFTER_FAILURES:
-            backend.suspect_until = now + SUSPECT_SECONDS
+            doublings = min(backend.failures - SUSPECT_AFTER_FAILURES, LONGEST_SUSPICION_DOUBLINGS)
+            backend.suspect_until = now + SUSPECT_SECONDS * 2**doublings
         suspect = backend.suspect_until > now
         self._on_decision(OpeningUnanswered(key, backend.record.name, backend.failures, suspect))
 
@@ -216,7 +231,7 @@
     def _leave(self, flow: ObservedFlow) -> None:
         self._end_stall(flow)
         self._set_busy(flow, False)
-        if flow.opened:
+        if flow.phase is FlowPhase.OPEN:
             flow.backend.open -= 1
-        else:
+        elif flow.phase is FlowPhase.OPENING:
             flow.backend.pending -= 1
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -81,6 +81,7 @@
         self.flows.advance(now)
 
     def _open(self, packet: ClientPacket, codec: TokenCodec, now: float) -> RouterCommand:
+        self.flows.advance(now)
         route = self.routes.find(packet.destination)
         if route is None:
             return self._refuse(packet, RefusalReason.NO_ROUTE)
