Soak real token nodes under faults drawn by chance

beamloom soak runs nodes as processes behind loopback proxies to a stand-in store, with the simulator's endpoints, clients and oracle on sockets: kills (also of all at once), stops, pauses, reloads, ways to the store refused, cut, cut one way, delayed, reset; the store unavailable, silent, throttled, slow, compacted; endpoints that drain, crash, pass their address on; route changes.

--- a/src/beamloom/cli/commands.py
+++ b/src/beamloom/cli/commands.py
@@ -17,6 +17,7 @@
     settings_commands,
     simulate,
     simulate_tokens,
+    soak,
     status,
     trace,
 )
@@ -33,6 +34,7 @@
     load.register,
     simulate.register,
     simulate_tokens.register,
+    soak.register,
     bench.register,
     fuzz.register,
     experiment.register,
--- a/src/beamloom/platform/store_encoding.py
+++ b/src/beamloom/platform/store_encoding.py
@@ -9,6 +9,7 @@
 
 from beamloom.platform.store_objects import MILLISECONDS, OBJECTS_PATH
 from beamloom.routing.tokens.records import BackendRecord, RoutingConfiguration
+from beamloom.settings.token_node import TokenNodeSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,3 +87,27 @@
         "routes": routes,
         "limits": {"idle-timeout-ms": idle},
     }
+
+
+def encode_settings(settings: TokenNodeSettings) -> str:
+    """Return the settings file of a node, as far as a stand-in gives it."""
+    seeds = ", ".join(f'"{seed}:1"' for seed in settings.seeds)
+    return f"""
+node-name = "{settings.node}"
+role = "balancer"
+ip = "{settings.host}"
+zone = "{settings.zone}"
+port-range = [{settings.peer_port}, {settings.peer_port + 10}]
+seeds = [{seeds}]
+[bind-addrs]
+datagram-addr = "{settings.packets.text}"
+readiness = "{settings.readiness.text}"
+[bounds]
+grace-s = {settings.stop_seconds}
+flow-max-s = {settings.flow_seconds}
+config-apply-ms = {settings.apply_seconds * MILLISECONDS}
+drain-ms = {settings.drain_seconds * MILLISECONDS}
+contact-ms = {settings.contact_seconds * MILLISECONDS}
+[platform]
+address = "{settings.store.text}"
+"""
--- a/src/beamloom/settings/token_node.py
+++ b/src/beamloom/settings/token_node.py
@@ -12,6 +12,11 @@
     host: str
     port: int
 
+    @property
+    def text(self) -> str:
+        """The form that settings files have."""
+        return f"{self.host}:{self.port}"
+
     @property
     def pair(self) -> tuple[str, int]:
         """The form that sockets take."""
@@ -37,11 +42,11 @@
     peer_port: int
     metrics: Endpoint | None
     seeds: tuple[str, ...]
-    stop_seconds: float
-    flow_seconds: float
-    apply_seconds: float
-    drain_seconds: float
-    contact_seconds: float
+    stop_seconds: float = 6.0
+    flow_seconds: float = 60.0
+    apply_seconds: float = 3.0
+    drain_seconds: float = 3.0
+    contact_seconds: float = 4.0
 
 
 FIELDS_OF_A_START = frozenset(
--- /dev/null
+++ b/src/beamloom/soak/harness.py
@@ -0,0 +1,399 @@
+"""Everything around the nodes of a soak: store and proxies, endpoints, routers, clients, oracle.
+
+Endpoints and clients are the same models that the simulator uses, here on sockets.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import signal
+import socket
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from pathlib import Path
+
+from beamloom.platform import store_encoding
+from beamloom.platform.flow_packets import FlowEnd, FlowPacket, decode_forwarded, decode_packet
+from beamloom.platform.packet_layout import FLAG_RST, FLAG_SYN
+from beamloom.platform.store_objects import (
+    BACKENDS_KIND,
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+)
+from beamloom.routing.tokens.records import (
+    BackendRecord,
+    BackendState,
+    RoutePart,
+    RouteRecord,
+    RoutingConfiguration,
+)
+from beamloom.settings.token_node import Endpoint, TokenNodeSettings
+from beamloom.simulation.tokens.oracle import TokenOracle
+from beamloom.soak.nodes import NodeProcess
+from beamloom.soak.proxy import ProxyFault, StoreProxy
+from beamloom.standins.token_client import FlowPlan, FlowState, TokenClientFlow
+from beamloom.standins.token_endpoint import TokenEndpoint
+from beamloom.standins.token_store import TokenStore
+from beamloom.standins.token_store_server import TokenStoreServer
+
+NETWORK = "127.77"
+PACKETS_PORT = 19172
+READINESS_PORT = 19167
+PEER_PORT = 19720
+SERVICE_PORT = 443
+ENDPOINT_PORT = 19080
+CLIENT_HOST = f"{NETWORK}.2.1"
+STORE_HOST = f"{NETWORK}.4.1"
+ZONES = ("west", "middle", "east")
+SERVICES = ("tracker", "labeller")
+STEP_SECONDS = 0.01
+READINESS_PERIOD_SECONDS = 0.5
+RESTART_SECONDS = 0.5
+START_ALLOWANCE_SECONDS = 2.0
+SERVE_ON_SECONDS = 4.0
+REUSE_SECONDS = 2.0
+HEARTBEATS_SECONDS = 3.6
+LARGEST_DATAGRAM = 4096
+
+
+class SoakEndpoint:
+    """An endpoint on a socket; `alive` False means that its process is gone."""
+
+    def __init__(self, model: TokenEndpoint, record: BackendRecord) -> None:
+        self.model = model
+        self.record = record
+        self.alive = True
+        self.socket = _bind((record.host, record.port))
+
+    def end(self) -> None:
+        """Let the process be gone."""
+        self.alive = False
+        self.socket.close()
+
+
+class SoakHarness:
+    """One deployment of real nodes. `start` and `close` surround everything else."""
+
+    def __init__(self, folder: Path, nodes: int, seed: int) -> None:
+        self.oracle = TokenOracle()
+        self.server = TokenStoreServer(TokenStore())
+        self.nodes: dict[str, NodeProcess] = {}
+        self.proxies: dict[str, StoreProxy] = {}
+        self.endpoints: list[SoakEndpoint] = []
+        self.flows: dict[FlowEnd, TokenClientFlow] = {}
+        self.finished: list[TokenClientFlow] = []
+        self.routes: dict[bytes, frozenset[str]] = {}
+        self._folder = folder
+        self._node_count = nodes
+        self._chance = random.Random(seed)
+        self._version = 0
+        self._sequence = 0
+        self._next_identity = 0x1000
+        self._next_port = 20_000
+        self._clients = _bind((CLIENT_HOST, PACKETS_PORT))
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def now(self) -> float:
+        """Seconds of the loop's clock."""
+        return asyncio.get_running_loop().time()
+
+    async def start(self) -> None:
+        """Start store, endpoints and nodes; return when all nodes are ready."""
+        await self.server.start(STORE_HOST)
+        for number in range(8):
+            self.add_endpoint(SERVICES[0] if number % 4 else SERVICES[1])
+        self.set_routes({_destination(1): {"tracker"}, _destination(2): {"labeller"}})
+        for number in range(1, self._node_count + 1):
+            await self._add_node(number)
+        for job in (self._step(), self._poll_readiness()):
+            self.spawn(job)
+        while any(node.misses for node in self.nodes.values()):
+            await asyncio.sleep(STEP_SECONDS)
+
+    async def close(self) -> None:
+        """End what was started."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for node in self.nodes.values():
+            node.end()
+        for proxy in self.proxies.values():
+            await proxy.close()
+        for endpoint in self.endpoints:
+            endpoint.socket.close()
+        self._clients.close()
+        await self.server.close()
+
+    def spawn(self, job: Coroutine[object, object, None]) -> None:
+        """Run something beside the rest until it ends or the harness is closed."""
+        task = asyncio.create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def later(self, seconds: float, act: Callable[[], object]) -> None:
+        """Do something later."""
+
+        async def wait() -> None:
+            await asyncio.sleep(seconds)
+            act()
+
+        self.spawn(wait())
+
+    def note_disturbed(self, name: str, seconds: float) -> None:
+        """Note that a node is disturbed from now on, for so long."""
+        self.oracle.note_disturbed(name, self.now + seconds)
+
+    def kill(self, name: str) -> None:
+        """Kill a node; it starts again."""
+        self.note_disturbed(name, RESTART_SECONDS + START_ALLOWANCE_SECONDS)
+        self.nodes[name].send(signal.SIGKILL)
+        self.later(RESTART_SECONDS, self.nodes[name].start)
+
+    def stop(self, name: str) -> None:
+        """Stop a node as planned; it starts again."""
+        self.note_disturbed(name, 6.0 + START_ALLOWANCE_SECONDS)
+        self.nodes[name].send(signal.SIGTERM)
+        self.later(4.0, self.nodes[name].start)
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Let a node stand still."""
+        self.note_disturbed(name, seconds)
+        self.nodes[name].send(signal.SIGSTOP)
+        self.later(seconds, lambda: self.nodes[name].send(signal.SIGCONT))
+
+    def disturb_way(self, name: str, fault: ProxyFault, seconds: float) -> None:
+        """Let something befall a node's connections to the store."""
+        self.note_disturbed(name, seconds)
+        proxy = self.proxies[name]
+        proxy.fault = fault
+        if fault is ProxyFault.REFUSE:
+            proxy.reset_connections()
+        self.later(seconds, lambda: setattr(proxy, "fault", ProxyFault.NONE))
+
+    def disturb_store(self, fault: str, value: object, seconds: float) -> None:
+        """Set one of the store's faults for a while."""
+        self.oracle.note_store_disturbed(self.now + seconds)
+        before = getattr(self.server.faults, fault)
+        setattr(self.server.faults, fault, value)
+        self.later(seconds, lambda: setattr(self.server.faults, fault, before))
+
+    def add_endpoint(self, service: str, address: tuple[str, int] | None = None) -> None:
+        """Start an endpoint and announce it."""
+        self._next_identity += 1
+        identity = self._next_identity
+        host, port = address or (f"{NETWORK}.1.{len(self.endpoints) + 1}", ENDPOINT_PORT)
+        record = BackendRecord(
+            f"i-{identity:08x}",
+            identity,
+            service,
+            host,
+            port,
+            ZONES[identity % len(ZONES)],
+            2,
+            BackendState.READY,
+        )
+        self.endpoints.append(SoakEndpoint(TokenEndpoint(record.name, identity), record))
+        self._announce(record)
+
+    def running_endpoints(self, service: str) -> list[SoakEndpoint]:
+        """Return those of a service that run and do not leave."""
+        return [
+            endpoint
+            for endpoint in self.endpoints
+            if endpoint.alive and not endpoint.model.draining and endpoint.record.service == service
+        ]
+
+    def drain(self, endpoint: SoakEndpoint) -> None:
+        """Let an endpoint leave: it says so, serves on and ends."""
+        endpoint.model.draining = True
+        self._announce(replace(endpoint.record, state=BackendState.DRAINING))
+        self.oracle.note_left(endpoint.record.name, self.now)
+        self.later(SERVE_ON_SECONDS, lambda: self._end_endpoint(endpoint))
+
+    def crash(self, endpoint: SoakEndpoint) -> None:
+        """Let an endpoint die without a word."""
+        endpoint.end()
+        self.later(HEARTBEATS_SECONDS, lambda: self._forget_endpoint(endpoint))
+
+    def reuse(self, endpoint: SoakEndpoint, service: str) -> None:
+        """Let an endpoint leave and its address pass to another service."""
+        self.drain(endpoint)
+        address = (endpoint.record.host, endpoint.record.port)
+        wait = SERVE_ON_SECONDS + REUSE_SECONDS
+        self.later(wait, lambda: self.add_endpoint(service, address))
+
+    def set_routes(self, routes: dict[bytes, set[str]]) -> None:
+        """Write a configuration."""
+        self._version += 1
+        self.routes = {key: frozenset(services) for key, services in routes.items()}
+        records = tuple(
+            RouteRecord(
+                f"r-{key.hex()}", key, tuple(RoutePart(name, 1.0) for name in sorted(services))
+            )
+            for key, services in routes.items()
+        )
+        configuration = RoutingConfiguration(self._version, records)
+        content = store_encoding.encode_configuration(configuration)
+        self.server.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, content)
+        self.server.note_change()
+        self.oracle.note_routes(self.routes, self.now)
+
+    def open_flow(self, plan: FlowPlan) -> None:
+        """Let a client open a flow to one of the addresses."""
+        self._next_port = 20_000 + (self._next_port - 19_999) % 40_000
+        source = FlowEnd(socket.inet_aton(CLIENT_HOST), self._next_port)
+        number = self._chance.choice((1, 2))
+        service = FlowEnd(bytes((198, 18, 0, number)), SERVICE_PORT)
+        self.flows[source] = TokenClientFlow(source, service, plan, self.now)
+
+    async def _add_node(self, number: int) -> None:
+        name, host = f"node-{number}", f"{NETWORK}.0.{number}"
+        proxy = self.proxies[name] = StoreProxy((STORE_HOST, self.server.port))
+        await proxy.start(f"{NETWORK}.3.{number}")
+        settings = TokenNodeSettings(
+            node=name,
+            host=host,
+            zone=ZONES[number % len(ZONES)],
+            packets=Endpoint(host, PACKETS_PORT),
+            readiness=Endpoint(host, READINESS_PORT),
+            store=Endpoint(f"{NETWORK}.3.{number}", proxy.port),
+            peer_port=PEER_PORT,
+            metrics=None,
+            seeds=tuple(f"{NETWORK}.0.{seed}" for seed in (1, 2, 3)),
+        )
+        self.nodes[name] = NodeProcess(settings, self._folder)
+        self.nodes[name].start()
+        self.note_disturbed(name, START_ALLOWANCE_SECONDS)
+
+    async def _poll_readiness(self) -> None:
+        while True:
+            nodes = list(self.nodes.values())
+            checks = (asyncio.to_thread(node.is_ready) for node in nodes)
+            for node, ready in zip(nodes, await asyncio.gather(*checks), strict=True):
+                node.misses = 0 if ready else node.misses + 1
+            await asyncio.sleep(READINESS_PERIOD_SECONDS)
+
+    async def _step(self) -> None:
+        while True:
+            now = self.now
+            for source, flow in list(self.flows.items()):
+                self._send_to_nodes(flow.advance(now))
+                if flow.ended:
+                    self.finished.append(self.flows.pop(source))
+            for endpoint in self.endpoints:
+                if endpoint.alive:
+                    self._serve(endpoint, now)
+            self._receive_at_clients()
+            await asyncio.sleep(STEP_SECONDS)
+
+    def _serve(self, endpoint: SoakEndpoint, now: float) -> None:
+        packets = endpoint.model.advance(now)
+        for data, host in _drain_socket(endpoint.socket):
+            forwarded = decode_forwarded(data)
+            if forwarded is None:
+                self.oracle.report("unasked", now, f"no packet at {endpoint.record.name}")
+                continue
+            identity, packet = forwarded
+            self._judge_arrival(endpoint, host, identity, packet)
+            packets += endpoint.model.handle(identity, packet, now)
+        for packet in packets:
+            data = packet.encode(signed=not packet.flags & FLAG_RST)
+            endpoint.socket.sendto(data, (CLIENT_HOST, PACKETS_PORT))
+
+    def _judge_arrival(
+        self, endpoint: SoakEndpoint, host: str, identity: int, packet: FlowPacket
+    ) -> None:
+        if not packet.is_intact:
+            detail = f"an altered packet at {endpoint.record.name}"
+            self.oracle.report("unasked", self.now, detail)
+        if packet.flags & FLAG_SYN and identity == endpoint.model.identity:
+            record = endpoint.record
+            key = _key(packet.destination)
+            node = self._node_at(host)
+            self.oracle.judge_opening(node, record.name, record.service, key, self.now)
+
+    def _receive_at_clients(self) -> None:
+        for data, host in _drain_socket(self._clients):
+            packet = decode_packet(data)
+            flow = None if packet is None else self.flows.get(packet.destination)
+            if packet is None or flow is None or flow.ended:
+                continue
+            node = self._node_at(host)
+            if node and packet.flags & FLAG_RST:
+                self._judge_reset(flow, node)
+            first, count = flow.answers[:1], len(flow.answers)
+            replies = flow.handle(packet, self.now)
+            if len(flow.answers) > count and first:
+                self.oracle.judge_answer(first[0], flow.answers[-1], str(flow.source), self.now)
+            for text in flow.mixed:
+                self.oracle.report("mixed", self.now, text)
+            self._send_to_nodes(replies)
+
+    def _judge_reset(self, flow: TokenClientFlow, node: str) -> None:
+        if flow.state is FlowState.OPENING:
+            self.oracle.judge_refusal(node, _key(flow.service), self.now)
+        elif any(held.alive and held.model.holds(flow.source) for held in self.endpoints):
+            self.oracle.report("flow", self.now, f"{node} reset {flow.source}")
+
+    def _send_to_nodes(self, packets: list[FlowPacket]) -> None:
+        for packet in packets:
+            host = self._pick_host(packet.source)
+            self._clients.sendto(packet.encode(), (host, PACKETS_PORT))
+
+    def _pick_host(self, source: FlowEnd) -> str:
+        hosts = [node.host for node in self.nodes.values() if node.misses < 2]
+        hosts = hosts or [node.host for node in self.nodes.values()]
+        return max(hosts, key=lambda host: _hash(f"{source}|{host}"))
+
+    def _node_at(self, host: str) -> str:
+        return next((node.name for node in self.nodes.values() if node.host == host), "")
+
+    def _announce(self, record: BackendRecord) -> None:
+        self._sequence += 1
+        content = store_encoding.encode_backend(record, self._sequence)
+        self.server.store.put(BACKENDS_KIND, record.name, content)
+        self.server.note_change()
+
+    def _end_endpoint(self, endpoint: SoakEndpoint) -> None:
+        if endpoint.alive:
+            endpoint.end()
+        self._forget_endpoint(endpoint)
+
+    def _forget_endpoint(self, endpoint: SoakEndpoint) -> None:
+        self.server.store.remove(BACKENDS_KIND, endpoint.record.name)
+        self.server.note_change()
+        self.oracle.note_left(endpoint.record.name, self.now)
+
+
+def _bind(address: tuple[str, int]) -> socket.socket:
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.bind(address)
+    return bound
+
+
+def _drain_socket(bound: socket.socket) -> list[tuple[bytes, str]]:
+    datagrams: list[tuple[bytes, str]] = []
+    while True:
+        try:
+            data, source = bound.recvfrom(LARGEST_DATAGRAM)
+        except BlockingIOError:
+            return datagrams
+        except OSError:
+            continue
+        datagrams.append((data, str(source[0])))
+
+
+def _destination(number: int) -> bytes:
+    return bytes((198, 18, 0, number)) + SERVICE_PORT.to_bytes(2, "big")
+
+
+def _key(end: FlowEnd) -> bytes:
+    return end.address + end.port.to_bytes(2, "big")
+
+
+def _hash(text: str) -> int:
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
