--- a/src/beamloom/admission/limits.py
+++ b/src/beamloom/admission/limits.py
@@ -12,10 +12,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from beamloom.model.contracts import TenantContract, TenantLimits
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command
 from beamloom.protocol.messages import Message
-from beamloom.world.contracts import TenantContract, TenantLimits
-from beamloom.world.machines import NodeId
 
 REFILL_INTERVAL = 0.1
 PACKET_BURST_SECONDS = 0.25
--- a/src/beamloom/bench/forwarding.py
+++ b/src/beamloom/bench/forwarding.py
@@ -18,6 +18,10 @@
 import dpkt
 import numpy as np
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.model.contracts import Backend, Generation, ServiceContract, ServicePolicy
+from beamloom.model.machines import Member, MemberState, NodeId
+from beamloom.model.zones import Zone
 from beamloom.node.core import NodeCore
 from beamloom.node.options import NodeOptions
 from beamloom.protocol.codec import KeyRing
@@ -26,10 +30,6 @@
 from beamloom.routing.ownership import ALONE_SECONDS
 from beamloom.runtime.balancer import BalancerProcess
 from beamloom.runtime.machine_sockets import MachineSockets
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
-from beamloom.world.contracts import Backend, Generation, ServiceContract, ServicePolicy
-from beamloom.world.machines import Member, MemberState, NodeId
-from beamloom.world.zones import Zone
 
 LOOPBACK = "127.0.0.1"
 ANY_PORT = 0
--- a/src/beamloom/bench/scale.py
+++ b/src/beamloom/bench/scale.py
@@ -24,8 +24,8 @@
 from beamloom.bench.scale_sharing import shared_structures
 from beamloom.bench.scale_single import SingleCoreFigures, measure_single_core
 from beamloom.bench.scale_traffic import FlowFeed, fill_flow_tables
+from beamloom.model.machines import NodeId
 from beamloom.protocol.messages import Priority
-from beamloom.world.machines import NodeId
 
 SECONDS_PER_DAY = 86_400
 SETTLE_SECONDS = 5.0
--- a/src/beamloom/bench/scale_deployment.py
+++ b/src/beamloom/bench/scale_deployment.py
@@ -11,10 +11,10 @@
     BETWEEN_ZONES_DELAY,
     ScaleOptions,
 )
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, NodeId
+from beamloom.model.zones import Link, Zone
 from beamloom.simulation.deployment import DATA_PORT, HEALTH_PORT, PLATFORM_DELAY, PLATFORM_ZONE
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, NodeId
-from beamloom.world.zones import Link, Zone
 
 PEER_PORT, CONTROL_PORT = 5556, 7946
 SERVICE_PORT = 443
--- a/src/beamloom/bench/scale_failures.py
+++ b/src/beamloom/bench/scale_failures.py
@@ -6,8 +6,8 @@
 
 from beamloom.bench.scale_fleet import HollowFleet
 from beamloom.bench.scale_nodes import HollowNode
+from beamloom.model.machines import NodeId
 from beamloom.simulation.network import split
-from beamloom.world.machines import NodeId
 
 MACHINE_FAILURES = 3
 REPLACEMENTS = 4
--- a/src/beamloom/bench/scale_fleet.py
+++ b/src/beamloom/bench/scale_fleet.py
@@ -23,6 +23,9 @@
 )
 from beamloom.bench.scale_options import ScaleOptions
 from beamloom.bench.scale_samples import DatagramSamples
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, NodeId
+from beamloom.model.zones import Zone
 from beamloom.node.core import NodeCore
 from beamloom.node.options import NodeOptions
 from beamloom.protocol.codec import KeyRing
@@ -36,9 +39,6 @@
 from beamloom.simulation.node_adapter import NodeSurroundings
 from beamloom.simulation.randomness import derive_seed, random_stream
 from beamloom.standins.platform_store import PlatformStore
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, NodeId
-from beamloom.world.zones import Zone
 
 FLEET_KEY = b"scale run's fleet key, 32 bytes."
 HASH_KEY = b"scale run's hash key"
--- a/src/beamloom/bench/scale_nodes.py
+++ b/src/beamloom/bench/scale_nodes.py
@@ -8,14 +8,14 @@
 from dataclasses import dataclass, field
 
 from beamloom.bench.scale_samples import DatagramSamples
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, MemberState
 from beamloom.node.core import NodeCore
 from beamloom.protocol.commands import Command, SendControl
 from beamloom.protocol.events import ControlDatagramReceived, Event, TimerExpired
 from beamloom.protocol.membership_messages import MAXIMUM_UPDATES, MemberUpdate, StatePage
 from beamloom.replication.configuration_state import ConfigurationState
 from beamloom.simulation.node_adapter import SimulatedNode
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, MemberState
 
 UDP_AND_IP_HEADER = 28
 """Bytes that each datagram costs besides its payload, as the control budget counts them."""
--- a/src/beamloom/bench/scale_observations.py
+++ b/src/beamloom/bench/scale_observations.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, field
 
 from beamloom.bench.scale_nodes import HollowNode
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command
 from beamloom.simulation.clock import VirtualClock
 from beamloom.simulation.measurements import Measurements
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import NodeId
 
 LOOK_SECONDS = 0.25
 
--- a/src/beamloom/bench/scale_sharing.py
+++ b/src/beamloom/bench/scale_sharing.py
@@ -13,6 +13,8 @@
 from types import ModuleType
 from typing import Any
 
+from beamloom.model.contracts import Backend, Generation
+from beamloom.model.machines import Machine, NodeId
 from beamloom.node import configuration_follower
 from beamloom.protocol.events import StoredObject
 from beamloom.routing import ownership, services
@@ -20,8 +22,6 @@
 from beamloom.routing.placement import PlacementTable, build_placement_table
 from beamloom.settings import configuration
 from beamloom.settings.stored_objects import read_backend
-from beamloom.world.contracts import Backend, Generation
-from beamloom.world.machines import Machine, NodeId
 
 KEPT_MAPS = 64
 MapName = tuple[tuple[NodeId, str], ...]
--- a/src/beamloom/bench/scale_single.py
+++ b/src/beamloom/bench/scale_single.py
@@ -16,6 +16,8 @@
 from beamloom.bench.scale_fleet import FLEET_KEY, HASH_KEY, HollowFleet
 from beamloom.bench.scale_nodes import start_established
 from beamloom.bench.scale_options import ScaleOptions
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine
 from beamloom.node.core import NodeCore
 from beamloom.node.options import NodeOptions
 from beamloom.protocol.codec import KeyRing
@@ -23,8 +25,6 @@
 from beamloom.routing.flow_table import FlowFlag
 from beamloom.routing.partitions import PartitionMap
 from beamloom.simulation.randomness import random_stream
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine
 
 REPEATS = 5
 MEBIBYTE = 1 << 20
--- a/src/beamloom/bench/scale_traffic.py
+++ b/src/beamloom/bench/scale_traffic.py
@@ -14,13 +14,13 @@
 from beamloom.bench.scale_deployment import SERVICE_PORT, service_address
 from beamloom.bench.scale_nodes import HollowNode
 from beamloom.bench.scale_options import ScaleOptions
+from beamloom.model.machines import NodeId
 from beamloom.routing.flow_table import FlowFlag
 from beamloom.routing.hashing import flow_key, flow_seed, partition_of, slot_of
 from beamloom.routing.packet import PROTOCOL_TCP, TCP_ACK, TCP_RST, TCP_SYN
 from beamloom.routing.selection import Choice, PlacementReason
 from beamloom.simulation.clock import VirtualClock
 from beamloom.standins.packets import pack_address
-from beamloom.world.machines import NodeId
 
 FEED_SECONDS = 0.1
 PAYLOAD_DELAY = 0.05
--- a/src/beamloom/cli/flags.py
+++ b/src/beamloom/cli/flags.py
@@ -6,7 +6,7 @@
 
 from cyclopts import Parameter
 
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
 
 LARGEST_PORT = 65_535
 SEPARATOR = "://"
--- a/src/beamloom/cli/load.py
+++ b/src/beamloom/cli/load.py
@@ -12,10 +12,10 @@
 from beamloom.cli.flags import AddressText, parse_address, parse_virtual_address
 from beamloom.cli.output import FormatFlag, OutputFormat, write_json, write_rows
 from beamloom.demo.tenants import example_deployment
+from beamloom.model.addresses import VirtualAddress
 from beamloom.standins.client_model import Outcome
 from beamloom.standins.load import LoadResult, run_load
 from beamloom.standins.load_profiles import ProfileName
-from beamloom.world.addresses import VirtualAddress
 
 Positive = Parameter(validator=Number(gt=0))
 COLUMNS = ("measure", "value")
--- a/src/beamloom/cli/object_operations.py
+++ b/src/beamloom/cli/object_operations.py
@@ -8,13 +8,13 @@
 from beamloom.cli.output import OutputFormat, write_json, write_line, write_rows
 from beamloom.cli.platform_access import PlatformAccess, PlatformSession, open_platform
 from beamloom.cli.waiting import Waiter, tell_in_force
+from beamloom.model.contracts import BackendAdministrativeState
 from beamloom.object_api.errors import ObjectNotFoundError
 from beamloom.object_api.operator import AcceptedWrite
 from beamloom.protocol.events import StoredObject
 from beamloom.settings.configuration import Configuration
 from beamloom.settings.errors import MissingParentError
 from beamloom.settings.stored_objects import DEFAULT_WEIGHT, ObjectKey, ObjectKind
-from beamloom.world.contracts import BackendAdministrativeState
 
 Value = dict[str, Any]
 
--- a/src/beamloom/cli/objects.py
+++ b/src/beamloom/cli/objects.py
@@ -19,8 +19,8 @@
 from beamloom.cli.output import FormatFlag, OutputFormat
 from beamloom.cli.platform_access import PlatformAccess, open_platform
 from beamloom.cli.waiting import WaitFlags, make_waiter
+from beamloom.model.contracts import BackendAdministrativeState
 from beamloom.settings.stored_objects import DEFAULT_WEIGHT, MAXIMUM_WEIGHT, ObjectKind
-from beamloom.world.contracts import BackendAdministrativeState
 
 TenantName = Annotated[str, Parameter(help="The tenant's name.")]
 ServiceName = Annotated[str, Parameter(help="TENANT/SERVICE.")]
--- a/src/beamloom/cli/run.py
+++ b/src/beamloom/cli/run.py
@@ -23,6 +23,7 @@
 )
 from beamloom.cli.output import write_json, write_line
 from beamloom.cli.token_files import read_token
+from beamloom.model.addresses import TransportProtocol
 from beamloom.runtime.node_process import NodeProcess, handle_signals
 from beamloom.settings.deployment import load_deployment
 from beamloom.settings.node_file import load_node_settings
@@ -35,7 +36,6 @@
 from beamloom.standins.platform_server import PlatformServer
 from beamloom.standins.platform_store import PlatformStore
 from beamloom.telemetry.logs import configure_logs
-from beamloom.world.addresses import TransportProtocol
 
 ANY = "127.0.0.1:0"
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
--- a/src/beamloom/demo/changes.py
+++ b/src/beamloom/demo/changes.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from beamloom.demo.fleet import LoopbackFleet
-from beamloom.world.machines import NodeId
+from beamloom.model.machines import NodeId
 
 FIRST_CHANGE_SHARE = 0.15
 """Share of the demo's duration that passes before the first change."""
--- a/src/beamloom/demo/fleet.py
+++ b/src/beamloom/demo/fleet.py
@@ -11,6 +11,9 @@
 from typing import Any
 
 from beamloom.demo.tenants import DemoTenant
+from beamloom.model.addresses import SocketAddress, VirtualAddress
+from beamloom.model.contracts import BackendAdministrativeState
+from beamloom.model.machines import Machine, NodeId
 from beamloom.node.core import NodeCore
 from beamloom.node.options import NodeOptions
 from beamloom.object_api.adapter import StoreAdapter
@@ -28,9 +31,6 @@
 from beamloom.standins.fabric_process import FabricProcess
 from beamloom.standins.platform_server import PlatformServer
 from beamloom.standins.platform_store import PlatformStore
-from beamloom.world.addresses import SocketAddress, VirtualAddress
-from beamloom.world.contracts import BackendAdministrativeState
-from beamloom.world.machines import Machine, NodeId
 
 LOOPBACK = "127.0.0.1"
 ANY_ADDRESS = SocketAddress(LOOPBACK, ANY_PORT)
--- a/src/beamloom/demo/tenants.py
+++ b/src/beamloom/demo/tenants.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass
 from importlib.resources import as_file, files
 
+from beamloom.model.addresses import VirtualAddress
 from beamloom.settings.declarations import SettingValue
 from beamloom.settings.deployment import Deployment, load_deployment
 from beamloom.settings.deployment_model import ServiceTable, TenantTable
 from beamloom.settings.tree import Scope
 from beamloom.standins.load_profiles import ProfileName
-from beamloom.world.addresses import VirtualAddress
 
 ADDRESS_STEP = 1
 
--- a/src/beamloom/fuzzing/subjects/fleet.py
+++ b/src/beamloom/fuzzing/subjects/fleet.py
@@ -10,7 +10,7 @@
 from beamloom.simulation.deployment import VAKATALE
 from beamloom.simulation.fleet import CoreFactory, product_core
 from beamloom.simulation.network import PathCondition
-from beamloom.simulation.scenario import Scenario, World
+from beamloom.simulation.scenario import Scenario, ScenarioContext
 from beamloom.simulation.scenarios.platform import SCOPES, SETTING
 from beamloom.simulation.simulation import SETTLE_SECONDS, RunOptions, Simulation
 from beamloom.simulation.traffic import ClientEdge
@@ -26,7 +26,7 @@
 """How many operators race for one setting."""
 
 
-def _nothing(world: World) -> None:
+def _nothing(context: ScenarioContext) -> None:
     """Schedule nothing: the steps decide."""
 
 
@@ -75,8 +75,8 @@
         return self._simulation
 
     @property
-    def _world(self) -> World:
-        return self._running.world
+    def _world(self) -> ScenarioContext:
+        return self._running.context
 
     def _begin(self, seed: int, nodes: int, failures: bool) -> None:
         """Start the fleet; without `failures` the oracle excuses no broken flow."""
--- a/src/beamloom/membership/core.py
+++ b/src/beamloom/membership/core.py
@@ -17,6 +17,8 @@
 from beamloom.membership.synchronizer import Synchronizer
 from beamloom.membership.tracker import MemberTracker
 from beamloom.membership.view import MembershipView
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, MemberState, NodeId
 from beamloom.protocol.commands import Command, RecordTransition, SendMessage
 from beamloom.protocol.membership_messages import (
     Acknowledge,
@@ -32,8 +34,6 @@
     StateRequest,
 )
 from beamloom.protocol.messages import Message
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, MemberState, NodeId
 
 NEVER = float("inf")
 NOTICE_INTERVAL = 1.0
--- a/src/beamloom/membership/dissemination.py
+++ b/src/beamloom/membership/dissemination.py
@@ -10,8 +10,8 @@
 from itertools import islice
 
 from beamloom.membership.settings import MembershipSettings
+from beamloom.model.machines import Machine, MemberState, NodeId
 from beamloom.protocol.membership_messages import MAXIMUM_UPDATES, MemberUpdate, WireUpdate
-from beamloom.world.machines import Machine, MemberState, NodeId
 
 MACHINE_BYTES = 20
 IPV4_BYTES = 5
--- a/src/beamloom/membership/life_cycle.py
+++ b/src/beamloom/membership/life_cycle.py
@@ -10,7 +10,7 @@
 
 from transitions import Machine as StateMachine
 
-from beamloom.world.machines import MemberState
+from beamloom.model.machines import MemberState
 
 TRANSITIONS = (
     {"trigger": "become_alive", "source": "JOINING", "dest": "ALIVE"},
--- a/src/beamloom/membership/member_table.py
+++ b/src/beamloom/membership/member_table.py
@@ -12,8 +12,8 @@
 from xxhash import xxh3_64_intdigest
 
 from beamloom.membership.view import MembershipView
+from beamloom.model.machines import Machine, Member, MemberState, NodeId
 from beamloom.protocol.membership_messages import DIGEST_BUCKETS, MemberUpdate
-from beamloom.world.machines import Machine, Member, MemberState, NodeId
 
 DIGEST_MASK = 2**32 - 1
 
--- a/src/beamloom/membership/probe_ring.py
+++ b/src/beamloom/membership/probe_ring.py
@@ -7,8 +7,8 @@
 
 from beamloom.membership.member_table import MemberTable
 from beamloom.membership.settings import MembershipSettings
-from beamloom.world.machines import Member, NodeId
-from beamloom.world.zones import Zone
+from beamloom.model.machines import Member, NodeId
+from beamloom.model.zones import Zone
 
 
 class ProbeRing:
--- a/src/beamloom/membership/prober.py
+++ b/src/beamloom/membership/prober.py
@@ -9,6 +9,8 @@
 from beamloom.membership.health import RoundTripEstimator
 from beamloom.membership.probe_ring import ProbeRing
 from beamloom.membership.tracker import MemberTracker
+from beamloom.model.machines import Member, MemberState, NodeId
+from beamloom.model.zones import Zone
 from beamloom.protocol.commands import SendMessage
 from beamloom.protocol.membership_messages import (
     UNTRACKED_PROBE,
@@ -17,8 +19,6 @@
     Ping,
     PingRequest,
 )
-from beamloom.world.machines import Member, MemberState, NodeId
-from beamloom.world.zones import Zone
 
 MAXIMUM_RELAYS = 64
 MAXIMUM_ATTEMPTS = 3
--- a/src/beamloom/membership/snapshot.py
+++ b/src/beamloom/membership/snapshot.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from beamloom.world.machines import MemberState
+from beamloom.model.machines import MemberState
 
 
 @dataclass(slots=True)
--- a/src/beamloom/membership/suspicion.py
+++ b/src/beamloom/membership/suspicion.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from beamloom.membership.settings import MembershipSettings
-from beamloom.world.machines import NodeId
+from beamloom.model.machines import NodeId
 
 SMALLEST_SCALE = 1.5
 """Stands for log10 of the fleet's size where that is less, so that small fleets bear pauses too."""
--- a/src/beamloom/membership/synchronizer.py
+++ b/src/beamloom/membership/synchronizer.py
@@ -9,6 +9,8 @@
 from beamloom.membership.dissemination import update_size
 from beamloom.membership.page_budget import PageBudget
 from beamloom.membership.tracker import MemberTracker, UpdateOutcome
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, Member, NodeId
 from beamloom.protocol.commands import SendMessage
 from beamloom.protocol.errors import MalformedDatagramError
 from beamloom.protocol.membership_messages import (
@@ -26,8 +28,6 @@
     decode_update,
 )
 from beamloom.protocol.messages import Message
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, Member, NodeId
 
 NEVER = float("inf")
 MEMBERS_PER_QUESTION = 8
--- a/src/beamloom/membership/tracker.py
+++ b/src/beamloom/membership/tracker.py
@@ -18,9 +18,9 @@
 from beamloom.membership.settings import MembershipSettings
 from beamloom.membership.snapshot import MembershipCounters
 from beamloom.membership.suspicion import FlapHistory, Suspicion, suspicion_bounds
+from beamloom.model.machines import Machine, Member, MemberState, NodeId
 from beamloom.protocol.commands import Command, RecordTransition, SendMessage
 from beamloom.protocol.membership_messages import UNTRACKED_PROBE, MemberUpdate, Ping, WireUpdate
-from beamloom.world.machines import Machine, Member, MemberState, NodeId
 
 HASH_BITS = 64
 QUIET_STATES = frozenset({MemberState.SUSPECT})
--- a/src/beamloom/membership/view.py
+++ b/src/beamloom/membership/view.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
-from beamloom.world.machines import Member, NodeId
+from beamloom.model.machines import Member, NodeId
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/beamloom/model/__init__.py
@@ -0,0 +1,1 @@
+"""The typed domain model: machines, zones, links and contracts."""
--- a/src/beamloom/world/contracts.py
+++ b/src/beamloom/model/contracts.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
-from beamloom.world.addresses import SocketAddress, VirtualAddress
+from beamloom.model.addresses import SocketAddress, VirtualAddress
 
 
 class BackendAdministrativeState(StrEnum):
--- a/src/beamloom/world/machines.py
+++ b/src/beamloom/model/machines.py
@@ -6,8 +6,8 @@
 from enum import IntEnum
 from typing import NewType
 
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.zones import Zone
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.zones import Zone
 
 NodeId = NewType("NodeId", str)
 """A node's name; unique in the fleet, and a new one for each new machine."""
--- a/src/beamloom/node/configuration_follower.py
+++ b/src/beamloom/node/configuration_follower.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+from beamloom.model.contracts import Backend, Generation
 from beamloom.replication.backend_history import BackendHistory, BackendSet
 from beamloom.replication.configuration_replica import ConfigurationReplica
 from beamloom.settings.configuration import Configuration
 from beamloom.settings.configuration_changes import ConfigurationDelta
 from beamloom.settings.errors import SettingsError
 from beamloom.settings.stored_objects import read_backend
-from beamloom.world.contracts import Backend, Generation
 
 
 class ConfigurationFollower:
--- a/src/beamloom/node/control_channel.py
+++ b/src/beamloom/node/control_channel.py
@@ -5,13 +5,13 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import NodeId
 from beamloom.protocol.codec import Envelope, KeyRing, decode_datagram, encode_datagram
 from beamloom.protocol.commands import Command, SendControl, SendMessage
 from beamloom.protocol.errors import ProtocolError
 from beamloom.protocol.replay import ReplayGuard
 from beamloom.replication.budget import BudgetSnapshot, ControlBudget, Destination
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import NodeId
 
 MILLISECONDS = 1000
 
--- a/src/beamloom/node/core.py
+++ b/src/beamloom/node/core.py
@@ -11,6 +11,8 @@
 
 from beamloom.admission.limits import TenantAdmission
 from beamloom.membership.core import MembershipCore
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import MemberState, NodeId
 from beamloom.node.configuration_follower import ConfigurationFollower
 from beamloom.node.control_channel import ControlChannel
 from beamloom.node.errors import UnknownEventError
@@ -34,8 +36,6 @@
 from beamloom.routing.forwarder import Forwarder
 from beamloom.routing.hooks import RoutingHooks
 from beamloom.settings.configuration_changes import ConfigurationDelta
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import MemberState, NodeId
 
 MEMBERSHIP_KINDS = (range(1, 20), range(0))
 CONFIGURATION_KINDS = (range(20, 40), range(60, 64))
--- a/src/beamloom/node/neighbours.py
+++ b/src/beamloom/node/neighbours.py
@@ -17,10 +17,10 @@
     build_refusal,
 )
 from beamloom.admission.retry_budget import RetryBudget
+from beamloom.model.contracts import BackendOperatingStatus, ServiceContract
 from beamloom.protocol.commands import Command
 from beamloom.replication.backend_status.watchers import BackendWatchers, UnknownBackendError
 from beamloom.routing.hooks import Cancellation, FlowVerdict, TrafficMeter
-from beamloom.world.contracts import BackendOperatingStatus, ServiceContract
 
 
 class TenantGate:
--- a/src/beamloom/node/options.py
+++ b/src/beamloom/node/options.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 
 from beamloom.membership.settings import MembershipSettings
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine
 from beamloom.protocol.codec import KeyRing
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine
 
 DEFAULT_CONTROL_BYTES_PER_SECOND = 4096
 DEFAULT_TABLE_CAPACITY = 1_000_000
--- a/src/beamloom/node/timers.py
+++ b/src/beamloom/node/timers.py
@@ -9,9 +9,9 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command
 from beamloom.protocol.messages import Message
-from beamloom.world.machines import NodeId
 
 
 class Component(Protocol):
--- a/src/beamloom/object_api/client.py
+++ b/src/beamloom/object_api/client.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 
+from beamloom.model.machines import Machine, NodeId
 from beamloom.object_api import wire
 from beamloom.object_api.errors import (
     MachineNotRegisteredError,
@@ -30,7 +31,6 @@
 from beamloom.object_api.retry import Retrier
 from beamloom.object_api.statuses import HttpStatus, error_for_status
 from beamloom.object_api.transport import open_session
-from beamloom.world.machines import Machine, NodeId
 
 Result = TypeVar("Result")
 
--- a/src/beamloom/object_api/wire.py
+++ b/src/beamloom/object_api/wire.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, NodeId
+from beamloom.model.zones import Zone
 from beamloom.object_api.errors import MalformedAnswerError
 from beamloom.protocol.events import StoredObject
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, NodeId
-from beamloom.world.zones import Zone
 
 JsonObject = dict[str, Any]
 Decoded = TypeVar("Decoded")
--- a/src/beamloom/protocol/backend_messages.py
+++ b/src/beamloom/protocol/backend_messages.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass
 
+from beamloom.model.contracts import BackendOperatingStatus
 from beamloom.protocol.messages import Message, Priority, register_message
-from beamloom.world.contracts import BackendOperatingStatus
 
 BUCKET_COUNT = 128
 BUCKET_DIGEST_SIZE = 4
--- a/src/beamloom/protocol/codec.py
+++ b/src/beamloom/protocol/codec.py
@@ -14,6 +14,7 @@
 
 import cbor2
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.errors import (
     AuthenticationError,
     MalformedDatagramError,
@@ -21,7 +22,6 @@
     UnknownMessageError,
 )
 from beamloom.protocol.messages import MESSAGE_TYPES, Message, required_field_count
-from beamloom.world.machines import NodeId
 
 ENVELOPE_VERSION = 1
 TAG_SIZE = 16
--- a/src/beamloom/protocol/commands.py
+++ b/src/beamloom/protocol/commands.py
@@ -6,9 +6,9 @@
 from enum import Enum
 from typing import Any
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import NodeId
 from beamloom.protocol.messages import Message
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import NodeId
 
 
 class LocalSocket(Enum):
--- a/src/beamloom/protocol/events.py
+++ b/src/beamloom/protocol/events.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/protocol/flow_messages.py
+++ b/src/beamloom/protocol/flow_messages.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.errors import MalformedDatagramError
 from beamloom.protocol.messages import Message, Priority, register_message
-from beamloom.world.machines import NodeId
 
 RECORD = struct.Struct("!QI")
 RECORDS_PER_MESSAGE = 100
--- a/src/beamloom/protocol/membership_messages.py
+++ b/src/beamloom/protocol/membership_messages.py
@@ -10,11 +10,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, MemberState, NodeId
+from beamloom.model.zones import Zone
 from beamloom.protocol.errors import MalformedDatagramError
 from beamloom.protocol.messages import Message, Priority, register_message
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, MemberState, NodeId
-from beamloom.world.zones import Zone
 
 MAXIMUM_NAME_LENGTH = 64
 MAXIMUM_NUMBER = 2**48
--- a/src/beamloom/protocol/replay.py
+++ b/src/beamloom/protocol/replay.py
@@ -5,8 +5,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.errors import ReplayedDatagramError
-from beamloom.world.machines import NodeId
 
 WINDOW_SIZE = 256
 MAXIMUM_SENDERS = 4096
--- a/src/beamloom/protocol/status_messages.py
+++ b/src/beamloom/protocol/status_messages.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.messages import Message, Priority, register_message
-from beamloom.world.machines import NodeId
 
 
 def _require(condition: bool, reason: str) -> None:
--- a/src/beamloom/replication/backend_status/assignment.py
+++ b/src/beamloom/replication/backend_status/assignment.py
@@ -13,7 +13,7 @@
 import numpy.typing as npt
 import xxhash
 
-from beamloom.world.machines import Member, NodeId
+from beamloom.model.machines import Member, NodeId
 
 HashArray = npt.NDArray[np.uint64]
 ROWS_AT_ONCE = 64
--- a/src/beamloom/replication/backend_status/checking.py
+++ b/src/beamloom/replication/backend_status/checking.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Iterable, Set
 
+from beamloom.model.contracts import Backend, BackendOperatingStatus
+from beamloom.model.machines import NodeId
 from beamloom.protocol.backend_messages import WatcherOpinion
 from beamloom.protocol.commands import CheckBackend, Command, SendMessage
 from beamloom.protocol.events import BackendChecked
@@ -18,8 +20,6 @@
     decode_record,
 )
 from beamloom.replication.backend_status.watching import WatchedBackend
-from beamloom.world.contracts import Backend, BackendOperatingStatus
-from beamloom.world.machines import NodeId
 
 JITTER = 0.1
 RECHECK_SHARE = 0.5
--- a/src/beamloom/replication/backend_status/gossip.py
+++ b/src/beamloom/replication/backend_status/gossip.py
@@ -12,6 +12,7 @@
 from itertools import islice
 from typing import Final
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.backend_messages import (
     BUCKET_COUNT,
     BUCKET_DIGEST_SIZE,
@@ -26,7 +27,6 @@
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.messages import Message
 from beamloom.replication.backend_status.register import StatusRegister
-from beamloom.world.machines import NodeId
 
 URGENT_DELAY = 0.25
 PUSH_INTERVAL = 5.0
--- a/src/beamloom/replication/backend_status/health.py
+++ b/src/beamloom/replication/backend_status/health.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from beamloom.world.contracts import BackendOperatingStatus
+from beamloom.model.contracts import BackendOperatingStatus
 
 RISE_COUNT = 2
 FALL_COUNT = 3
--- a/src/beamloom/replication/backend_status/register.py
+++ b/src/beamloom/replication/backend_status/register.py
@@ -13,9 +13,9 @@
 
 import xxhash
 
+from beamloom.model.contracts import BackendOperatingStatus
 from beamloom.protocol.backend_messages import BUCKET_COUNT, BUCKET_DIGEST_SIZE
 from beamloom.replication.backend_status.load_reports import NEUTRAL_CLASS
-from beamloom.world.contracts import BackendOperatingStatus
 
 STATUS_BITS = 2
 CLASS_BITS = 3
--- a/src/beamloom/replication/backend_status/views.py
+++ b/src/beamloom/replication/backend_status/views.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
+from beamloom.model.contracts import BackendOperatingStatus
 from beamloom.replication.backend_status.evidence import PAUSE_SECONDS, BackendEvidence
 from beamloom.replication.backend_status.load_reports import NEUTRAL_CLASS, class_factor
 from beamloom.replication.backend_status.register import StatusReason, StatusRecord
-from beamloom.world.contracts import BackendOperatingStatus
 
 RAMP_START = 0.1
 
--- a/src/beamloom/replication/backend_status/watchers.py
+++ b/src/beamloom/replication/backend_status/watchers.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from beamloom.model.contracts import Backend, BackendOperatingStatus, ServiceContract
+from beamloom.model.machines import Member, NodeId
 from beamloom.protocol.backend_messages import (
     StatusBatch,
     StatusBuckets,
@@ -33,8 +35,6 @@
     ViewInputs,
     make_view,
 )
-from beamloom.world.contracts import Backend, BackendOperatingStatus, ServiceContract
-from beamloom.world.machines import Member, NodeId
 
 JUDGE_INTERVAL = 2.0
 _UNKNOWN = BackendOperatingStatus.UNKNOWN
--- a/src/beamloom/replication/backend_status/watching.py
+++ b/src/beamloom/replication/backend_status/watching.py
@@ -4,11 +4,11 @@
 
 from dataclasses import dataclass, field
 
+from beamloom.model.contracts import Backend, BackendOperatingStatus
+from beamloom.model.machines import NodeId
 from beamloom.replication.backend_status.health import HealthHysteresis
 from beamloom.replication.backend_status.load_reports import NEUTRAL_CLASS, LoadReport
 from beamloom.replication.backend_status.register import StatusReason, StatusRecord
-from beamloom.world.contracts import Backend, BackendOperatingStatus
-from beamloom.world.machines import NodeId
 
 ASK_INTERVAL = 10.0
 ASK_AGAIN_INTERVAL = 2.0
--- a/src/beamloom/replication/budget.py
+++ b/src/beamloom/replication/budget.py
@@ -11,11 +11,11 @@
 
 import cbor2
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import NodeId
 from beamloom.protocol.codec import MAXIMUM_DATAGRAM_SIZE, TAG_SIZE, message_to_list
 from beamloom.protocol.commands import SendMessage
 from beamloom.protocol.messages import Message, Priority
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import NodeId
 
 Destination = NodeId | SocketAddress
 
--- a/src/beamloom/replication/change_pull.py
+++ b/src/beamloom/replication/change_pull.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.configuration_messages import ChangesRequested
 from beamloom.replication.peer_selection import PeerSelection
-from beamloom.world.machines import NodeId
 
 PULL_RETRY = 0.4
 MAXIMUM_PULL_ATTEMPTS = 5
--- a/src/beamloom/replication/configuration_replica.py
+++ b/src/beamloom/replication/configuration_replica.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from beamloom.model.machines import Member, NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.configuration_messages import (
     ChangesPushed,
@@ -37,7 +38,6 @@
 from beamloom.replication.peer_service import PeerService
 from beamloom.replication.reader_directory import ReaderDirectory
 from beamloom.replication.snapshot_fetch import SnapshotFetch
-from beamloom.world.machines import Member, NodeId
 
 ANTI_ENTROPY_INTERVAL = 1.0
 PENDING_LIMIT = 256
--- a/src/beamloom/replication/fleet_status.py
+++ b/src/beamloom/replication/fleet_status.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from beamloom.model.machines import Member, NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.messages import Message
 from beamloom.protocol.status_messages import (
@@ -21,7 +22,6 @@
     RevisionRequested,
 )
 from beamloom.replication.status_groups import StatusGroups
-from beamloom.world.machines import Member, NodeId
 
 REPORT_DELAY = 0.3
 REPORT_REFRESH = 60.0
--- a/src/beamloom/replication/join_progress.py
+++ b/src/beamloom/replication/join_progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from beamloom.world.machines import NodeId
+from beamloom.model.machines import NodeId
 
 JOIN_PEERS = 3
 JOIN_PATIENCE = 3.0
--- a/src/beamloom/replication/peer_selection.py
+++ b/src/beamloom/replication/peer_selection.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Sequence
 
-from beamloom.world.machines import Member, MemberState, NodeId
+from beamloom.model.machines import Member, MemberState, NodeId
 
 
 class PeerSelection:
--- a/src/beamloom/replication/peer_service.py
+++ b/src/beamloom/replication/peer_service.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.configuration_messages import (
     ChangesPushed,
@@ -17,7 +18,6 @@
 from beamloom.replication.change_log import fits_one_message, pack_changes
 from beamloom.replication.snapshot_fetch import SnapshotFetch
 from beamloom.replication.snapshot_sender import REUSE_REVISIONS, SnapshotSender
-from beamloom.world.machines import NodeId
 
 PULL_MESSAGES = 3
 
--- a/src/beamloom/replication/reader_candidates.py
+++ b/src/beamloom/replication/reader_candidates.py
@@ -12,8 +12,8 @@
 
 import xxhash
 
-from beamloom.world.machines import Member, MemberState, NodeId
-from beamloom.world.zones import Zone
+from beamloom.model.machines import Member, MemberState, NodeId
+from beamloom.model.zones import Zone
 
 CANDIDATES_PER_LEASE = 3
 
--- a/src/beamloom/replication/reader_directory.py
+++ b/src/beamloom/replication/reader_directory.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from beamloom.world.machines import NodeId
+from beamloom.model.machines import NodeId
 
 MAXIMUM_LEASES = 8
 
--- a/src/beamloom/replication/reader_election.py
+++ b/src/beamloom/replication/reader_election.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
+from beamloom.model.machines import Member, MemberState, NodeId
 from beamloom.protocol.commands import Command
 from beamloom.protocol.events import Event
 from beamloom.protocol.messages import Message
@@ -17,7 +18,6 @@
 from beamloom.replication.reader_candidates import candidate_rank
 from beamloom.replication.reader_lease import HOLDING, LAPSED, LeaseSnapshot, ReaderLease
 from beamloom.replication.store_watch import StoreWatch
-from beamloom.world.machines import Member, MemberState, NodeId
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/replication/reader_lease.py
+++ b/src/beamloom/replication/reader_lease.py
@@ -13,6 +13,7 @@
 
 from transitions import Machine
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, ReadObject, RecordTransition, WriteObject
 from beamloom.protocol.events import (
     Event,
@@ -23,7 +24,6 @@
     StoreWritten,
 )
 from beamloom.replication.backoff import Backoff
-from beamloom.world.machines import NodeId
 
 CANDIDATE, ACQUIRING, HOLDING, LAPSED = "candidate", "acquiring", "holding", "lapsed"
 RENEWALS_PER_LEASE = 3
--- a/src/beamloom/replication/snapshot_fetch.py
+++ b/src/beamloom/replication/snapshot_fetch.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.configuration_messages import (
     SnapshotOffered,
@@ -15,7 +16,6 @@
 )
 from beamloom.replication.configuration_state import ConfigurationState, SnapshotCorruptError
 from beamloom.replication.snapshot_sender import SnapshotName
-from beamloom.world.machines import NodeId
 
 SOURCE_COUNT = 3
 OFFER_TIMEOUT = 0.5
--- a/src/beamloom/replication/snapshot_sender.py
+++ b/src/beamloom/replication/snapshot_sender.py
@@ -5,10 +5,10 @@
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.configuration_messages import SnapshotOffered, SnapshotPartSent
 from beamloom.replication.configuration_state import ConfigurationState, snapshot_digest
-from beamloom.world.machines import NodeId
 
 PART_SIZE = 1000
 PART_INTERVAL = 0.55
--- a/src/beamloom/replication/status_groups.py
+++ b/src/beamloom/replication/status_groups.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from beamloom.world.machines import Member, NodeId
+from beamloom.model.machines import Member, NodeId
 
 HASH_BITS = 64
 
--- a/src/beamloom/routing/answers.py
+++ b/src/beamloom/routing/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.flow_messages import (
     RECORDS_PER_MESSAGE,
@@ -9,7 +10,6 @@
     FlowRecord,
     pack_records,
 )
-from beamloom.world.machines import NodeId
 
 BATCH_SECONDS = 0.2
 REMEMBERED_SECONDS = 30.0
--- a/src/beamloom/routing/bindings.py
+++ b/src/beamloom/routing/bindings.py
@@ -9,9 +9,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.flow_messages import BindFlow
-from beamloom.world.machines import NodeId
 
 RESEND_SECONDS = 0.3
 HOLDER_SECONDS = 1.0
--- a/src/beamloom/routing/deciding.py
+++ b/src/beamloom/routing/deciding.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, LocalSocket, SendPacket
 from beamloom.routing.answer_times import AnswerTimes
 from beamloom.routing.bindings import Bindings, ReleasedFlow
@@ -24,8 +26,6 @@
 from beamloom.routing.selection import Choice, PlacementReason
 from beamloom.routing.services import ServiceRoute
 from beamloom.routing.transfers import Transfers
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import NodeId
 
 TAKEOVER_SECONDS = 3.0
 UNKNOWN_BINDING_SECONDS = 30.0
--- a/src/beamloom/routing/explanation.py
+++ b/src/beamloom/routing/explanation.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from beamloom.model.machines import NodeId
 from beamloom.routing.flow_table import FlowFlag
 from beamloom.routing.hashing import partition_of
 from beamloom.routing.home import Home
@@ -12,7 +13,6 @@
 from beamloom.routing.packet import FlowTuple
 from beamloom.routing.replicas import ReplicaStore
 from beamloom.routing.selection import PlacementReason
-from beamloom.world.machines import NodeId
 
 
 class FlowRole(Enum):
--- a/src/beamloom/routing/forwarder.py
+++ b/src/beamloom/routing/forwarder.py
@@ -13,6 +13,9 @@
 
 import xxhash
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.contracts import ServiceContract
+from beamloom.model.machines import Machine, Member, NodeId
 from beamloom.protocol.commands import Command, LocalSocket, SendMessage, SendPacket
 from beamloom.protocol.errors import ProtocolError
 from beamloom.protocol.flow_messages import (
@@ -56,9 +59,6 @@
 from beamloom.routing.replicas import ReplicaStore
 from beamloom.routing.services import RouteTable, ServiceRoute
 from beamloom.routing.transfers import Transfers
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.contracts import ServiceContract
-from beamloom.world.machines import Machine, Member, NodeId
 
 TICK_SECONDS = 0.1
 RELAY_HOPS = 6
--- a/src/beamloom/routing/hooks.py
+++ b/src/beamloom/routing/hooks.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from beamloom.world.contracts import BackendOperatingStatus, ServiceContract
+from beamloom.model.contracts import BackendOperatingStatus, ServiceContract
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/routing/late_flows.py
+++ b/src/beamloom/routing/late_flows.py
@@ -5,12 +5,12 @@
 from collections import Counter
 from collections.abc import Callable
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.protocol.commands import Command, LocalSocket, SendPacket
 from beamloom.routing.deadlines import TICK_SECONDS
 from beamloom.routing.flow_deadlines import FlowDeadline
 from beamloom.routing.flow_table import FlowFlag
 from beamloom.routing.home import BOTH_CLOSED, Home
-from beamloom.world.addresses import SocketAddress
 
 ENDED_LATE = BOTH_CLOSED | FlowFlag.DEADLINE
 
--- a/src/beamloom/routing/openings.py
+++ b/src/beamloom/routing/openings.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from beamloom.world.machines import NodeId
+from beamloom.model.machines import NodeId
 
 KEPT_FLOWS = 2048
 KEPT_BYTES = 1 << 18
--- a/src/beamloom/routing/ownership.py
+++ b/src/beamloom/routing/ownership.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from beamloom.model.machines import Machine, Member, MemberState, NodeId
 from beamloom.routing.hashing import PARTITION_COUNT
 from beamloom.routing.partitions import PartitionMap
-from beamloom.world.machines import Machine, Member, MemberState, NodeId
 
 FIRST_REQUEST_SECONDS = 1.0
 LAST_REQUEST_SECONDS = 4.0
--- a/src/beamloom/routing/partitions.py
+++ b/src/beamloom/routing/partitions.py
@@ -17,6 +17,7 @@
 import numpy as np
 import numpy.typing as npt
 
+from beamloom.model.machines import Machine, NodeId
 from beamloom.routing.hashing import (
     PARTITION_COUNT,
     Scores,
@@ -24,7 +25,6 @@
     rendezvous_matrix,
     rendezvous_scores,
 )
-from beamloom.world.machines import Machine, NodeId
 
 NO_NODE = -1
 COLUMNS_AT_ONCE = 1024
--- a/src/beamloom/routing/placement.py
+++ b/src/beamloom/routing/placement.py
@@ -14,8 +14,8 @@
 
 import numpy as np
 
+from beamloom.model.contracts import Backend, BackendAdministrativeState, Generation
 from beamloom.routing.hashing import SLOT_COUNT, name_seed, rendezvous_scores
-from beamloom.world.contracts import Backend, BackendAdministrativeState, Generation
 
 NO_CANDIDATE = -1
 _UNIT = float(2**64)
--- a/src/beamloom/routing/replica_sender.py
+++ b/src/beamloom/routing/replica_sender.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Iterable
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command
 from beamloom.protocol.flow_messages import ENDED, PartitionMark, ReplicaRecords
 from beamloom.routing.flow_table import FlowFlag
@@ -17,7 +18,6 @@
 from beamloom.routing.home import Home
 from beamloom.routing.ownership import Ownership
 from beamloom.routing.streams import PartitionNote, StreamSet
-from beamloom.world.machines import NodeId
 
 EXCEPTION_AGE_SECONDS = 1.5
 FLUSH_SECONDS = 0.5
--- a/src/beamloom/routing/replicas.py
+++ b/src/beamloom/routing/replicas.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.flow_messages import ENDED, PartitionMark
 from beamloom.routing.streams import PartitionNote
-from beamloom.world.machines import NodeId
 
 
 @dataclass(slots=True)
--- a/src/beamloom/routing/selection.py
+++ b/src/beamloom/routing/selection.py
@@ -8,15 +8,15 @@
 
 import xxhash
 
-from beamloom.routing.hooks import BackendHealth
-from beamloom.routing.placement import NO_CANDIDATE
-from beamloom.routing.services import RouteTable, ServiceRoute
-from beamloom.world.contracts import (
+from beamloom.model.contracts import (
     Backend,
     BackendAdministrativeState,
     BackendOperatingStatus,
     PlacementPreference,
 )
+from beamloom.routing.hooks import BackendHealth
+from beamloom.routing.placement import NO_CANDIDATE
+from beamloom.routing.services import RouteTable, ServiceRoute
 
 SLOT_BYTES = 2
 UNFIT_STATUSES = frozenset({BackendOperatingStatus.OFFLINE, BackendOperatingStatus.SHEDDING})
--- a/src/beamloom/routing/services.py
+++ b/src/beamloom/routing/services.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol
+from beamloom.model.contracts import Backend, Generation, RepeatPolicy, ServiceContract
 from beamloom.routing.hooks import TrafficMeter
 from beamloom.routing.placement import NO_CANDIDATE, PlacementTable, build_placement_table
-from beamloom.world.addresses import SocketAddress, TransportProtocol
-from beamloom.world.contracts import Backend, Generation, RepeatPolicy, ServiceContract
 
 
 @dataclass(slots=True)
--- a/src/beamloom/routing/streams.py
+++ b/src/beamloom/routing/streams.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.errors import MalformedDatagramError
 from beamloom.protocol.flow_messages import (
@@ -27,7 +28,6 @@
     unpack_partitions,
 )
 from beamloom.routing.hashing import PARTITION_COUNT
-from beamloom.world.machines import NodeId
 
 BATCH_BYTES = 1050
 GROUP_OVERHEAD = 16
--- a/src/beamloom/routing/transfers.py
+++ b/src/beamloom/routing/transfers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.flow_messages import (
     OwnershipStatus,
@@ -26,7 +27,6 @@
 from beamloom.routing.replicas import HeldPartition, ReplicaStore
 from beamloom.routing.selection import PlacementReason
 from beamloom.routing.streams import PartitionNote, StreamSet, read_notes
-from beamloom.world.machines import NodeId
 
 MAXIMUM_BATCHES_IN_FLIGHT = 4
 PLAN_SECONDS = 0.5
--- a/src/beamloom/runtime/admin.py
+++ b/src/beamloom/runtime/admin.py
@@ -17,6 +17,7 @@
 
 from aiohttp import web
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol
 from beamloom.object_api.statuses import HttpStatus
 from beamloom.routing.packet import FlowTuple
 from beamloom.runtime import node_status
@@ -25,7 +26,6 @@
 from beamloom.runtime.readiness import Readiness
 from beamloom.settings.errors import SettingsError
 from beamloom.telemetry.counters import CONTENT_TYPE, ReadMetrics, make_registry, render
-from beamloom.world.addresses import SocketAddress, TransportProtocol
 
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
--- a/src/beamloom/runtime/balancer.py
+++ b/src/beamloom/runtime/balancer.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.node.core import NodeCore
 from beamloom.protocol.commands import (
     Command,
@@ -20,7 +21,6 @@
 from beamloom.runtime.errors import BrokenComponentError
 from beamloom.runtime.faults import FaultRecorder, FaultSource
 from beamloom.runtime.machine_sockets import MachineSockets
-from beamloom.world.addresses import SocketAddress
 
 CommandHandler = Callable[[Command], bool]
 
--- a/src/beamloom/runtime/datagrams.py
+++ b/src/beamloom/runtime/datagrams.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import cast
 
-from beamloom.world.addresses import SocketAddress
+from beamloom.model.addresses import SocketAddress
 
 SOCKET_BUFFER_BYTES = 4 << 20
 BATCH_SIZE = 64
--- a/src/beamloom/runtime/errors.py
+++ b/src/beamloom/runtime/errors.py
@@ -4,7 +4,7 @@
 
 from pathlib import Path
 
-from beamloom.world.addresses import SocketAddress
+from beamloom.model.addresses import SocketAddress
 
 
 class NodeProcessError(Exception):
--- a/src/beamloom/runtime/machine_list.py
+++ b/src/beamloom/runtime/machine_list.py
@@ -13,10 +13,10 @@
 
 import structlog
 
+from beamloom.model.machines import Machine, NodeId
 from beamloom.object_api.errors import MachineNotRegisteredError, PlatformError
 from beamloom.object_api.wire import MachineListing
 from beamloom.protocol.events import Event, MachinesListed
-from beamloom.world.machines import Machine, NodeId
 
 TURN_SECONDS = 5.0
 
--- a/src/beamloom/runtime/machine_sockets.py
+++ b/src/beamloom/runtime/machine_sockets.py
@@ -5,10 +5,10 @@
 from contextlib import ExitStack, closing
 from dataclasses import dataclass
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, NodeId
+from beamloom.model.zones import Zone
 from beamloom.runtime.datagrams import DatagramSocket
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, NodeId
-from beamloom.world.zones import Zone
 
 ANY_PORT = 0
 
--- a/src/beamloom/runtime/node_process.py
+++ b/src/beamloom/runtime/node_process.py
@@ -17,6 +17,8 @@
 
 import structlog
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import NodeId
 from beamloom.node.core import NodeCore
 from beamloom.node.options import NodeOptions
 from beamloom.object_api.adapter import StoreAdapter
@@ -40,8 +42,6 @@
     read_secrets,
 )
 from beamloom.settings.node_file import NodeSettings
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import NodeId
 
 STOP_MARGIN_SECONDS = 5.0
 LEAVE_REPORT_SECONDS = 2.0
--- a/src/beamloom/runtime/node_status.py
+++ b/src/beamloom/runtime/node_status.py
@@ -5,6 +5,12 @@
 from dataclasses import asdict
 from typing import Any
 
+from beamloom.model.contracts import (
+    Backend,
+    BackendAdministrativeState,
+    BackendOperatingStatus,
+    ServiceContract,
+)
 from beamloom.node.core import NodeCore
 from beamloom.replication.fleet_status import InForceReport
 from beamloom.routing.packet import FlowTuple
@@ -12,12 +18,6 @@
 from beamloom.settings.stored_objects import ObjectKey, ObjectKind
 from beamloom.settings.tree import Scope
 from beamloom.settings.validation import find_declaration
-from beamloom.world.contracts import (
-    Backend,
-    BackendAdministrativeState,
-    BackendOperatingStatus,
-    ServiceContract,
-)
 
 Answer = dict[str, Any]
 
--- a/src/beamloom/runtime/peer_link.py
+++ b/src/beamloom/runtime/peer_link.py
@@ -7,11 +7,11 @@
 from collections import Counter
 from collections.abc import Callable
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.codec import KeyRing, decode_datagram, encode_datagram
 from beamloom.protocol.errors import ProtocolError
 from beamloom.protocol.messages import Message
 from beamloom.protocol.replay import ReplayGuard
-from beamloom.world.machines import NodeId
 
 LARGEST_DATAGRAM = 2048
 BATCH_SIZE = 64
--- a/src/beamloom/settings/configuration.py
+++ b/src/beamloom/settings/configuration.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
+from beamloom.model.addresses import VirtualAddress
+from beamloom.model.contracts import Backend, Generation, ServiceContract, TenantContract
 from beamloom.protocol.events import StoredObject
 from beamloom.settings.configuration_changes import (
     ConfigurationDelta,
@@ -34,8 +36,6 @@
 )
 from beamloom.settings.tree import EffectiveSetting, Scope, SettingsTree
 from beamloom.settings.validation import split_values
-from beamloom.world.addresses import VirtualAddress
-from beamloom.world.contracts import Backend, Generation, ServiceContract, TenantContract
 
 __all__ = ["Configuration", "ConfigurationDelta", "ConfigurationProblem"]
 
--- a/src/beamloom/settings/configuration_changes.py
+++ b/src/beamloom/settings/configuration_changes.py
@@ -4,13 +4,13 @@
 
 from dataclasses import dataclass
 
+from beamloom.model.contracts import Backend, ServiceContract, TenantContract
 from beamloom.settings.errors import (
     DuplicateVirtualAddressError,
     MissingParentError,
     SettingsError,
 )
 from beamloom.settings.service_records import ServiceRecord
-from beamloom.world.contracts import Backend, ServiceContract, TenantContract
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/settings/declarations.py
+++ b/src/beamloom/settings/declarations.py
@@ -8,17 +8,17 @@
 from enum import StrEnum
 from types import MappingProxyType
 
-from beamloom.settings.errors import (
-    OutOfBoundsError,
-    WrongLevelError,
-    WrongTypeError,
-)
-from beamloom.world.contracts import (
+from beamloom.model.contracts import (
     PlacementPreference,
     RepeatPolicy,
     ServicePolicy,
     TenantLimits,
 )
+from beamloom.settings.errors import (
+    OutOfBoundsError,
+    WrongLevelError,
+    WrongTypeError,
+)
 
 SettingValue = bool | int | float | str
 """A value of a setting; choices are held as their text."""
--- a/src/beamloom/settings/deployment.py
+++ b/src/beamloom/settings/deployment.py
@@ -1,4 +1,4 @@
-"""Deployment files: what to create in the platform's store, and the world that it runs in."""
+"""Deployment files: what to create in the platform's store, and the zones it runs in."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from beamloom.model.zones import Link, Zone
 from beamloom.settings.declarations import SettingValue
 from beamloom.settings.deployment_model import (
     BackendTable,
@@ -28,7 +29,6 @@
 from beamloom.settings.toml_source import KeyPath, TomlSource, load_toml
 from beamloom.settings.tree import GLOBAL_SCOPE, Scope
 from beamloom.settings.validation import check_setting
-from beamloom.world.zones import Link, Zone
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/settings/deployment_model.py
+++ b/src/beamloom/settings/deployment_model.py
@@ -6,6 +6,8 @@
 
 from pydantic import Field
 
+from beamloom.model.addresses import VirtualAddress
+from beamloom.model.zones import Link
 from beamloom.settings.file_models import (
     Address,
     FileModel,
@@ -20,8 +22,6 @@
     MAXIMUM_WEIGHT,
     PROTOCOLS,
 )
-from beamloom.world.addresses import VirtualAddress
-from beamloom.world.zones import Link
 
 SettingsTable = dict[str, Any]
 """Values by dotted name; TOML's nested tables are flattened before they are checked."""
@@ -38,7 +38,7 @@
 
     @property
     def link(self) -> Link:
-        """The link in the terms of the world model."""
+        """The link in the terms of the domain model."""
         return Link(*self.zones, self.one_way_delay_seconds, self.loss_ratio)
 
 
--- a/src/beamloom/settings/file_models.py
+++ b/src/beamloom/settings/file_models.py
@@ -20,6 +20,8 @@
 from pydantic import ValidationError as ModelError
 from pydantic.fields import FieldInfo
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.zones import Zone
 from beamloom.settings.file_faults import (
     SettingsFileError,
     split_unit,
@@ -28,8 +30,6 @@
 )
 from beamloom.settings.toml_source import KeyPath, TomlSource
 from beamloom.settings.tree import NAME_PATTERN
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.zones import Zone
 
 IpNetwork = ipaddress.IPv4Network | ipaddress.IPv6Network
 Model = TypeVar("Model", bound=BaseModel)
@@ -96,7 +96,7 @@
 
     @property
     def zone(self) -> Zone:
-        """The zone in the terms of the world model."""
+        """The zone in the terms of the domain model."""
         return Zone(self.name, self.region)
 
     def contains(self, host: str) -> bool:
--- a/src/beamloom/settings/node_file.py
+++ b/src/beamloom/settings/node_file.py
@@ -8,6 +8,7 @@
 
 from pydantic import Field
 
+from beamloom.model.machines import Machine, NodeId
 from beamloom.settings.file_faults import SettingsFileError
 from beamloom.settings.file_models import (
     Address,
@@ -25,7 +26,6 @@
 )
 from beamloom.settings.toml_source import KeyPath, TomlSource, load_toml
 from beamloom.telemetry.log_format import LogFormat
-from beamloom.world.machines import Machine, NodeId
 
 DEFAULT_CONTROL_BUDGET = 4096
 DEFAULT_REQUEST_TIMEOUT = 2.0
@@ -105,7 +105,7 @@
 
     @property
     def machine(self) -> Machine:
-        """The node in the terms of the world model."""
+        """The node in the terms of the domain model."""
         zone = next(table.zone for table in self.zones if table.name == self.node.zone)
         return Machine(
             NodeId(self.node.id),
--- a/src/beamloom/settings/policies.py
+++ b/src/beamloom/settings/policies.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from beamloom.settings.declarations import DECLARATIONS, SettingValue
-from beamloom.settings.tree import Scope, SettingsTree
-from beamloom.world.contracts import (
+from beamloom.model.contracts import (
     PlacementPreference,
     RepeatPolicy,
     ServicePolicy,
     TenantLimits,
 )
+from beamloom.settings.declarations import DECLARATIONS, SettingValue
+from beamloom.settings.tree import Scope, SettingsTree
 
 _ENUMERATIONS: Mapping[str, Callable[[Any], Any]] = {
     "placement.prefer": PlacementPreference,
--- a/src/beamloom/settings/service_records.py
+++ b/src/beamloom/settings/service_records.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from beamloom.model.addresses import VirtualAddress
+from beamloom.model.contracts import Backend, Generation
 from beamloom.protocol.events import StoredObject
-from beamloom.world.addresses import VirtualAddress
-from beamloom.world.contracts import Backend, Generation
 
 GENERATIONS_KEPT = 16
 
--- a/src/beamloom/settings/stored_objects.py
+++ b/src/beamloom/settings/stored_objects.py
@@ -8,11 +8,11 @@
 from enum import StrEnum
 from typing import Any, TypeVar
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.model.contracts import Backend, BackendAdministrativeState
 from beamloom.protocol.events import StoredObject
 from beamloom.settings.errors import MalformedObjectError, UnknownObjectKeyError
 from beamloom.settings.tree import is_name
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
-from beamloom.world.contracts import Backend, BackendAdministrativeState
 
 Result = TypeVar("Result")
 
--- a/src/beamloom/simulation/baselines.py
+++ b/src/beamloom/simulation/baselines.py
@@ -13,6 +13,8 @@
 
 import xxhash
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.contracts import Backend, BackendAdministrativeState, ServiceContract
 from beamloom.node.options import NodeOptions
 from beamloom.protocol.commands import Command, ListStore, StopNode, WatchStore
 from beamloom.protocol.events import (
@@ -28,8 +30,6 @@
 from beamloom.settings.configuration import Configuration
 from beamloom.simulation.fleet import CoreFactory, product_core
 from beamloom.simulation.node_adapter import DecisionCore
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.contracts import Backend, BackendAdministrativeState, ServiceContract
 
 STORE_RETRY_SECONDS = 1.0
 LIST_REQUEST = 1
--- a/src/beamloom/simulation/deployment.py
+++ b/src/beamloom/simulation/deployment.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
-from beamloom.world.contracts import PlacementPreference
-from beamloom.world.zones import Link, Zone
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.model.contracts import PlacementPreference
+from beamloom.model.zones import Link, Zone
 
 DATA_PORT = 5555
 HEALTH_PORT = 8080
--- a/src/beamloom/simulation/fleet.py
+++ b/src/beamloom/simulation/fleet.py
@@ -6,6 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, NodeId
+from beamloom.model.zones import Zone
 from beamloom.node.core import NodeCore
 from beamloom.node.options import NodeOptions
 from beamloom.protocol.codec import KeyRing
@@ -35,9 +38,6 @@
 )
 from beamloom.standins.backend_model import BackendOptions
 from beamloom.standins.platform_store import PlatformStore
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, NodeId
-from beamloom.world.zones import Zone
 
 FLEET_KEY = b"simulated fleet key, 32 bytes .."
 HASH_KEY = b"simulated hash key"
@@ -70,7 +70,7 @@
 
 
 class Fleet:
-    """Builds the world and offers what operators and faults can do to it."""
+    """Builds the deployment and offers what operators and faults can do to it."""
 
     def __init__(self, options: FleetOptions) -> None:
         self.options = options
--- a/src/beamloom/simulation/hosts.py
+++ b/src/beamloom/simulation/hosts.py
@@ -6,14 +6,14 @@
 from collections.abc import Callable
 from typing import Any, TypeVarTuple
 
+from beamloom.model.zones import Zone
 from beamloom.simulation.clock import VirtualClock
-from beamloom.world.zones import Zone
 
 Arguments = TypeVarTuple("Arguments")
 
 
 class Host:
-    """One machine of the simulated world; every event of its process goes through `deliver`."""
+    """One simulated machine; every event of its process goes through `deliver`."""
 
     __slots__ = (
         "_busy_until",
--- a/src/beamloom/simulation/measurements.py
+++ b/src/beamloom/simulation/measurements.py
@@ -7,9 +7,9 @@
 
 import xxhash
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.protocol.commands import Command
 from beamloom.simulation.clock import VirtualClock
-from beamloom.world.addresses import SocketAddress
 
 CONTROL_WINDOW = 10
 """Seconds over which control traffic is averaged."""
--- a/src/beamloom/simulation/network.py
+++ b/src/beamloom/simulation/network.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.zones import Link
 from beamloom.simulation.clock import VirtualClock
 from beamloom.simulation.hosts import Host
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.zones import Link
 
 Receiver = Callable[[bytes, SocketAddress], object]
 
--- a/src/beamloom/simulation/node_adapter.py
+++ b/src/beamloom/simulation/node_adapter.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine
 from beamloom.protocol.commands import (
     CheckBackend,
     Command,
@@ -33,8 +35,6 @@
 from beamloom.simulation.network import Network
 from beamloom.simulation.store_link import StoreLink
 from beamloom.standins.platform_store import PlatformStore
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine
 
 MINIMUM_TIMER_DELAY = 0.001
 """Least true seconds between two expiries of a node's timer."""
--- a/src/beamloom/simulation/scenario.py
+++ b/src/beamloom/simulation/scenario.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class World:
+class ScenarioContext:
     """What a schedule can act on."""
 
     fleet: Fleet
@@ -48,7 +48,7 @@
 
     name: str
     summary: str
-    schedule: Callable[[World], None]
+    schedule: Callable[[ScenarioContext], None]
     goals: tuple[Goal, ...] = ()
     sites: tuple[Site, ...] = (VAKATALE,)
     duration: float = 120.0
--- a/src/beamloom/simulation/scenarios/failures.py
+++ b/src/beamloom/simulation/scenarios/failures.py
@@ -9,7 +9,7 @@
     CONTROL_BUDGET,
     NO_BROKEN_FLOW,
     Scenario,
-    World,
+    ScenarioContext,
     broken_share_at_most,
 )
 
@@ -17,38 +17,38 @@
 CRASH_GOALS = (broken_share_at_most(0.0001), CONTROL_BUDGET)
 
 
-def _crash_any_node(world: World) -> None:
-    world.faults.crash_node(world.any_node())
+def _crash_any_node(context: ScenarioContext) -> None:
+    context.faults.crash_node(context.any_node())
 
 
-def _balancer_crash(world: World) -> None:
-    world.at(0.4, partial(world.operations.add_backend, VAKATALE, TRACKER))
-    world.fleet.clock.call_at(
-        0.4 * world.duration + 1.0, partial(world.operations.drain_backend, "tracker-2")
+def _balancer_crash(context: ScenarioContext) -> None:
+    context.at(0.4, partial(context.operations.add_backend, VAKATALE, TRACKER))
+    context.fleet.clock.call_at(
+        0.4 * context.duration + 1.0, partial(context.operations.drain_backend, "tracker-2")
     )
-    world.fleet.clock.call_at(0.4 * world.duration + 1.5, partial(_crash_any_node, world))
+    context.fleet.clock.call_at(0.4 * context.duration + 1.5, partial(_crash_any_node, context))
 
 
-def _double_crash(world: World) -> None:
-    world.at(0.3, partial(world.operations.drain_backend, "tracker-2"))
+def _double_crash(context: ScenarioContext) -> None:
+    context.at(0.3, partial(context.operations.drain_backend, "tracker-2"))
     for _ in range(2):
-        world.at(0.4, partial(_crash_any_node, world))
-    world.at(0.5, world.operations.start_node)
-    world.at(0.55, world.operations.start_node)
+        context.at(0.4, partial(_crash_any_node, context))
+    context.at(0.5, context.operations.start_node)
+    context.at(0.55, context.operations.start_node)
 
 
-def _zone_loss(world: World) -> None:
-    zone = world.random.choice(VAKATALE.zone_names)
-    world.at(0.3, partial(world.operations.drain_backend, "tracker-2"))
-    world.at(0.4, partial(world.faults.lose_zone, zone))
+def _zone_loss(context: ScenarioContext) -> None:
+    zone = context.random.choice(VAKATALE.zone_names)
+    context.at(0.3, partial(context.operations.drain_backend, "tracker-2"))
+    context.at(0.4, partial(context.faults.lose_zone, zone))
 
 
-def _region_split(world: World) -> None:
-    length = 0.3 * world.duration
-    split = world.faults.split_regions
-    world.at(0.4, partial(split, TAIRI.region, VAKATALE.region, PLATFORM_ZONE, length))
-    world.at(0.5, partial(world.operations.drain_backend, "tracker-2"))
-    world.at(0.8, partial(world.operations.drain_backend, "bay-desk-2"))
+def _region_split(context: ScenarioContext) -> None:
+    length = 0.3 * context.duration
+    split = context.faults.split_regions
+    context.at(0.4, partial(split, TAIRI.region, VAKATALE.region, PLATFORM_ZONE, length))
+    context.at(0.5, partial(context.operations.drain_backend, "tracker-2"))
+    context.at(0.8, partial(context.operations.drain_backend, "bay-desk-2"))
 
 
 BALANCER_CRASH = Scenario(
--- a/src/beamloom/simulation/scenarios/load.py
+++ b/src/beamloom/simulation/scenarios/load.py
@@ -9,7 +9,7 @@
     CONTROL_BUDGET,
     NO_BROKEN_FLOW,
     Scenario,
-    World,
+    ScenarioContext,
     imbalance_at_most,
 )
 from beamloom.standins.backend_health import HealthFaults
@@ -25,13 +25,13 @@
 NOISY_SECONDS = 30
 
 
-def _cold_start(world: World) -> None:
-    add = partial(world.operations.add_backend, VAKATALE, TRACKER, COLD_SECONDS)
-    world.at(0.3, add)
-    world.at(0.5, add)
+def _cold_start(context: ScenarioContext) -> None:
+    add = partial(context.operations.add_backend, VAKATALE, TRACKER, COLD_SECONDS)
+    context.at(0.3, add)
+    context.at(0.5, add)
 
 
-def _lying_load(world: World) -> None:
+def _lying_load(context: ScenarioContext) -> None:
     """Freeze one report at idle and let another claim it, while honest ones tell of real load.
 
     The simulated requests hardly load a backend, so what honest reports would say is given.
@@ -40,23 +40,23 @@
     idle = HealthFaults(load=0.0)
     busy = HealthFaults(load=HONEST_LOAD)
     for index in range(3, TRACKER.backend_count + 1):
-        world.at(0.0, partial(world.faults.mislead_health, f"tracker-{index}", busy))
-    world.at(0.0, partial(world.faults.mislead_health, "tracker-1", frozen))
-    world.at(0.0, partial(world.faults.mislead_health, "tracker-2", idle))
-    edge, service = world.workload.target("vakatale")
+        context.at(0.0, partial(context.faults.mislead_health, f"tracker-{index}", busy))
+    context.at(0.0, partial(context.faults.mislead_health, "tracker-1", frozen))
+    context.at(0.0, partial(context.faults.mislead_health, "tracker-2", idle))
+    edge, service = context.workload.target("vakatale")
     for number in range(LATE_STREAMS):
         share = 0.4 + 0.5 * number / LATE_STREAMS
-        world.at(share, partial(world.workload.open_stream, edge, service))
+        context.at(share, partial(context.workload.open_stream, edge, service))
 
 
-def _noisy_tenant(world: World) -> None:
+def _noisy_tenant(context: ScenarioContext) -> None:
     limit = (LIMIT, NOISY_FLOWS_PER_SECOND / 10)
-    world.at(0.1, partial(world.operations.change_setting, "tenant/tairi", *limit))
-    edge, service = world.workload.target("tairi")
-    start = 0.3 * world.duration
+    context.at(0.1, partial(context.operations.change_setting, "tenant/tairi", *limit))
+    edge, service = context.workload.target("tairi")
+    start = 0.3 * context.duration
     for number in range(NOISY_FLOWS_PER_SECOND * NOISY_SECONDS):
         time = start + number / NOISY_FLOWS_PER_SECOND
-        world.fleet.clock.call_at(time, partial(world.workload.send_request, edge, service))
+        context.fleet.clock.call_at(time, partial(context.workload.send_request, edge, service))
 
 
 COLD_START = Scenario(
--- a/src/beamloom/simulation/scenarios/planned.py
+++ b/src/beamloom/simulation/scenarios/planned.py
@@ -13,7 +13,7 @@
     CONTROL_BUDGET,
     NO_BROKEN_FLOW,
     Scenario,
-    World,
+    ScenarioContext,
     imbalance_at_most,
 )
 
@@ -23,47 +23,47 @@
 """The kind number of a message that this version does not know."""
 
 
-def _steady(world: World) -> None:
-    world.at(0.5, partial(world.operations.change_setting, "tenant/vakatale", SETTING, 0.1))
+def _steady(context: ScenarioContext) -> None:
+    context.at(0.5, partial(context.operations.change_setting, "tenant/vakatale", SETTING, 0.1))
 
 
-def _backend_drain(world: World) -> None:
-    world.at(0.3, partial(world.operations.drain_backend, "tracker-1"))
-    world.at(0.6, partial(world.operations.drain_backend, "labeller-2"))
+def _backend_drain(context: ScenarioContext) -> None:
+    context.at(0.3, partial(context.operations.drain_backend, "tracker-1"))
+    context.at(0.6, partial(context.operations.drain_backend, "labeller-2"))
 
 
-def _rolling_replacement(world: World) -> None:
-    _replace_every_node(world)
-    world.at(0.25, partial(world.operations.drain_backend, "tracker-3"))
-    world.at(0.4, partial(world.operations.add_backend, VAKATALE, TRACKER))
-    world.at(0.6, partial(world.operations.drain_backend, "tracker-5"))
-    world.at(0.7, partial(world.operations.add_backend, VAKATALE, TRACKER))
+def _rolling_replacement(context: ScenarioContext) -> None:
+    _replace_every_node(context)
+    context.at(0.25, partial(context.operations.drain_backend, "tracker-3"))
+    context.at(0.4, partial(context.operations.add_backend, VAKATALE, TRACKER))
+    context.at(0.6, partial(context.operations.drain_backend, "tracker-5"))
+    context.at(0.7, partial(context.operations.add_backend, VAKATALE, TRACKER))
 
 
-def _replace_every_node(world: World) -> None:
-    names = list(world.fleet.nodes)
+def _replace_every_node(context: ScenarioContext) -> None:
+    names = list(context.fleet.nodes)
     for index, name in enumerate(names):
         share = 0.2 + 0.6 * index / len(names)
-        world.at(share, partial(world.operations.replace_node, name))
+        context.at(share, partial(context.operations.replace_node, name))
 
 
-def _upgrade(world: World) -> None:
-    _replace_every_node(world)
+def _upgrade(context: ScenarioContext) -> None:
+    _replace_every_node(context)
     for index in range(20):
-        world.at(0.2 + 0.035 * index, partial(_send_newer_message, world, index))
+        context.at(0.2 + 0.035 * index, partial(_send_newer_message, context, index))
 
 
-def _send_newer_message(world: World, sequence: int) -> None:
+def _send_newer_message(context: ScenarioContext, sequence: int) -> None:
     """Send each balancer a message that only a newer version knows."""
-    milliseconds = int(world.fleet.clock.now * 1000)
-    nodes = world.fleet.running_nodes()
+    milliseconds = int(context.fleet.clock.now * 1000)
+    nodes = context.fleet.running_nodes()
     sender = nodes[-1]
     body = cbor2.dumps([ENVELOPE_VERSION, "newer", sequence, milliseconds, [[UNKNOWN_KIND, 1]]])
     datagram = body + KeyRing((FLEET_KEY,)).sign(body)
     source = sender.machine.control_address
     for node in nodes[:-1]:
         destination = node.machine.control_address
-        world.fleet.network.send(sender.host, source, destination, datagram)
+        context.fleet.network.send(sender.host, source, destination, datagram)
 
 
 STEADY = Scenario(
--- a/src/beamloom/simulation/scenarios/platform.py
+++ b/src/beamloom/simulation/scenarios/platform.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from beamloom.protocol.events import StoredObject
-from beamloom.simulation.scenario import CONTROL_BUDGET, NO_BROKEN_FLOW, Scenario, World
+from beamloom.simulation.scenario import CONTROL_BUDGET, NO_BROKEN_FLOW, Scenario, ScenarioContext
 from beamloom.standins.platform_faults import FaultPlan
 
 SETTING = "placement.imbalance_bound"
@@ -14,48 +14,50 @@
 GOALS = (NO_BROKEN_FLOW, CONTROL_BUDGET)
 
 
-def _store_outage(world: World) -> None:
-    down = partial(world.faults.disturb_store, FaultPlan(down=True), 0.5 * world.duration)
-    world.at(0.2, partial(world.operations.drain_backend, "tracker-1"))
-    world.at(0.25, down)
-    world.at(0.4, partial(world.operations.drain_backend, "tracker-2"))
-    world.at(0.45, partial(world.operations.replace_node, "node-2"))
-    world.at(0.8, partial(world.operations.drain_backend, "tracker-3"))
+def _store_outage(context: ScenarioContext) -> None:
+    down = partial(context.faults.disturb_store, FaultPlan(down=True), 0.5 * context.duration)
+    context.at(0.2, partial(context.operations.drain_backend, "tracker-1"))
+    context.at(0.25, down)
+    context.at(0.4, partial(context.operations.drain_backend, "tracker-2"))
+    context.at(0.45, partial(context.operations.replace_node, "node-2"))
+    context.at(0.8, partial(context.operations.drain_backend, "tracker-3"))
 
 
-def _lost_answer(world: World) -> None:
+def _lost_answer(context: ScenarioContext) -> None:
     losing = FaultPlan(lost_answer_probability=0.5)
-    world.at(0.2, partial(world.faults.disturb_store, losing, 0.6 * world.duration))
+    context.at(0.2, partial(context.faults.disturb_store, losing, 0.6 * context.duration))
     for index in range(12):
         scope = SCOPES[1 + index % 2]
-        change = partial(world.operations.change_setting, scope, SETTING, 0.05 + index / 100)
-        world.at(0.2 + 0.05 * index, change)
-    world.at(0.5, partial(world.operations.drain_backend, "labeller-1"))
+        change = partial(context.operations.change_setting, scope, SETTING, 0.05 + index / 100)
+        context.at(0.2 + 0.05 * index, change)
+    context.at(0.5, partial(context.operations.drain_backend, "labeller-1"))
 
 
-def _racing_operators(world: World) -> None:
+def _racing_operators(context: ScenarioContext) -> None:
     for index in range(10):
         for operator in range(3):
             bound = 0.05 + (index * 3 + operator) / 200
-            change = partial(world.operations.change_setting, SCOPES[2], SETTING, bound)
-            world.at(0.2 + 0.06 * index, change)
-    world.at(0.5, partial(world.operations.drain_backend, "tracker-1"))
-    world.at(0.5, partial(world.operations.drain_backend, "tracker-1"))
+            change = partial(context.operations.change_setting, SCOPES[2], SETTING, bound)
+            context.at(0.2 + 0.06 * index, change)
+    context.at(0.5, partial(context.operations.drain_backend, "tracker-1"))
+    context.at(0.5, partial(context.operations.drain_backend, "tracker-1"))
 
 
-def _paused_lease(world: World) -> None:
-    world.at(0.3, partial(_pause_reader, world, 0.3 * world.duration))
+def _paused_lease(context: ScenarioContext) -> None:
+    context.at(0.3, partial(_pause_reader, context, 0.3 * context.duration))
     for share in (0.35, 0.5, 0.59):
-        world.at(share, partial(world.operations.change_setting, SCOPES[1], SETTING, share / 10))
-    world.at(0.45, partial(world.operations.drain_backend, "tracker-1"))
+        context.at(
+            share, partial(context.operations.change_setting, SCOPES[1], SETTING, share / 10)
+        )
+    context.at(0.45, partial(context.operations.drain_backend, "tracker-1"))
 
 
-def _pause_reader(world: World, duration: float) -> None:
+def _pause_reader(context: ScenarioContext, duration: float) -> None:
     """Pause a balancer that holds a lease, or any one where none does."""
-    leases = world.fleet.store.list_objects(LEASE_PREFIX).objects
-    holders = [name for name in map(_holder, leases) if name in world.fleet.nodes]
-    name = world.random.choice(holders) if holders else world.any_node()
-    world.faults.pause_node(name, duration)
+    leases = context.fleet.store.list_objects(LEASE_PREFIX).objects
+    holders = [name for name in map(_holder, leases) if name in context.fleet.nodes]
+    name = context.random.choice(holders) if holders else context.any_node()
+    context.faults.pause_node(name, duration)
 
 
 def _holder(lease: StoredObject) -> str:
--- a/src/beamloom/simulation/scenarios/storm.py
+++ b/src/beamloom/simulation/scenarios/storm.py
@@ -7,7 +7,7 @@
 
 from beamloom.simulation.deployment import VAKATALE
 from beamloom.simulation.network import PathCondition
-from beamloom.simulation.scenario import CONTROL_BUDGET, Scenario, World
+from beamloom.simulation.scenario import CONTROL_BUDGET, Scenario, ScenarioContext
 from beamloom.simulation.scenarios.platform import SCOPES, SETTING
 from beamloom.standins.backend_health import HealthFaults
 from beamloom.standins.platform_faults import FaultPlan
@@ -18,81 +18,81 @@
 """The storm stops or crashes no balancer when as few as these are left."""
 MAXIMUM_DRIFT = 0.01
 
-Act = Callable[[World], object]
+Act = Callable[[ScenarioContext], object]
 
 
-def _crash(world: World) -> None:
-    if len(world.fleet.running_nodes()) > MINIMUM_NODES:
-        world.faults.crash_node(world.any_node())
+def _crash(context: ScenarioContext) -> None:
+    if len(context.fleet.running_nodes()) > MINIMUM_NODES:
+        context.faults.crash_node(context.any_node())
 
 
-def _stop(world: World) -> None:
-    if len(world.fleet.running_nodes()) > MINIMUM_NODES:
-        world.operations.stop_node(world.any_node())
+def _stop(context: ScenarioContext) -> None:
+    if len(context.fleet.running_nodes()) > MINIMUM_NODES:
+        context.operations.stop_node(context.any_node())
 
 
-def _pause(world: World) -> None:
-    world.faults.pause_node(world.any_node(), world.random.uniform(0.5, 30.0))
+def _pause(context: ScenarioContext) -> None:
+    context.faults.pause_node(context.any_node(), context.random.uniform(0.5, 30.0))
 
 
-def _slow(world: World) -> None:
-    world.faults.slow_node(world.any_node(), 0.005, world.random.uniform(5.0, 20.0))
+def _slow(context: ScenarioContext) -> None:
+    context.faults.slow_node(context.any_node(), 0.005, context.random.uniform(5.0, 20.0))
 
 
-def _isolate(world: World) -> None:
-    world.faults.isolate_node(world.any_node(), world.random.uniform(1.0, 30.0))
+def _isolate(context: ScenarioContext) -> None:
+    context.faults.isolate_node(context.any_node(), context.random.uniform(1.0, 30.0))
 
 
-def _deafen(world: World) -> None:
-    world.faults.deafen_node(world.any_node(), world.random.uniform(1.0, 30.0))
+def _deafen(context: ScenarioContext) -> None:
+    context.faults.deafen_node(context.any_node(), context.random.uniform(1.0, 30.0))
 
 
-def _disturb(world: World) -> None:
+def _disturb(context: ScenarioContext) -> None:
     condition = PathCondition(loss=0.02, duplication=0.02, reordering=0.05, jitter=0.002)
-    world.faults.disturb_network(condition, world.random.uniform(5.0, 30.0))
+    context.faults.disturb_network(condition, context.random.uniform(5.0, 30.0))
 
 
-def _drift(world: World) -> None:
-    rate = 1.0 + world.random.uniform(-MAXIMUM_DRIFT, MAXIMUM_DRIFT)
-    world.faults.drift_clock(world.any_node(), rate)
+def _drift(context: ScenarioContext) -> None:
+    rate = 1.0 + context.random.uniform(-MAXIMUM_DRIFT, MAXIMUM_DRIFT)
+    context.faults.drift_clock(context.any_node(), rate)
 
 
-def _lose_store(world: World) -> None:
-    world.faults.disturb_store(FaultPlan(down=True), world.random.uniform(5.0, 40.0))
+def _lose_store(context: ScenarioContext) -> None:
+    context.faults.disturb_store(FaultPlan(down=True), context.random.uniform(5.0, 40.0))
 
 
-def _slow_store(world: World) -> None:
-    world.faults.disturb_store(FaultPlan(delay_seconds=2.0), world.random.uniform(5.0, 30.0))
+def _slow_store(context: ScenarioContext) -> None:
+    context.faults.disturb_store(FaultPlan(delay_seconds=2.0), context.random.uniform(5.0, 30.0))
 
 
-def _lose_answers(world: World) -> None:
-    world.faults.disturb_store(FaultPlan(lost_answer_probability=0.5), 20.0)
+def _lose_answers(context: ScenarioContext) -> None:
+    context.faults.disturb_store(FaultPlan(lost_answer_probability=0.5), 20.0)
 
 
-def _mislead(world: World) -> None:
-    index = world.random.randint(1, TRACKER.backend_count)
-    world.faults.mislead_health(f"{TRACKER.name}-{index}", HealthFaults(load=0.0))
+def _mislead(context: ScenarioContext) -> None:
+    index = context.random.randint(1, TRACKER.backend_count)
+    context.faults.mislead_health(f"{TRACKER.name}-{index}", HealthFaults(load=0.0))
 
 
-def _change_setting(world: World) -> None:
-    bound = round(world.random.uniform(0.02, 0.3), 3)
-    world.operations.change_setting(world.random.choice(SCOPES[1:]), SETTING, bound)
+def _change_setting(context: ScenarioContext) -> None:
+    bound = round(context.random.uniform(0.02, 0.3), 3)
+    context.operations.change_setting(context.random.choice(SCOPES[1:]), SETTING, bound)
 
 
-def _drain(world: World) -> None:
-    drained = {drain.backend_id for drain in world.operations.drains}
+def _drain(context: ScenarioContext) -> None:
+    drained = {drain.backend_id for drain in context.operations.drains}
     names = [f"{TRACKER.name}-{index}" for index in range(1, TRACKER.backend_count + 1)]
     remaining = [name for name in names if name not in drained]
     if len(remaining) > 2:
-        world.operations.drain_backend(world.random.choice(remaining))
+        context.operations.drain_backend(context.random.choice(remaining))
 
 
-def _add_backend(world: World) -> None:
-    world.operations.add_backend(VAKATALE, TRACKER, world.random.choice((0.0, 20.0)))
+def _add_backend(context: ScenarioContext) -> None:
+    context.operations.add_backend(VAKATALE, TRACKER, context.random.choice((0.0, 20.0)))
 
 
-def _start(world: World) -> None:
-    world.operations.start_node()
+def _start(context: ScenarioContext) -> None:
+    context.operations.start_node()
 
 
 ACTS: tuple[Act, ...] = (
@@ -116,12 +116,12 @@
 )
 
 
-def _storm(world: World) -> None:
-    for _ in range(world.random.randint(*EVENT_COUNTS)):
-        act = world.random.choice(ACTS)
-        share = world.random.uniform(0.12, 0.85)
-        for _ in range(world.random.choice((1, 1, 1, 2))):
-            world.at(share, partial(act, world))
+def _storm(context: ScenarioContext) -> None:
+    for _ in range(context.random.randint(*EVENT_COUNTS)):
+        act = context.random.choice(ACTS)
+        share = context.random.uniform(0.12, 0.85)
+        for _ in range(context.random.choice((1, 1, 1, 2))):
+            context.at(share, partial(act, context))
 
 
 STORM = Scenario(
--- a/src/beamloom/simulation/simulation.py
+++ b/src/beamloom/simulation/simulation.py
@@ -21,7 +21,7 @@
     control_summary,
     in_force_summary,
 )
-from beamloom.simulation.scenario import Scenario, World
+from beamloom.simulation.scenario import Scenario, ScenarioContext
 from beamloom.simulation.workload import Workload, WorkloadOptions
 from beamloom.standins.client_model import Outcome
 
@@ -75,7 +75,7 @@
         self._observe_fleet()
         faults = FaultInjector(self.fleet, self.seen)
         self._crashed_backends = faults.crashed_backends
-        self.world = World(
+        self.context = ScenarioContext(
             self.fleet,
             Operations(self.fleet, self.seen),
             faults,
@@ -83,7 +83,7 @@
             self.duration,
             self.fleet.random("scenario", scenario.name),
         )
-        scenario.schedule(self.world)
+        scenario.schedule(self.context)
 
     def _workload(self) -> Workload:
         flows = self.options.flows
--- a/src/beamloom/simulation/traffic.py
+++ b/src/beamloom/simulation/traffic.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.protocol.commands import CheckBackend
 from beamloom.protocol.events import BackendChecked
 from beamloom.simulation.clock import ScheduledCall, VirtualClock
@@ -16,7 +17,6 @@
 from beamloom.standins.client_host import ClientHost
 from beamloom.standins.client_model import ClientFlow
 from beamloom.standins.fabric_model import FabricModel
-from beamloom.world.addresses import SocketAddress
 
 CHECK_TIMEOUT = 1.0
 """Seconds after which a health check without an answer counts as failed."""
--- a/src/beamloom/simulation/workload.py
+++ b/src/beamloom/simulation/workload.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol
 from beamloom.simulation.clock import VirtualClock
 from beamloom.simulation.deployment import ServiceShape
 from beamloom.simulation.observations import ObservedFlow
@@ -14,7 +15,6 @@
 from beamloom.standins.client_model import ClientFlow
 from beamloom.standins.client_request import RequestFlow, RequestOptions, UdpRequestFlow
 from beamloom.standins.client_stream import StreamFlow, StreamOptions
-from beamloom.world.addresses import SocketAddress, TransportProtocol
 
 FIRST_FLOW_AT = 3.0
 """When the first flow opens, in seconds: the fleet has its configuration by then."""
--- a/src/beamloom/standins/backend_model.py
+++ b/src/beamloom/standins/backend_model.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
 from beamloom.standins.application import (
     Answer,
     AnswerStatus,
@@ -40,7 +41,6 @@
     reset_for,
 )
 from beamloom.standins.timers import TimerHeap
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
 
 ServiceTime = Callable[[Request, random.Random], float]
 REMEMBERED_UDP_ANSWERS = 10_000
--- a/src/beamloom/standins/backend_process.py
+++ b/src/beamloom/standins/backend_process.py
@@ -14,11 +14,11 @@
 from aiohttp import web
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.standins.backend_health import HealthFaults
 from beamloom.standins.backend_model import BackendModel
 from beamloom.standins.http_server import HttpServer
 from beamloom.standins.udp_socket import PollTimer, UdpSocket
-from beamloom.world.addresses import SocketAddress
 
 
 class DrainRequest(BaseModel):
--- a/src/beamloom/standins/client_host.py
+++ b/src/beamloom/standins/client_host.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol
 from beamloom.standins.client_model import ClientFlow
 from beamloom.standins.client_stream import StreamFlow
 from beamloom.standins.packets import (
@@ -16,7 +17,6 @@
 )
 from beamloom.standins.tcp_connection import reset_for
 from beamloom.standins.timers import TimerHeap
-from beamloom.world.addresses import SocketAddress, TransportProtocol
 
 FlowKey = tuple[SocketAddress, SocketAddress, TransportProtocol]
 
--- a/src/beamloom/standins/client_model.py
+++ b/src/beamloom/standins/client_model.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from beamloom.model.addresses import SocketAddress, VirtualAddress
 from beamloom.standins.application import (
     Answer,
     ApplicationError,
@@ -19,7 +20,6 @@
 )
 from beamloom.standins.packets import IcmpError, Packet
 from beamloom.standins.tcp_connection import ConnectionState, TcpConnection, TcpOptions
-from beamloom.world.addresses import SocketAddress, VirtualAddress
 
 RETRY_AFTER_PREFIX = "retry-after="
 LINGER_SECONDS = 5.0
--- a/src/beamloom/standins/client_process.py
+++ b/src/beamloom/standins/client_process.py
@@ -5,11 +5,11 @@
 import asyncio
 from collections.abc import Callable
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.standins.client_host import ClientHost
 from beamloom.standins.client_model import ClientFlow, FlowTruth
 from beamloom.standins.client_stream import StreamFlow
 from beamloom.standins.udp_socket import PollTimer, UdpSocket
-from beamloom.world.addresses import SocketAddress
 
 LOOPBACK = SocketAddress("127.0.0.1", 0)
 
--- a/src/beamloom/standins/client_request.py
+++ b/src/beamloom/standins/client_request.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
 from beamloom.standins.application import (
     Answer,
     AnswerStatus,
@@ -19,7 +20,6 @@
 from beamloom.standins.client_model import ClientFlow, Outcome, TcpFlow
 from beamloom.standins.packets import IcmpError, Packet, build_packet
 from beamloom.standins.tcp_connection import TcpOptions
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/standins/client_stream.py
+++ b/src/beamloom/standins/client_stream.py
@@ -5,10 +5,10 @@
 import random
 from dataclasses import dataclass, field
 
+from beamloom.model.addresses import SocketAddress, VirtualAddress
 from beamloom.standins.application import Answer, AnswerStatus, Request, RequestKind, frame
 from beamloom.standins.client_model import Outcome, TcpFlow
 from beamloom.standins.tcp_connection import TcpOptions
-from beamloom.world.addresses import SocketAddress, VirtualAddress
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/standins/fabric_model.py
+++ b/src/beamloom/standins/fabric_model.py
@@ -12,8 +12,8 @@
 from enum import Enum, StrEnum
 from itertools import count
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.standins.packets import MalformedPacketError, destination_ip, source_ip
-from beamloom.world.addresses import SocketAddress
 
 
 class Spray(StrEnum):
--- a/src/beamloom/standins/fabric_process.py
+++ b/src/beamloom/standins/fabric_process.py
@@ -10,10 +10,10 @@
 
 from aiohttp import web
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.standins.fabric_model import Delivery, FabricModel, FabricSide
 from beamloom.standins.http_server import HttpServer
 from beamloom.standins.udp_socket import PollTimer, UdpSocket
-from beamloom.world.addresses import SocketAddress
 
 LOOPBACK = SocketAddress("127.0.0.1", 0)
 
--- a/src/beamloom/standins/http_server.py
+++ b/src/beamloom/standins/http_server.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from beamloom.world.addresses import SocketAddress
+from beamloom.model.addresses import SocketAddress
 
 
 class HttpServer:
--- a/src/beamloom/standins/load.py
+++ b/src/beamloom/standins/load.py
@@ -11,11 +11,11 @@
 
 from hdrh.histogram import HdrHistogram
 
+from beamloom.model.addresses import SocketAddress, VirtualAddress
 from beamloom.standins.client_model import ClientFlow, Outcome
 from beamloom.standins.client_process import ClientProcess
 from beamloom.standins.client_stream import StreamFlow
 from beamloom.standins.load_profiles import PROFILES, FlowSource, LoadProfile, ProfileName
-from beamloom.world.addresses import SocketAddress, VirtualAddress
 
 TICK_SECONDS = 0.01
 FLOWS_PER_TICK_LIMIT = 200
--- a/src/beamloom/standins/load_profiles.py
+++ b/src/beamloom/standins/load_profiles.py
@@ -9,11 +9,11 @@
 from enum import StrEnum
 from itertools import count
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
 from beamloom.standins.application import RequestKind
 from beamloom.standins.client_model import ClientFlow
 from beamloom.standins.client_request import RequestFlow, RequestOptions, UdpRequestFlow
 from beamloom.standins.client_stream import StreamFlow, StreamOptions
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
 
 FIRST_PORT = 1_024
 PORTS_PER_CLIENT = 60_000
--- a/src/beamloom/standins/packets.py
+++ b/src/beamloom/standins/packets.py
@@ -16,7 +16,7 @@
 import dpkt
 from dpkt import icmp, icmp6, ip, ip6, tcp, udp
 
-from beamloom.world.addresses import SocketAddress, TransportProtocol
+from beamloom.model.addresses import SocketAddress, TransportProtocol
 
 FIN = 0x01
 SYN = 0x02
--- a/src/beamloom/standins/platform_machines.py
+++ b/src/beamloom/standins/platform_machines.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, replace
 
+from beamloom.model.machines import Machine, NodeId
 from beamloom.object_api.wire import MachineListing
-from beamloom.world.machines import Machine, NodeId
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/beamloom/standins/platform_server.py
+++ b/src/beamloom/standins/platform_server.py
@@ -10,6 +10,8 @@
 
 from aiohttp import web
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import NodeId
 from beamloom.object_api import wire
 from beamloom.object_api.errors import (
     PlatformError,
@@ -22,8 +24,6 @@
 from beamloom.object_api.statuses import HttpStatus
 from beamloom.standins.platform_faults import FaultPlan
 from beamloom.standins.platform_store import PlatformStore, StoreWatch
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import NodeId
 
 DEFAULT_KEEPALIVE_SECONDS = 3.0
 
--- a/src/beamloom/standins/tcp_connection.py
+++ b/src/beamloom/standins/tcp_connection.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol
 from beamloom.standins.packets import ACK, FIN, PSH, RST, SYN, Packet, build_packet
-from beamloom.world.addresses import SocketAddress, TransportProtocol
 
 SEQUENCE_MODULUS = 1 << 32
 HALF_SEQUENCE_SPACE = 1 << 31
--- a/src/beamloom/standins/udp_socket.py
+++ b/src/beamloom/standins/udp_socket.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import cast
 
-from beamloom.world.addresses import SocketAddress
+from beamloom.model.addresses import SocketAddress
 
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
--- a/src/beamloom/world/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The typed model of the outside world: machines, zones, links and contracts."""
--- a/tests/functional/node_case.py
+++ b/tests/functional/node_case.py
@@ -9,11 +9,11 @@
 import aiohttp
 import structlog
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.runtime.node_process import NodeProcess
 from beamloom.settings.node_file import load_node_settings
 from beamloom.telemetry.log_format import LogFormat
 from beamloom.telemetry.logs import configure_logs
-from beamloom.world.addresses import SocketAddress
 from tests.functional.platform_case import TOKEN, PlatformTestCase
 
 ADMIN_TOKEN = "admin-token"
--- a/tests/functional/platform_case.py
+++ b/tests/functional/platform_case.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from random import Random
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.object_api.client import PlatformClient
 from beamloom.object_api.options import PlatformOptions
 from beamloom.object_api.retry import Retrier, RetryPolicy
 from beamloom.standins.platform_machines import MachineDirectory, MachineListSettings
 from beamloom.standins.platform_server import PlatformServer
 from beamloom.standins.platform_store import PlatformStore
-from beamloom.world.addresses import SocketAddress
 
 TOKEN = "test-token"
 ANY_PORT = SocketAddress("127.0.0.1", 0)
--- a/tests/functional/test_health_checks.py
+++ b/tests/functional/test_health_checks.py
@@ -6,11 +6,11 @@
 
 from aiohttp import web
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.protocol.commands import CheckBackend, StopWatch
 from beamloom.protocol.events import BackendChecked, Event
 from beamloom.runtime.health_checks import HealthChecks
 from beamloom.standins.http_server import HttpServer
-from beamloom.world.addresses import SocketAddress
 
 ANY_PORT = SocketAddress("127.0.0.1", 0)
 GOOD = {"healthy": True, "shedding": True, "draining": False, "load": 0.5}
--- a/tests/functional/test_membership.py
+++ b/tests/functional/test_membership.py
@@ -2,9 +2,9 @@
 
 import unittest
 
+from beamloom.model.machines import MemberState, NodeId
 from beamloom.protocol.codec import MAXIMUM_DATAGRAM_SIZE
 from beamloom.protocol.membership_messages import Ping
-from beamloom.world.machines import MemberState, NodeId
 from tests.membership_harness import Fleet, machine
 
 DETECTION_BOUND = 6.0
--- a/tests/functional/test_membership_stateful.py
+++ b/tests/functional/test_membership_stateful.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from beamloom.world.machines import MemberState, NodeId
+from beamloom.model.machines import MemberState, NodeId
 from tests.membership_harness import Fleet, machine
 
 CALM = 240.0
--- a/tests/functional/test_node_process.py
+++ b/tests/functional/test_node_process.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from beamloom.admission.retry_budget import MINIMUM_RETRIES
+from beamloom.model.addresses import SocketAddress
 from beamloom.object_api.errors import PlatformError
 from beamloom.protocol.codec import KeyRing
 from beamloom.protocol.events import TimerExpired
@@ -20,7 +21,6 @@
 from beamloom.runtime.secrets import read_fleet_keys
 from beamloom.settings.node_file import load_node_settings
 from beamloom.standins.platform_faults import FaultPlan
-from beamloom.world.addresses import SocketAddress
 from tests.functional.node_case import FLEET_KEY, NodeTestCase
 
 ROOT = Path(__file__).resolve().parents[2]
--- a/tests/functional/test_object_commands.py
+++ b/tests/functional/test_object_commands.py
@@ -6,9 +6,9 @@
 from contextlib import redirect_stderr, redirect_stdout
 
 from beamloom.cli.main import main
+from beamloom.model.contracts import BackendOperatingStatus
 from beamloom.runtime.node_process import NodeProcess
 from beamloom.standins.platform_faults import FaultPlan
-from beamloom.world.contracts import BackendOperatingStatus
 from tests.functional.node_case import NodeTestCase
 
 BACKEND = ("--address", "127.0.0.1:9", "--health", "127.0.0.1:9", "--zone", "laucala")
--- a/tests/functional/test_platform_http.py
+++ b/tests/functional/test_platform_http.py
@@ -8,6 +8,9 @@
 
 import aiohttp
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, NodeId
+from beamloom.model.zones import Zone
 from beamloom.object_api.errors import (
     MachineNotRegisteredError,
     OutcomeUnknownError,
@@ -25,9 +28,6 @@
 from beamloom.protocol.events import StoredObject
 from beamloom.standins.platform_faults import FaultPlan
 from beamloom.standins.platform_server import PlatformServer
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, NodeId
-from beamloom.world.zones import Zone
 from tests.functional.platform_case import (
     ANY_PORT,
     ATTEMPTS,
--- a/tests/functional/test_replication.py
+++ b/tests/functional/test_replication.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.configuration_messages import SnapshotPartSent
 from beamloom.protocol.messages import Message
-from beamloom.world.machines import NodeId
 from tests.replication_fleet import Fleet
 
 
--- a/tests/functional/test_standins.py
+++ b/tests/functional/test_standins.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
 from beamloom.standins.backend_model import BackendModel, BackendOptions
 from beamloom.standins.backend_process import BackendProcess
 from beamloom.standins.client_model import Outcome
@@ -18,7 +19,6 @@
 from beamloom.standins.load_profiles import ProfileName
 from beamloom.standins.packets import Packet, parse_packet
 from beamloom.standins.udp_socket import UdpSocket
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
 
 ANY_PORT = SocketAddress("127.0.0.1", 0)
 TRACKER = VirtualAddress("10.0.0.1", TransportProtocol.TCP, 443)
--- a/tests/measure_membership.py
+++ b/tests/measure_membership.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-from beamloom.world.machines import MemberState, NodeId
+from beamloom.model.machines import MemberState, NodeId
 from tests.membership_harness import Fleet
 
 WARM_UP = 30
--- a/tests/measurements/backend_status.py
+++ b/tests/measurements/backend_status.py
@@ -12,12 +12,12 @@
 import sys
 import time
 
+from beamloom.model.contracts import BackendOperatingStatus
+from beamloom.model.machines import NodeId
 from beamloom.protocol.backend_messages import MAXIMUM_BATCH_RECORDS, StatusBatch
 from beamloom.protocol.events import BackendChecked
 from beamloom.replication.backend_status.load_reports import NEUTRAL_CLASS
 from beamloom.replication.backend_status.register import StatusReason, StatusRecord
-from beamloom.world.contracts import BackendOperatingStatus
-from beamloom.world.machines import NodeId
 from tests.unit.backend_status.fleet import Fleet, make_services
 
 DAY = 86_400.0
--- a/tests/measurements/membership_faults.py
+++ b/tests/measurements/membership_faults.py
@@ -8,7 +8,7 @@
 import sys
 from collections import defaultdict
 
-from beamloom.world.machines import MemberState
+from beamloom.model.machines import MemberState
 from tests.measure_membership import WINDOW, seconds_until_known
 from tests.membership_harness import Fleet, machine
 
--- a/tests/membership_harness.py
+++ b/tests/membership_harness.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable
 
 from beamloom.membership import MembershipCore, MembershipSettings
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, MemberState, NodeId
+from beamloom.model.zones import Zone
 from beamloom.protocol.codec import KeyRing, decode_datagram, encode_datagram
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.membership_messages import MemberUpdate, StatePage
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, MemberState, NodeId
-from beamloom.world.zones import Zone
 
 KEYS = KeyRing((b"k" * 32,))
 ZONES = [Zone(f"zone-{n}", "suva" if n < 3 else "nairobi") for n in range(5)]
--- a/tests/replication_fleet.py
+++ b/tests/replication_fleet.py
@@ -10,6 +10,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, Member, MemberState, NodeId
+from beamloom.model.zones import Zone
 from beamloom.protocol import commands as cmd
 from beamloom.protocol import events as ev
 from beamloom.protocol.codec import KeyRing, decode_datagram, encode_datagram
@@ -19,9 +22,6 @@
 from beamloom.replication.configuration_state import is_replicated
 from beamloom.replication.fleet_status import FleetStatus
 from beamloom.replication.reader_election import ReaderElection
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, Member, MemberState, NodeId
-from beamloom.world.zones import Zone
 
 StoreCommand = cmd.ListStore | cmd.WatchStore | cmd.StopWatch | cmd.ReadObject | cmd.WriteObject
 
--- a/tests/unit/admission/test_limits.py
+++ b/tests/unit/admission/test_limits.py
@@ -12,9 +12,9 @@
     TenantAdmission,
     UnknownTenantError,
 )
+from beamloom.model.contracts import TenantContract, TenantLimits
 from beamloom.node.neighbours import PacketMetering
 from beamloom.routing.hooks import TrafficMeter
-from beamloom.world.contracts import TenantContract, TenantLimits
 
 
 def admission_with(table_capacity: int = 1000, **limits: TenantLimits) -> TenantAdmission:
--- a/tests/unit/backend_status/fleet.py
+++ b/tests/unit/backend_status/fleet.py
@@ -8,14 +8,14 @@
 
 import cbor2
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.model.contracts import Backend, Generation, ServiceContract, ServicePolicy
+from beamloom.model.machines import Machine, Member, MemberState, NodeId
+from beamloom.model.zones import Zone
 from beamloom.protocol.codec import message_to_list
 from beamloom.protocol.commands import CheckBackend, Command, SendMessage
 from beamloom.protocol.events import BackendChecked
 from beamloom.replication.backend_status.watchers import BackendWatchers
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
-from beamloom.world.contracts import Backend, Generation, ServiceContract, ServicePolicy
-from beamloom.world.machines import Machine, Member, MemberState, NodeId
-from beamloom.world.zones import Zone
 
 DATAGRAM_OVERHEAD = 16 + 32
 CheckAnswer = Callable[[NodeId, int, float], BackendChecked | None]
--- a/tests/unit/backend_status/test_assignment.py
+++ b/tests/unit/backend_status/test_assignment.py
@@ -2,8 +2,8 @@
 import unittest
 from collections import Counter
 
+from beamloom.model.machines import MemberState, NodeId
 from beamloom.replication.backend_status.assignment import WatcherAssignment
-from beamloom.world.machines import MemberState, NodeId
 from tests.unit.backend_status.fleet import make_member
 
 NUMBERS = range(1, 201)
--- a/tests/unit/backend_status/test_exceptions.py
+++ b/tests/unit/backend_status/test_exceptions.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from beamloom.model.contracts import BackendOperatingStatus as Status
+from beamloom.model.machines import NodeId
 from beamloom.protocol.backend_messages import (
     MAXIMUM_RECORDS_OF_REPAIR,
     StatusBatch,
@@ -12,8 +14,6 @@
     StatusRecord,
     StatusRegister,
 )
-from beamloom.world.contracts import BackendOperatingStatus as Status
-from beamloom.world.machines import NodeId
 from tests.unit.backend_status.fleet import Fleet, make_services
 
 BACKEND = 101
--- a/tests/unit/backend_status/test_gossip.py
+++ b/tests/unit/backend_status/test_gossip.py
@@ -7,13 +7,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from beamloom.model.contracts import BackendOperatingStatus
+from beamloom.model.machines import NodeId
 from beamloom.protocol.backend_messages import StatusBatch
 from beamloom.protocol.commands import SendMessage
 from beamloom.replication.backend_status.gossip import BURST_BYTES, BYTES_PER_SECOND
 from beamloom.replication.backend_status.register import StatusReason, StatusRecord
 from beamloom.replication.backend_status.watchers import BackendWatchers
-from beamloom.world.contracts import BackendOperatingStatus
-from beamloom.world.machines import NodeId
 from tests.unit.backend_status.fleet import Fleet, make_services
 
 SERVICES = make_services(2, 6)
--- a/tests/unit/backend_status/test_watchers.py
+++ b/tests/unit/backend_status/test_watchers.py
@@ -2,6 +2,9 @@
 import random
 import unittest
 
+from beamloom.model.contracts import BackendOperatingStatus as Status
+from beamloom.model.contracts import ServicePolicy
+from beamloom.model.machines import NodeId
 from beamloom.protocol.backend_messages import StatusBatch
 from beamloom.protocol.codec import message_from_list, message_to_list
 from beamloom.protocol.errors import MalformedDatagramError
@@ -9,9 +12,6 @@
 from beamloom.replication.backend_status.load_reports import NEUTRAL_CLASS
 from beamloom.replication.backend_status.register import StatusReason, StatusRecord
 from beamloom.replication.backend_status.watchers import BackendWatchers, UnknownBackendError
-from beamloom.world.contracts import BackendOperatingStatus as Status
-from beamloom.world.contracts import ServicePolicy
-from beamloom.world.machines import NodeId
 from tests.unit.backend_status.fleet import CheckAnswer, Fleet, healthy_answer, make_services
 
 BACKEND = 101
--- a/tests/unit/routing/fleet.py
+++ b/tests/unit/routing/fleet.py
@@ -8,22 +8,22 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from beamloom.protocol.commands import Command, LocalSocket, SendMessage, SendPacket
-from beamloom.protocol.messages import Message
-from beamloom.replication.budget import ControlBudget
-from beamloom.routing.forwarder import Forwarder
-from beamloom.routing.hooks import RoutingHooks
-from beamloom.routing.packet import FlowTuple
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
-from beamloom.world.contracts import (
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.model.contracts import (
     Backend,
     BackendAdministrativeState,
     Generation,
     ServiceContract,
     ServicePolicy,
 )
-from beamloom.world.machines import Machine, Member, MemberState, NodeId
-from beamloom.world.zones import Zone
+from beamloom.model.machines import Machine, Member, MemberState, NodeId
+from beamloom.model.zones import Zone
+from beamloom.protocol.commands import Command, LocalSocket, SendMessage, SendPacket
+from beamloom.protocol.messages import Message
+from beamloom.replication.budget import ControlBudget
+from beamloom.routing.forwarder import Forwarder
+from beamloom.routing.hooks import RoutingHooks
+from beamloom.routing.packet import FlowTuple
 
 SYN, ACK, FIN, RST = 2, 16, 17, 4
 TICK = 0.05
--- a/tests/unit/routing/test_balanced_requests.py
+++ b/tests/unit/routing/test_balanced_requests.py
@@ -9,6 +9,9 @@
 import unittest
 from collections.abc import Sequence
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
+from beamloom.model.contracts import ServicePolicy
+from beamloom.model.machines import Member, MemberState
 from beamloom.node.neighbours import ClientRefusals
 from beamloom.protocol.commands import Command, SendPacket
 from beamloom.routing.forwarder import Forwarder
@@ -18,9 +21,6 @@
 from beamloom.standins.client_model import Outcome
 from beamloom.standins.client_request import RequestFlow, RequestOptions
 from beamloom.standins.client_stream import StreamFlow, StreamOptions
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
-from beamloom.world.contracts import ServicePolicy
-from beamloom.world.machines import Member, MemberState
 from tests.unit.routing.fleet import GATEWAY, PORT, SERVICE_IP, backend, machine, service
 from tests.unit.standin_network import CLIENT, Network, make_backend
 
--- a/tests/unit/routing/test_closed_flows.py
+++ b/tests/unit/routing/test_closed_flows.py
@@ -4,10 +4,10 @@
 
 import unittest
 
+from beamloom.model.machines import NodeId
 from beamloom.routing.hashing import flow_key, flow_seed, partition_of
 from beamloom.routing.home import CLOSED_SECONDS
 from beamloom.routing.ownership import ALONE_SECONDS
-from beamloom.world.machines import NodeId
 from tests.unit.routing.fleet import (
     ACK,
     FIN,
--- a/tests/unit/routing/test_evidence.py
+++ b/tests/unit/routing/test_evidence.py
@@ -4,14 +4,14 @@
 
 import unittest
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.contracts import BackendOperatingStatus
+from beamloom.model.machines import NodeId
 from beamloom.node.neighbours import ClientRefusals, ObservedHealth
 from beamloom.protocol.events import BackendChecked
 from beamloom.replication.backend_status.views import BackendView
 from beamloom.routing.answer_times import AWAITED_FLOWS, AnswerTimes
 from beamloom.routing.hooks import AssumedHealth, PermissiveAdmission, RoutingHooks
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.contracts import BackendOperatingStatus
-from beamloom.world.machines import NodeId
 from tests.unit.backend_status.fleet import Fleet as WatcherFleet
 from tests.unit.routing.fleet import ACK, GATEWAY, RST, SYN, Fleet, answer, backend, service, tcp
 
--- a/tests/unit/routing/test_flows_survive.py
+++ b/tests/unit/routing/test_flows_survive.py
@@ -4,10 +4,10 @@
 
 import unittest
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import MemberState, NodeId
 from beamloom.routing.hashing import PARTITION_COUNT
 from beamloom.routing.ownership import ALONE_SECONDS
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import MemberState, NodeId
 from tests.unit.routing.fleet import ACK, SYN, Fleet, backend, service, tcp
 
 FLOWS = 200
--- a/tests/unit/routing/test_forwarder.py
+++ b/tests/unit/routing/test_forwarder.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.flow_messages import ReplicaRecords, TransferRecords
 from beamloom.routing.answers import MAXIMUM_REMEMBERED, REMEMBERED_SECONDS, RelayedFlows
 from beamloom.routing.explanation import FlowRole
@@ -20,7 +21,6 @@
 )
 from beamloom.routing.ownership import ALONE_SECONDS
 from beamloom.routing.packet import DropReason, parse_packet, with_hop_limit_decremented
-from beamloom.world.machines import NodeId
 from tests.unit.routing.fleet import (
     ACK,
     GATEWAY,
--- a/tests/unit/routing/test_late_flows.py
+++ b/tests/unit/routing/test_late_flows.py
@@ -6,14 +6,14 @@
 
 import dpkt
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol
+from beamloom.model.contracts import ServicePolicy
+from beamloom.model.machines import NodeId
 from beamloom.node.neighbours import ClientRefusals
 from beamloom.routing.explanation import FlowExplanation
 from beamloom.routing.flow_deadlines import FlowDeadlines
 from beamloom.routing.hooks import AssumedHealth, PermissiveAdmission, RoutingHooks
 from beamloom.routing.packet import DropReason
-from beamloom.world.addresses import SocketAddress, TransportProtocol
-from beamloom.world.contracts import ServicePolicy
-from beamloom.world.machines import NodeId
 from tests.unit.routing.fleet import (
     ACK,
     FIN,
--- a/tests/unit/routing/test_ownership_machine.py
+++ b/tests/unit/routing/test_ownership_machine.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.contracts import Backend
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.contracts import Backend
 from tests.unit.routing.fleet import ACK, SYN, Fleet, backend, service, tcp
 
 MAXIMUM_NODES = 5
--- a/tests/unit/routing/test_requests.py
+++ b/tests/unit/routing/test_requests.py
@@ -4,6 +4,14 @@
 
 import unittest
 
+from beamloom.model.addresses import TransportProtocol
+from beamloom.model.contracts import (
+    BackendOperatingStatus,
+    RepeatPolicy,
+    ServiceContract,
+    ServicePolicy,
+)
+from beamloom.model.machines import NodeId
 from beamloom.routing.hashing import partition_of
 from beamloom.routing.hooks import (
     AssumedHealth,
@@ -14,14 +22,6 @@
 )
 from beamloom.routing.ownership import ALONE_SECONDS
 from beamloom.routing.packet import DropReason
-from beamloom.world.addresses import TransportProtocol
-from beamloom.world.contracts import (
-    BackendOperatingStatus,
-    RepeatPolicy,
-    ServiceContract,
-    ServicePolicy,
-)
-from beamloom.world.machines import NodeId
 from tests.unit.routing.fleet import (
     ACK,
     GATEWAY,
--- a/tests/unit/routing/test_selection.py
+++ b/tests/unit/routing/test_selection.py
@@ -6,11 +6,11 @@
 import unittest
 from collections import Counter
 
+from beamloom.model.contracts import BackendOperatingStatus, PlacementPreference, ServicePolicy
 from beamloom.routing.hashing import SLOT_COUNT
 from beamloom.routing.hooks import AssumedHealth
 from beamloom.routing.selection import PlacementReason, choose_backend
 from beamloom.routing.services import RouteTable
-from beamloom.world.contracts import BackendOperatingStatus, PlacementPreference, ServicePolicy
 from tests.unit.routing.fleet import backend, service
 
 BACKENDS = [backend(number) for number in range(1, 8)]
--- a/tests/unit/routing/test_streams.py
+++ b/tests/unit/routing/test_streams.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.codec import KeyRing, decode_datagram, encode_datagram
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.errors import MalformedDatagramError
@@ -24,7 +25,6 @@
 )
 from beamloom.routing.hashing import PARTITION_COUNT
 from beamloom.routing.streams import PartitionNote, StreamSet
-from beamloom.world.machines import NodeId
 
 PEER = NodeId("peer")
 BEGIN = PartitionNote(PartitionMark.BEGIN, 10**9)
--- a/tests/unit/routing/test_transfers.py
+++ b/tests/unit/routing/test_transfers.py
@@ -4,10 +4,10 @@
 
 import unittest
 
+from beamloom.model.machines import MemberState, NodeId
 from beamloom.protocol.flow_messages import TransferAcknowledged
 from beamloom.routing.hashing import PARTITION_COUNT
 from beamloom.routing.ownership import NEWCOMER_SECONDS
-from beamloom.world.machines import MemberState, NodeId
 from tests.unit.routing.fleet import ACK, Fleet, backend, service, tcp
 
 BACKENDS = [[backend(number) for number in range(1, 8)]]
--- a/tests/unit/settings/test_configuration.py
+++ b/tests/unit/settings/test_configuration.py
@@ -7,6 +7,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import invariant, rule, run_state_machine_as_test
 
+from beamloom.model.addresses import TransportProtocol, VirtualAddress
+from beamloom.model.contracts import PlacementPreference, ServiceContract
 from beamloom.protocol.events import StoredObject
 from beamloom.settings.configuration import Configuration, ConfigurationDelta
 from beamloom.settings.errors import (
@@ -19,8 +21,6 @@
 )
 from beamloom.settings.service_records import GENERATIONS_KEPT
 from beamloom.settings.tree import Scope
-from beamloom.world.addresses import TransportProtocol, VirtualAddress
-from beamloom.world.contracts import PlacementPreference, ServiceContract
 from tests.unit.settings.object_rules import SCOPES, ObjectMachine
 from tests.unit.settings.objects import backend, service, stored, values
 
--- a/tests/unit/settings/test_declarations.py
+++ b/tests/unit/settings/test_declarations.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from beamloom.model.contracts import ServicePolicy, TenantLimits
 from beamloom.settings.declarations import DECLARATIONS, SettingLevel
 from beamloom.settings.errors import (
     OutOfBoundsError,
@@ -19,7 +20,6 @@
 from beamloom.settings.reference import render_reference
 from beamloom.settings.tree import Scope, SettingsTree
 from beamloom.settings.validation import check_setting, split_values
-from beamloom.world.contracts import ServicePolicy, TenantLimits
 
 PAGE = Path(__file__).resolve().parents[3] / "docs" / "SETTINGS.md"
 SERVICE = SettingLevel.SERVICE
--- a/tests/unit/settings/test_files.py
+++ b/tests/unit/settings/test_files.py
@@ -9,12 +9,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from beamloom.model.contracts import PlacementPreference, RepeatPolicy
 from beamloom.settings.configuration import Configuration
 from beamloom.settings.deployment import check_deployment, load_deployment
 from beamloom.settings.file_faults import SettingsFileError
 from beamloom.settings.node_file import check_node_settings, load_node_settings
 from beamloom.settings.toml_source import TomlSource, parse_toml
-from beamloom.world.contracts import PlacementPreference, RepeatPolicy
 from tests.unit.settings.objects import stored
 
 EXAMPLES = importlib.resources.files("beamloom.examples")
--- a/tests/unit/simulation/broken_cores.py
+++ b/tests/unit/simulation/broken_cores.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.contracts import BackendAdministrativeState, ServiceContract
 from beamloom.node.core import NodeCore
 from beamloom.node.options import NodeOptions
 from beamloom.protocol.commands import Command, LocalSocket, SendPacket
@@ -21,8 +23,6 @@
     frame,
 )
 from beamloom.standins.packets import SYN, Packet, build_packet, parse_packet
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.contracts import BackendAdministrativeState, ServiceContract
 
 BREAKS_AFTER = 13.0
 """Seconds on a core's own clock, from its first event, during which it behaves."""
--- a/tests/unit/simulation/test_network.py
+++ b/tests/unit/simulation/test_network.py
@@ -1,12 +1,12 @@
 import unittest
 from itertools import pairwise
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.zones import Link, Zone
 from beamloom.simulation.clock import VirtualClock
 from beamloom.simulation.hosts import Host
 from beamloom.simulation.network import Block, Network, PathCondition, split
 from beamloom.simulation.randomness import random_stream
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.zones import Link, Zone
 
 DATAGRAMS = 1000
 FIRST = SocketAddress("10.0.0.1", 1)
--- a/tests/unit/simulation/test_oracle.py
+++ b/tests/unit/simulation/test_oracle.py
@@ -1,13 +1,13 @@
 import unittest
 from functools import partial
 
+from beamloom.model.addresses import TransportProtocol
 from beamloom.simulation.deployment import ServiceShape, Site
 from beamloom.simulation.fleet import CoreFactory
 from beamloom.simulation.oracle import Invariant, Violation
-from beamloom.simulation.scenario import Scenario, World
+from beamloom.simulation.scenario import Scenario, ScenarioContext
 from beamloom.simulation.scenarios.planned import STEADY
 from beamloom.simulation.simulation import RunOptions, simulate
-from beamloom.world.addresses import TransportProtocol
 from tests.unit.simulation import broken_cores
 
 UDP_SITE = Site(
@@ -20,12 +20,12 @@
 )
 
 
-def _drain_one(world: World) -> None:
-    world.at(0.5, partial(world.operations.drain_backend, "labeller-1"))
+def _drain_one(context: ScenarioContext) -> None:
+    context.at(0.5, partial(context.operations.drain_backend, "labeller-1"))
 
 
 DRAIN = Scenario("drain", "One backend drains.", _drain_one)
-UDP = Scenario("udp", "Single datagrams.", lambda world: None, sites=(UDP_SITE,))
+UDP = Scenario("udp", "Single datagrams.", lambda context: None, sites=(UDP_SITE,))
 
 
 class OracleTest(unittest.TestCase):
--- a/tests/unit/standin_network.py
+++ b/tests/unit/standin_network.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable, Iterable
 from itertools import count
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol, VirtualAddress
 from beamloom.standins.backend_model import BackendModel, BackendOptions
 from beamloom.standins.client_host import ClientHost
-from beamloom.world.addresses import SocketAddress, TransportProtocol, VirtualAddress
 
 SERVICE = VirtualAddress("10.0.0.1", TransportProtocol.TCP, 443)
 SERVICE_V6 = VirtualAddress("fd00::1", TransportProtocol.TCP, 443)
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -6,10 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.codec import KeyRing, decode_datagram, encode_datagram
 from beamloom.protocol.errors import AuthenticationError, OversizedDatagramError, ProtocolError
 from beamloom.protocol.messages import MESSAGE_TYPES, Message, Priority, register_message
-from beamloom.world.machines import NodeId
 
 OLD_KEY, NEW_KEY = b"old" * 8, b"new" * 8
 SENDER = NodeId("node-1")
--- a/tests/unit/test_configuration_follower.py
+++ b/tests/unit/test_configuration_follower.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import invariant, rule, run_state_machine_as_test
 
+from beamloom.model.contracts import ServiceContract
 from beamloom.node.configuration_follower import ConfigurationFollower, read_generations
 from beamloom.protocol.configuration_messages import ReplicatedChange
 from beamloom.protocol.events import StoredObject
@@ -16,7 +17,6 @@
 from beamloom.replication.configuration_replica import ConfigurationReplica
 from beamloom.replication.configuration_state import ConfigurationState, snapshot_digest
 from beamloom.settings.configuration import Configuration
-from beamloom.world.contracts import ServiceContract
 from tests.unit.settings.object_rules import SCOPES, ObjectMachine
 
 
--- a/tests/unit/test_configuration_replica.py
+++ b/tests/unit/test_configuration_replica.py
@@ -4,6 +4,7 @@
 import unittest
 from typing import Any
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.commands import Command, SendMessage
 from beamloom.protocol.configuration_messages import (
     ChangesPushed,
@@ -27,7 +28,6 @@
 )
 from beamloom.replication.snapshot_fetch import SnapshotFetch
 from beamloom.replication.snapshot_sender import SnapshotSender
-from beamloom.world.machines import NodeId
 
 PEER = NodeId("peer")
 HONEST = NodeId("honest")
--- a/tests/unit/test_control_budget.py
+++ b/tests/unit/test_control_budget.py
@@ -6,11 +6,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.codec import KeyRing, encode_datagram
 from beamloom.protocol.commands import SendMessage
 from beamloom.protocol.messages import MESSAGE_TYPES, Message, Priority, register_message
 from beamloom.replication.budget import NETWORK_HEADER_SIZE, WINDOW_SECONDS, ControlBudget
-from beamloom.world.machines import NodeId
 
 NODE = NodeId("node-0123")
 
--- a/tests/unit/test_core_borders.py
+++ b/tests/unit/test_core_borders.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 PACKAGE = Path(__file__).resolve().parents[2] / "src" / "beamloom"
-CORE = ("world", "protocol", "routing", "admission", "membership", "replication", "node")
+CORE = ("model", "protocol", "routing", "admission", "membership", "replication", "node")
 FORBIDDEN_MODULES = {"os", "sys", "pathlib", "datetime", "uuid", "threading", "subprocess"}
 FORBIDDEN_BUILTINS = {"open", "print", "input"}
 
--- a/tests/unit/test_fabric_model.py
+++ b/tests/unit/test_fabric_model.py
@@ -3,9 +3,9 @@
 import random
 import unittest
 
+from beamloom.model.addresses import SocketAddress
 from beamloom.standins.fabric_model import Delivery, FabricModel, FabricOptions, FabricSide, Spray
 from beamloom.standins.packets import Packet, build_packet
-from beamloom.world.addresses import SocketAddress
 from tests.unit.standin_network import CLIENT, CLIENT_V6, SERVICE, SERVICE_V6
 
 BALANCERS = [SocketAddress("127.0.0.1", 7_001), SocketAddress("127.0.0.1", 7_002)]
--- a/tests/unit/test_membership_messages.py
+++ b/tests/unit/test_membership_messages.py
@@ -8,6 +8,8 @@
 from hypothesis import strategies as st
 
 from beamloom.membership.dissemination import update_size
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import MemberState, NodeId
 from beamloom.protocol.codec import message_from_list, message_to_list
 from beamloom.protocol.errors import MalformedDatagramError, ProtocolError
 from beamloom.protocol.membership_messages import (
@@ -19,8 +21,6 @@
     decode_update,
 )
 from beamloom.protocol.messages import MESSAGE_TYPES
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import MemberState, NodeId
 from tests.membership_harness import Fleet, machine
 
 ANY_FIELD = st.recursive(
--- a/tests/unit/test_packets.py
+++ b/tests/unit/test_packets.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from beamloom.model.addresses import SocketAddress, TransportProtocol
 from beamloom.standins.packets import (
     ACK,
     PSH,
@@ -18,7 +19,6 @@
     parse_any_packet,
     parse_packet,
 )
-from beamloom.world.addresses import SocketAddress, TransportProtocol
 
 PAIRS = (
     (SocketAddress("192.0.2.7", 40_000), SocketAddress("10.0.0.1", 443)),
--- a/tests/unit/test_partitions.py
+++ b/tests/unit/test_partitions.py
@@ -3,11 +3,11 @@
 import random
 import unittest
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, NodeId
+from beamloom.model.zones import Zone
 from beamloom.routing.hashing import PARTITION_COUNT
 from beamloom.routing.partitions import PartitionMap
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, NodeId
-from beamloom.world.zones import Zone
 
 
 def machine(number: int, zone: str) -> Machine:
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -3,10 +3,10 @@
 import unittest
 from collections import Counter
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.contracts import Backend, BackendAdministrativeState, Generation
 from beamloom.routing.hashing import SLOT_COUNT
 from beamloom.routing.placement import NO_CANDIDATE, build_placement_table
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.contracts import Backend, BackendAdministrativeState, Generation
 
 
 def backend(number: int, weight: int = 100, draining: bool = False) -> Backend:
--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -7,6 +7,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, NodeId
+from beamloom.model.zones import Zone
 from beamloom.object_api.errors import (
     StoreConflictError,
     StoreUnavailableError,
@@ -24,9 +27,6 @@
 from beamloom.standins.platform_faults import FaultDecision, FaultPlan
 from beamloom.standins.platform_machines import MachineDirectory, MachineListSettings
 from beamloom.standins.platform_store import PlatformStore
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, NodeId
-from beamloom.world.zones import Zone
 
 KEYS = st.sampled_from(["tenant/a", "tenant/b", "service/a/web"])
 HISTORY_LIMIT = 5
--- a/tests/unit/test_reader_lease.py
+++ b/tests/unit/test_reader_lease.py
@@ -4,6 +4,9 @@
 import random
 import unittest
 
+from beamloom.model.addresses import SocketAddress
+from beamloom.model.machines import Machine, Member, MemberState, NodeId
+from beamloom.model.zones import Zone
 from beamloom.protocol.commands import Command, ReadObject, StopWatch, WriteObject
 from beamloom.protocol.events import (
     StoreChanged,
@@ -17,9 +20,6 @@
 from beamloom.replication.reader_candidates import candidate_rank
 from beamloom.replication.reader_election import ReaderElection
 from beamloom.replication.reader_lease import HOLDING, ReaderLease
-from beamloom.world.addresses import SocketAddress
-from beamloom.world.machines import Machine, Member, MemberState, NodeId
-from beamloom.world.zones import Zone
 
 DURATION = 9.0
 NODE = NodeId("node")
--- a/tests/unit/test_replay.py
+++ b/tests/unit/test_replay.py
@@ -2,9 +2,9 @@
 
 import unittest
 
+from beamloom.model.machines import NodeId
 from beamloom.protocol.errors import ReplayedDatagramError
 from beamloom.protocol.replay import MAXIMUM_SENDERS, WINDOW_SIZE, ReplayGuard
-from beamloom.world.machines import NodeId
 
 SENDER = NodeId("node-1")
 
--- a/tests/unit/test_standins.py
+++ b/tests/unit/test_standins.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from beamloom.model.addresses import SocketAddress, VirtualAddress
 from beamloom.standins.application import Request, RequestKind, answer_parts
 from beamloom.standins.backend_health import HealthFaults
 from beamloom.standins.backend_model import BackendOptions
@@ -20,7 +21,6 @@
 )
 from beamloom.standins.client_stream import StreamFlow, StreamOptions
 from beamloom.standins.packets import build_unreachable
-from beamloom.world.addresses import SocketAddress, VirtualAddress
 from tests.unit.standin_network import (
     CLIENT,
     CLIENT_V6,
--- a/tests/unit/test_suspicion.py
+++ b/tests/unit/test_suspicion.py
@@ -10,8 +10,8 @@
     suspicion_bounds,
 )
 from beamloom.membership.tracker import MemberTracker
+from beamloom.model.machines import MemberState, NodeId
 from beamloom.protocol.membership_messages import MemberUpdate
-from beamloom.world.machines import MemberState, NodeId
 from tests.membership_harness import machine
 
 SETTINGS = MembershipSettings()
--- a/tests/unit/test_update_queue.py
+++ b/tests/unit/test_update_queue.py
@@ -4,8 +4,8 @@
 
 from beamloom.membership.dissemination import LONG_QUEUE, UpdateQueue, update_size
 from beamloom.membership.settings import MembershipSettings
+from beamloom.model.machines import MemberState, NodeId
 from beamloom.protocol.membership_messages import MemberUpdate, WireUpdate, decode_update
-from beamloom.world.machines import MemberState, NodeId
 
 SETTINGS = MembershipSettings()
 MEMBERS = 560
