--- a/tools/soak_broken_builds.py
+++ b/tools/soak_broken_builds.py
@@ -18,6 +18,7 @@
 
 SECONDS = 45.0
 SEED = 3
+SOURCES = str(Path(__file__).resolve().parents[1] / "src")
 HEAD = """
 import importlib.abc, importlib.util, sys
 
@@ -86,7 +87,7 @@
     for rule, text in BROKEN_BUILDS.items():
         with tempfile.TemporaryDirectory(prefix="broken-soak-") as folder:
             (Path(folder) / "sitecustomize.py").write_text(HEAD + text)
-            os.environ["PYTHONPATH"] = folder
+            os.environ["PYTHONPATH"] = os.pathsep.join((folder, SOURCES))
             result = asyncio.run(run_soak(SoakOptions(SEED, SECONDS, 3, Path(folder))))
         seen = {violation.rule for violation in result.violations}
         noticed = rule in seen
