--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import hashlib
+import os
 import random
 import signal
 import socket
@@ -38,14 +39,13 @@
 from beamloom.standins.token_store import TokenStore
 from beamloom.standins.token_store_server import TokenStoreServer
 
-NETWORK = "127.77"
+FIRST_NETWORK = 64
+NETWORKS = 128
 PACKETS_PORT = 19172
 READINESS_PORT = 19167
 PEER_PORT = 19720
 SERVICE_PORT = 443
 ENDPOINT_PORT = 19080
-CLIENT_HOST = f"{NETWORK}.2.1"
-STORE_HOST = f"{NETWORK}.4.1"
 ZONES = ("west", "middle", "east")
 SERVICES = ("tracker", "labeller")
 STEP_SECONDS = 0.01
@@ -74,7 +74,10 @@
 
 
 class SoakHarness:
-    """One deployment of real nodes. `start` and `close` surround everything else."""
+    """One deployment of real nodes. `start` and `close` surround everything else.
+
+    Each process of the soak has a loopback network of its own, so that several may run at once.
+    """
 
     def __init__(self, folder: Path, nodes: int, seed: int) -> None:
         self.oracle = TokenOracle()
@@ -85,6 +88,10 @@
         self.flows: dict[FlowEnd, TokenClientFlow] = {}
         self.finished: list[TokenClientFlow] = []
         self.routes: dict[bytes, frozenset[str]] = {}
+        network = f"127.{FIRST_NETWORK + os.getpid() % NETWORKS}"
+        self._network = network
+        self._client_host = f"{network}.2.1"
+        self._store_host = f"{network}.4.1"
         self._folder = folder
         self._node_count = nodes
         self._chance = random.Random(seed)
@@ -92,7 +99,7 @@
         self._sequence = 0
         self._next_identity = 0x1000
         self._next_port = 20_000
-        self._clients = _bind((CLIENT_HOST, PACKETS_PORT))
+        self._clients = _bind((self._client_host, PACKETS_PORT))
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -102,7 +109,7 @@
 
     async def start(self) -> None:
         """Start store, endpoints and nodes; return when all nodes are ready."""
-        await self.server.start(STORE_HOST)
+        await self.server.start(self._store_host)
         for number in range(8):
             self.add_endpoint(SERVICES[0] if number % 4 else SERVICES[1])
         self.set_routes({_destination(1): {"tracker"}, _destination(2): {"labeller"}})
@@ -184,7 +191,7 @@
         """Start an endpoint and announce it."""
         self._next_identity += 1
         identity = self._next_identity
-        host, port = address or (f"{NETWORK}.1.{len(self.endpoints) + 1}", ENDPOINT_PORT)
+        host, port = address or (f"{self._network}.1.{len(self.endpoints) + 1}", ENDPOINT_PORT)
         record = BackendRecord(
             f"i-{identity:08x}",
             identity,
@@ -244,25 +251,25 @@
     def open_flow(self, plan: FlowPlan) -> None:
         """Let a client open a flow to one of the addresses."""
         self._next_port = 20_000 + (self._next_port - 19_999) % 40_000
-        source = FlowEnd(socket.inet_aton(CLIENT_HOST), self._next_port)
+        source = FlowEnd(socket.inet_aton(self._client_host), self._next_port)
         number = self._chance.choice((1, 2))
         service = FlowEnd(bytes((198, 18, 0, number)), SERVICE_PORT)
         self.flows[source] = TokenClientFlow(source, service, plan, self.now)
 
     async def _add_node(self, number: int) -> None:
-        name, host = f"node-{number}", f"{NETWORK}.0.{number}"
-        proxy = self.proxies[name] = StoreProxy((STORE_HOST, self.server.port))
-        await proxy.start(f"{NETWORK}.3.{number}")
+        name, host = f"node-{number}", f"{self._network}.0.{number}"
+        proxy = self.proxies[name] = StoreProxy((self._store_host, self.server.port))
+        await proxy.start(f"{self._network}.3.{number}")
         settings = TokenNodeSettings(
             node=name,
             host=host,
             zone=ZONES[number % len(ZONES)],
             packets=Endpoint(host, PACKETS_PORT),
             readiness=Endpoint(host, READINESS_PORT),
-            store=Endpoint(f"{NETWORK}.3.{number}", proxy.port),
+            store=Endpoint(f"{self._network}.3.{number}", proxy.port),
             peer_port=PEER_PORT,
             metrics=None,
-            seeds=tuple(f"{NETWORK}.0.{seed}" for seed in (1, 2, 3)),
+            seeds=tuple(f"{self._network}.0.{seed}" for seed in (1, 2, 3)),
         )
         self.nodes[name] = NodeProcess(settings, self._folder)
         self.nodes[name].start()
@@ -301,7 +308,7 @@
             packets += endpoint.model.handle(identity, packet, now)
         for packet in packets:
             data = packet.encode(signed=not packet.flags & FLAG_RST)
-            endpoint.socket.sendto(data, (CLIENT_HOST, PACKETS_PORT))
+            endpoint.socket.sendto(data, (self._client_host, PACKETS_PORT))
 
     def _judge_arrival(
         self, endpoint: SoakEndpoint, host: str, identity: int, packet: FlowPacket
--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -118,6 +118,9 @@
 
 async def run_soak(options: SoakOptions) -> SoakResult:
     """Play one soak to its end; everything that it started is ended then."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     chance = random.Random(options.seed)
     harness = SoakHarness(options.folder, options.nodes, options.seed)
     try:
