--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -12,67 +12,35 @@
 import signal
 import socket
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
 from pathlib import Path
 
-from beamloom.platform import store_encoding
 from beamloom.platform.flow_packets import FlowEnd, FlowPacket, decode_forwarded, decode_packet
 from beamloom.platform.packet_layout import FLAG_RST, FLAG_SYN
-from beamloom.platform.store_objects import (
-    BACKENDS_KIND,
-    CONFIGURATION_KIND,
-    CONFIGURATION_NAME,
-)
-from beamloom.routing.tokens.records import (
-    BackendRecord,
-    BackendState,
-    RoutePart,
-    RouteRecord,
-    RoutingConfiguration,
-)
 from beamloom.settings.token_node import Endpoint, TokenNodeSettings
 from beamloom.simulation.tokens.oracle import TokenOracle
 from beamloom.soak.nodes import NodeProcess
+from beamloom.soak.platform_side import (
+    SERVICE_PORT,
+    ZONES,
+    SoakEndpoint,
+    SoakPlatform,
+    bind_datagrams,
+)
 from beamloom.soak.proxy import ProxyFault, StoreProxy
 from beamloom.standins.token_client import FlowPlan, FlowState, TokenClientFlow
-from beamloom.standins.token_endpoint import TokenEndpoint
-from beamloom.standins.token_store import TokenStore
-from beamloom.standins.token_store_server import TokenStoreServer
 
 FIRST_NETWORK = 64
 NETWORKS = 128
 PACKETS_PORT = 19172
 READINESS_PORT = 19167
 PEER_PORT = 19720
-SERVICE_PORT = 443
-ENDPOINT_PORT = 19080
-ZONES = ("west", "middle", "east")
-SERVICES = ("tracker", "labeller")
 STEP_SECONDS = 0.01
 READINESS_PERIOD_SECONDS = 0.5
 RESTART_SECONDS = 0.5
 START_ALLOWANCE_SECONDS = 2.0
-SERVE_ON_SECONDS = 4.0
-REUSE_SECONDS = 2.0
-HEARTBEATS_SECONDS = 3.6
 LARGEST_DATAGRAM = 4096
 
 
-class SoakEndpoint:
-    """An endpoint on a socket; `alive` False means that its process is gone."""
-
-    def __init__(self, model: TokenEndpoint, record: BackendRecord) -> None:
-        self.model = model
-        self.record = record
-        self.alive = True
-        self.socket = _bind((record.host, record.port))
-
-    def end(self) -> None:
-        """Let the process be gone."""
-        self.alive = False
-        self.socket.close()
-
-
 class SoakHarness:
     """One deployment of real nodes. `start` and `close` surround everything else.
 
@@ -81,25 +49,19 @@
 
     def __init__(self, folder: Path, nodes: int, seed: int) -> None:
         self.oracle = TokenOracle()
-        self.server = TokenStoreServer(TokenStore())
         self.nodes: dict[str, NodeProcess] = {}
         self.proxies: dict[str, StoreProxy] = {}
-        self.endpoints: list[SoakEndpoint] = []
         self.flows: dict[FlowEnd, TokenClientFlow] = {}
         self.finished: list[TokenClientFlow] = []
-        self.routes: dict[bytes, frozenset[str]] = {}
         network = f"127.{FIRST_NETWORK + os.getpid() % NETWORKS}"
         self._network = network
         self._client_host = f"{network}.2.1"
-        self._store_host = f"{network}.4.1"
+        self.platform = SoakPlatform(network, self.oracle, lambda: self.now, self.later)
         self._folder = folder
         self._node_count = nodes
         self._chance = random.Random(seed)
-        self._version = 0
-        self._sequence = 0
-        self._next_identity = 0x1000
         self._next_port = 20_000
-        self._clients = _bind((self._client_host, PACKETS_PORT))
+        self._clients = bind_datagrams((self._client_host, PACKETS_PORT))
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -109,10 +71,7 @@
 
     async def start(self) -> None:
         """Start store, endpoints and nodes; return when all nodes are ready."""
-        await self.server.start(self._store_host)
-        for number in range(8):
-            self.add_endpoint(SERVICES[0] if number % 4 else SERVICES[1])
-        self.set_routes({_destination(1): {"tracker"}, _destination(2): {"labeller"}})
+        await self.platform.start()
         for number in range(1, self._node_count + 1):
             await self._add_node(number)
         for job in (self._step(), self._poll_readiness()):
@@ -129,10 +88,8 @@
             node.end()
         for proxy in self.proxies.values():
             await proxy.close()
-        for endpoint in self.endpoints:
-            endpoint.socket.close()
         self._clients.close()
-        await self.server.close()
+        await self.platform.close()
 
     def spawn(self, job: Coroutine[object, object, None]) -> None:
         """Run something beside the rest until it ends or the harness is closed."""
@@ -180,74 +137,6 @@
             proxy.reset_connections()
         self.later(seconds, lambda: setattr(proxy, "fault", ProxyFault.NONE))
 
-    def disturb_store(self, fault: str, value: object, seconds: float) -> None:
-        """Set one of the store's faults for a while."""
-        self.oracle.note_store_disturbed(self.now + seconds)
-        before = getattr(self.server.faults, fault)
-        setattr(self.server.faults, fault, value)
-        self.later(seconds, lambda: setattr(self.server.faults, fault, before))
-
-    def add_endpoint(self, service: str, address: tuple[str, int] | None = None) -> None:
-        """Start an endpoint and announce it."""
-        self._next_identity += 1
-        identity = self._next_identity
-        host, port = address or (f"{self._network}.1.{len(self.endpoints) + 1}", ENDPOINT_PORT)
-        record = BackendRecord(
-            f"i-{identity:08x}",
-            identity,
-            service,
-            host,
-            port,
-            ZONES[identity % len(ZONES)],
-            2,
-            BackendState.READY,
-        )
-        self.endpoints.append(SoakEndpoint(TokenEndpoint(record.name, identity), record))
-        self._announce(record)
-
-    def running_endpoints(self, service: str) -> list[SoakEndpoint]:
-        """Return those of a service that run and do not leave."""
-        return [
-            endpoint
-            for endpoint in self.endpoints
-            if endpoint.alive and not endpoint.model.draining and endpoint.record.service == service
-        ]
-
-    def drain(self, endpoint: SoakEndpoint) -> None:
-        """Let an endpoint leave: it says so, serves on and ends."""
-        endpoint.model.draining = True
-        self._announce(replace(endpoint.record, state=BackendState.DRAINING))
-        self.oracle.note_left(endpoint.record.name, self.now)
-        self.later(SERVE_ON_SECONDS, lambda: self._end_endpoint(endpoint))
-
-    def crash(self, endpoint: SoakEndpoint) -> None:
-        """Let an endpoint die without a word."""
-        endpoint.end()
-        self.later(HEARTBEATS_SECONDS, lambda: self._forget_endpoint(endpoint))
-
-    def reuse(self, endpoint: SoakEndpoint, service: str) -> None:
-        """Let an endpoint leave and its address pass to another service."""
-        self.drain(endpoint)
-        address = (endpoint.record.host, endpoint.record.port)
-        wait = SERVE_ON_SECONDS + REUSE_SECONDS
-        self.later(wait, lambda: self.add_endpoint(service, address))
-
-    def set_routes(self, routes: dict[bytes, set[str]]) -> None:
-        """Write a configuration."""
-        self._version += 1
-        self.routes = {key: frozenset(services) for key, services in routes.items()}
-        records = tuple(
-            RouteRecord(
-                f"r-{key.hex()}", key, tuple(RoutePart(name, 1.0) for name in sorted(services))
-            )
-            for key, services in routes.items()
-        )
-        configuration = RoutingConfiguration(self._version, records)
-        content = store_encoding.encode_configuration(configuration)
-        self.server.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, content)
-        self.server.note_change()
-        self.oracle.note_routes(self.routes, self.now)
-
     def open_flow(self, plan: FlowPlan) -> None:
         """Let a client open a flow to one of the addresses."""
         self._next_port = 20_000 + (self._next_port - 19_999) % 40_000
@@ -258,7 +147,9 @@
 
     async def _add_node(self, number: int) -> None:
         name, host = f"node-{number}", f"{self._network}.0.{number}"
-        proxy = self.proxies[name] = StoreProxy((self._store_host, self.server.port))
+        proxy = self.proxies[name] = StoreProxy(
+            (self.platform.store_host, self.platform.server.port)
+        )
         await proxy.start(f"{self._network}.3.{number}")
         settings = TokenNodeSettings(
             node=name,
@@ -290,7 +181,7 @@
                 self._send_to_nodes(flow.advance(now))
                 if flow.ended:
                     self.finished.append(self.flows.pop(source))
-            for endpoint in self.endpoints:
+            for endpoint in self.platform.endpoints:
                 if endpoint.alive:
                     self._serve(endpoint, now)
             self._receive_at_clients()
@@ -342,7 +233,7 @@
     def _judge_reset(self, flow: TokenClientFlow, node: str) -> None:
         if flow.state is FlowState.OPENING:
             self.oracle.judge_refusal(node, _key(flow.service), self.now)
-        elif any(held.alive and held.model.holds(flow.source) for held in self.endpoints):
+        elif any(held.alive and held.model.holds(flow.source) for held in self.platform.endpoints):
             self.oracle.report("flow", self.now, f"{node} reset {flow.source}")
 
     def _send_to_nodes(self, packets: list[FlowPacket]) -> None:
@@ -358,29 +249,6 @@
     def _node_at(self, host: str) -> str:
         return next((node.name for node in self.nodes.values() if node.host == host), "")
 
-    def _announce(self, record: BackendRecord) -> None:
-        self._sequence += 1
-        content = store_encoding.encode_backend(record, self._sequence)
-        self.server.store.put(BACKENDS_KIND, record.name, content)
-        self.server.note_change()
-
-    def _end_endpoint(self, endpoint: SoakEndpoint) -> None:
-        if endpoint.alive:
-            endpoint.end()
-        self._forget_endpoint(endpoint)
-
-    def _forget_endpoint(self, endpoint: SoakEndpoint) -> None:
-        self.server.store.remove(BACKENDS_KIND, endpoint.record.name)
-        self.server.note_change()
-        self.oracle.note_left(endpoint.record.name, self.now)
-
-
-def _bind(address: tuple[str, int]) -> socket.socket:
-    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    bound.setblocking(False)
-    bound.bind(address)
-    return bound
-
 
 def _drain_socket(bound: socket.socket) -> list[tuple[bytes, str]]:
     datagrams: list[tuple[bytes, str]] = []
@@ -394,10 +262,6 @@
         datagrams.append((data, str(source[0])))
 
 
-def _destination(number: int) -> bytes:
-    return bytes((198, 18, 0, number)) + SERVICE_PORT.to_bytes(2, "big")
-
-
 def _key(end: FlowEnd) -> bytes:
     return end.address + end.port.to_bytes(2, "big")
 
--- /dev/null
+++ b/src/beamloom/soak/platform_side.py
@@ -0,0 +1,182 @@
+"""What the platform is to the nodes of a soak: its store, its endpoints, its operators."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+
+from beamloom.platform import store_encoding
+from beamloom.platform.store_objects import (
+    BACKENDS_KIND,
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+)
+from beamloom.routing.tokens.records import (
+    BackendRecord,
+    BackendState,
+    RoutePart,
+    RouteRecord,
+    RoutingConfiguration,
+)
+from beamloom.simulation.tokens.oracle import TokenOracle
+from beamloom.standins.token_endpoint import TokenEndpoint
+from beamloom.standins.token_store import TokenStore
+from beamloom.standins.token_store_server import TokenStoreServer
+
+SERVICE_PORT = 443
+ENDPOINT_PORT = 19080
+ZONES = ("west", "middle", "east")
+SERVICES = ("tracker", "labeller")
+FIRST_ENDPOINTS = 8
+SERVE_ON_SECONDS = 8.0
+"""Long enough to see a node that goes on sending new flows, which it may for 3 s."""
+REUSE_SECONDS = 2.0
+HEARTBEATS_SECONDS = 3.6
+
+
+class SoakEndpoint:
+    """An endpoint on a socket; `alive` False means that its process is gone."""
+
+    def __init__(self, model: TokenEndpoint, record: BackendRecord) -> None:
+        self.model = model
+        self.record = record
+        self.alive = True
+        self.socket = bind_datagrams((record.host, record.port))
+
+    def end(self) -> None:
+        """Let the process be gone."""
+        self.alive = False
+        self.socket.close()
+
+
+class SoakPlatform:
+    """Store, endpoints and configuration; `later` does something after so many seconds."""
+
+    def __init__(
+        self,
+        network: str,
+        oracle: TokenOracle,
+        now: Callable[[], float],
+        later: Callable[[float, Callable[[], object]], None],
+    ) -> None:
+        self.server = TokenStoreServer(TokenStore())
+        self.endpoints: list[SoakEndpoint] = []
+        self.routes: dict[bytes, frozenset[str]] = {}
+        self.store_host = f"{network}.4.1"
+        self._network = network
+        self._oracle = oracle
+        self._now = now
+        self._later = later
+        self._version = 0
+        self._sequence = 0
+        self._next_identity = 0x1000
+
+    async def start(self) -> None:
+        """Start the store and the first endpoints, and write a configuration."""
+        await self.server.start(self.store_host)
+        for number in range(FIRST_ENDPOINTS):
+            self.add_endpoint(SERVICES[0] if number % 4 else SERVICES[1])
+        self.set_routes({_destination(1): {"tracker"}, _destination(2): {"labeller"}})
+
+    async def close(self) -> None:
+        """End store and endpoints."""
+        for endpoint in self.endpoints:
+            endpoint.socket.close()
+        await self.server.close()
+
+    def disturb_store(self, fault: str, value: object, seconds: float) -> None:
+        """Set one of the store's faults for a while."""
+        self._oracle.note_store_disturbed(self._now() + seconds)
+        before = getattr(self.server.faults, fault)
+        setattr(self.server.faults, fault, value)
+        self._later(seconds, lambda: setattr(self.server.faults, fault, before))
+
+    def add_endpoint(self, service: str, address: tuple[str, int] | None = None) -> None:
+        """Start an endpoint and announce it."""
+        self._next_identity += 1
+        identity = self._next_identity
+        host, port = address or (f"{self._network}.1.{len(self.endpoints) + 1}", ENDPOINT_PORT)
+        record = BackendRecord(
+            f"i-{identity:08x}",
+            identity,
+            service,
+            host,
+            port,
+            ZONES[identity % len(ZONES)],
+            2,
+            BackendState.READY,
+        )
+        self.endpoints.append(SoakEndpoint(TokenEndpoint(record.name, identity), record))
+        self._announce(record)
+
+    def running_endpoints(self, service: str) -> list[SoakEndpoint]:
+        """Return those of a service that run and do not leave."""
+        return [
+            endpoint
+            for endpoint in self.endpoints
+            if endpoint.alive and not endpoint.model.draining and endpoint.record.service == service
+        ]
+
+    def drain(self, endpoint: SoakEndpoint) -> None:
+        """Let an endpoint leave: it says so, serves on and ends."""
+        endpoint.model.draining = True
+        self._announce(replace(endpoint.record, state=BackendState.DRAINING))
+        self._oracle.note_left(endpoint.record.name, self._now())
+        self._later(SERVE_ON_SECONDS, lambda: self._end_endpoint(endpoint))
+
+    def crash(self, endpoint: SoakEndpoint) -> None:
+        """Let an endpoint die without a word."""
+        endpoint.end()
+        self._later(HEARTBEATS_SECONDS, lambda: self._forget_endpoint(endpoint))
+
+    def reuse(self, endpoint: SoakEndpoint, service: str) -> None:
+        """Let an endpoint leave and its address pass to another service."""
+        self.drain(endpoint)
+        address = (endpoint.record.host, endpoint.record.port)
+        wait = SERVE_ON_SECONDS + REUSE_SECONDS
+        self._later(wait, lambda: self.add_endpoint(service, address))
+
+    def set_routes(self, routes: dict[bytes, set[str]]) -> None:
+        """Write a configuration."""
+        self._version += 1
+        self.routes = {key: frozenset(services) for key, services in routes.items()}
+        records = tuple(
+            RouteRecord(
+                f"r-{key.hex()}", key, tuple(RoutePart(name, 1.0) for name in sorted(services))
+            )
+            for key, services in routes.items()
+        )
+        configuration = RoutingConfiguration(self._version, records)
+        content = store_encoding.encode_configuration(configuration)
+        self.server.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, content)
+        self.server.note_change()
+        self._oracle.note_routes(self.routes, self._now())
+
+    def _announce(self, record: BackendRecord) -> None:
+        self._sequence += 1
+        content = store_encoding.encode_backend(record, self._sequence)
+        self.server.store.put(BACKENDS_KIND, record.name, content)
+        self.server.note_change()
+
+    def _end_endpoint(self, endpoint: SoakEndpoint) -> None:
+        if endpoint.alive:
+            endpoint.end()
+        self._forget_endpoint(endpoint)
+
+    def _forget_endpoint(self, endpoint: SoakEndpoint) -> None:
+        self.server.store.remove(BACKENDS_KIND, endpoint.record.name)
+        self.server.note_change()
+        self._oracle.note_left(endpoint.record.name, self._now())
+
+
+def bind_datagrams(address: tuple[str, int]) -> socket.socket:
+    """Return a bound UDP socket that does not block; raises OSError."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.bind(address)
+    return bound
+
+
+def _destination(number: int) -> bytes:
+    return bytes((198, 18, 0, number)) + SERVICE_PORT.to_bytes(2, "big")
--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -11,12 +11,16 @@
 from pathlib import Path
 
 from beamloom.simulation.tokens.oracle import Violation
-from beamloom.soak.harness import SERVICES, SoakHarness
+from beamloom.soak.harness import SoakHarness
+from beamloom.soak.platform_side import SERVICES
 from beamloom.soak.proxy import ProxyFault
 from beamloom.standins.token_client import FlowPlan
 
 OPENING_PERIOD_SECONDS = 0.05
-LONGEST_FAULT_PAUSE_SECONDS = 3.0
+LONGEST_FAULT_PAUSE_SECONDS = 4.0
+SHARE_OF_CHANGES = 0.4
+CHANGES = ("drain", "reuse", "route")
+"""Planned changes, which nodes must follow in time; they disturb nobody."""
 QUIET_END_SECONDS = 10.0
 SETTLE_SECONDS = 5.0
 
@@ -50,7 +54,7 @@
         self._chance = chance
         self._began = harness.now
         way = self._disturb_way
-        store = harness.disturb_store
+        store = harness.platform.disturb_store
         self._kinds: dict[str, Callable[[], None]] = {
             "kill": lambda: harness.kill(self._node()),
             "kill_all": self._kill_all,
@@ -66,7 +70,7 @@
             "store_silent": lambda: store("silent", True, 4.0),
             "store_throttled": lambda: store("throttled", True, 3.0),
             "store_slow": lambda: store("delay_seconds", 0.3, 4.0),
-            "compaction": harness.server.store.forget_history,
+            "compaction": harness.platform.server.store.forget_history,
             "drain": lambda: self._replace(crash=False),
             "crash": lambda: self._replace(crash=True),
             "reuse": self._reuse,
@@ -75,7 +79,8 @@
 
     def strike(self) -> None:
         """Let one fault strike now."""
-        name = self._chance.choice(sorted(self._kinds))
+        names = CHANGES if self._chance.random() < SHARE_OF_CHANGES else sorted(self._kinds)
+        name = self._chance.choice(names)
         self.struck.append(f"{self._harness.now - self._began:.1f} {name}")
         self._kinds[name]()
 
@@ -96,24 +101,24 @@
 
     def _replace(self, *, crash: bool) -> None:
         service = self._chance.choice(SERVICES)
-        running = self._harness.running_endpoints(service)
+        running = self._harness.platform.running_endpoints(service)
         if not running:
             return
-        self._harness.add_endpoint(service)
+        self._harness.platform.add_endpoint(service)
         endpoint = self._chance.choice(running)
         if crash:
-            self._harness.crash(endpoint)
+            self._harness.platform.crash(endpoint)
         else:
-            self._harness.drain(endpoint)
+            self._harness.platform.drain(endpoint)
 
     def _reuse(self) -> None:
-        running = self._harness.running_endpoints(SERVICES[0])
+        running = self._harness.platform.running_endpoints(SERVICES[0])
         if len(running) > 2:
-            self._harness.reuse(self._chance.choice(running), SERVICES[1])
+            self._harness.platform.reuse(self._chance.choice(running), SERVICES[1])
 
     def _change_routes(self) -> None:
-        routes = {key: {self._chance.choice(SERVICES)} for key in self._harness.routes}
-        self._harness.set_routes(routes)
+        routes = {key: {self._chance.choice(SERVICES)} for key in self._harness.platform.routes}
+        self._harness.platform.set_routes(routes)
 
 
 async def run_soak(options: SoakOptions) -> SoakResult:
--- a/tools/soak_broken_builds.py
+++ b/tools/soak_broken_builds.py
@@ -16,7 +16,8 @@
 
 from beamloom.soak.run import SoakOptions, run_soak
 
-SECONDS = 45.0
+SECONDS = 75.0
+NODES = 5
 SEED = 3
 SOURCES = str(Path(__file__).resolve().parents[1] / "src")
 HEAD = """
@@ -88,7 +89,7 @@
         with tempfile.TemporaryDirectory(prefix="broken-soak-") as folder:
             (Path(folder) / "sitecustomize.py").write_text(HEAD + text)
             os.environ["PYTHONPATH"] = os.pathsep.join((folder, SOURCES))
-            result = asyncio.run(run_soak(SoakOptions(SEED, SECONDS, 3, Path(folder))))
+            result = asyncio.run(run_soak(SoakOptions(SEED, SECONDS, NODES, Path(folder))))
         seen = {violation.rule for violation in result.violations}
         noticed = rule in seen
         missed += not noticed
