--- a/src/beamloom/cli/bench.py
+++ b/src/beamloom/cli/bench.py
@@ -12,6 +12,7 @@
 from beamloom.bench.scale import ScaleReport, bench_scale
 from beamloom.bench.scale_options import ScaleOptions
 from beamloom.bench.scale_report import RoleFigures
+from beamloom.bench.token_path import measure_token_path
 from beamloom.cli.errors import MeasurementFailedError
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.output import FormatFlag, OutputFormat, Row, write_json, write_rows
@@ -38,9 +39,26 @@
     group = App(name="bench", help="Measure the product on this machine.")
     group.command(forwarding)
     group.command(scale)
+    group.command(tokens)
     app.command(group)
 
 
+def tokens(
+    *,
+    packets: Annotated[int, POSITIVE, Parameter(help="Packets a round.")] = 120_000,
+    rounds: Annotated[int, POSITIVE, Parameter(help="Rounds; the middle one counts.")] = 5,
+    output_format: FormatFlag = OutputFormat.TABLE,
+) -> None:
+    """Measure what a packet costs on the token path, with the event log off and on."""
+    cost = measure_token_path(packets, rounds)
+    rows: list[Row] = [
+        {"measure": "microseconds a packet, log off", "value": round(cost.without_log, 3)},
+        {"measure": "microseconds a packet, log on", "value": round(cost.with_log, 3)},
+        {"measure": "share of the log", "value": round(cost.log_share, 4)},
+    ]
+    write_rows(FORWARDING_COLUMNS, rows, output_format)
+
+
 async def forwarding(
     *,
     flows: Annotated[int, POSITIVE, Parameter(help="Open flows in the table.")] = 100_000,
--- a/src/beamloom/platform/packet_layout.py
+++ b/src/beamloom/platform/packet_layout.py
@@ -57,7 +57,12 @@
     identity = IDENTITY.pack(command.identity)
     if command.token == NO_TOKEN:
         return identity + data
-    return identity + data[:_ECHO_OFFSET] + _ECHO.pack(command.token) + data[_ECHO_END:]
+    return identity + with_echo(data, command.token)
+
+
+def with_echo(data: bytes, token: int) -> bytes:
+    """Return a packet with another token in it."""
+    return data[:_ECHO_OFFSET] + _ECHO.pack(token) + data[_ECHO_END:]
 
 
 def encode_reset(command: ResetFlow) -> bytes:
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -11,6 +11,7 @@
 from beamloom.routing.tokens.records import BackendRecord, BackendState
 from beamloom.routing.tokens.token import bucket_of_identity, bucket_of_token
 
+SWEEP_SECONDS = 1.0
 GONE_BACKEND_SECONDS = 75.0
 """Longer than a flow is kept (60 s)."""
 
@@ -69,6 +70,7 @@
         self._by_bucket: dict[int, list[Backend]] = {}
         self._by_service: dict[str, list[Backend]] = {}
         self._by_address: dict[tuple[str, int], Backend] = {}
+        self._swept_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._by_name)
@@ -134,6 +136,10 @@
         self._by_address[address] = later
 
     def _forget_gone(self, now: float) -> None:
+        """Forget what has been gone for long; not at each of the thousands of records of a list."""
+        if now - self._swept_at < SWEEP_SECONDS:
+            return
+        self._swept_at = now
         for backend in list(self._by_name.values()):
             if backend.gone_at is not None and backend.gone_at + GONE_BACKEND_SECONDS <= now:
                 self._forget(backend)
--- a/src/beamloom/runtime/store_reader.py
+++ b/src/beamloom/runtime/store_reader.py
@@ -23,12 +23,14 @@
 from beamloom.replication.reader_duty import ReadingTurn
 from beamloom.replication.reading_times import CALL_PATIENCE_SECONDS
 from beamloom.replication.store_view import ObjectChange
-from beamloom.runtime.http_client import CallFailedError, HttpAnswer, HttpConnection
+from beamloom.runtime.http_client import CallFailedError, CallFailure, HttpAnswer, HttpConnection
 from beamloom.telemetry.histogram import LatencyHistogram
 
 Record = TypeVar("Record")
 
 LIST_SECONDS = 2.0
+LONGEST_LIST_SECONDS = 8.0
+"""Where a whole large fleet starts at once, the store's link is full; giving up would only add."""
 
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -68,6 +70,7 @@
         self._connection = connection
         self._turn = turn
         self._wake = asyncio.Event()
+        self._list_seconds = LIST_SECONDS
 
     def advance(self, now: float) -> None:
         """Begin to ask where it has become necessary; to be called a few times a second."""
@@ -103,6 +106,8 @@
             answer = await self._call(request)
         except CallFailedError as error:
             self.counters[f"calls_{error.failure.value}"] += 1
+            if error.failure is CallFailure.DEADLINE:
+                self._list_seconds = min(LONGEST_LIST_SECONDS, 2 * self._list_seconds)
             return error.failure.value
         self.counters[f"calls_{answer.status}"] += 1
         failure = self._take(request, answer, asked_at)
@@ -112,7 +117,9 @@
 
     async def _call(self, request: ListRequest | WatchRequest) -> HttpAnswer:
         if isinstance(request, ListRequest):
-            return await self._connection.call("GET", self._kind.list_path(request), LIST_SECONDS)
+            return await self._connection.call(
+                "GET", self._kind.list_path(request), self._list_seconds
+            )
         wait = self._turn.wait_seconds
         path = self._kind.watch_path(request, wait)
         return await self._connection.call("GET", path, wait + CALL_PATIENCE_SECONDS)
@@ -136,6 +143,7 @@
     def _take_body(
         self, request: ListRequest | WatchRequest, body: bytes, asked_at: float
     ) -> tuple[ObjectChange[Record], ...]:
+        self._list_seconds = LIST_SECONDS if not self.watch.must_list else self._list_seconds
         if isinstance(request, ListRequest):
             self.list_seconds.observe(_now() - asked_at)
             return self.watch.take_page(self._kind.read_page(body), asked_at)
