--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -2,21 +2,25 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from dataclasses import replace
 
 from beamloom.platform.flow_packets import FlowEnd, FlowPacket, decode_forwarded, decode_packet
 from beamloom.platform.packet_layout import FLAG_RST, FLAG_SYN
 from beamloom.protocol.messages import Message
-from beamloom.routing.tokens.records import (
-    BackendRecord,
-    BackendState,
-    RoutePart,
-    RouteRecord,
-    RoutingConfiguration,
-)
+from beamloom.routing.tokens.records import BackendRecord, BackendState
 from beamloom.simulation.clock import VirtualClock
+from beamloom.simulation.tokens.deployment import (
+    SERVICES,
+    ZONES,
+    Routes,
+    configuration_of,
+    endpoint_record,
+    first_routes,
+    key_of,
+    service_end,
+    stable_hash,
+)
 from beamloom.simulation.tokens.node import (
     BACKENDS,
     CONFIGURATION,
@@ -30,8 +34,6 @@
 from beamloom.standins.token_store import TokenStore
 
 SECRET = bytes(16)
-ZONES = ("west", "middle", "east")
-SERVICE_PORT = 443
 NETWORK_SECONDS = 0.0015
 READINESS_SECONDS = 0.5
 STEP_SECONDS = 0.02
@@ -81,8 +83,8 @@
         self.version = 0
         self.routes: dict[bytes, frozenset[str]] = {}
         for number in range(endpoints):
-            self.add_endpoint("tracker" if number % 4 else "labeller")
-        self.set_routes({_destination(1): {"tracker"}, _destination(2): {"labeller"}})
+            self.add_endpoint(SERVICES[0] if number % 4 else SERVICES[1])
+        self.set_routes(first_routes())
         for number in range(nodes):
             self.add_node(ZONES[number % len(ZONES)])
         self._poll_readiness()
@@ -152,15 +154,11 @@
         if address is None:
             self._next_host += 1
             address = (f"10.128.0.{self._next_host}", 8080)
-        name = f"i-{identity:08x}"
-        zone = ZONES[self._next_host % len(ZONES)]
-        record = BackendRecord(
-            name, identity, service, address[0], address[1], zone, 2, BackendState.READY
-        )
-        endpoint = Endpoint(TokenEndpoint(name, identity), record)
+        record = endpoint_record(identity, service, address)
+        endpoint = Endpoint(TokenEndpoint(record.name, identity), record)
         self.endpoints[address] = endpoint
         self._every_endpoint.append(endpoint)
-        self.store.put(BACKENDS, name, record)
+        self.store.put(BACKENDS, record.name, record)
         return endpoint
 
     def running_endpoints(self, service: str) -> list[Endpoint]:
@@ -190,17 +188,11 @@
         address = (endpoint.record.host, endpoint.record.port)
         self.clock.call_later(SERVE_ON_SECONDS + 2.0, self.add_endpoint, service, address)
 
-    def set_routes(self, routes: dict[bytes, set[str]]) -> None:
+    def set_routes(self, routes: Routes) -> None:
         """Write a configuration."""
         self.version += self.chance.randrange(1, 4)
-        self.routes = {key: frozenset(services) for key, services in routes.items()}
-        records = tuple(
-            RouteRecord(
-                f"r-{key.hex()}", key, tuple(RoutePart(name, 1.0) for name in sorted(services))
-            )
-            for key, services in routes.items()
-        )
-        configuration = RoutingConfiguration(self.version, records)
+        self.routes = dict(routes)
+        configuration = configuration_of(self.version, routes)
         self.store.put(CONFIGURATION, CONFIGURATION_NAME, configuration)
         self.oracle.note_routes(self.routes, self.clock.now)
 
@@ -208,7 +200,7 @@
         """Let a client open a flow to one of the addresses."""
         self._next_port += 1
         source = FlowEnd(bytes((100, 64, 0, self._next_port % 200 + 1)), self._next_port)
-        flow = TokenClientFlow(source, _service_end(service), plan, self.clock.now)
+        flow = TokenClientFlow(source, service_end(service), plan, self.clock.now)
         self.flows[source] = flow
         return flow
 
@@ -255,7 +247,7 @@
         if not packet.is_intact:
             self.oracle.report("unasked", now, f"an altered packet at {endpoint.record.name}")
         if packet.flags & FLAG_SYN and identity == endpoint.model.identity:
-            destination = _key(packet.destination)
+            destination = key_of(packet.destination)
             record = endpoint.record
             self.oracle.judge_opening(node, record.name, record.service, destination, now)
         self._deliver(endpoint.model.handle(identity, packet, now))
@@ -289,7 +281,7 @@
             if any(held.alive and held.model.holds(flow.source) for held in self._every_endpoint):
                 self.oracle.report("flow", self.clock.now, f"{node} reset {flow.source}")
             return
-        self.oracle.judge_refusal(node, _key(flow.service), self.clock.now)
+        self.oracle.judge_refusal(node, key_of(flow.service), self.clock.now)
 
     def _send_to_nodes(self, packets: list[FlowPacket]) -> None:
         for packet in packets:
@@ -305,8 +297,8 @@
             return None
         text = str(source)
         if self._steady:
-            return self.nodes[max(names, key=lambda name: _hash(f"{text}|{name}"))]
-        return self.nodes[names[_hash(text) % len(names)]]
+            return self.nodes[max(names, key=lambda name: stable_hash(f"{text}|{name}"))]
+        return self.nodes[names[stable_hash(text) % len(names)]]
 
     def _poll_readiness(self) -> None:
         for name, node in self.nodes.items():
@@ -334,19 +326,3 @@
 
     def _is_lost(self) -> bool:
         return self._loss > 0.0 and self.chance.random() < self._loss
-
-
-def _destination(number: int) -> bytes:
-    return bytes((198, 18, 0, number)) + SERVICE_PORT.to_bytes(2, "big")
-
-
-def _service_end(number: int) -> FlowEnd:
-    return FlowEnd(bytes((198, 18, 0, number)), SERVICE_PORT)
-
-
-def _key(end: FlowEnd) -> bytes:
-    return end.address + end.port.to_bytes(2, "big")
-
-
-def _hash(text: str) -> int:
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
--- a/src/beamloom/simulation/tokens/run.py
+++ b/src/beamloom/simulation/tokens/run.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from beamloom.simulation.tokens.fleet import ZONES, TokenFleet
+from beamloom.simulation.tokens.deployment import SERVICES, ZONES
+from beamloom.simulation.tokens.fleet import TokenFleet
 from beamloom.simulation.tokens.oracle import Violation
 from beamloom.simulation.tokens.store_link import StoreFault
 from beamloom.standins.token_client import FlowPlan, FlowState
@@ -86,7 +87,7 @@
             self._fleet.kill_node(name)
 
     def _replace(self, *, crash: bool) -> None:
-        service = self._chance.choice(("tracker", "labeller"))
+        service = self._chance.choice(SERVICES)
         running = self._fleet.running_endpoints(service)
         if not running:
             return
@@ -98,13 +99,12 @@
             self._fleet.drain_endpoint(endpoint)
 
     def _reuse(self) -> None:
-        running = self._fleet.running_endpoints("tracker")
+        running = self._fleet.running_endpoints(SERVICES[0])
         if len(running) > 2:
-            self._fleet.reuse_address(self._chance.choice(running), "labeller")
+            self._fleet.reuse_address(self._chance.choice(running), SERVICES[1])
 
     def _change_routes(self) -> None:
-        services = ("tracker", "labeller")
-        routes = {key: {self._chance.choice(services)} for key in self._fleet.routes}
+        routes = {key: frozenset({self._chance.choice(SERVICES)}) for key in self._fleet.routes}
         self._fleet.set_routes(routes)
 
 
--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import os
 import random
 import signal
@@ -17,11 +16,10 @@
 from beamloom.platform.flow_packets import FlowEnd, FlowPacket, decode_forwarded, decode_packet
 from beamloom.platform.packet_layout import FLAG_RST, FLAG_SYN
 from beamloom.settings.token_node import Endpoint, TokenNodeSettings
+from beamloom.simulation.tokens.deployment import ZONES, key_of, service_end, stable_hash
 from beamloom.simulation.tokens.oracle import TokenOracle
 from beamloom.soak.nodes import NodeProcess
 from beamloom.soak.platform_side import (
-    SERVICE_PORT,
-    ZONES,
     SoakEndpoint,
     SoakPlatform,
     bind_datagrams,
@@ -142,7 +140,7 @@
         self._next_port = 20_000 + (self._next_port - 19_999) % 40_000
         source = FlowEnd(socket.inet_aton(self._client_host), self._next_port)
         number = self._chance.choice((1, 2))
-        service = FlowEnd(bytes((198, 18, 0, number)), SERVICE_PORT)
+        service = service_end(number)
         self.flows[source] = TokenClientFlow(source, service, plan, self.now)
 
     async def _add_node(self, number: int) -> None:
@@ -209,7 +207,7 @@
             self.oracle.report("unasked", self.now, detail)
         if packet.flags & FLAG_SYN and identity == endpoint.model.identity:
             record = endpoint.record
-            key = _key(packet.destination)
+            key = key_of(packet.destination)
             node = self._node_at(host)
             self.oracle.judge_opening(node, record.name, record.service, key, self.now)
 
@@ -232,7 +230,7 @@
 
     def _judge_reset(self, flow: TokenClientFlow, node: str) -> None:
         if flow.state is FlowState.OPENING:
-            self.oracle.judge_refusal(node, _key(flow.service), self.now)
+            self.oracle.judge_refusal(node, key_of(flow.service), self.now)
         elif any(held.alive and held.model.holds(flow.source) for held in self.platform.endpoints):
             self.oracle.report("flow", self.now, f"{node} reset {flow.source}")
 
@@ -244,7 +242,7 @@
     def _pick_host(self, source: FlowEnd) -> str:
         hosts = [node.host for node in self.nodes.values() if node.misses < 2]
         hosts = hosts or [node.host for node in self.nodes.values()]
-        return max(hosts, key=lambda host: _hash(f"{source}|{host}"))
+        return max(hosts, key=lambda host: stable_hash(f"{source}|{host}"))
 
     def _node_at(self, host: str) -> str:
         return next((node.name for node in self.nodes.values() if node.host == host), "")
@@ -260,11 +258,3 @@
         except OSError:
             continue
         datagrams.append((data, str(source[0])))
-
-
-def _key(end: FlowEnd) -> bytes:
-    return end.address + end.port.to_bytes(2, "big")
-
-
-def _hash(text: str) -> int:
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
--- a/src/beamloom/soak/platform_side.py
+++ b/src/beamloom/soak/platform_side.py
@@ -12,22 +12,20 @@
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
 )
-from beamloom.routing.tokens.records import (
-    BackendRecord,
-    BackendState,
-    RoutePart,
-    RouteRecord,
-    RoutingConfiguration,
+from beamloom.routing.tokens.records import BackendRecord, BackendState
+from beamloom.simulation.tokens.deployment import (
+    SERVICES,
+    Routes,
+    configuration_of,
+    endpoint_record,
+    first_routes,
 )
 from beamloom.simulation.tokens.oracle import TokenOracle
 from beamloom.standins.token_endpoint import TokenEndpoint
 from beamloom.standins.token_store import TokenStore
 from beamloom.standins.token_store_server import TokenStoreServer
 
-SERVICE_PORT = 443
 ENDPOINT_PORT = 19080
-ZONES = ("west", "middle", "east")
-SERVICES = ("tracker", "labeller")
 FIRST_ENDPOINTS = 8
 SERVE_ON_SECONDS = 8.0
 """Long enough to see a node that goes on sending new flows, which it may for 3 s."""
@@ -77,7 +75,7 @@
         await self.server.start(self.store_host)
         for number in range(FIRST_ENDPOINTS):
             self.add_endpoint(SERVICES[0] if number % 4 else SERVICES[1])
-        self.set_routes({_destination(1): {"tracker"}, _destination(2): {"labeller"}})
+        self.set_routes(first_routes())
 
     async def close(self) -> None:
         """End store and endpoints."""
@@ -97,16 +95,7 @@
         self._next_identity += 1
         identity = self._next_identity
         host, port = address or (f"{self._network}.1.{len(self.endpoints) + 1}", ENDPOINT_PORT)
-        record = BackendRecord(
-            f"i-{identity:08x}",
-            identity,
-            service,
-            host,
-            port,
-            ZONES[identity % len(ZONES)],
-            2,
-            BackendState.READY,
-        )
+        record = endpoint_record(identity, service, (host, port))
         self.endpoints.append(SoakEndpoint(TokenEndpoint(record.name, identity), record))
         self._announce(record)
 
@@ -137,17 +126,11 @@
         wait = SERVE_ON_SECONDS + REUSE_SECONDS
         self._later(wait, lambda: self.add_endpoint(service, address))
 
-    def set_routes(self, routes: dict[bytes, set[str]]) -> None:
+    def set_routes(self, routes: Routes) -> None:
         """Write a configuration."""
         self._version += 1
-        self.routes = {key: frozenset(services) for key, services in routes.items()}
-        records = tuple(
-            RouteRecord(
-                f"r-{key.hex()}", key, tuple(RoutePart(name, 1.0) for name in sorted(services))
-            )
-            for key, services in routes.items()
-        )
-        configuration = RoutingConfiguration(self._version, records)
+        self.routes = dict(routes)
+        configuration = configuration_of(self._version, routes)
         content = store_encoding.encode_configuration(configuration)
         self.server.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, content)
         self.server.note_change()
@@ -176,7 +159,3 @@
     bound.setblocking(False)
     bound.bind(address)
     return bound
-
-
-def _destination(number: int) -> bytes:
-    return bytes((198, 18, 0, number)) + SERVICE_PORT.to_bytes(2, "big")
--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from beamloom.simulation.tokens.deployment import SERVICES
 from beamloom.simulation.tokens.oracle import Violation
 from beamloom.soak.harness import SoakHarness
-from beamloom.soak.platform_side import SERVICES
 from beamloom.soak.proxy import ProxyFault
 from beamloom.standins.token_client import FlowPlan
 
@@ -117,7 +117,9 @@
             self._harness.platform.reuse(self._chance.choice(running), SERVICES[1])
 
     def _change_routes(self) -> None:
-        routes = {key: {self._chance.choice(SERVICES)} for key in self._harness.platform.routes}
+        routes = {
+            key: frozenset({self._chance.choice(SERVICES)}) for key in self._harness.platform.routes
+        }
         self._harness.platform.set_routes(routes)
 
 
--- a/tests/unit/simulation/test_token_fleet.py
+++ b/tests/unit/simulation/test_token_fleet.py
@@ -83,7 +83,7 @@
         fleet.run(6.0)
         fleet.disturb_store(StoreFault.SILENT, 6.0)
         fleet.run(3.0)
-        fleet.set_routes({key: {"labeller"} for key in fleet.routes})
+        fleet.set_routes({key: frozenset({"labeller"}) for key in fleet.routes})
         fleet.run(3.0 + 2.5)
         versions = {node.core.router.routes.version for node in fleet.nodes.values()}
         self.assertEqual(versions, {fleet.version})
