Be more patient with openings where clients are far away

Cause (review): 0.15 s judges every opening as failed where client and backend are over 0.1 s apart. Change: an opening that was answered after it had counted as failed makes the node wait twice as long as that took, up to 1.2 s.

--- a/src/beamloom/routing/tokens/flow_observer.py
+++ b/src/beamloom/routing/tokens/flow_observer.py
@@ -19,6 +19,8 @@
 
 OPENING_PATIENCE_SECONDS = 0.15
 """A backend answers an opening within milliseconds; copies come after 0.2 s."""
+LONGEST_PATIENCE_SECONDS = 1.2
+"""A client gives an opening up after 1.4 s."""
 LONGEST_SUSPICION_DOUBLINGS = 3
 SUSPECT_AFTER_FAILURES = 2
 STALLED_AFTER_REPEATS = 2
@@ -83,12 +85,14 @@
     """The flows of one node and the load that they put on backends.
 
     `opening_seconds` is from an opening packet to the first one with a token, `answer_seconds` from
-    a client's data to the first sign that it got more of an answer.
+    a client's data to the first sign that it got more of an answer. `patience_seconds` grows where
+    clients are so far away that their answers to a backend take longer.
     """
 
     def __init__(self, on_decision: Callable[[Decision], None]) -> None:
         self.opening_seconds = LatencyHistogram()
         self.answer_seconds = LatencyHistogram()
+        self.patience_seconds = OPENING_PATIENCE_SECONDS
         self._on_decision = on_decision
         self.idle_seconds = 15.0
         self._flows: dict[bytes, ObservedFlow] = {}
@@ -116,7 +120,7 @@
             flow.placed_at = now
         if flow.opening_at is None:
             flow.opening_at = now
-        self._openings.append((now + OPENING_PATIENCE_SECONDS, key, backend))
+        self._openings.append((now + self.patience_seconds, key, backend))
 
     def note_packet(self, packet: ClientPacket, backend: Backend, now: float) -> None:
         """Note a packet of an open flow that went to a backend by its token."""
@@ -179,11 +183,18 @@
             self.opening_seconds.observe(now - flow.opening_at)
         if flow.phase is FlowPhase.OPENING:
             backend.pending -= 1
+        elif flow.opening_at is not None:
+            self._note_misjudged(now - flow.placed_at)
         flow.phase = FlowPhase.OPEN
         backend.open += 1
         backend.failures = 0
         backend.suspect_until = 0.0
 
+    def _note_misjudged(self, seconds: float) -> None:
+        """Be more patient: a backend did answer an opening that counted as unanswered."""
+        longer = min(LONGEST_PATIENCE_SECONDS, 2 * seconds)
+        self.patience_seconds = max(self.patience_seconds, longer)
+
     def _note_unanswered(self, key: bytes, flow: ObservedFlow, now: float) -> None:
         """Note that a backend did not answer an opening in time, once for each opening."""
         if flow.phase is not FlowPhase.OPENING:
--- a/tests/unit/tokens/test_placement_by_view.py
+++ b/tests/unit/tokens/test_placement_by_view.py
@@ -137,6 +137,21 @@
             router.handle(packet(client, token=token, sequence=59, acknowledged=700), 2.7)
         self.assertEqual((held.stalled, held.busy), (0, 0))
 
+    def test_far_clients_make_a_node_more_patient(self) -> None:
+        router = make_router(backend(1))
+        held = router.backends.of_service("tracker")[0]
+        for client in range(10):
+            began = client * 1.0
+            command = router.handle(opening(client), began)
+            assert isinstance(command, ForwardPacket)
+            router.advance(began + 0.25)
+            router.handle(packet(client, token=command.token), began + 0.3)
+        self.assertAlmostEqual(router.flows.patience_seconds, 0.6)
+        self.assertEqual((held.failures, held.pending, held.open), (0, 0, 10))
+        command = router.handle(opening(50), 11.0)
+        router.advance(11.3)
+        self.assertEqual((held.failures, held.pending), (0, 1))
+
     def test_an_answer_ends_the_suspicion(self) -> None:
         router = make_router(backend(1))
         for client in range(3):
