--- a/src/beamloom/runtime/store_follower.py
+++ b/src/beamloom/runtime/store_follower.py
@@ -72,6 +72,8 @@
         self._decisions = decisions
         self._chance = chance
         self._connections: list[HttpConnection] = []
+        self._has_peers = False
+        self._was_alone = False
         self.readers = (
             self._make_reader(_BACKENDS, core.backend_watch, core.backend_turn, core.take_backends),
             self._make_reader(
@@ -103,6 +105,21 @@
         for reader in self.readers:
             reader.advance(now)
         self._send()
+        self._note_peers()
+
+    def _note_peers(self) -> None:
+        """Tell when this node is alone after it had peers, and when it is so no longer."""
+        if self._core.exchange is None:
+            return
+        has_peers = len(self._core.exchange.peers) > 0
+        if has_peers == self._has_peers:
+            return
+        if has_peers and self._was_alone:
+            self._decisions.dependency_regained("peers", 1)
+        elif not has_peers:
+            self._was_alone = True
+            self._decisions.dependency_lost("peers", "none was heard for long", 1)
+        self._has_peers = has_peers
 
     def close(self) -> None:
         """Leave the peers."""
