Let overlapping faults of the soak end, and report nodes that are not ready in the end

Soak left 1,109 of 1,772 flows unanswered: two strokes of one fault overlapped, and the second restored what the first had set, so the stand-in's store refused everybody for good.

--- a/src/beamloom/soak/platform_side.py
+++ b/src/beamloom/soak/platform_side.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -23,7 +24,7 @@
 from beamloom.simulation.tokens.oracle import TokenOracle
 from beamloom.standins.token_endpoint import TokenEndpoint
 from beamloom.standins.token_store import TokenStore
-from beamloom.standins.token_store_server import TokenStoreServer
+from beamloom.standins.token_store_server import TokenStoreFaults, TokenStoreServer
 
 ENDPOINT_PORT = 19080
 FIRST_ENDPOINTS = 8
@@ -66,6 +67,7 @@
         self._oracle = oracle
         self._now = now
         self._later = later
+        self._strokes: Counter[str] = Counter()
         self._version = 0
         self._sequence = 0
         self._next_identity = 0x1000
@@ -84,11 +86,16 @@
         await self.server.close()
 
     def disturb_store(self, fault: str, value: object, seconds: float) -> None:
-        """Set one of the store's faults for a while."""
+        """Set one of the store's faults for a while; it ends with the last stroke of its kind."""
         self._oracle.note_store_disturbed(self._now() + seconds)
-        before = getattr(self.server.faults, fault)
+        self._strokes[fault] += 1
         setattr(self.server.faults, fault, value)
-        self._later(seconds, lambda: setattr(self.server.faults, fault, before))
+        self._later(seconds, lambda: self._end_stroke(fault))
+
+    def _end_stroke(self, fault: str) -> None:
+        self._strokes[fault] -= 1
+        if not self._strokes[fault]:
+            setattr(self.server.faults, fault, getattr(TokenStoreFaults(), fault))
 
     def add_endpoint(self, service: str, address: tuple[str, int] | None = None) -> None:
         """Start an endpoint and announce it."""
--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -163,4 +163,7 @@
         if status is not None:
             detail = f"{node.name} does not run: exit status {status}"
             harness.oracle.report("process", harness.now, detail)
+        elif node.misses:
+            detail = f"{node.name} is not ready {QUIET_END_SECONDS:g} s after the last fault"
+            harness.oracle.report("recovery", harness.now, detail)
     return SoakResult(flows, faults.struck, harness.oracle.violations, harness.oracle.counters)
