--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 from beamloom.protocol.messages import Message
@@ -85,7 +86,7 @@
         self._observer = observer
         self._chance = chance
         self._now = 0.0
-        self._advanced_at: float | None = None
+        self._advanced_at = float("inf")
 
     @property
     def complete(self) -> bool:
@@ -111,8 +112,14 @@
         from beamloom.replication.view_exchange import SharedView, ViewExchange
 
         views = (
-            SharedView(self.backends, BACKEND_CODEC, self._take_peers_backends),
-            SharedView(self.configuration, CONFIGURATION_CODEC, self._take_peers_configuration),
+            SharedView(
+                self.backends, BACKEND_CODEC, partial(self._apply_backends, source=FROM_PEER)
+            ),
+            SharedView(
+                self.configuration,
+                CONFIGURATION_CODEC,
+                partial(self._apply_configuration, source=FROM_PEER),
+            ),
         )
         peers = PeerTable(host, seeds, self._chance)
         self.exchange = ViewExchange(views, peers, self.duty, self._chance)
@@ -120,11 +127,11 @@
 
     def has_stalled(self, now: float) -> bool:
         """Whether the process stood still until now: `advance` has not been called for long."""
-        return self._advanced_at is not None and now - self._advanced_at > LONGEST_STALL_SECONDS
+        return now - self._advanced_at > LONGEST_STALL_SECONDS
 
     def advance(self, now: float) -> None:
         """Let time pass; to be called a few times a second."""
-        if self._advanced_at is not None and self.has_stalled(now):
+        if self.has_stalled(now):
             self._observer.stalled(now - self._advanced_at)
             self._forget_confirmations()
         self._advanced_at = self._now = now
@@ -168,14 +175,6 @@
         self.backends.confirmed_at = None
         self.configuration.confirmed_at = None
 
-    def _take_peers_backends(self, changes: tuple[ObjectChange[BackendRecord], ...]) -> None:
-        self._apply_backends(changes, FROM_PEER)
-
-    def _take_peers_configuration(
-        self, changes: tuple[ObjectChange[RoutingConfiguration], ...]
-    ) -> None:
-        self._apply_configuration(changes, FROM_PEER)
-
     def _apply_backends(
         self, changes: tuple[ObjectChange[BackendRecord], ...], source: str
     ) -> None:
--- a/src/beamloom/replication/backoff.py
+++ b/src/beamloom/replication/backoff.py
@@ -1,4 +1,4 @@
-"""Exponential backoff with equal jitter."""
+"""Exponential backoff: with equal jitter, and with full jitter where many callers start at once."""
 
 from __future__ import annotations
 
@@ -25,3 +25,26 @@
     def reset(self) -> None:
         """Start from the shortest delay again, after a success."""
         self._attempts = 0
+
+
+class FullJitter:
+    """Pauses drawn from zero to a bound that doubles from `2 * first` to `longest` seconds.
+
+    Source: Brooker 2015, "Exponential Backoff And Jitter". `failures` counts those in a row.
+    """
+
+    def __init__(self, first: float, longest: float, chance: random.Random) -> None:
+        self.failures = 0
+        self._first = first
+        self._longest = longest
+        self._chance = chance
+
+    def next_pause(self) -> float:
+        """Note a failure; return the seconds to wait before the next attempt."""
+        self.failures += 1
+        bound = min(self._longest, self._first * 2 ** min(self.failures, 8))
+        return self._chance.uniform(0.0, bound)
+
+    def reset(self) -> None:
+        """Start from the shortest pause again, after a success."""
+        self.failures = 0
--- a/src/beamloom/replication/object_watch.py
+++ b/src/beamloom/replication/object_watch.py
@@ -11,13 +11,12 @@
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
-from beamloom.replication.reading_times import LONGEST_PAUSE_SECONDS
+from beamloom.replication.backoff import FullJitter
+from beamloom.replication.reading_times import FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS
 from beamloom.replication.store_view import NamedRecord, ObjectChange, StoreView
 
 Record = TypeVar("Record")
 
-FIRST_PAUSE_SECONDS = 0.1
-
 
 @dataclass(frozen=True, slots=True)
 class ListRequest:
@@ -75,25 +74,32 @@
 
     def __init__(self, view: StoreView[Record], chance: random.Random) -> None:
         self.view = view
-        self.failures = 0
-        self._chance = chance
+        self._pauses = FullJitter(FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS, chance)
         self._listing: _Listing[Record] = _Listing()
         self._history_lost = False
 
+    @property
+    def failures(self) -> int:
+        """How many calls in a row had no usable answer."""
+        return self._pauses.failures
+
     def next_request(self) -> ListRequest | WatchRequest:
         """Return what to ask the store now."""
-        if self.view.revision is None or self._history_lost:
-            return ListRequest(self._listing.after)
-        return WatchRequest(self.view.revision)
+        revision = self._watched_revision
+        return ListRequest(self._listing.after) if revision is None else WatchRequest(revision)
 
     @property
     def must_list(self) -> bool:
         """Whether only a list can help: nothing is known, or the history is lost."""
-        return self.view.revision is None or self._history_lost
+        return self._watched_revision is None
+
+    @property
+    def _watched_revision(self) -> int | None:
+        return None if self._history_lost else self.view.revision
 
     def take_page(self, page: ListPage[Record], asked_at: float) -> Changes[Record]:
         """Take one page; return what the whole list changes once its last page is there."""
-        self.failures = 0
+        self._pauses.reset()
         listing = self._listing
         if listing.first_revision is None:
             listing.first_revision = page.revision
@@ -113,19 +119,17 @@
 
         An answer that was held up on its way makes `now` too late by at most the call's patience.
         """
-        self.failures = 0
+        self._pauses.reset()
         changes = self.view.apply(batch.changes, batch.revision)
         self.view.confirm(now)
         return changes
 
     def take_lost_history(self) -> None:
         """Begin again with a list: the store no longer knows the view's revision."""
-        self.failures = 0
+        self._pauses.reset()
         self._history_lost = True
         self._listing = _Listing()
 
     def take_failure(self) -> float:
         """Note a call without a usable answer; return the seconds to wait before the next."""
-        self.failures += 1
-        longest = min(LONGEST_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2 ** min(self.failures, 8))
-        return self._chance.uniform(0.0, longest)
+        return self._pauses.next_pause()
--- a/src/beamloom/replication/peer_table.py
+++ b/src/beamloom/replication/peer_table.py
@@ -38,12 +38,11 @@
             self._heard[host] = at
         return known is None
 
-    def forget_silent(self, now: float) -> list[str]:
-        """Drop and return hosts that nobody has heard for long."""
-        silent = [host for host, at in self._heard.items() if now - at >= PEER_SILENCE_SECONDS]
-        for host in silent:
-            del self._heard[host]
-        return silent
+    def forget_silent(self, now: float) -> None:
+        """Drop hosts that nobody has heard for long."""
+        self._heard = {
+            host: at for host, at in self._heard.items() if now - at < PEER_SILENCE_SECONDS
+        }
 
     def choose(self, count: int) -> list[str]:
         """Return up to so many hosts, drawn by chance; all of them where there are no more."""
--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -41,8 +41,7 @@
 
     def note_reader(self, reader_id: str, at: float) -> None:
         """Note that the store answered another node at a moment."""
-        if at > self._heard.get(reader_id, at - 1.0):
-            self._heard[reader_id] = at
+        self._heard[reader_id] = max(at, self._heard.get(reader_id, at))
 
     def advance(self, now: float) -> bool:
         """Take up or give up the duty; return whether that changed anything."""
@@ -94,8 +93,8 @@
         """Whether to ask now: as a reader, for want of a list, or as the view has become stale."""
         if self._watch.must_list or self._duty.reading:
             return True
-        confirmed = self._watch.view.confirmed_at
-        return confirmed is None or now - confirmed >= self._stale_after
+        age = self._watch.view.age(now)
+        return age is None or age >= self._stale_after
 
     def note_answer(self) -> None:
         """Draw anew when the view will count as stale, so that not all nodes ask at once."""
--- a/src/beamloom/replication/reading_times.py
+++ b/src/beamloom/replication/reading_times.py
@@ -10,8 +10,9 @@
 
 CALL_PATIENCE_SECONDS = 0.7
 """How long an answer may take, beyond what the store was asked to wait."""
+FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 0.8
-"""The longest pause between calls that fail."""
+"""The shortest bound and the longest pause between calls that fail."""
 STALE_SPREAD_SECONDS = 0.3
 """Nodes whose views become stale together do not all ask at once: the first one tells the rest."""
 LONGEST_STALE_SECONDS = 2.0
--- a/src/beamloom/replication/shared_secret.py
+++ b/src/beamloom/replication/shared_secret.py
@@ -9,8 +9,8 @@
 import random
 from enum import Enum
 
-from beamloom.replication.object_watch import FIRST_PAUSE_SECONDS
-from beamloom.replication.reading_times import LONGEST_PAUSE_SECONDS
+from beamloom.replication.backoff import FullJitter
+from beamloom.replication.reading_times import FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS
 
 
 class SecretStep(Enum):
@@ -26,8 +26,7 @@
     def __init__(self, chance: random.Random) -> None:
         self.value: bytes | None = None
         self.step = SecretStep.READ
-        self._chance = chance
-        self._failures = 0
+        self._pauses = FullJitter(FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS, chance)
 
     def take_secret(self, value: bytes) -> None:
         """Take what was read."""
@@ -44,6 +43,4 @@
     def take_failure(self) -> float:
         """Note a call without a usable answer; return the seconds to wait before reading again."""
         self.step = SecretStep.READ
-        self._failures += 1
-        longest = min(LONGEST_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2 ** min(self._failures, 8))
-        return self._chance.uniform(0.0, longest)
+        return self._pauses.next_pause()
--- a/src/beamloom/replication/store_view.py
+++ b/src/beamloom/replication/store_view.py
@@ -62,6 +62,10 @@
     def __len__(self) -> int:
         return len(self._present)
 
+    def age(self, now: float) -> float | None:
+        """Return how long ago the view was known to be current, in seconds; None: never."""
+        return None if self.confirmed_at is None else now - self.confirmed_at
+
     def confirm(self, at: float) -> bool:
         """Note that the view was current at a moment; return whether that is news."""
         if self.confirmed_at is not None and at <= self.confirmed_at:
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -125,7 +125,7 @@
 
     def _take_address(self, backend: Backend, now: float) -> None:
         """Let the later one of two incarnations have an address; a list may name both."""
-        address = (backend.record.host, backend.record.port)
+        address = backend.record.address
         former = self._by_address.get(address)
         later = backend
         if former is not None:
@@ -150,9 +150,8 @@
         self._by_service[record.service].remove(backend)
         backend.forgotten = True
         self._forget_bucket(backend)
-        address = (record.host, record.port)
-        if self._by_address.get(address) is backend:
-            del self._by_address[address]
+        if self._by_address.get(record.address) is backend:
+            del self._by_address[record.address]
 
     def _forget_bucket(self, backend: Backend) -> None:
         bucket = bucket_of_identity(backend.record.identity)
--- a/src/beamloom/routing/tokens/records.py
+++ b/src/beamloom/routing/tokens/records.py
@@ -33,6 +33,11 @@
     state: BackendState
     warm_up_seconds: float = 0.0
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it takes datagrams, in the form that sockets take."""
+        return (self.host, self.port)
+
 
 @dataclass(frozen=True, slots=True)
 class RoutePart:
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -160,7 +160,7 @@
     def _forward(self, packet: ClientPacket, backend: Backend, token: int) -> ForwardPacket:
         record = backend.record
         self.counters["forwarded"] += 1
-        return ForwardPacket(packet, record.identity, (record.host, record.port), token)
+        return ForwardPacket(packet, record.identity, record.address, token)
 
     def _refuse(self, packet: ClientPacket, reason: RefusalReason) -> ResetFlow:
         self.counters[f"refused_{reason.value}"] += 1
--- a/src/beamloom/runtime/datagrams.py
+++ b/src/beamloom/runtime/datagrams.py
@@ -56,12 +56,14 @@
         host, port = self._socket.getsockname()[:2]
         return SocketAddress(host, port)
 
-    def send(self, data: bytes, destination: SocketAddress) -> None:
-        """Send one datagram, or count it as unsent when the kernel refuses it."""
+    def send(self, data: bytes, destination: SocketAddress) -> bool:
+        """Send one datagram, or count it as unsent when the kernel refuses it; return whether."""
         try:
             self._socket.sendto(data, destination)
         except OSError:
             self.unsent += 1
+            return False
+        return True
 
     def _read_batch(self) -> None:
         receive, received = self._socket.recvfrom, self._received
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -77,7 +77,7 @@
                     "suspect": decision.suspect,
                 }
         fields["view_age"] = self._rounded_age()
-        self._log.record(name, fields)
+        self._log.append(name, fields)
 
     def backend_changed(self, record: BackendRecord, revision: int, source: str) -> None:
         """Note what the store now says of a backend."""
--- a/src/beamloom/runtime/token_metrics.py
+++ b/src/beamloom/runtime/token_metrics.py
@@ -1,76 +1,83 @@
-"""The figures of a token node in Prometheus's text format, made when they are asked for.
-
-prometheus-client is imported at the first request, not while the node starts.
-"""
+"""The figures of a token node, and what each of them means; imported at the first scrape."""
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from beamloom.telemetry.histogram import LatencyHistogram
+from beamloom.telemetry.counters import Metric, MetricKind, gauge, histogram, labelled
 
 if TYPE_CHECKING:
-    from prometheus_client.core import Metric
-
-NAMESPACE = "beamloom"
-
-
-@dataclass(frozen=True, slots=True)
-class TokenMetricSources:
-    """Where figures come from: counters by group, gauges and histograms by name.
-
-    A group becomes the counter `beamloom_GROUP_total` with the label `event`.
-    """
-
-    counters: Mapping[str, Callable[[], Counter[str]]]
-    gauges: Mapping[str, Callable[[], float | None]]
-    histograms: Mapping[str, LatencyHistogram]
-    help_texts: Mapping[str, str] = field(default_factory=dict)
-
-
-class TokenMetrics:
-    """Renders the sources; `collect` is what prometheus-client's registries call."""
-
-    def __init__(self, sources: TokenMetricSources) -> None:
-        self._sources = sources
-
-    def render(self) -> bytes:
-        """Return all figures as text."""
-        from prometheus_client import CollectorRegistry, generate_latest
-
-        registry = CollectorRegistry(auto_describe=False)
-        registry.register(self)
-        return generate_latest(registry)
-
-    def collect(self) -> Iterable[Metric]:
-        """Yield one family for each group of counters, gauge and histogram."""
-        from prometheus_client.core import (
-            CounterMetricFamily,
-            GaugeMetricFamily,
-            HistogramMetricFamily,
-        )
-
-        for group, read in self._sources.counters.items():
-            counter = CounterMetricFamily(self._name(group), self._help(group), labels=["event"])
-            for event, count in sorted(read().items()):
-                counter.add_metric([event], count)
-            yield counter
-        for name, measure in self._sources.gauges.items():
-            gauge = GaugeMetricFamily(self._name(name), self._help(name))
-            value = measure()
-            if value is not None:
-                gauge.add_metric([], value)
-            yield gauge
-        for name, histogram in self._sources.histograms.items():
-            family = HistogramMetricFamily(self._name(name), self._help(name))
-            family.add_metric([], histogram.cumulative(), histogram.total_seconds)
-            yield family
-
-    def _name(self, name: str) -> str:
-        return f"{NAMESPACE}_{name}"
-
-    def _help(self, name: str) -> str:
-        return self._sources.help_texts.get(name, name.replace("_", " "))
+    from beamloom.runtime.token_node import TokenNode
+
+HELP_TEXTS = {
+    "packets": "Packets by what became of them.",
+    "backend_store_calls": "Calls to the store for backends, by status or failure.",
+    "configuration_store_calls": "Calls to the store for the configuration, by status or failure.",
+    "peer_messages": "Digests, requests and answers exchanged with other nodes.",
+    "peer_datagrams": "Datagrams between nodes, by what became of them.",
+    "log_lines": "Log lines left out, and writes that failed.",
+    "open_flows": "Flows that this node has seen and that have not ended.",
+    "backends": "Backends that packets may go to, gone ones among them.",
+    "configuration_version": "The version in force; -1 before the first.",
+    "backends_revision": "The store's revision up to which backends are known.",
+    "backends_age_seconds": "How long ago the store last confirmed the view of the backends.",
+    "configuration_age_seconds": "How long ago the store last confirmed the configuration.",
+    "peers": "Other nodes heard of lately.",
+    "reads_store": "1 where this node reads the store for others.",
+    "ready": "1 where packets may be sent to this node.",
+    "opening_seconds": "From an opening packet to the first packet of the open flow.",
+    "answer_seconds": "From a client's data to the first sign that it got an answer.",
+    "loop_lag_seconds": "How late the event loop ran a timer.",
+    "catch_up_seconds": "From hearing that a peer knows more to knowing it.",
+    "list_seconds": "Lists of backends, from question to answer.",
+}
+
+
+def read_metrics(node: TokenNode) -> Iterator[Metric]:
+    """Yield the figures of a node as they are now."""
+    for name, counts in _counters(node).items():
+        yield labelled(name, MetricKind.COUNTER, HELP_TEXTS[name], "event", counts)
+    for name, value in _gauges(node).items():
+        if value is not None:
+            yield gauge(name, HELP_TEXTS[name], value)
+    core, follower = node.core, node.follower
+    for name, latencies in (
+        ("opening_seconds", core.router.flows.opening_seconds),
+        ("answer_seconds", core.router.flows.answer_seconds),
+        ("loop_lag_seconds", node.loop_lag),
+        ("catch_up_seconds", core.catch_up_seconds),
+        ("list_seconds", follower.readers[0].list_seconds),
+    ):
+        yield histogram(name, HELP_TEXTS[name], latencies)
+
+
+def _counters(node: TokenNode) -> dict[str, Counter[str]]:
+    core, follower = node.core, node.follower
+    backend_reader, configuration_reader = follower.readers
+    return {
+        "packets": core.router.counters,
+        "backend_store_calls": backend_reader.counters,
+        "configuration_store_calls": configuration_reader.counters,
+        "peer_messages": Counter() if core.exchange is None else core.exchange.counters,
+        "peer_datagrams": Counter() if follower.link is None else follower.link.counters,
+        "log_lines": node.log.counters,
+    }
+
+
+def _gauges(node: TokenNode) -> dict[str, float | None]:
+    core = node.core
+    now = asyncio.get_running_loop().time()
+    return {
+        "open_flows": len(core.router.flows),
+        "backends": len(core.router.backends),
+        "configuration_version": core.router.routes.version,
+        "backends_revision": core.backends.revision,
+        "backends_age_seconds": core.backends.age(now),
+        "configuration_age_seconds": core.configuration.age(now),
+        "peers": 0 if core.exchange is None else len(core.exchange.peers),
+        "reads_store": int(core.duty.reading),
+        "ready": int(node.ready),
+    }
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -14,6 +14,7 @@
 import socket
 import time
 from collections.abc import Callable
+from functools import partial
 
 from beamloom.node.token_core import TokenCore
 from beamloom.platform import packet_layout, store_objects
@@ -24,12 +25,11 @@
 from beamloom.runtime.http_responder import HttpResponder
 from beamloom.runtime.packet_socket import PacketSocket
 from beamloom.runtime.store_follower import StoreFollower
-from beamloom.runtime.token_metric_sources import METRICS_PATH, metric_sources
-from beamloom.runtime.token_metrics import TokenMetrics
 from beamloom.settings.token_node import FIELDS_OF_A_START, TokenNodeSettings, changed_fields
 from beamloom.telemetry.event_log import EventLog, standard_output
 from beamloom.telemetry.histogram import LatencyHistogram
 
+METRICS_PATH = "/metrics"
 TICK_SECONDS = 0.25
 READER_ID_BYTES = 4
 LONGEST_QUEUE_SECONDS = 1.0
@@ -79,7 +79,6 @@
         )
         self._responder = HttpResponder({store_objects.READINESS_PATH: self._answer_readiness})
         self.loop_lag = LatencyHistogram()
-        self.metrics = TokenMetrics(metric_sources(self))
         self._metrics_responder = HttpResponder({METRICS_PATH: self._answer_metrics})
         self._began_at = time.monotonic()
         self._stop_asked = asyncio.Event()
@@ -195,11 +194,13 @@
         self.decisions.life("PacketFault", error=repr(error), where=_origin(error))
 
     def _view_age(self) -> float | None:
-        confirmed = self.core.backends.confirmed_at
-        return None if confirmed is None else asyncio.get_running_loop().time() - confirmed
+        return self.core.backends.age(asyncio.get_running_loop().time())
 
     def _answer_metrics(self) -> HttpAnswer:
-        return HttpAnswer(200, self.metrics.render())
+        from beamloom.runtime.token_metrics import read_metrics
+        from beamloom.telemetry.counters import make_registry, render
+
+        return HttpAnswer(200, render(make_registry(partial(read_metrics, self))))
 
     def _answer_readiness(self) -> HttpAnswer:
         return HttpAnswer(200, b"ready\n") if self.ready else HttpAnswer(503, b"not ready\n")
--- a/src/beamloom/telemetry/counters.py
+++ b/src/beamloom/telemetry/counters.py
@@ -12,19 +12,22 @@
 from enum import Enum
 
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
 from prometheus_client.metrics_core import Metric as PrometheusMetric
 from prometheus_client.registry import Collector
 
+from beamloom.telemetry.histogram import LatencyHistogram
+
 NAME_PREFIX = "beamloom_"
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
 class MetricKind(Enum):
-    """Whether a metric only rises or may also fall."""
+    """Whether a metric only rises, may also fall, or counts observations by their size."""
 
     COUNTER = "counter"
     GAUGE = "gauge"
+    HISTOGRAM = "histogram"
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,13 +40,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Metric:
-    """A metric as read from a snapshot; `label_names` go with each sample's `labels`."""
+    """A metric as read from a snapshot; `label_names` go with each sample's `labels`.
+
+    `latencies` is what a histogram tells; it has no samples.
+    """
 
     name: str
     kind: MetricKind
     help: str
     samples: tuple[Sample, ...]
     label_names: tuple[str, ...] = field(default=())
+    latencies: LatencyHistogram | None = None
 
 
 ReadMetrics = Callable[[], Iterable[Metric]]
@@ -59,6 +66,11 @@
     return Metric(name, MetricKind.GAUGE, help_text, (Sample(value),))
 
 
+def histogram(name: str, help_text: str, latencies: LatencyHistogram) -> Metric:
+    """Return a histogram of seconds."""
+    return Metric(name, MetricKind.HISTOGRAM, help_text, (), latencies=latencies)
+
+
 def labelled(
     name: str, kind: MetricKind, help_text: str, label: str, values: Mapping[str, float]
 ) -> Metric:
@@ -96,6 +108,9 @@
 
 
 def _family(metric: Metric) -> PrometheusMetric:
+    if metric.latencies is not None:
+        buckets, total = metric.latencies.cumulative(), metric.latencies.total_seconds
+        return HistogramMetricFamily(NAME_PREFIX + metric.name, metric.help, buckets, total)
     make = CounterMetricFamily if metric.kind is MetricKind.COUNTER else GaugeMetricFamily
     family = make(NAME_PREFIX + metric.name, metric.help, labels=metric.label_names)
     for sample in metric.samples:
--- a/src/beamloom/telemetry/event_log.py
+++ b/src/beamloom/telemetry/event_log.py
@@ -71,8 +71,11 @@
 
     def record(self, event: str, fields: dict[str, FieldValue]) -> None:
         """Keep a line for the next flush, if the bound allows it."""
-        if not self.allows(event):
-            return
+        if self.allows(event):
+            self.append(event, fields)
+
+    def append(self, event: str, fields: dict[str, FieldValue]) -> None:
+        """Keep a line that `allows` has just let pass: for fields that are costly to make."""
         bucket = self._buckets[event]
         bucket.level -= 1.0
         line: dict[str, FieldValue] = {
--- a/src/beamloom/telemetry/histogram.py
+++ b/src/beamloom/telemetry/histogram.py
@@ -32,13 +32,3 @@
             count += within
             pairs.append((bound, float(count)))
         return pairs
-
-    def quantile(self, share: float) -> float | None:
-        """Return the bound below which a share of the observations lies; None without any."""
-        wanted = share * len(self)
-        count = 0
-        for bound, within in zip((*BOUNDS_SECONDS, float("inf")), self.counts, strict=True):
-            count += within
-            if count >= wanted and count:
-                return bound
-        return None
