Let simulation, soak and fuzzing share what they had each for itself

Drains, crashes, reused addresses and route changes stood in both fault schedules (DeploymentChanges now); the soak bound sockets by a twin of runtime/bound_socket; a packet's head was laid out twice for the stand-ins' checksum; the fuzzing subject spelled out records and routes that the shared deployment makes; a status constant named CREATED held 200.

--- a/src/beamloom/fuzzing/subjects/token_router.py
+++ b/src/beamloom/fuzzing/subjects/token_router.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from beamloom.fuzzing.errors import BrokenPromiseError
 from beamloom.routing.tokens.packets import (
@@ -14,17 +15,11 @@
     ResetFlow,
 )
 from beamloom.routing.tokens.placement import Placement, PlacementSettings
-from beamloom.routing.tokens.records import (
-    BackendRecord,
-    BackendState,
-    RoutePart,
-    RouteRecord,
-    RoutingConfiguration,
-)
+from beamloom.routing.tokens.records import BackendRecord, BackendState
 from beamloom.routing.tokens.router import TokenRouter
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
+from beamloom.simulation.tokens import deployment
 
-SERVICES = ("tracker", "labeller")
 _KEY = bytes(16)
 _GRACE_SECONDS = PlacementSettings().gone_grace_seconds
 
@@ -70,16 +65,8 @@
     def _add(self, number: int, service: int) -> None:
         if number in self._backends or number in self._gone:
             return
-        record = BackendRecord(
-            f"i-{number:x}",
-            number + 1,
-            SERVICES[service % 2],
-            "127.0.0.1",
-            9000 + number,
-            "west",
-            2,
-            BackendState.READY,
-        )
+        address = ("127.0.0.1", 9000 + number)
+        record = deployment.endpoint_record(number + 1, deployment.SERVICES[service % 2], address)
         self._backends[number] = record
         self._tell(record)
 
@@ -87,16 +74,7 @@
         record = self._backends.get(number)
         if record is None:
             return
-        draining = BackendRecord(
-            record.name,
-            record.identity,
-            record.service,
-            record.host,
-            record.port,
-            record.zone,
-            record.slots,
-            BackendState.DRAINING,
-        )
+        draining = replace(record, state=BackendState.DRAINING)
         self._backends[number] = draining
         self._tell(draining)
 
@@ -109,14 +87,13 @@
             router.backends.remove(record.name, self._now)
 
     def _route(self, destination: int, service: int) -> None:
-        self._routes[destination % 3] = SERVICES[service % 2]
+        self._routes[destination % 3] = deployment.SERVICES[service % 2]
         self._version += 1
-        records = tuple(
-            RouteRecord(f"r-{key}", _destination(key), (RoutePart(name, 1.0),))
-            for key, name in self._routes.items()
-        )
+        routes = {
+            deployment.destination(key): frozenset({name}) for key, name in self._routes.items()
+        }
         for router in self._routers:
-            router.put_in_force(RoutingConfiguration(self._version, records))
+            router.put_in_force(deployment.configuration_of(self._version, routes))
 
     def _open(self, client: int, destination: int, node: int) -> None:
         destination %= 3
@@ -177,13 +154,9 @@
             router.backends.update(record, self._revision, self._now)
 
 
-def _destination(number: int) -> bytes:
-    return bytes((198, 18, 0, number, 1, 187))
-
-
 def _packet(
     kind: PacketKind, client: int, destination: int, token: int, size: int = 0
 ) -> ClientPacket:
-    key = _destination(destination)
+    key = deployment.destination(destination)
     flow = key[:4] + client.to_bytes(2, "big") + bytes((100, 64, 0, 1)) + key[4:]
     return ClientPacket(kind, flow, key, token, 0, 0, size, b"")
--- a/src/beamloom/simulation/tokens/run.py
+++ b/src/beamloom/simulation/tokens/run.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from beamloom.simulation.tokens.deployment import SERVICES, ZONES
+from beamloom.simulation.tokens.changes import DeploymentChanges
+from beamloom.simulation.tokens.deployment import ZONES
 from beamloom.simulation.tokens.fleet import TokenFleet
 from beamloom.simulation.tokens.oracle import Violation
 from beamloom.simulation.tokens.store_link import StoreFault
@@ -60,10 +61,7 @@
             "store_silent": lambda: fleet.disturb_store(StoreFault.SILENT, 4.0),
             "store_refuses": lambda: fleet.disturb_store(StoreFault.REFUSES, 4.0),
             "compaction": fleet.compact_store,
-            "drain": lambda: self._replace(crash=False),
-            "crash": lambda: self._replace(crash=True),
-            "reuse": self._reuse,
-            "route": self._change_routes,
+            **DeploymentChanges(fleet, chance).kinds,
         }
 
     def strike(self) -> None:
@@ -86,27 +84,6 @@
         for name in self._chance.sample(names, len(names) // 2):
             self._fleet.kill_node(name)
 
-    def _replace(self, *, crash: bool) -> None:
-        service = self._chance.choice(SERVICES)
-        running = self._fleet.running_endpoints(service)
-        if not running:
-            return
-        self._fleet.add_endpoint(service)
-        endpoint = self._chance.choice(running)
-        if crash:
-            self._fleet.crash_endpoint(endpoint)
-        else:
-            self._fleet.drain_endpoint(endpoint)
-
-    def _reuse(self) -> None:
-        running = self._fleet.running_endpoints(SERVICES[0])
-        if len(running) > 2:
-            self._fleet.reuse_address(self._chance.choice(running), SERVICES[1])
-
-    def _change_routes(self) -> None:
-        routes = {key: frozenset({self._chance.choice(SERVICES)}) for key in self._fleet.routes}
-        self._fleet.set_routes(routes)
-
 
 def run_tokens(options: TokenRunOptions) -> TokenRunResult:
     """Play one run; the same options give the same result."""
--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from beamloom.platform.packet_layout import FLAG_RST, FLAG_SYN
+from beamloom.runtime.bound_socket import bind_datagrams
 from beamloom.settings.token_node import Endpoint, TokenNodeSettings
 from beamloom.simulation.tokens.deployment import ZONES, key_of, service_end, stable_hash
 from beamloom.simulation.tokens.oracle import TokenOracle
@@ -21,7 +22,6 @@
 from beamloom.soak.platform_side import (
     SoakEndpoint,
     SoakPlatform,
-    bind_datagrams,
 )
 from beamloom.soak.proxy import ProxyFault, StoreProxy
 from beamloom.standins.flow_packets import FlowEnd, FlowPacket, decode_forwarded, decode_packet
@@ -59,7 +59,7 @@
         self._node_count = nodes
         self._chance = random.Random(seed)
         self._next_port = 20_000
-        self._clients = bind_datagrams((self._client_host, PACKETS_PORT))
+        self._clients = bind_datagrams(Endpoint(self._client_host, PACKETS_PORT))
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
--- a/src/beamloom/soak/platform_side.py
+++ b/src/beamloom/soak/platform_side.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
@@ -14,6 +13,8 @@
     CONFIGURATION_NAME,
 )
 from beamloom.routing.tokens.records import BackendRecord, BackendState
+from beamloom.runtime.bound_socket import bind_datagrams
+from beamloom.settings.token_node import Endpoint
 from beamloom.simulation.tokens.deployment import (
     SERVICES,
     Routes,
@@ -41,7 +42,7 @@
         self.model = model
         self.record = record
         self.alive = True
-        self.socket = bind_datagrams((record.host, record.port))
+        self.socket = bind_datagrams(Endpoint(record.host, record.port))
 
     def end(self) -> None:
         """Let the process be gone."""
@@ -114,21 +115,21 @@
             if endpoint.alive and not endpoint.model.draining and endpoint.record.service == service
         ]
 
-    def drain(self, endpoint: SoakEndpoint) -> None:
+    def drain_endpoint(self, endpoint: SoakEndpoint) -> None:
         """Let an endpoint leave: it says so, serves on and ends."""
         endpoint.model.draining = True
         self._announce(replace(endpoint.record, state=BackendState.DRAINING))
         self._oracle.note_left(endpoint.record.name, self._now())
         self._later(SERVE_ON_SECONDS, lambda: self._end_endpoint(endpoint))
 
-    def crash(self, endpoint: SoakEndpoint) -> None:
+    def crash_endpoint(self, endpoint: SoakEndpoint) -> None:
         """Let an endpoint die without a word."""
         endpoint.end()
         self._later(HEARTBEATS_SECONDS, lambda: self._forget_endpoint(endpoint))
 
-    def reuse(self, endpoint: SoakEndpoint, service: str) -> None:
+    def reuse_address(self, endpoint: SoakEndpoint, service: str) -> None:
         """Let an endpoint leave and its address pass to another service."""
-        self.drain(endpoint)
+        self.drain_endpoint(endpoint)
         address = (endpoint.record.host, endpoint.record.port)
         wait = SERVE_ON_SECONDS + REUSE_SECONDS
         self._later(wait, lambda: self.add_endpoint(service, address))
@@ -158,11 +159,3 @@
         self.server.store.remove(BACKENDS_KIND, endpoint.record.name)
         self.server.note_change()
         self._oracle.note_left(endpoint.record.name, self._now())
-
-
-def bind_datagrams(address: tuple[str, int]) -> socket.socket:
-    """Return a bound UDP socket that does not block; raises OSError."""
-    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    bound.setblocking(False)
-    bound.bind(address)
-    return bound
--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from beamloom.simulation.tokens.deployment import SERVICES
+from beamloom.simulation.tokens.changes import DeploymentChanges
 from beamloom.simulation.tokens.oracle import Violation
 from beamloom.soak.harness import SoakHarness
 from beamloom.soak.proxy import ProxyFault
@@ -71,10 +71,7 @@
             "store_throttled": lambda: store("throttled", True, 3.0),
             "store_slow": lambda: store("delay_seconds", 0.3, 4.0),
             "compaction": harness.platform.server.store.forget_history,
-            "drain": lambda: self._replace(crash=False),
-            "crash": lambda: self._replace(crash=True),
-            "reuse": self._reuse,
-            "route": self._change_routes,
+            **DeploymentChanges(harness.platform, chance).kinds,
         }
 
     def strike(self) -> None:
@@ -99,29 +96,6 @@
         self._harness.note_disturbed(name, 0.0)
         self._harness.proxies[name].reset_connections()
 
-    def _replace(self, *, crash: bool) -> None:
-        service = self._chance.choice(SERVICES)
-        running = self._harness.platform.running_endpoints(service)
-        if not running:
-            return
-        self._harness.platform.add_endpoint(service)
-        endpoint = self._chance.choice(running)
-        if crash:
-            self._harness.platform.crash(endpoint)
-        else:
-            self._harness.platform.drain(endpoint)
-
-    def _reuse(self) -> None:
-        running = self._harness.platform.running_endpoints(SERVICES[0])
-        if len(running) > 2:
-            self._harness.platform.reuse(self._chance.choice(running), SERVICES[1])
-
-    def _change_routes(self) -> None:
-        routes = {
-            key: frozenset({self._chance.choice(SERVICES)}) for key in self._harness.platform.routes
-        }
-        self._harness.platform.set_routes(routes)
-
 
 async def run_soak(options: SoakOptions) -> SoakResult:
     """Play one soak to its end; everything that it started is ended then."""
--- a/src/beamloom/standins/flow_packets.py
+++ b/src/beamloom/standins/flow_packets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import struct
 import zlib
 from dataclasses import dataclass
 
@@ -17,7 +16,6 @@
 
 LARGEST_DATA = 1200
 _FLAG_NAMES = ((FLAG_SYN, "SYN"), (FLAG_ACK, "ACK"), (FLAG_FIN, "FIN"), (FLAG_RST, "RST"))
-_CHECKED_HEAD = struct.Struct("!4sH4sHIIHB")
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,21 +49,14 @@
 
     def expected_checksum(self) -> int:
         """Return the stand-ins' sum; the platform's own is keyed, and the key is not told."""
-        head = _CHECKED_HEAD.pack(
-            self.destination.address,
-            self.source.port,
-            self.source.address,
-            self.destination.port,
-            self.sequence,
-            self.acknowledged,
-            len(self.data),
-            self.flags,
-        )
-        return zlib.crc32(head + self.data) or 1
+        return zlib.crc32(self._encode(echo=0, checksum=0)) or 1
 
     def encode(self, *, signed: bool = True) -> bytes:
         """Return the datagram; unsigned ones carry `checksum` as it is."""
         checksum = self.expected_checksum() if signed else self.checksum
+        return self._encode(self.echo, checksum)
+
+    def _encode(self, echo: int, checksum: int) -> bytes:
         head = HEAD.pack(
             self.destination.address,
             self.source.port,
@@ -74,7 +65,7 @@
             self.sequence,
             self.acknowledged,
             len(self.data),
-            self.echo,
+            echo,
             checksum,
             self.flags,
             bytes(3),
--- a/src/beamloom/standins/token_store_server.py
+++ b/src/beamloom/standins/token_store_server.py
@@ -21,7 +21,6 @@
 )
 
 LONGEST_SILENCE_SECONDS = 60.0
-STATUS_CREATED = 200
 STATUS_TOO_MANY = 429
 
 
@@ -126,7 +125,7 @@
             self.faults.lost_writes -= 1
             assert request.transport is not None
             request.transport.abort()
-        return STATUS_CREATED, self._encode(stored)
+        return 200, self._encode(stored)
 
     async def _watch(self, call: StoreCall, revision: int) -> dict[str, Any]:
         loop = asyncio.get_running_loop()
