--- a/src/beamloom/runtime/http_client.py
+++ b/src/beamloom/runtime/http_client.py
@@ -100,6 +100,12 @@
         self._port = port
         self._protocol: _AnswerProtocol | None = None
 
+    def use(self, host: str, port: int) -> None:
+        """Call another server from now on."""
+        self._host = host
+        self._port = port
+        self.close()
+
     async def call(
         self, method: str, path: str, deadline_seconds: float, body: bytes = b""
     ) -> HttpAnswer:
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -28,7 +28,7 @@
 from beamloom.runtime.http_responder import HttpResponder
 from beamloom.runtime.shared_secret import SecretFormat, fetch_shared_secret
 from beamloom.runtime.store_reader import KindFormat, StoreReader
-from beamloom.settings.token_node import TokenNodeSettings
+from beamloom.settings.token_node import FIELDS_OF_A_START, TokenNodeSettings, changed_fields
 from beamloom.telemetry.event_log import EventLog, standard_output
 
 Record = TypeVar("Record")
@@ -50,10 +50,15 @@
 
 
 class TokenNode:
-    """One node; `run` returns when it has stopped as planned."""
+    """One node; `run` returns when it has stopped as planned.
 
-    def __init__(self, settings: TokenNodeSettings) -> None:
-        self.settings = settings
+    `read_settings` is called at the start and at each reload; it raises ValueError.
+    """
+
+    def __init__(self, read_settings: Callable[[], TokenNodeSettings]) -> None:
+        self._read_settings = read_settings
+        self._connections: list[HttpConnection] = []
+        settings = self.settings = read_settings()
         chance = random.Random()
         self.log = EventLog(settings.node, standard_output())
         self.decisions = DecisionLog(self.log, packet_layout.describe_flow, self._view_age)
@@ -81,11 +86,31 @@
         self.decisions.life("StopRequested", flows=len(self.router.flows))
         self._stop_asked.set()
 
+    def reload(self) -> None:
+        """Read the settings again; a faulty file is told and changes nothing."""
+        try:
+            settings = self._read_settings()
+        except ValueError as error:
+            self.decisions.life("SettingsRefused", reason=str(error))
+            return
+        before, self.settings = self.settings, settings
+        changed = changed_fields(before, settings)
+        if settings.store != before.store:
+            for connection in self._connections:
+                connection.use(*settings.store.pair)
+        waiting = [name for name in changed if name in FIELDS_OF_A_START]
+        self.decisions.life(
+            "SettingsReloaded",
+            changed=", ".join(changed) or None,
+            takes_effect_at_next_start=", ".join(waiting) or None,
+        )
+
     async def run(self) -> None:
         """Serve until a stop is asked for, then until it is complete."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.add_reader(self._socket, self._read_batch)
         await self._responder.start(*self.settings.readiness.pair)
         self.decisions.life("Started", zone=self.settings.zone)
@@ -119,24 +144,24 @@
                 task.result()
 
     async def _fetch_key(self) -> None:
-        connection = HttpConnection(*self.settings.store.pair)
+        connection = self._connect()
         try:
             key = await fetch_shared_secret(SharedSecret(self._chance), connection, _SECRET_FORMAT)
         finally:
             connection.close()
         self.router.codec = TokenCodec(key)
+        self._note_ready()
 
     async def _tick(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(TICK_SECONDS)
             self.router.advance(loop.time())
-            if self.ready or self._stop_asked.is_set():
-                self._note_ready()
-                self.log.flush()
+            self.log.flush()
 
     def _note_ready(self) -> None:
-        if not self._was_ready:
+        """Tell once that the node has become ready."""
+        if self.ready and not self._was_ready:
             self._was_ready = True
             self.decisions.life(
                 "Ready",
@@ -219,13 +244,18 @@
         on_list: Callable[[WholeList[Record]], None],
         on_changes: Callable[[tuple[ObjectChange[Record], ...]], None],
     ) -> StoreReader[Record]:
-        connection = HttpConnection(*self.settings.store.pair)
+        connection = self._connect()
         reader = StoreReader(ObjectWatch(self._chance), kind, connection, on_list, on_changes)
         dependency = f"store {kind.label}"
         reader.on_failure = functools.partial(self.decisions.dependency_lost, dependency)
         reader.on_recovery = functools.partial(self.decisions.dependency_regained, dependency)
         return reader
 
+    def _connect(self) -> HttpConnection:
+        connection = HttpConnection(*self.settings.store.pair)
+        self._connections.append(connection)
+        return connection
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
@@ -236,6 +266,7 @@
             self.decisions.backend_changed(record, "list")
         for name in gone:
             self.decisions.backend_gone(name, "list")
+        self._note_ready()
 
     def _take_backend_changes(self, changes: tuple[ObjectChange[BackendRecord], ...]) -> None:
         for change in changes:
@@ -263,6 +294,7 @@
         if self.router.put_in_force(configuration):
             routes = len(configuration.routes)
             self.decisions.configuration(configuration.version, before, routes, "store")
+        self._note_ready()
 
 
 def _origin(error: BaseException) -> str:
--- a/src/beamloom/settings/token_node.py
+++ b/src/beamloom/settings/token_node.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,3 +41,15 @@
     apply_seconds: float
     drain_seconds: float
     contact_seconds: float
+
+
+FIELDS_OF_A_START = frozenset(
+    {"node", "host", "zone", "packets", "readiness", "peer_port", "metrics_port"}
+)
+"""Addresses are bound, and names used, once; a change of these waits for the next start."""
+
+
+def changed_fields(before: TokenNodeSettings, after: TokenNodeSettings) -> list[str]:
+    """Return the names of the fields in which two settings differ."""
+    names = [item.name for item in fields(TokenNodeSettings)]
+    return [name for name in names if getattr(before, name) != getattr(after, name)]
--- a/src/beamloom/telemetry/event_log.py
+++ b/src/beamloom/telemetry/event_log.py
@@ -2,12 +2,14 @@
 
 `record` keeps an event in memory, at most EVENTS_KEPT of them and at most `lines_per_second` on
 average of each class; `flush` renders and writes them. What does not fit is counted, and the next
-line that is written carries the number. structlog renders; it is imported at the first flush, as a
-node that starts has better things to do.
+line that is written carries the number. Lines have the form that structlog's JSONRenderer gives.
+structlog itself is left out: importing it takes a third of a node's start (see
+docs/design/decisions.md).
 """
 
 from __future__ import annotations
 
+import json
 import os
 import time
 from collections import Counter, deque
@@ -51,7 +53,6 @@
         self._buckets: dict[str, _Bucket] = {}
         self._events: deque[dict[str, FieldValue]] = deque()
         self._unwritten = b""
-        self._render: Callable[[dict[str, FieldValue]], bytes] | None = None
 
     def allows(self, event: str) -> bool:
         """Whether a line of this event may be recorded now; counts it as left out if not."""
@@ -87,9 +88,8 @@
 
     def flush(self) -> None:
         """Write what is kept, as far as the reader takes it."""
-        render = self._renderer()
         parts = [self._unwritten]
-        parts.extend(render(line) for line in self._events)
+        parts.extend(render_line(line) for line in self._events)
         self._events.clear()
         data = b"".join(parts)
         if not data:
@@ -115,23 +115,10 @@
         lost = data.count(b"\n", end)
         self.counters["left_out"] += lost
 
-    def _renderer(self) -> Callable[[dict[str, FieldValue]], bytes]:
-        if self._render is None:
-            self._render = make_renderer()
-        return self._render
 
-
-def make_renderer() -> Callable[[dict[str, FieldValue]], bytes]:
-    """Return what makes a JSON line of an event."""
-    from structlog.processors import JSONRenderer
-
-    renderer = JSONRenderer(default=str)
-
-    def render(line: dict[str, FieldValue]) -> bytes:
-        text = renderer(None, "", line)
-        return (text if isinstance(text, bytes) else text.encode()) + b"\n"
-
-    return render
+def render_line(line: dict[str, FieldValue]) -> bytes:
+    """Return the JSON line of an event."""
+    return json.dumps(line).encode() + b"\n"
 
 
 def standard_output() -> Write:
--- /dev/null
+++ b/tests/unit/tokens/test_settings.py
@@ -0,0 +1,63 @@
+"""A token node's settings: read from the platform's file, compared at a reload."""
+
+import tempfile
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+from beamloom.platform.errors import PlatformSettingsError
+from beamloom.platform.node_settings import read_settings
+from beamloom.settings.token_node import FIELDS_OF_A_START, Endpoint, changed_fields
+
+SETTINGS = """
+node-name = "front-1"
+role = "balancer"
+ip = "10.1.0.10"
+zone = "laucala"
+port-range = [7720, 7735]
+seeds = ["10.1.0.10:8166", "10.2.0.40:8166"]
+a-field-of-tomorrow = true
+[bind-addrs]
+datagram-addr = "10.1.0.10:8172"
+readiness = "10.1.0.10:8167"
+[bounds]
+drain-ms = 2500
+[platform]
+address = "10.200.1.7:8169"
+"""
+
+
+class NodeSettingsTest(unittest.TestCase):
+    def read(self, text: str) -> object:
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(text)
+            file.flush()
+            return read_settings(Path(file.name))
+
+    def test_the_file_is_read_and_unknown_fields_are_ignored(self) -> None:
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(SETTINGS)
+            file.flush()
+            settings = read_settings(Path(file.name))
+        self.assertEqual(settings.packets, Endpoint("10.1.0.10", 8172))
+        self.assertEqual(settings.store, Endpoint("10.200.1.7", 8169))
+        self.assertEqual(settings.seeds, ("10.1.0.10", "10.2.0.40"))
+        self.assertEqual((settings.drain_seconds, settings.apply_seconds), (2.5, 3.0))
+
+    def test_a_faulty_file_is_told_with_the_remedy(self) -> None:
+        for text in ("", "= 5", SETTINGS.replace(":8172", ""), SETTINGS.replace("[platform]", "")):
+            with self.assertRaises(PlatformSettingsError) as caught:
+                self.read(text)
+            self.assertIn("correct the file", str(caught.exception))
+        with self.assertRaises(PlatformSettingsError):
+            read_settings(Path("/nowhere/node.toml"))
+
+    def test_changes_and_those_that_wait_for_the_next_start(self) -> None:
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(SETTINGS)
+            file.flush()
+            before = read_settings(Path(file.name))
+        after = replace(before, drain_seconds=9.0, zone="nabua")
+        self.assertEqual(changed_fields(before, after), ["zone", "drain_seconds"])
+        self.assertIn("zone", FIELDS_OF_A_START)
+        self.assertNotIn("store", FIELDS_OF_A_START)
--- /dev/null
+++ b/tools/every_kind.py
@@ -0,0 +1,265 @@
+"""Play each kind of trouble on a site of the users' bench, twice in a row, and print a table.
+
+Days are written to a folder outside the repository, from the site's own days; nothing of the
+users' is copied into the repository. `--variant` also derives other deployments from the site:
+another hash, splits of zones, fewer slots. The bench writes its journal entries as always.
+
+    python3 tools/every_kind.py ../given/kit/more/system/bin/fleetbench SITE.toml --why "..."
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import re
+import subprocess
+import sys
+import tempfile
+import tomllib
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+FIRST_AT = 4.0
+SECOND_AT = 14.0
+PARALLEL_RUNS = 4
+LONGEST_RUN_SECONDS = 300
+KEPT_REPORTS = Path("target/every-kind")
+PLANNED = {"release", "scale_out", "scale_in", "roll_term", "add_nodes", "config_change", "hup"}
+PLANNED |= {"config_storm", "big_config"}
+
+TROUBLES = """
+srv_crash share=0.3 for_s=5
+srv_crash share=0.3 for_s=5 how="dark"
+srv_crash share=0.3 how="gone"
+srv_crash share=1.0 for_s=4 how="all"
+srv_slow share=0.3 x=5 for_s=6
+release share=0.6 gap_s=1
+release share=1.0 x=3 gap_s=0.5
+replace_with_reuse share=0.3
+replace_with_reuse share=0.3 how="drain"
+replace_with_reuse share=0.3 how="dark"
+scale_out share=0.4 gap_s=1
+scale_in share=0.3
+scale_in share=0.3 how="spot"
+node_kill share=0.3
+node_kill share=0.3 how="power" for_s=4
+node_kill on="core" count=1 how="leader race drain"
+node_kill on="core" count=1 how="meet drain" for_s=3
+node_kill on="core" count=1 how="turn hard" for_s=3
+node_kill on="core" count=1 how="seed power" for_s=4
+node_kill on="core" count=1 how="reader" for_s=4
+node_slow share=0.3 x=6 for_s=6
+node_freeze share=0.3 for_s=4
+node_freeze on="core" count=1 for_s=4 how="leader"
+roll_term share=1.0 x=1 gap_s=1
+roll_term share=0.5 x=2 gap_s=1.3 how="busy"
+roll_term share=0.4 gap_s=1.3 how="remove"
+herd_kill share=0.6 for_s=2
+herd_kill share=0.6 for_s=2 how="power"
+herd_kill share=1.0 for_s=2 on="core"
+herd_kill for_s=2 on="core" how="off"
+add_nodes share=1.0
+clock_step share=0.5 x=2400 for_s=6 how="back"
+clock_step share=0.5 x=2400 for_s=6 how="ahead"
+hup share=0.8 gap_s=0.5
+core_cut count=1 for_s=5.5 how="leader refuse"
+core_cut count=1 for_s=5.5 how="race drain hard all"
+core_cut count=1 for_s=4 how="leader race"
+core_cut count=1 for_s=5 how="one_way"
+core_cut count=2 for_s=5 how="near"
+core_cut count=1 for_s=5 how="seeds"
+core_cut count=1 for_s=5 how="both"
+core_cut count=1 for_s=5 how="lure"
+core_cut count=1 for_s=5 how="relieve"
+core_cut count=1 for_s=5 how="split"
+core_cut count=1 for_s=5 how="reset"
+node_cut share=0.3 for_s=6
+node_cut share=0.3 for_s=6 how="all"
+node_cut share=0.3 for_s=6 how="servers"
+node_cut share=0.3 for_s=6 how="reset"
+node_cut share=0.3 for_s=6 how="meet drain"
+platform_down for_s=5 how="silent"
+platform_down for_s=5 how="busy"
+platform_down for_s=5 how="reset"
+platform_down for_s=5 how="silent lapse"
+platform_down for_s=5 how="busy lapse"
+platform_down for_s=5 how="reset lapse"
+platform_slow x=80 for_s=5
+platform_lost x=0.5 for_s=5
+platform_lost x=0.5 for_s=5 how="late"
+platform_compact x=5 for_s=10
+platform_compact x=5 for_s=10 how="drain"
+config_change how="route"
+config_change how="timeout"
+config_change how="idle"
+config_change how="weights"
+config_storm for_s=4 gap_s=0.2
+big_config count=400
+after_ack_kill for_s=3
+after_ack_kill for_s=3 how="kill"
+after_ack_kill for_s=3 how="timed"
+reset_conns share=0.5 x=0.8
+shift share=0.5 for_s=6
+""".strip().splitlines()
+
+VARIANTS = {
+    "as-is": (),
+    "mod": (('hash = "steady"', 'hash = "mod"'),),
+    "one-slot": (("slots = 2,", "slots = 1,"),),
+    "wide-bounds": (("drain_ms = 3000", "drain_ms = 2500"),),
+}
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """One line of TROUBLES as a table of a day."""
+
+    text: str
+
+    @property
+    def kind(self) -> str:
+        """The trouble's kind as the bench names it."""
+        return self.text.split()[0]
+
+    @property
+    def label(self) -> str:
+        """A name for the table and for files."""
+        return re.sub(r"[^a-z0-9.]+", "-", self.text).strip("-")
+
+    def table(self, at: float) -> str:
+        """Return the entry of a day that strikes at a second of the traffic."""
+        fields = re.findall(r'(\w+)=("[^"]*"|[\d.]+)', self.text)
+        entries = "".join(f", {name} = {value}" for name, value in fields)
+        return f'{{ at = {at}, kind = "{self.kind}"{entries} }}'
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What the bench printed of one day."""
+
+    label: str
+    worth: str
+    verdict: str
+
+
+def main() -> int:
+    """Play the days and print the table; exit status 1 where a rule broke."""
+    arguments = _parse_arguments()
+    site = Path(arguments.site)
+    with tempfile.TemporaryDirectory(prefix="every-kind-") as folder:
+        path = _derive_site(site, Path(folder), arguments.variant)
+        wanted = [Trouble(line) for line in TROUBLES if arguments.only in line]
+        if arguments.pairs:
+            chance = random.Random(arguments.seed)
+            days = list(_pairs(path, wanted, arguments.pairs, chance))
+        else:
+            days = [(trouble.label, _twice(path, trouble)) for trouble in wanted]
+        with ThreadPoolExecutor(PARALLEL_RUNS) as pool:
+            jobs = [
+                pool.submit(_play, arguments, path, Path(folder), label, text)
+                for label, text in days
+            ]
+            outcomes = [job.result() for job in jobs]
+    for outcome in outcomes:
+        print(f"{outcome.label:60} {outcome.worth:>7}  {outcome.verdict}")
+    broken = sum(outcome.verdict != "kept" for outcome in outcomes)
+    print(f"{len(outcomes)} days on {site.stem} ({arguments.variant}), {broken} not kept")
+    return 1 if broken else 0
+
+
+def _parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("bench")
+    parser.add_argument("site")
+    parser.add_argument("--why", required=True)
+    parser.add_argument("--variant", choices=sorted(VARIANTS), default="as-is")
+    parser.add_argument("--only", default="", help="troubles whose line contains this")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--pairs", type=int, default=0, help="play so many pairs instead")
+    return parser.parse_args()
+
+
+def _derive_site(site: Path, folder: Path, variant: str) -> Path:
+    """Copy the site's files to a folder of their own, changed as the variant says."""
+    for neighbour in site.parent.iterdir():
+        (folder / neighbour.name).write_bytes(neighbour.read_bytes())
+    path = folder / site.name
+    text = path.read_text()
+    for before, after in VARIANTS[variant]:
+        if before not in text:
+            sys.exit(f"{site}: {before!r} is not there; correct VARIANTS")
+        text = text.replace(before, after)
+    path.write_text(text)
+    return path
+
+
+def _twice(site: Path, trouble: Trouble) -> str:
+    return _day(site, ((trouble, FIRST_AT), (trouble, SECOND_AT)))
+
+
+def _day(site: Path, struck: tuple[tuple[Trouble, float], ...]) -> str:
+    """Return a day in which the troubles strike at the given seconds."""
+    plan, faults = [], []
+    for trouble, at in struck:
+        (plan if trouble.kind in PLANNED else faults).append(trouble.table(at))
+    plan.append('{ at = 24.0, kind = "config_change", how = "route" }')
+    days = tomllib.loads(site.read_text())["day"]
+    quiet = next(day for day in days if day["slot"] == "quiet")
+    return "\n".join(
+        [
+            'name = "own"',
+            'slot = "trouble"',
+            f"seed = {quiet['seed']}",
+            "one = 1.0",
+            "zero = 0.5",
+            "wall = 2.0",
+            "light = false",
+            "labels = []",
+            f"plan = [{', '.join(plan)}]",
+            f"faults = [{', '.join(faults)}]",
+        ]
+    )
+
+
+def _pairs(
+    site: Path, troubles: list[Trouble], count: int, chance: random.Random
+) -> Iterator[tuple[str, str]]:
+    """Yield pairs drawn by chance that overlap: the second strikes within 3 s of the first."""
+    for _ in range(count):
+        first, second = chance.sample(troubles, 2)
+        later = round(FIRST_AT + chance.uniform(0.0, 3.0), 2)
+        again = round(SECOND_AT + chance.uniform(0.0, 3.0), 2)
+        struck = ((first, FIRST_AT), (second, later), (second, SECOND_AT), (first, again))
+        yield f"{first.label}--{second.label}", _day(site, struck)
+
+
+def _play(
+    arguments: argparse.Namespace, site: Path, folder: Path, label: str, text: str
+) -> Outcome:
+    day = folder / f"{label}.toml"
+    day.write_text(text)
+    command = [arguments.bench, "run", str(site), str(day), "--seed", str(arguments.seed)]
+    command += ["--why", f"{arguments.why}: {label}"]
+    try:
+        run = subprocess.run(
+            command, capture_output=True, text=True, timeout=LONGEST_RUN_SECONDS, check=False
+        )
+    except subprocess.TimeoutExpired:
+        return Outcome(label, "-", "not run: timed out")
+    row = next((line for line in run.stdout.splitlines() if re.match(r"\S+ +\d+/\d+ ", line)), "")
+    if not row:
+        return Outcome(label, "-", f"not run: {(run.stderr or run.stdout).strip()[:200]}")
+    broken = re.search(r"BROKEN: (.*)", row)
+    if broken is None:
+        return Outcome(label, row.split()[3], "kept")
+    KEPT_REPORTS.mkdir(parents=True, exist_ok=True)
+    name = f"{site.stem}-{arguments.variant}-{arguments.seed}-{label}"
+    (KEPT_REPORTS / f"{name}.toml").write_text(text)
+    (KEPT_REPORTS / f"{name}.txt").write_text(run.stdout)
+    return Outcome(label, row.split()[3], f"BROKEN {broken.group(1)} (see {name})")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
