--- a/src/beamloom/fuzzing/subjects/codec.py
+++ b/src/beamloom/fuzzing/subjects/codec.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from beamloom.fuzzing.errors import BrokenPromiseError
-from beamloom.node.view_codecs import BACKEND_CODEC, CONFIGURATION_CODEC
+from beamloom.node.view_codecs import BACKEND_CODEC, ConfigurationCodec
 from beamloom.object_api.errors import PlatformError
 from beamloom.object_api.wire import (
     batch_from_json,
@@ -25,6 +25,7 @@
 from beamloom.protocol.partition_sets import unpack_partitions
 from beamloom.routing.hashing import PARTITION_COUNT
 from beamloom.routing.packet import PacketError, parse_packet, with_hop_limit_decremented
+from beamloom.routing.tokens.configuration_history import ConfigurationHistory
 from beamloom.settings.deployment import check_deployment
 from beamloom.settings.errors import SettingsError
 from beamloom.settings.node_file import check_node_settings
@@ -76,7 +77,7 @@
     "flow-packet": Parser(flow_packets.decode_packet, ()),
     "forwarded-packet": Parser(flow_packets.decode_forwarded, ()),
     "backend-delta": Parser(BACKEND_CODEC.decode, (ValueError,)),
-    "configuration-delta": Parser(CONFIGURATION_CODEC.decode, (ValueError,)),
+    "configuration-delta": Parser(ConfigurationCodec(ConfigurationHistory()).decode, (ValueError,)),
     "backend-list": Parser(
         partial(store_objects.read_page, translate=store_objects.translate_backend), (ValueError,)
     ),
--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -17,6 +17,7 @@
 from beamloom.replication.reader_duty import ReaderDuty, ReadingTurn
 from beamloom.replication.reading_times import ReadingTimes
 from beamloom.replication.store_view import ObjectChange, StoreView
+from beamloom.routing.tokens.configuration_history import ConfigurationHistory
 from beamloom.routing.tokens.decisions import Decision
 from beamloom.routing.tokens.placement import Placement, PlacementSettings
 from beamloom.routing.tokens.records import BackendRecord, RoutingConfiguration
@@ -80,11 +81,13 @@
         self.backend_turn = ReadingTurn(self.backend_watch, self.duty, chance)
         self.configuration_turn = ReadingTurn(self.configuration_watch, self.duty, chance)
         self.exchange: ViewExchange | None = None
+        self._versions = ConfigurationHistory()
         self.catch_up_seconds = LatencyHistogram()
         self.on_progress: Callable[[], None] = lambda: None
         self._configuration_name = configuration_name
         self._observer = observer
         self._chance = chance
+        self._zone = zone
         self._now = 0.0
         self._advanced_at = float("inf")
 
@@ -107,7 +110,7 @@
 
         Its modules are imported only here: a node is ready to serve before it meets its peers.
         """
-        from beamloom.node.view_codecs import BACKEND_CODEC, CONFIGURATION_CODEC
+        from beamloom.node.view_codecs import BACKEND_CODEC, ConfigurationCodec
         from beamloom.replication.peer_table import PeerTable
         from beamloom.replication.view_exchange import SharedView, ViewExchange
 
@@ -117,11 +120,11 @@
             ),
             SharedView(
                 self.configuration,
-                CONFIGURATION_CODEC,
+                ConfigurationCodec(self._versions),
                 partial(self._apply_configuration, source=FROM_PEER),
             ),
         )
-        peers = PeerTable(host, seeds, self._chance)
+        peers = PeerTable(host, seeds, self._chance, self._zone)
         self.exchange = ViewExchange(views, peers, self.duty, self._chance)
         self.exchange.catch_up_seconds = self.catch_up_seconds
 
@@ -172,8 +175,8 @@
 
     def _forget_confirmations(self) -> None:
         """Ask the store itself: what peers sent meanwhile looks newer than it is."""
-        self.backends.confirmed_at = None
-        self.configuration.confirmed_at = None
+        self.backend_turn.distrust()
+        self.configuration_turn.distrust()
 
     def _apply_backends(
         self, changes: tuple[ObjectChange[BackendRecord], ...], source: str
@@ -194,6 +197,7 @@
         for change in changes:
             if change.record is None or change.name != self._configuration_name:
                 continue
+            self._versions.note(change.revision, change.record)
             before = self.router.routes.version
             if self.router.put_in_force(change.record):
                 version, routes = change.record.version, len(change.record.routes)
--- a/src/beamloom/node/view_codecs.py
+++ b/src/beamloom/node/view_codecs.py
@@ -1,6 +1,7 @@
 """CBOR form of what nodes tell each other about backends and the configuration.
 
-A record is an array in the order of its fields; a reader ignores further fields.
+A record is an array in the order of its fields; a reader ignores further fields. In place of the
+whole record of a configuration may stand what leads to it from a version that the reader holds.
 """
 
 from __future__ import annotations
@@ -10,7 +11,15 @@
 
 import cbor2
 
+from beamloom.protocol.view_messages import NEVER
 from beamloom.replication.store_view import ObjectChange, ViewDelta
+from beamloom.replication.view_exchange import DeltaCodec
+from beamloom.routing.tokens.configuration_history import (
+    ConfigurationDifference,
+    ConfigurationHistory,
+    apply_difference,
+    difference_between,
+)
 from beamloom.routing.tokens.records import (
     BackendRecord,
     BackendState,
@@ -21,9 +30,11 @@
 
 Record = TypeVar("Record")
 
+LENGTH_WITH_DIFFERENCE = 4
+
 
-class RecordCodec(Generic[Record]):
-    """Encodes deltas with records of one type."""
+class RecordCodec(DeltaCodec[Record], Generic[Record]):
+    """Encodes deltas with whole records of one type."""
 
     def __init__(
         self, to_list: Callable[[Record], list[Any]], from_list: Callable[[list[Any]], Record]
@@ -31,16 +42,9 @@
         self._to_list = to_list
         self._from_list = from_list
 
-    def encode(self, delta: ViewDelta[Record]) -> bytes:
+    def encode(self, delta: ViewDelta[Record], base: int) -> bytes:
         """Return the CBOR of a delta."""
-        changes = [
-            [
-                change.name,
-                change.revision,
-                None if change.record is None else self._to_list(change.record),
-            ]
-            for change in delta.changes
-        ]
+        changes = [self._fields(change, base) for change in delta.changes]
         return cbor2.dumps([delta.since, delta.upto, changes])
 
     def decode(self, data: bytes) -> ViewDelta[Record]:
@@ -52,12 +56,61 @@
         except (cbor2.CBORDecodeError, TypeError, IndexError, KeyError) as error:
             raise ValueError(f"not a delta: {error!r}") from error
 
+    def _fields(self, change: ObjectChange[Record], _base: int) -> list[Any]:
+        record = None if change.record is None else self._to_list(change.record)
+        return [change.name, change.revision, record]
+
     def _change(self, entry: list[Any]) -> ObjectChange[Record]:
         name, revision, fields = entry[:3]
         record = None if fields is None else self._from_list(fields)
         return ObjectChange(str(name), int(revision), record)
 
 
+class ConfigurationCodec(RecordCodec[RoutingConfiguration]):
+    """Encodes configurations as differences to a version of the peer's, where that is known here.
+
+    A difference is a fourth element of a change, `[revision of the base, fields]`; the record is
+    None then.
+    """
+
+    def __init__(self, history: ConfigurationHistory) -> None:
+        super().__init__(configuration_to_list, configuration_from_list)
+        self._history = history
+        self._encoded: tuple[tuple[int, int], list[Any]] = ((NEVER, NEVER), [])
+
+    @property
+    def base(self) -> int:
+        """The revision of the version that differences to this node may be based on."""
+        newest = self._history.newest_revision
+        return NEVER if newest is None else newest
+
+    def _fields(self, change: ObjectChange[RoutingConfiguration], base: int) -> list[Any]:
+        """Return a change's fields; those of the last one are kept, as many peers ask for them."""
+        key = (change.revision, base)
+        if self._encoded[0] != key:
+            self._encoded = (key, self._make_fields(change, base))
+        return self._encoded[1]
+
+    def _make_fields(self, change: ObjectChange[RoutingConfiguration], base: int) -> list[Any]:
+        known = self._history.find(base)
+        difference = None
+        if known is not None and change.record is not None:
+            difference = difference_between(known, change.record)
+        if difference is None:
+            return super()._fields(change, base)
+        return [change.name, change.revision, None, [base, difference_to_list(difference)]]
+
+    def _change(self, entry: list[Any]) -> ObjectChange[RoutingConfiguration]:
+        if len(entry) < LENGTH_WITH_DIFFERENCE:
+            return super()._change(entry)
+        name, revision, _, (base, fields) = entry[:LENGTH_WITH_DIFFERENCE]
+        known = self._history.find(base)
+        if known is None:
+            raise ValueError(f"a difference to revision {base}, which is not known here")
+        record = apply_difference(known, difference_from_list(fields))
+        return ObjectChange(str(name), int(revision), record)
+
+
 def backend_to_list(record: BackendRecord) -> list[Any]:
     """Return the fields of a backend."""
     return [
@@ -83,26 +136,37 @@
 
 def configuration_to_list(record: RoutingConfiguration) -> list[Any]:
     """Return the fields of a configuration."""
-    routes = [
-        [
-            route.name,
-            route.destination,
-            [[part.service, part.weight] for part in route.parts],
-        ]
-        for route in record.routes
-    ]
+    routes = [_route_to_list(route) for route in record.routes]
     return [record.version, routes, record.idle_seconds]
 
 
 def configuration_from_list(fields: list[Any]) -> RoutingConfiguration:
     """Return the configuration of these fields."""
     version, routes, idle_seconds = fields[:3]
-    records = tuple(
-        RouteRecord(name, destination, tuple(RoutePart(*part[:2]) for part in parts))
-        for name, destination, parts in (route[:3] for route in routes)
-    )
-    return RoutingConfiguration(version, records, idle_seconds)
+    return RoutingConfiguration(version, tuple(map(_route_from_list, routes)), idle_seconds)
+
+
+def difference_to_list(difference: ConfigurationDifference) -> list[Any]:
+    """Return the fields of a difference."""
+    changed = [_route_to_list(route) for route in difference.changed]
+    return [difference.version, difference.idle_seconds, changed, list(difference.removed)]
+
+
+def difference_from_list(fields: list[Any]) -> ConfigurationDifference:
+    """Return the difference of these fields."""
+    version, idle_seconds, changed, removed = fields[:4]
+    routes = tuple(map(_route_from_list, changed))
+    return ConfigurationDifference(version, idle_seconds, routes, tuple(removed))
+
+
+def _route_to_list(route: RouteRecord) -> list[Any]:
+    parts = [[part.service, part.weight] for part in route.parts]
+    return [route.name, route.destination, parts]
+
+
+def _route_from_list(fields: list[Any]) -> RouteRecord:
+    name, destination, parts = fields[:3]
+    return RouteRecord(name, destination, tuple(RoutePart(*part[:2]) for part in parts))
 
 
 BACKEND_CODEC = RecordCodec(backend_to_list, backend_from_list)
-CONFIGURATION_CODEC = RecordCodec(configuration_to_list, configuration_from_list)
--- a/src/beamloom/platform/node_settings.py
+++ b/src/beamloom/platform/node_settings.py
@@ -49,10 +49,13 @@
         peer_port=fields.read("port-range", _first_port, 0),
         metrics=_metrics_endpoint(document),
         seeds=fields.read("seeds", _seeds, (), required=False),
-        stop_seconds=fields.read("bounds.grace-s", _seconds, 6.0, required=False),
-        flow_seconds=fields.read("bounds.flow-max-s", _seconds, 60.0, required=False),
+        stop_seconds=fields.read("bounds.grace-s", _positive, 6.0, required=False),
+        flow_seconds=fields.read("bounds.flow-max-s", _positive, 60.0, required=False),
         apply_seconds=fields.read("bounds.config-apply-ms", _milliseconds, 3.0, required=False),
         drain_seconds=fields.read("bounds.drain-ms", _milliseconds, 3.0, required=False),
+        cores=fields.read("limits.cpu-share", _positive, 1.0, required=False)
+        * fields.read("limits.cores", _positive, 1.0, required=False),
+        link_megabits=fields.read("limits.link-mbps", _positive, 1000.0, required=False),
         contact_seconds=fields.read("bounds.contact-ms", _milliseconds, 4.0, required=False),
     )
     if fields.faults:
@@ -112,15 +115,15 @@
     return tuple(_endpoint(seed).host for seed in value)
 
 
-def _seconds(value: Any) -> float:  # noqa: ANN401 - any TOML value
-    seconds = float(value)
-    if seconds <= 0:
+def _positive(value: Any) -> float:  # noqa: ANN401 - any TOML value
+    number = float(value)
+    if number <= 0:
         raise ValueError("a positive number is expected")
-    return seconds
+    return number
 
 
 def _milliseconds(value: Any) -> float:  # noqa: ANN401 - any TOML value
-    return _seconds(value) / MILLISECONDS
+    return _positive(value) / MILLISECONDS
 
 
 def _metrics_endpoint(document: Mapping[str, Any]) -> Endpoint | None:
--- a/src/beamloom/platform/store_encoding.py
+++ b/src/beamloom/platform/store_encoding.py
@@ -14,13 +14,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreCall:
-    """A call to the store. `watch` is the revision to watch from; `wait_seconds` goes with it."""
+    """A call to the store. `watch` is the revision to watch from; `wait_seconds` goes with it.
+
+    `stale` asks for an answer that may be old.
+    """
 
     kind: str
     name: str | None
     after: str
     watch: int | None
     wait_seconds: float
+    stale: bool
 
 
 def parse_call(target: str) -> StoreCall | None:
@@ -32,7 +36,8 @@
     query = {key: values[0] for key, values in parse_qs(parts.query).items()}
     watch = int(query["watch"]) if "watch" in query else None
     wait = int(query.get("wait-ms", 0)) / MILLISECONDS
-    return StoreCall(kind, name or None, query.get("after", ""), watch, wait)
+    stale = query.get("stale") == "1"
+    return StoreCall(kind, name or None, query.get("after", ""), watch, wait, stale)
 
 
 def encode_object(name: str, revision: int, made: int, content: object) -> dict[str, Any]:
--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -4,7 +4,7 @@
 
 import json
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Generic, TypeVar
 from urllib.parse import quote
 
@@ -28,6 +28,7 @@
 SECRETS_KIND = "beamloom-secrets"
 TOKEN_SECRET_NAME = "routing-token"
 
+STALE_QUERY = "stale=1"
 MILLISECONDS = 1000
 
 Record = TypeVar("Record")
@@ -36,8 +37,10 @@
 
 def list_path(kind: str, request: ListRequest) -> str:
     """Return the path that lists a kind."""
-    after = f"?after={quote(request.after, safe='')}" if request.after else ""
-    return f"{OBJECTS_PATH}{kind}{after}"
+    query = [f"after={quote(request.after, safe='')}"] if request.after else []
+    if request.stale:
+        query.append(STALE_QUERY)
+    return f"{OBJECTS_PATH}{kind}" + (f"?{'&'.join(query)}" if query else "")
 
 
 def watch_path(kind: str, request: WatchRequest, wait_seconds: float) -> str:
@@ -46,9 +49,10 @@
     return f"{OBJECTS_PATH}{kind}?watch={request.revision}&wait-ms={wait}"
 
 
-def secret_path() -> str:
+def secret_path(*, stale: bool) -> str:
     """Return the path of the fleet's secret, an object of beamloom's own."""
-    return f"{OBJECTS_PATH}{SECRETS_KIND}/{TOKEN_SECRET_NAME}"
+    query = f"?{STALE_QUERY}" if stale else ""
+    return f"{OBJECTS_PATH}{SECRETS_KIND}/{TOKEN_SECRET_NAME}{query}"
 
 
 def new_secret_path() -> str:
@@ -95,12 +99,17 @@
     document = _load(body)
     objects = _Objects(translate)
     try:
-        for event in document["events"]:
+        for event in _last_events(document["events"]):
             objects.take(event["object"], gone=bool(event["gone"]))
         revision = int(document["at"])
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise PlatformFormatError(f"changes of the store cannot be read: {error!r}") from error
-    return ChangeBatch(tuple(objects.changes), revision, tuple(objects.unreadable))
+    return ChangeBatch(tuple(objects.changes), revision, tuple(objects.unreadable), len(body))
+
+
+def _last_events(events: Iterable[Mapping[str, Any]]) -> Iterable[Mapping[str, Any]]:
+    """Return the last event of each object; those before it are overtaken."""
+    return {event["object"]["meta"]["name"]: event for event in events}.values()
 
 
 class _Objects(Generic[Record]):
--- a/src/beamloom/protocol/view_messages.py
+++ b/src/beamloom/protocol/view_messages.py
@@ -22,21 +22,26 @@
 
     `views` holds for each kind of object `[revision, milliseconds since it was confirmed]`;
     `readers` holds `[id, milliseconds since the store last answered it]` of nodes that read the
-    store; `peers` holds `[host, milliseconds since it was heard]`.
+    store; `peers` holds `[host, milliseconds since it was heard]`. `zone` is the sender's.
     """
 
     views: list[list[int]]
     readers: list[tuple[str, int]]
     peers: list[tuple[str, int]]
+    zone: str = ""
 
 
 @register_message(81, Priority.CONFIGURATION)
 @dataclass(frozen=True, slots=True)
 class ViewRequest(Message):
-    """Ask for the changes of one kind after a revision (NEVER: for everything)."""
+    """Ask for the changes of one kind after a revision (NEVER: for everything).
+
+    `base` names what the answer may build on; what that is depends on the kind.
+    """
 
     view: int
     since: int
+    base: int = NEVER
 
 
 @register_message(82, Priority.CONFIGURATION)
--- a/src/beamloom/replication/object_watch.py
+++ b/src/beamloom/replication/object_watch.py
@@ -2,7 +2,10 @@
 
 Without I/O: `next_request` says what to ask, the other methods take what came of it. After a lost
 history (the store answers that the revision is gone) everything is listed again; what was believed
-before stays in force meanwhile. Pauses after failures are drawn with full jitter (Brooker 2015).
+before stays in force meanwhile. The first list may be stale, as peers or a watch tell at once what
+has changed since; one that follows a lost history must not be. A watch tells each version of an
+object that has changed; where that is much, a list follows, which holds the newest only. Pauses
+after failures are drawn with full jitter (Brooker 2015).
 """
 
 from __future__ import annotations
@@ -17,12 +20,21 @@
 
 Record = TypeVar("Record")
 
+LARGE_ANSWER_BYTES = 64 << 10
+"""A watch that told so much is followed by a list, so that a burst of versions is read once."""
+FEW_OBJECTS = 4
+"""Where there are no more, a list costs no more than a change."""
+
 
 @dataclass(frozen=True, slots=True)
 class ListRequest:
-    """List the objects whose names come after `after`; an empty text begins at the first."""
+    """List the objects whose names come after `after`; an empty text begins at the first.
+
+    A `stale` answer may be some seconds old; it costs the store little.
+    """
 
     after: str
+    stale: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,11 +63,13 @@
     """What a watch told: the changes, and the revision to go on from.
 
     `unreadable` tells of changes that were left out: what was known of those objects stays.
+    `size_bytes` is the length of the answer.
     """
 
     changes: tuple[ObjectChange[Record], ...]
     revision: int
     unreadable: tuple[str, ...] = ()
+    size_bytes: int = 0
 
 
 Changes = tuple[ObjectChange[Record], ...]
@@ -65,7 +79,7 @@
 class _Listing(Generic[Record]):
     records: list[NamedRecord[Record]] = field(default_factory=list)
     after: str = ""
-    first_revision: int | None = None
+    revision: int | None = None
     asked_at: float = 0.0
 
 
@@ -77,6 +91,8 @@
         self._pauses = FullJitter(FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS, chance)
         self._listing: _Listing[Record] = _Listing()
         self._history_lost = False
+        self._may_be_stale = True
+        self._prefers_list = False
 
     @property
     def failures(self) -> int:
@@ -86,7 +102,9 @@
     def next_request(self) -> ListRequest | WatchRequest:
         """Return what to ask the store now."""
         revision = self._watched_revision
-        return ListRequest(self._listing.after) if revision is None else WatchRequest(revision)
+        if revision is not None and not self._prefers_list:
+            return WatchRequest(revision)
+        return ListRequest(self._listing.after, self._may_be_stale)
 
     @property
     def must_list(self) -> bool:
@@ -98,20 +116,35 @@
         return None if self._history_lost else self.view.revision
 
     def take_page(self, page: ListPage[Record], asked_at: float) -> Changes[Record]:
-        """Take one page; return what the whole list changes once its last page is there."""
+        """Take one page; return what the whole list changes once its last page is there.
+
+        Stale pages may come from replicas of the store that are not equally far.
+        """
         self._pauses.reset()
         listing = self._listing
-        if listing.first_revision is None:
-            listing.first_revision = page.revision
+        if listing.revision is None:
+            listing.revision = page.revision
             listing.asked_at = asked_at
+        listing.revision = min(listing.revision, page.revision)
         listing.records.extend(page.records)
         if page.more and page.last_name != listing.after:
             listing.after = page.last_name
             return ()
         self._listing = _Listing()
+        return self._take_list(listing.records, listing.revision, listing.asked_at)
+
+    def _take_list(
+        self, records: list[NamedRecord[Record]], revision: int, asked_at: float
+    ) -> Changes[Record]:
+        stale = self._may_be_stale
+        self._may_be_stale = False
+        if stale and not records:
+            return ()
         self._history_lost = False
-        changes = self.view.replace(listing.records, listing.first_revision)
-        self.view.confirm(listing.asked_at)
+        changes = self.view.replace(records, revision)
+        self._prefers_list = self._prefers_list and bool(changes)
+        if not stale:
+            self.view.confirm(asked_at)
         return changes
 
     def take_changes(self, batch: ChangeBatch[Record], now: float) -> Changes[Record]:
@@ -121,6 +154,7 @@
         """
         self._pauses.reset()
         changes = self.view.apply(batch.changes, batch.revision)
+        self._prefers_list = self._is_small and batch.size_bytes >= LARGE_ANSWER_BYTES
         self.view.confirm(now)
         return changes
 
@@ -128,8 +162,17 @@
         """Begin again with a list: the store no longer knows the view's revision."""
         self._pauses.reset()
         self._history_lost = True
+        self._may_be_stale = False
         self._listing = _Listing()
 
     def take_failure(self) -> float:
-        """Note a call without a usable answer; return the seconds to wait before the next."""
+        """Note a call without a usable answer; return the seconds to wait before the next.
+
+        A watch may have failed because it had too much to tell.
+        """
+        self._prefers_list = self._is_small
         return self._pauses.next_pause()
+
+    @property
+    def _is_small(self) -> bool:
+        return 0 < len(self.view) <= FEW_OBJECTS
--- a/src/beamloom/replication/peer_table.py
+++ b/src/beamloom/replication/peer_table.py
@@ -1,4 +1,8 @@
-"""The hosts of other nodes, as far as a node has heard of them lately."""
+"""The hosts of other nodes, as far as a node has heard of them lately.
+
+Most of what a node tells goes to peers of its own zone: bytes between zones cost more, and a few of
+them suffice for news to get there.
+"""
 
 from __future__ import annotations
 
@@ -8,12 +12,20 @@
 PEER_SILENCE_SECONDS = 15.0
 MAXIMUM_PEERS = 2048
 SAMPLE_SIZE = 8
+OWN_ZONE_SHARE = 2 / 3
 
 
 class PeerTable:
-    """Hosts with the moment at which each was last alive. `seeds` are asked while few are known."""
+    """Hosts with the moment at which each was last alive. `seeds` are asked while few are known.
+
+    Hosts that nobody has told the zone of count as those of another one.
+    """
 
-    def __init__(self, host: str, seeds: Iterable[str], chance: random.Random) -> None:
+    def __init__(
+        self, host: str, seeds: Iterable[str], chance: random.Random, zone: str = ""
+    ) -> None:
+        self.zone = zone
+        self._zones: dict[str, str] = {}
         self._host = host
         self._chance = chance
         self._heard: dict[str, float] = {}
@@ -38,17 +50,32 @@
             self._heard[host] = at
         return known is None
 
+    def note_zone(self, host: str, zone: str) -> None:
+        """Note the zone that a host says it is in."""
+        if host in self._heard and zone:
+            self._zones[host] = zone
+
     def forget_silent(self, now: float) -> None:
         """Drop hosts that nobody has heard for long."""
         self._heard = {
             host: at for host, at in self._heard.items() if now - at < PEER_SILENCE_SECONDS
         }
+        self._zones = {host: zone for host, zone in self._zones.items() if host in self._heard}
 
     def choose(self, count: int) -> list[str]:
         """Return up to so many hosts, drawn by chance; all of them where there are no more."""
         hosts = sorted(self._heard)
-        return hosts if len(hosts) <= count else self._chance.sample(hosts, count)
+        if len(hosts) <= count:
+            return hosts
+        near = [host for host in hosts if self._zones.get(host) == self.zone]
+        far = [host for host in hosts if self._zones.get(host) != self.zone]
+        from_near = int(count * OWN_ZONE_SHARE + self._chance.random())
+        from_near = max(count - len(far), min(from_near, len(near)))
+        chosen = self._chance.sample(near, from_near)
+        return chosen + self._chance.sample(far, count - from_near)
 
     def sample(self, now: float) -> list[tuple[str, float]]:
-        """Return a few hosts and how long ago each was heard, in seconds."""
-        return [(host, now - self._heard[host]) for host in self.choose(SAMPLE_SIZE)]
+        """Return a few hosts of any zone and how long ago each was heard, in seconds."""
+        hosts = sorted(self._heard)
+        drawn = self._chance.sample(hosts, min(SAMPLE_SIZE, len(hosts)))
+        return [(host, now - self._heard[host]) for host in drawn]
--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -1,4 +1,4 @@
-"""Who reads the store: a few nodes, without a controller.
+"""Who reads the store: a few nodes, without a controller, and rather those that can do more.
 
 Nodes hear of readers by gossip. A node that has heard fewer than `TARGET_READERS` of them for a
 moment drawn by chance becomes one; a reader that hears `TARGET_READERS` others with lower ids
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Any
 
@@ -17,10 +18,28 @@
 
 TARGET_READERS = 2
 LONGEST_HESITATION_SECONDS = 0.8
+LISTENING_SECONDS = 1.2
+"""A node that has just started hears of its peers' readers before it may become one."""
+
+
+LEAST_CORES = 0.05
+LEAST_LINK_MEGABITS = 5.0
+LOWEST_RANK = 9
+RANK_DIGITS = 1
+
+
+def reader_id_of(cores: float, link_megabits: float, start: str) -> str:
+    """Return the id of one start of a node: its rank as a reader, then what is its own.
+
+    Each doubling of both processor and link makes the rank one better; 0 is the best.
+    """
+    steps = math.log2(min(cores / LEAST_CORES, link_megabits / LEAST_LINK_MEGABITS))
+    rank = LOWEST_RANK - max(0, min(LOWEST_RANK, int(steps)))
+    return f"{rank}{start}"
 
 
 class ReaderDuty:
-    """Whether this node reads the store. `reader_id` is this start's own; ids compare as text."""
+    """Whether this node reads the store. `reader_id` begins with its rank; ids compare as text."""
 
     def __init__(self, reader_id: str, chance: random.Random, times: ReadingTimes) -> None:
         self.reading = False
@@ -29,6 +48,7 @@
         self._chance = chance
         self._heard: dict[str, float] = {}
         self._starts_at: float | None = None
+        self._listens_until: float | None = None
 
     def note_answer(self, now: float) -> None:
         """Note that the store answered this node.
@@ -55,14 +75,22 @@
         if len(others) >= TARGET_READERS:
             self._starts_at = None
             return False
+        if self._listens_until is None:
+            self._listens_until = now + LISTENING_SECONDS
         if self._starts_at is None:
-            self._starts_at = now + self._chance.uniform(0.0, LONGEST_HESITATION_SECONDS)
+            self._starts_at = max(now, self._listens_until) + self._hesitation()
         if now < self._starts_at:
             return False
         self._starts_at = None
         self.reading = True
         return True
 
+    def _hesitation(self) -> float:
+        """Draw how long to hesitate; nodes of a better rank come first."""
+        rank = int(self.reader_id[:RANK_DIGITS], 16) / LOWEST_RANK
+        half = LONGEST_HESITATION_SECONDS / 2
+        return min(1.0, rank) * half + self._chance.uniform(0.0, half)
+
     def foremost(self, now: float) -> list[tuple[str, float]]:
         """Return the recent readers that others must know of: those with the lowest ids."""
         return sorted(self.recent(now).items())[: TARGET_READERS + 1]
@@ -83,20 +111,38 @@
         self._duty = duty
         self._chance = chance
         self._stale_after = duty.times.stale_seconds
+        self._unconfirmed_until = float("-inf")
+        self._gathered = 0.0
 
     @property
     def wait_seconds(self) -> float:
         """How long a watch may wait: only a reader lets it wait at all."""
-        return self._duty.times.wait_seconds if self._duty.reading else 0.0
+        if not self._duty.reading:
+            return 0.0
+        return self._duty.times.wait_seconds - self._gathered
 
     def must_ask(self, now: float) -> bool:
         """Whether to ask now: as a reader, for want of a list, or as the view has become stale."""
         if self._watch.must_list or self._duty.reading:
             return True
         age = self._watch.view.age(now)
-        return age is None or age >= self._stale_after
+        if age is None:
+            return now >= self._unconfirmed_until
+        return age >= self._stale_after
 
-    def note_answer(self) -> None:
-        """Draw anew when the view will count as stale, so that not all nodes ask at once."""
+    def note_answer(self, now: float, *, changes: bool) -> float:
+        """Note an answer of the store; return the seconds to rest before the next call.
+
+        Changes come in bursts, each of which would else cost every reader a call of its own. When
+        the view will count as stale is drawn anew, so that not all nodes ask at once.
+        """
         spread = self._chance.uniform(0.0, STALE_SPREAD_SECONDS)
         self._stale_after = self._duty.times.stale_seconds + spread
+        self._unconfirmed_until = now + self._duty.times.unconfirmed_seconds + spread
+        self._gathered = self._duty.times.gather_seconds if changes else 0.0
+        return self._gathered
+
+    def distrust(self) -> None:
+        """Ask again before anything else: what was heard meanwhile looks newer than it is."""
+        self._watch.view.confirmed_at = None
+        self._unconfirmed_until = float("-inf")
--- a/src/beamloom/replication/reading_times.py
+++ b/src/beamloom/replication/reading_times.py
@@ -17,6 +17,9 @@
 """Nodes whose views become stale together do not all ask at once: the first one tells the rest."""
 LONGEST_STALE_SECONDS = 2.0
 LONGEST_WAIT_SECONDS = 1.5
+LONGEST_UNCONFIRMED_SECONDS = 1.5
+LONGEST_GATHER_SECONDS = 0.35
+GATHER_SHARE_OF_WAIT = 0.25
 SHORTEST_SECONDS = 0.1
 DEFAULT_BOUND_SECONDS = 3.0
 DEFAULT_CONTACT_SECONDS = 4.0
@@ -28,12 +31,16 @@
 
     `wait_seconds` is how long a reader lets a watch wait, `stale_seconds` after how long without a
     confirmation a node asks for itself, `silence_seconds` after how long without an answer a reader
-    is not counted on any more.
+    is not counted on any more. `unconfirmed_seconds` is how long a node that began with a stale
+    list leaves it to its peers to tell what has changed since. `gather_seconds` is how long a
+    reader lets further changes come together before it asks for them.
     """
 
     wait_seconds: float
     stale_seconds: float
     silence_seconds: float
+    unconfirmed_seconds: float
+    gather_seconds: float
 
 
 def reading_times(
@@ -50,4 +57,11 @@
     hanging = contact_seconds - 2 * CALL_PATIENCE_SECONDS - LONGEST_PAUSE_SECONDS
     wait = min(LONGEST_WAIT_SECONDS, 0.75 * stale, hanging)
     wait = max(SHORTEST_SECONDS, wait)
-    return ReadingTimes(wait, max(SHORTEST_SECONDS, stale), 2 * wait + 0.2)
+    stale = max(SHORTEST_SECONDS, stale)
+    return ReadingTimes(
+        wait_seconds=wait,
+        stale_seconds=stale,
+        silence_seconds=2 * wait + 0.2,
+        unconfirmed_seconds=min(LONGEST_UNCONFIRMED_SECONDS, stale),
+        gather_seconds=min(LONGEST_GATHER_SECONDS, GATHER_SHARE_OF_WAIT * wait),
+    )
--- a/src/beamloom/replication/shared_secret.py
+++ b/src/beamloom/replication/shared_secret.py
@@ -1,7 +1,8 @@
 """Agreeing on one secret of the whole fleet through the store: the first node makes it.
 
 Without I/O. Reading is always last: whoever made the object, what is read is what everybody has. A
-creation whose answer is lost is therefore harmless, and so is one that is done late.
+creation whose answer is lost is therefore harmless, and so is one that is done late. The first read
+may be stale, as the secret never changes once it is there.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 class SecretStep(Enum):
     """What to ask the store next."""
 
+    READ_STALE = "read stale"
     READ = "read"
     CREATE = "create"
 
@@ -25,7 +27,7 @@
 
     def __init__(self, chance: random.Random) -> None:
         self.value: bytes | None = None
-        self.step = SecretStep.READ
+        self.step = SecretStep.READ_STALE
         self._pauses = FullJitter(FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS, chance)
 
     def take_secret(self, value: bytes) -> None:
@@ -33,8 +35,9 @@
         self.value = value
 
     def take_absent(self) -> None:
-        """Note that nobody has made the object yet: make it."""
-        self.step = SecretStep.CREATE
+        """Note that the object is not there: ask for the newest state, then make it."""
+        is_stale = self.step is SecretStep.READ_STALE
+        self.step = SecretStep.READ if is_stale else SecretStep.CREATE
 
     def take_created(self) -> None:
         """Note that the object is there now, from whomever: read it."""
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -9,10 +9,11 @@
 from __future__ import annotations
 
 import random
+from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Any, Generic, Protocol, TypeVar
+from typing import Any, Generic, TypeVar
 
 from beamloom.protocol.messages import Message
 from beamloom.protocol.view_messages import NEVER, ViewDigest, ViewPart, ViewRequest
@@ -42,12 +43,19 @@
 MILLISECONDS = 1000
 
 
-class DeltaCodec(Protocol[Record]):
+class DeltaCodec(ABC, Generic[Record]):
     """Encodes deltas of one kind; `decode` raises ValueError."""
 
-    def encode(self, delta: ViewDelta[Record]) -> bytes:
-        """Return the bytes of a delta."""
+    @property
+    def base(self) -> int:
+        """What this node holds that a peer's encoding may build on; NEVER: nothing."""
+        return NEVER
+
+    @abstractmethod
+    def encode(self, delta: ViewDelta[Record], base: int) -> bytes:
+        """Return the bytes of a delta for a peer whose codec has this base."""
 
+    @abstractmethod
     def decode(self, data: bytes) -> ViewDelta[Record]:
         """Return the delta of these bytes."""
 
@@ -70,10 +78,15 @@
         self._codec = codec
         self._on_changes = on_changes
 
-    def encode_since(self, revision: int) -> bytes | None:
+    @property
+    def base(self) -> int:
+        """What an answer to a request of this node may build on."""
+        return self._codec.base
+
+    def encode_since(self, revision: int, base: int) -> bytes | None:
         """Return what a peer at a revision lacks; None where it lacks nothing known here."""
         delta = self.view.since(revision)
-        return None if delta is None else self._codec.encode(delta)
+        return None if delta is None else self._codec.encode(delta, base)
 
     def merge(self, data: bytes) -> bool:
         """Take a peer's delta; return whether the view got further. Raises ValueError."""
@@ -164,6 +177,7 @@
         return is_new
 
     def _take_digest(self, host: str, digest: ViewDigest, is_new: bool, now: float) -> None:
+        self.peers.note_zone(host, digest.zone)
         for peer, age in digest.peers:
             self._note_peer(peer, now - age / MILLISECONDS, now)
         for reader, age in digest.readers:
@@ -206,7 +220,7 @@
             return
         shared.requested_at = now
         self.counters["requests"] += 1
-        self._sends.append(SendToHost(host, ViewRequest(index, mine)))
+        self._sends.append(SendToHost(host, ViewRequest(index, mine, shared.base)))
 
     def _answer_digest(self, host: str, is_new: bool, now: float) -> None:
         if now - self._answered.get(host, float("-inf")) < ANSWER_SECONDS:
@@ -217,7 +231,7 @@
     def _answer_request(self, host: str, request: ViewRequest) -> None:
         if not 0 <= request.view < len(self._views):
             return
-        data = self._views[request.view].encode_since(request.since)
+        data = self._views[request.view].encode_since(request.since, request.base)
         if data is None:
             return
         self._transfer += 1
@@ -228,11 +242,11 @@
     def _take_part(self, host: str, message: ViewPart, now: float) -> None:
         if not 0 <= message.view < len(self._views):
             return
-        data = self._reassembly.take(host, message, now)
-        if data is None:
-            return
         shared = self._views[message.view]
         try:
+            data = self._reassembly.take(host, message, now)
+            if data is None:
+                return
             merged = shared.merge(data)
         except ValueError:
             self.counters["unreadable"] += 1
@@ -265,7 +279,7 @@
         readers = [(name, _age(at, now)) for name, at in self._duty.foremost(now)]
         sample = self.peers.sample(now) if names_peers else []
         peers = [(host, int(age * MILLISECONDS)) for host, age in sample]
-        return ViewDigest(views, readers, peers)
+        return ViewDigest(views, readers, peers, self.peers.zone)
 
 
 def _age(at: float | None, now: float) -> int:
--- a/src/beamloom/replication/view_transfer.py
+++ b/src/beamloom/replication/view_transfer.py
@@ -1,7 +1,12 @@
-"""Encoded deltas in parts that fit a datagram, put together again by the receiver."""
+"""Encoded deltas in parts that fit a datagram, put together again by the receiver.
+
+What takes more than one part is compressed (zlib, RFC 1950): records of one kind are much alike,
+and each part may be lost.
+"""
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass, field
 
 from beamloom.protocol.view_messages import ViewPart
@@ -10,13 +15,19 @@
 """Leaves room for envelope and tag in a datagram of 1,400 bytes."""
 MAXIMUM_PARTS = 1024
 MAXIMUM_TRANSFERS = 8
+MAXIMUM_BYTES = 16 << 20
+COMPRESSED = b"\xff"
+"""Begins what is compressed; the CBOR of a delta is an array and never begins so."""
+COMPRESSION_LEVEL = 1
 TRANSFER_SECONDS = 2.0
 
 
 def split(view: int, transfer: int, data: bytes) -> list[ViewPart]:
     """Return the parts of an encoded delta; none where it is too large to be sent this way."""
+    if len(data) > PART_BYTES:
+        data = COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
     count = max(1, -(-len(data) // PART_BYTES))
-    if count > MAXIMUM_PARTS:
+    if count > MAXIMUM_PARTS or len(data) > MAXIMUM_BYTES:
         return []
     return [
         ViewPart(view, transfer, part, count, data[part * PART_BYTES : (part + 1) * PART_BYTES])
@@ -37,7 +48,7 @@
         self._transfers: dict[tuple[str, int, int], _Transfer] = {}
 
     def take(self, host: str, message: ViewPart, now: float) -> bytes | None:
-        """Take a part; return the whole once it is there."""
+        """Take a part; return the whole once it is there. Raises ValueError where it is none."""
         if not 0 <= message.part < message.parts <= MAXIMUM_PARTS:
             return None
         key = (host, message.view, message.transfer)
@@ -49,7 +60,7 @@
         if len(transfer.parts) < message.parts:
             return None
         del self._transfers[key]
-        return b"".join(transfer.parts[part] for part in sorted(transfer.parts))
+        return _unpack(b"".join(transfer.parts[part] for part in sorted(transfer.parts)))
 
     def _make_room(self, now: float) -> None:
         kept = {
@@ -60,3 +71,12 @@
         while len(kept) >= MAXIMUM_TRANSFERS:
             kept.pop(next(iter(kept)))
         self._transfers = kept
+
+
+def _unpack(data: bytes) -> bytes:
+    if not data.startswith(COMPRESSED):
+        return data
+    try:
+        return zlib.decompressobj().decompress(data[len(COMPRESSED) :], MAXIMUM_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"not compressed data: {error}") from error
--- /dev/null
+++ b/src/beamloom/routing/tokens/configuration_history.py
@@ -0,0 +1,88 @@
+"""Versions of the configuration as differences, so that a change costs what has changed.
+
+A configuration of a thousand routes is some 100 KB, and most versions touch one route. A node keeps
+the last versions that it had, by the store's revision of each; peers that hold one of them get
+the difference, all others the whole.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from beamloom.routing.tokens.records import RouteRecord, RoutingConfiguration
+
+VERSIONS_KEPT = 32
+"""More than change within the seconds in which a node hears of them."""
+
+
+class ConfigurationDifference(NamedTuple):
+    """What leads from one version to another.
+
+    `changed` routes take the place of those of their names, in that order; names that are new come
+    behind all others.
+    """
+
+    version: int
+    idle_seconds: float
+    changed: tuple[RouteRecord, ...]
+    removed: tuple[str, ...]
+
+
+def difference_between(
+    base: RoutingConfiguration, target: RoutingConfiguration
+) -> ConfigurationDifference | None:
+    """Return what leads to the target, or None where no difference leads exactly there."""
+    before = {route.name: route for route in base.routes}
+    names = {route.name for route in target.routes}
+    difference = ConfigurationDifference(
+        target.version,
+        target.idle_seconds,
+        tuple(route for route in target.routes if before.get(route.name) != route),
+        tuple(name for name in before if name not in names),
+    )
+    return difference if apply_difference(base, difference) == target else None
+
+
+def apply_difference(
+    base: RoutingConfiguration, difference: ConfigurationDifference
+) -> RoutingConfiguration:
+    """Return the configuration that a difference leads to."""
+    routes = {route.name: route for route in base.routes}
+    for name in difference.removed:
+        routes.pop(name, None)
+    for route in difference.changed:
+        routes[route.name] = route
+    return RoutingConfiguration(difference.version, tuple(routes.values()), difference.idle_seconds)
+
+
+class ConfigurationHistory:
+    """The last versions that a node had, by the store's revision of each."""
+
+    def __init__(self) -> None:
+        self._versions: dict[int, RoutingConfiguration] = {}
+
+    @property
+    def newest_revision(self) -> int | None:
+        """The revision of the newest version; None before the first."""
+        return max(self._versions, default=None)
+
+    def note(self, revision: int, configuration: RoutingConfiguration) -> None:
+        """Keep a version; routes that it shares with the one before are kept once."""
+        newest = self.newest_revision
+        if newest is not None:
+            configuration = _sharing_routes(configuration, self._versions[newest])
+        self._versions[revision] = configuration
+        while len(self._versions) > VERSIONS_KEPT:
+            del self._versions[min(self._versions)]
+
+    def find(self, revision: int) -> RoutingConfiguration | None:
+        """Return the version that the store had at this revision of its object."""
+        return self._versions.get(revision)
+
+
+def _sharing_routes(
+    configuration: RoutingConfiguration, other: RoutingConfiguration
+) -> RoutingConfiguration:
+    known = {route: route for route in other.routes}
+    routes = tuple(known.get(route, route) for route in configuration.routes)
+    return RoutingConfiguration(configuration.version, routes, configuration.idle_seconds)
--- a/src/beamloom/runtime/shared_secret.py
+++ b/src/beamloom/runtime/shared_secret.py
@@ -22,6 +22,7 @@
     """Paths and bodies of the object that holds the secret; `decode` raises ValueError."""
 
     read_path: str
+    stale_path: str
     create_path: str
     encode: Callable[[bytes], bytes]
     decode: Callable[[bytes], bytes]
@@ -33,10 +34,10 @@
     """Read the secret, making it where there is none; tries until it has one."""
     while secret.value is None:
         try:
-            if secret.step is SecretStep.READ:
-                done = await _read(secret, connection, form)
-            else:
+            if secret.step is SecretStep.CREATE:
                 done = await _create(secret, connection, form)
+            else:
+                done = await _read(secret, connection, form)
         except (CallFailedError, ValueError):
             done = False
         if not done:
@@ -45,7 +46,8 @@
 
 
 async def _read(secret: SharedSecret, connection: HttpConnection, form: SecretFormat) -> bool:
-    answer = await connection.call("GET", form.read_path, CALL_SECONDS)
+    path = form.stale_path if secret.step is SecretStep.READ_STALE else form.read_path
+    answer = await connection.call("GET", path, CALL_SECONDS)
     if answer.status == STATUS_NOT_FOUND:
         secret.take_absent()
         return True
--- a/src/beamloom/runtime/store_follower.py
+++ b/src/beamloom/runtime/store_follower.py
@@ -49,7 +49,8 @@
     functools.partial(store_objects.read_changes, translate=store_objects.translate_configuration),
 )
 _SECRET = SecretFormat(
-    store_objects.secret_path(),
+    store_objects.secret_path(stale=False),
+    store_objects.secret_path(stale=True),
     store_objects.new_secret_path(),
     store_objects.encode_secret,
     store_objects.read_secret,
--- a/src/beamloom/runtime/store_reader.py
+++ b/src/beamloom/runtime/store_reader.py
@@ -72,6 +72,7 @@
         self._turn = turn
         self._wake = asyncio.Event()
         self._list_seconds = LIST_SECONDS
+        self._rest_seconds = 0.0
 
     def advance(self, now: float) -> None:
         """Begin to ask where it has become necessary; to be called a few times a second."""
@@ -85,9 +86,10 @@
                 await self._wait_for_turn()
                 failure = await self._step()
                 if failure is not None:
-                    pause = self.watch.take_failure()
+                    self._rest_seconds = self.watch.take_failure()
                     self.on_failure(failure, self.watch.failures)
-                    await asyncio.sleep(pause)
+                if self._rest_seconds:
+                    await asyncio.sleep(self._rest_seconds)
         finally:
             self._connection.close()
 
@@ -100,6 +102,7 @@
 
     async def _step(self) -> str | None:
         """Make one call and take its answer; return why it had no usable one."""
+        self._rest_seconds = 0.0
         request = self.watch.next_request()
         failures = self.watch.failures
         asked_at = _now()
@@ -137,7 +140,7 @@
             changes = self._take_body(request, answer.body, asked_at)
         except ValueError as error:
             return f"unreadable: {error}"
-        self._turn.note_answer()
+        self._rest_seconds = self._turn.note_answer(_now(), changes=bool(changes))
         self.on_answer(changes)
         return None
 
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -18,6 +18,7 @@
 
 from beamloom.node.token_core import TokenCore
 from beamloom.platform import packet_layout, store_objects
+from beamloom.replication.reader_duty import reader_id_of
 from beamloom.replication.reading_times import reading_times
 from beamloom.routing.tokens.placement import placement_settings
 from beamloom.runtime.decision_log import DecisionLog
@@ -60,7 +61,8 @@
         chance = random.Random()
         self.log = EventLog(settings.node, standard_output())
         self.decisions = DecisionLog(self.log, packet_layout.describe_flow, self._view_age)
-        reader_id = os.urandom(READER_ID_BYTES).hex()
+        start = os.urandom(READER_ID_BYTES).hex()
+        reader_id = reader_id_of(settings.cores, settings.link_megabits, start)
         self.core = TokenCore(
             settings.zone,
             reader_id,
--- a/src/beamloom/settings/token_node.py
+++ b/src/beamloom/settings/token_node.py
@@ -30,7 +30,8 @@
     A configuration must be in force within `apply_seconds`, a leaving backend be rid of new flows
     within `drain_seconds`; both hold for nodes that have had `contact_seconds` of undisturbed
     contact. `metrics` is where figures are told, if anywhere. A flow may be forgotten after
-    `flow_seconds`. After SIGTERM a node has `stop_seconds`.
+    `flow_seconds`. After SIGTERM a node has `stop_seconds`. `cores` and `link_megabits` (a second)
+    are what the machine can do.
     """
 
     node: str
@@ -47,6 +48,8 @@
     apply_seconds: float = 3.0
     drain_seconds: float = 3.0
     contact_seconds: float = 4.0
+    cores: float = 1.0
+    link_megabits: float = 1000.0
 
 
 FIELDS_OF_A_START = frozenset(
@@ -61,6 +64,8 @@
         "apply_seconds",
         "drain_seconds",
         "contact_seconds",
+        "cores",
+        "link_megabits",
     }
 )
 """Addresses are bound, and names used, once; a change of these waits for the next start."""
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -38,6 +38,8 @@
 READINESS_SECONDS = 0.5
 STEP_SECONDS = 0.02
 START_SECONDS = 0.5
+STALE_BEHIND = 6
+"""Revisions of the store by which stale reads are behind."""
 SERVE_ON_SECONDS = 4.0
 """How long an endpoint that leaves serves on."""
 
@@ -66,6 +68,7 @@
         self.chance = random.Random(seed)
         self.clock = VirtualClock()
         self.store = TokenStore()
+        self.store.stale_behind = STALE_BEHIND
         self.link = StoreLink(self.clock, self.store)
         self.oracle = TokenOracle()
         self.nodes: dict[str, SimulatedTokenNode] = {}
--- a/src/beamloom/simulation/tokens/store_link.py
+++ b/src/beamloom/simulation/tokens/store_link.py
@@ -99,12 +99,16 @@
         self._clock.call_later(POLL_SECONDS, self._answer, host, kind, request, end, on_answer)
 
     def _page(self, kind: str, request: ListRequest) -> ListPage[object]:
-        objects, more = self._store.page(kind, request.after)
+        if request.stale:
+            objects, more, revision = self._store.stale_page(kind, request.after)
+        else:
+            objects, more = self._store.page(kind, request.after)
+            revision = self._store.revision
         records = tuple(
             NamedRecord(stored.name, stored.revision, stored.content) for stored in objects
         )
         last = records[-1].name if records else ""
-        return ListPage(records, more, self._store.revision, last)
+        return ListPage(records, more, revision, last)
 
     def _batch(self, kind: str, request: WatchRequest) -> ChangeBatch[object]:
         changes = tuple(
--- a/src/beamloom/soak/platform_side.py
+++ b/src/beamloom/soak/platform_side.py
@@ -33,6 +33,8 @@
 """Long enough to see a node that goes on sending new flows, which it may for 3 s."""
 REUSE_SECONDS = 2.0
 HEARTBEATS_SECONDS = 3.6
+STALE_BEHIND = 6
+"""Revisions of the store by which stale reads are behind."""
 
 
 class SoakEndpoint:
@@ -61,6 +63,7 @@
         later: Callable[[float, Callable[[], object]], None],
     ) -> None:
         self.server = TokenStoreServer(TokenStore())
+        self.server.store.stale_behind = STALE_BEHIND
         self.endpoints: list[SoakEndpoint] = []
         self.routes: dict[bytes, frozenset[str]] = {}
         self.store_host = f"{network}.4.1"
--- a/src/beamloom/standins/token_store_server.py
+++ b/src/beamloom/standins/token_store_server.py
@@ -113,9 +113,13 @@
             return 200, self._encode(self.store.read(call.kind, call.name))
         if call.watch is not None:
             return 200, await self._watch(call, call.watch)
-        objects, more = self.store.page(call.kind, call.after)
+        if call.stale:
+            objects, more, revision = self.store.stale_page(call.kind, call.after)
+        else:
+            objects, more = self.store.page(call.kind, call.after)
+            revision = self.store.revision
         encoded = [self._encode(stored) for stored in objects]
-        return 200, store_encoding.encode_list(encoded, more, self.store.revision)
+        return 200, store_encoding.encode_list(encoded, more, revision)
 
     async def _create(self, request: web.Request, call: StoreCall) -> tuple[int, Any]:
         document = await request.json()
--- a/tests/unit/platform_adapter/test_store_objects.py
+++ b/tests/unit/platform_adapter/test_store_objects.py
@@ -43,6 +43,10 @@
             store_objects.list_path("servers", ListRequest("i-1")),
             "/beamloom/objects/servers?after=i-1",
         )
+        self.assertEqual(
+            store_objects.list_path("servers", ListRequest("i-1", stale=True)),
+            "/beamloom/objects/servers?after=i-1&stale=1",
+        )
         self.assertEqual(
             store_objects.watch_path("servers", WatchRequest(530), 2.3),
             "/beamloom/objects/servers?watch=530&wait-ms=2300",
--- a/tests/unit/tokens/builders.py
+++ b/tests/unit/tokens/builders.py
@@ -49,6 +49,21 @@
     return RoutingConfiguration(version, (RouteRecord("route", destination, parts),))
 
 
+def many_routes(version: int, count: int, changed: int = 0) -> RoutingConfiguration:
+    """Return a configuration of `count` routes, of which the first `changed` differ by version."""
+    return RoutingConfiguration(
+        version,
+        tuple(
+            RouteRecord(
+                f"route-{number}",
+                bytes((198, 18, number >> 8, number & 255, 1, 187)),
+                (RoutePart(f"tracker-v{version}" if number < changed else "tracker", 1.0),),
+            )
+            for number in range(count)
+        ),
+    )
+
+
 def flow_id(client: int, destination: bytes = DESTINATION) -> bytes:
     return (
         destination[:4]
--- /dev/null
+++ b/tests/unit/tokens/test_configuration_history.py
@@ -0,0 +1,59 @@
+"""Versions of the configuration as differences, and the last ones that a node had."""
+
+import unittest
+
+from beamloom.routing.tokens.configuration_history import (
+    VERSIONS_KEPT,
+    ConfigurationHistory,
+    apply_difference,
+    difference_between,
+)
+from beamloom.routing.tokens.records import RoutingConfiguration
+from tests.unit.tokens.builders import many_routes
+
+
+class DifferenceTest(unittest.TestCase):
+    def test_it_holds_what_has_changed_and_leads_to_the_target(self) -> None:
+        base = many_routes(1, 100)
+        target = RoutingConfiguration(2, many_routes(2, 110, 3).routes[:50], 7.0)
+        difference = difference_between(base, target)
+        assert difference is not None
+        self.assertEqual(len(difference.changed), 3)
+        self.assertEqual(len(difference.removed), 50)
+        self.assertEqual(apply_difference(base, difference), target)
+
+    def test_routes_are_added_behind_the_others(self) -> None:
+        base, target = many_routes(1, 10), many_routes(2, 14)
+        difference = difference_between(base, target)
+        assert difference is not None
+        self.assertEqual(apply_difference(base, difference), target)
+
+    def test_there_is_none_where_it_would_not_lead_exactly_there(self) -> None:
+        base = many_routes(1, 10)
+        turned = RoutingConfiguration(2, tuple(reversed(base.routes)))
+        self.assertIsNone(difference_between(base, turned))
+        twice = RoutingConfiguration(2, base.routes + base.routes[:1])
+        self.assertIsNone(difference_between(base, twice))
+
+
+class HistoryTest(unittest.TestCase):
+    def test_it_keeps_the_last_versions(self) -> None:
+        history = ConfigurationHistory()
+        self.assertIsNone(history.newest_revision)
+        for revision in range(VERSIONS_KEPT + 5):
+            history.note(revision, many_routes(revision, 3))
+        self.assertEqual(history.newest_revision, VERSIONS_KEPT + 4)
+        self.assertIsNone(history.find(4))
+        kept = history.find(5)
+        assert kept is not None
+        self.assertEqual(kept.version, 5)
+
+    def test_versions_share_their_routes(self) -> None:
+        history = ConfigurationHistory()
+        history.note(1, many_routes(1, 10))
+        history.note(2, many_routes(2, 10, 1))
+        first, second = history.find(1), history.find(2)
+        assert first is not None
+        assert second is not None
+        self.assertIsNot(first.routes[0], second.routes[0])
+        self.assertIs(first.routes[5], second.routes[5])
--- a/tests/unit/views/test_object_watch.py
+++ b/tests/unit/views/test_object_watch.py
@@ -4,6 +4,8 @@
 import unittest
 
 from beamloom.replication.object_watch import (
+    FEW_OBJECTS,
+    LARGE_ANSWER_BYTES,
     ChangeBatch,
     ListPage,
     ListRequest,
@@ -24,7 +26,34 @@
         self.view: StoreView[str] = StoreView()
         self.watch: ObjectWatch[str] = ObjectWatch(self.view, random.Random(1))
 
+    def begin_fresh(self) -> None:
+        """Let the first, stale list come back empty, so that a fresh one follows."""
+        self.watch.take_page(page("", False, 0), asked_at=0.5)
+
+    def test_the_first_list_may_be_stale_and_confirms_nothing(self) -> None:
+        self.assertEqual(self.watch.next_request(), ListRequest("", stale=True))
+        changes = self.watch.take_page(page("a", False, 10), asked_at=1.0)
+        self.assertEqual([change.name for change in changes], ["a"])
+        self.assertIsNone(self.view.confirmed_at)
+        self.assertEqual(self.watch.next_request(), WatchRequest(10))
+        self.watch.take_changes(ChangeBatch((), 12), now=2.0)
+        self.assertEqual(self.view.confirmed_at, 2.0)
+
+    def test_an_empty_stale_list_is_not_believed(self) -> None:
+        self.begin_fresh()
+        self.assertTrue(self.watch.must_list)
+        self.assertEqual(self.watch.next_request(), ListRequest(""))
+        self.watch.take_page(page("", False, 3), asked_at=1.0)
+        self.assertEqual(self.view.confirmed_at, 1.0)
+
+    def test_stale_pages_of_replicas_that_are_not_equally_far(self) -> None:
+        self.watch.take_page(page("ab", True, 14), asked_at=1.0)
+        self.assertEqual(self.watch.next_request(), ListRequest("b", stale=True))
+        self.watch.take_page(page("cd", False, 10), asked_at=1.1)
+        self.assertEqual(self.watch.next_request(), WatchRequest(10))
+
     def test_it_lists_all_pages_and_watches_from_the_first_ones_revision(self) -> None:
+        self.begin_fresh()
         self.assertEqual(self.watch.next_request(), ListRequest(""))
         self.assertEqual(self.watch.take_page(page("ab", True, 10), asked_at=1.0), ())
         self.assertTrue(self.watch.must_list)
@@ -60,6 +89,33 @@
         )
         self.assertEqual(self.watch.next_request(), WatchRequest(30))
 
+    def test_a_burst_of_large_versions_is_read_by_lists(self) -> None:
+        """Found on a grown site: each version of 1,500 routes came, and the last one late."""
+        self.watch.take_page(page("a", False, 10), asked_at=1.0)
+        versions = (ObjectChange("a", 12, "A2"),)
+        self.watch.take_changes(ChangeBatch(versions, 12, (), LARGE_ANSWER_BYTES), now=2.0)
+        self.assertEqual(self.watch.next_request(), ListRequest(""))
+        newest = ListPage((NamedRecord("a", 30, "A9"),), False, 30, "a")
+        self.assertEqual(len(self.watch.take_page(newest, asked_at=2.4)), 1)
+        self.assertEqual(self.watch.next_request(), ListRequest(""))
+        self.assertEqual(self.watch.take_page(newest, asked_at=2.8), ())
+        self.assertEqual(self.view.confirmed_at, 2.8)
+        self.assertEqual(self.watch.next_request(), WatchRequest(30))
+
+    def test_a_watch_that_may_have_had_too_much_to_tell_is_followed_by_a_list(self) -> None:
+        self.watch.take_page(page("a", False, 10), asked_at=1.0)
+        self.watch.take_failure()
+        self.assertEqual(self.watch.next_request(), ListRequest(""))
+
+    def test_a_kind_of_many_objects_is_watched_on(self) -> None:
+        names = "abcdefgh"[: FEW_OBJECTS + 1]
+        self.watch.take_page(page(names, False, 10), asked_at=1.0)
+        change = (ObjectChange("a", 12, "A2"),)
+        self.watch.take_changes(ChangeBatch(change, 12, (), LARGE_ANSWER_BYTES), now=2.0)
+        self.assertEqual(self.watch.next_request(), WatchRequest(12))
+        self.watch.take_failure()
+        self.assertEqual(self.watch.next_request(), WatchRequest(12))
+
     def test_pauses_are_drawn_from_zero_to_a_bound_that_doubles(self) -> None:
         pauses = [self.watch.take_failure() for _ in range(200)]
         self.assertLessEqual(max(pauses), LONGEST_PAUSE_SECONDS)
