Let each node begin the turns of a route's parts at a point of its own

Cause: each node's round robin began with the heaviest part, so in a fleet where a node sees one or two flows of a route that part got all of them. Change: a node begins at a turn drawn by chance.

--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -47,7 +47,7 @@
     def __init__(self, zone: str, settings: PlacementSettings, chance: random.Random) -> None:
         self._zone = zone
         self._settings = settings
-        self._chance = chance
+        self.chance = chance
 
     def choose(
         self, backends: Collection[Backend], tried: Collection[Backend], now: float
@@ -78,7 +78,7 @@
         return min(candidates, key=lambda backend: (self._cost(backend, now), self._draw()))
 
     def _draw(self) -> float:
-        return self._chance.random()
+        return self.chance.random()
 
     def _cost(self, backend: Backend, now: float) -> float:
         settings = self._settings
--- a/src/beamloom/routing/tokens/route_table.py
+++ b/src/beamloom/routing/tokens/route_table.py
@@ -2,15 +2,27 @@
 
 from __future__ import annotations
 
+import random
+
 from beamloom.routing.tokens.records import RoutePart, RouteRecord, RoutingConfiguration
 
+LONGEST_LEAD_TURNS = 64
+"""Longer than most sequences of turns are before they repeat themselves."""
+
 
 class ActiveRoute:
-    """A route in force with the state of its smooth weighted round robin (as in nginx)."""
+    """A route in force with the state of its smooth weighted round robin (as in nginx).
+
+    Each node begins at a turn drawn by chance: in a large fleet a node sees few flows of a route,
+    and if all began with the same part, that one would get too many.
+    """
 
-    def __init__(self, record: RouteRecord) -> None:
+    def __init__(self, record: RouteRecord, chance: random.Random) -> None:
         self.record = record
         self._credit = {part.service: 0.0 for part in record.parts}
+        if len(record.parts) > 1:
+            for _ in range(chance.randrange(LONGEST_LEAD_TURNS)):
+                self.next_parts()
 
     def next_parts(self) -> list[RoutePart]:
         """Return the parts, the one whose turn it is first; parts of weight 0 come last."""
@@ -33,7 +45,8 @@
 class RouteTable:
     """Routes by destination; one version at a time, never an earlier one than before."""
 
-    def __init__(self) -> None:
+    def __init__(self, chance: random.Random) -> None:
+        self._chance = chance
         self.configuration: RoutingConfiguration | None = None
         self._active: dict[bytes, ActiveRoute] = {}
 
@@ -47,7 +60,9 @@
         if configuration.version <= self.version:
             return False
         before = self._active
-        self._active = {route.destination: ActiveRoute(route) for route in configuration.routes}
+        self._active = {
+            route.destination: ActiveRoute(route, self._chance) for route in configuration.routes
+        }
         for destination, route in before.items():
             following = self._active.get(destination)
             if following is not None:
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -54,7 +54,7 @@
         self, placement: Placement, on_decision: Callable[[Decision], None] = ignore_decision
     ) -> None:
         self.codec: TokenCodec | None = None
-        self.routes = RouteTable()
+        self.routes = RouteTable(placement.chance)
         self.backends = BackendTable()
         self.flows = FlowObserver(on_decision)
         self._on_decision = on_decision
