--- /dev/null
+++ b/src/beamloom/routing/fast_path.py
@@ -0,0 +1,72 @@
+"""The fast path: mid-flow IPv4 packets without options of flows that have an entry at this node."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Mapping
+
+import xxhash
+
+from beamloom.model.addresses import SocketAddress
+from beamloom.routing.flow_table import FlowFlag, FlowTable
+from beamloom.routing.hashing import FLOW_KEY_MASK
+from beamloom.routing.packet import PROTOCOL_TCP, TCP_FIN, TCP_RST, TCP_SYN
+from beamloom.routing.services import RouteTable
+
+SHORTEST_PACKET = 40
+IPV4_NO_OPTIONS = 0x45
+FRAGMENT_BITS = 0x3FFF
+TCP_FLAGS_AT = 33
+TCP_CONTROL_FLAGS = TCP_SYN | TCP_FIN | TCP_RST
+
+_HEADER = struct.Struct("!BxHxxHBBxx12s")
+_HOME = int(FlowFlag.HOME)
+_PAYLOAD_SENT = int(FlowFlag.PAYLOAD_SENT)
+_FLAGS_THAT_MATTER = int(
+    FlowFlag.PAYLOAD_SENT
+    | FlowFlag.HELD
+    | FlowFlag.CLIENT_CLOSED
+    | FlowFlag.BACKEND_CLOSED
+    | FlowFlag.DEADLINE
+)
+
+
+class FastPath:
+    """Looks a packet's backend up in the tables of one node; `seeds` are by IP protocol."""
+
+    def __init__(self, table: FlowTable, routes: RouteTable, seeds: Mapping[int, int]) -> None:
+        self._table = table
+        self._routes = routes
+        self._seeds = seeds
+
+    def address_of(  # noqa: PLR0911 - one flat function: each call more costs every packet
+        self, data: bytes, now: float
+    ) -> SocketAddress | None:
+        """Return where to send a packet; None where it needs to be looked at more closely."""
+        if len(data) < SHORTEST_PACKET or data[0] != IPV4_NO_OPTIONS:
+            return None
+        _, total, fragment, hop_limit, protocol, hash_input = _HEADER.unpack_from(data)
+        seed = self._seeds.get(protocol)
+        if seed is None or total != len(data) or fragment & FRAGMENT_BITS or not hop_limit:
+            return None
+        table = self._table
+        if protocol == PROTOCOL_TCP and data[TCP_FLAGS_AT] & TCP_CONTROL_FLAGS:
+            return None
+        row = table.rows.get(xxhash.xxh3_64_intdigest(hash_input, seed) & FLOW_KEY_MASK)
+        route = None if row is None else self._routes.backends.get(table.backend[row])
+        if row is None or route is None:
+            return None
+        service, flags = route.service, table.flags[row]
+        if hash_input[10:] != service.port_bytes or hash_input[4:8] != service.ip_bytes:
+            return None
+        if protocol != service.protocol:
+            return None
+        meter = service.meter
+        if meter.blocked or flags & _FLAGS_THAT_MATTER != _PAYLOAD_SENT:
+            return None
+        if flags & _HOME:
+            table.deadline[row] = now + service.idle_timeout
+        elif table.deadline[row] <= now:
+            return None
+        meter.packets += 1
+        return route.address
--- a/src/beamloom/routing/forwarder.py
+++ b/src/beamloom/routing/forwarder.py
@@ -1,18 +1,14 @@
 """Forwarding: where one packet goes. The entry of routing for the node and its adapters.
 
-The fast path serves mid-flow IPv4 packets of flows with an entry at this node; everything else
-takes the slow path, which parses with every check. See docs/design/core.md and
-docs/design/flows.md.
+The fast path (`fast_path.py`) serves mid-flow IPv4 packets of flows with an entry at this node;
+everything else is parsed here with every check. See docs/design/core.md and docs/design/flows.md.
 """
 
 from __future__ import annotations
 
-import struct
 from collections import Counter
 from collections.abc import Sequence
 
-import xxhash
-
 from beamloom.model.addresses import SocketAddress
 from beamloom.model.contracts import ServiceContract
 from beamloom.model.machines import Machine, Member, NodeId
@@ -30,9 +26,9 @@
 from beamloom.routing.answers import AnswerBatches, RelayedFlows
 from beamloom.routing.deciding import Deciding, FlowPacket
 from beamloom.routing.explanation import Explainer, FlowExplanation, RoutingSnapshot
+from beamloom.routing.fast_path import FastPath
 from beamloom.routing.flow_table import FlowFlag, FlowTable
 from beamloom.routing.hashing import (
-    FLOW_KEY_MASK,
     PARTITION_MASK,
     flow_key,
     flow_seed,
@@ -45,9 +41,7 @@
 from beamloom.routing.packet import (
     PROTOCOL_TCP,
     PROTOCOL_UDP,
-    TCP_FIN,
     TCP_RST,
-    TCP_SYN,
     DropReason,
     FlowTuple,
     PacketError,
@@ -63,22 +57,8 @@
 TICK_SECONDS = 0.1
 RELAY_HOPS = 6
 RELAY_HOPS_OF_ANSWERS = 255
-IPV4_FAST_SIZE = 40
-IPV4_NO_OPTIONS = 0x45
-FRAGMENT_BITS = 0x3FFF
-TCP_FLAGS_AT = 33
-TCP_CONTROL_FLAGS = TCP_SYN | TCP_FIN | TCP_RST
-
-_FAST_HEADER = struct.Struct("!BxHxxHBBxx12s")
-_HOME = int(FlowFlag.HOME)
+
 _PAYLOAD_SENT = int(FlowFlag.PAYLOAD_SENT)
-_FAST_MASK = int(
-    FlowFlag.PAYLOAD_SENT
-    | FlowFlag.HELD
-    | FlowFlag.CLIENT_CLOSED
-    | FlowFlag.BACKEND_CLOSED
-    | FlowFlag.DEADLINE
-)
 
 
 class Forwarder:
@@ -120,6 +100,7 @@
         self._seeds = {
             protocol: flow_seed(hash_key, protocol) for protocol in (PROTOCOL_TCP, PROTOCOL_UDP)
         }
+        self._address_fast = FastPath(self.table, self.routes, self._seeds).address_of
         self._peers: dict[SocketAddress, NodeId] = {}
         self._commands: list[Command] = []
         self._tick_due = 0.0
@@ -177,8 +158,8 @@
         self, data: bytes, source: SocketAddress, from_peer: bool, now: float
     ) -> SocketAddress | None:
         """Return where to send these bytes, or None when they are dropped or were changed."""
-        if len(data) >= IPV4_FAST_SIZE and data[0] == IPV4_NO_OPTIONS and not from_peer:
-            address = self._forward_fast(data, now)
+        if not from_peer:
+            address = self._address_fast(data, now)
             if address is not None:
                 return address
         try:
@@ -187,35 +168,6 @@
             self.counters[error.reason.value] += 1
             return None
 
-    def _forward_fast(  # noqa: PLR0911 - one flat function: each call more costs every packet
-        self, data: bytes, now: float
-    ) -> SocketAddress | None:
-        _, total, fragment, hop_limit, protocol, hash_input = _FAST_HEADER.unpack_from(data)
-        seed = self._seeds.get(protocol)
-        if seed is None or total != len(data) or fragment & FRAGMENT_BITS or not hop_limit:
-            return None
-        table = self.table
-        if protocol == PROTOCOL_TCP and data[TCP_FLAGS_AT] & TCP_CONTROL_FLAGS:
-            return None
-        row = table.rows.get(xxhash.xxh3_64_intdigest(hash_input, seed) & FLOW_KEY_MASK)
-        route = None if row is None else self.routes.backends.get(table.backend[row])
-        if row is None or route is None:
-            return None
-        service, flags = route.service, table.flags[row]
-        if hash_input[10:] != service.port_bytes or hash_input[4:8] != service.ip_bytes:
-            return None
-        if protocol != service.protocol:
-            return None
-        meter = service.meter
-        if meter.blocked or flags & _FAST_MASK != _PAYLOAD_SENT:
-            return None
-        if flags & _HOME:
-            table.deadline[row] = now + service.idle_timeout
-        elif table.deadline[row] <= now:
-            return None
-        meter.packets += 1
-        return route.address
-
     # -- every other packet --------------------------------------------------------------------
 
     def _forward_checked(
