Let a node that starts while the store is down learn all from a neighbour

The fleet's key is in the store alone, so a node that was restarted while the store was down, or refused it, stayed unready until the end of that, whatever its neighbours knew. Ruled out: trusting unsigned views, which anybody could forge; Diffie-Hellman, which protects from those alone who read the network, and they can read the store's answers.

--- a/src/beamloom/replication/shared_secret.py
+++ b/src/beamloom/replication/shared_secret.py
@@ -30,6 +30,11 @@
         self.step = SecretStep.READ_STALE
         self._pauses = FullJitter(FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS, chance)
 
+    @property
+    def failures(self) -> int:
+        """How many calls in a row had no usable answer."""
+        return self._pauses.failures
+
     def take_secret(self, value: bytes) -> None:
         """Take what was read."""
         self.value = value
--- a/src/beamloom/runtime/peer_link.py
+++ b/src/beamloom/runtime/peer_link.py
@@ -1,4 +1,8 @@
-"""The datagrams between nodes: one socket, signed envelopes, each taken once."""
+"""The datagrams between nodes: one socket, signed envelopes, each taken once.
+
+Before the fleet's secret is known only messages that nobody signs are sent and taken, and none but
+those of the exchange of the secret.
+"""
 
 from __future__ import annotations
 
@@ -8,38 +12,64 @@
 
 from beamloom.model.addresses import SocketAddress
 from beamloom.model.machines import NodeId
-from beamloom.protocol.codec import KeyRing, decode_datagram, encode_datagram
-from beamloom.protocol.errors import ProtocolError
+from beamloom.protocol.codec import Envelope, KeyRing, decode_datagram, encode_datagram
+from beamloom.protocol.errors import AuthenticationError, ProtocolError
 from beamloom.protocol.messages import Message
 from beamloom.protocol.replay import ReplayGuard
+from beamloom.protocol.secret_messages import OPEN_KEY, SecretAnswer, SecretRequest
 from beamloom.runtime.datagrams import DatagramSocket
 
 MILLISECONDS = 1000
+OPEN_KEYS = KeyRing((OPEN_KEY,))
 
 Received = Callable[[str, Message], None]
 
 
 class PeerLink:
-    """Sends and receives messages; raises OSError where the address cannot be bound."""
+    """Sends and receives messages; raises OSError where the address cannot be bound.
+
+    `received` hears of signed messages, `received_open` of unsigned ones.
+    """
 
-    def __init__(self, host: str, port: int, sender: str, key: bytes, received: Received) -> None:
+    def __init__(
+        self, host: str, port: int, sender: str, received: Received, received_open: Received
+    ) -> None:
         self.counters: Counter[str] = Counter()
         self._port = port
         self._sender = NodeId(sender)
-        self._keys = KeyRing((key,))
+        self._keys: KeyRing | None = None
         self._guard = ReplayGuard()
         self._received = received
+        self._received_open = received_open
         self._sequence = 0
         self._loop = asyncio.get_running_loop()
         self._socket = DatagramSocket(SocketAddress(host, port))
         self._socket.listen(self._take)
 
+    def use_key(self, key: bytes) -> None:
+        """Sign with a key, and take what is signed with it, from now on."""
+        self._keys = KeyRing((key,))
+
     def send(self, host: str, message: Message) -> None:
-        """Send a message to the node at a host; what cannot be sent is counted and lost."""
+        """Send a signed message to the node at a host; what cannot be sent is counted and lost."""
+        if self._keys is None:
+            self.counters["unsent_no_key"] += 1
+        else:
+            self._send(self._keys, host, message)
+
+    def send_open(self, host: str, message: Message) -> None:
+        """Send a message that nobody signs."""
+        self._send(OPEN_KEYS, host, message)
+
+    def close(self) -> None:
+        """Stop receiving."""
+        self._socket.close()
+
+    def _send(self, keys: KeyRing, host: str, message: Message) -> None:
         self._sequence += 1
         sent_at = int(self._loop.time() * MILLISECONDS)
         try:
-            data = encode_datagram(self._keys, self._sender, self._sequence, sent_at, [message])
+            data = encode_datagram(keys, self._sender, self._sequence, sent_at, [message])
         except ProtocolError as error:
             self.counters[f"unsent_{type(error).__name__}"] += 1
             return
@@ -49,17 +79,35 @@
         self.counters["sent"] += 1
         self.counters["sent_bytes"] += len(data)
 
-    def close(self) -> None:
-        """Stop receiving."""
-        self._socket.close()
-
     def _take(self, data: bytes, source: SocketAddress) -> None:
         try:
-            envelope = decode_datagram(self._keys, data)
-            self._guard.check(envelope.sender, envelope.sequence)
+            envelope = self._take_signed(data)
+        except AuthenticationError as error:
+            if not self._take_open(data, source[0]):
+                self.counters[f"refused_{error.reason}"] += 1
+            return
         except ProtocolError as error:
             self.counters[f"refused_{error.reason}"] += 1
             return
         self.counters["received"] += 1
         for message in envelope.messages:
             self._received(source[0], message)
+
+    def _take_signed(self, data: bytes) -> Envelope:
+        if self._keys is None:
+            raise AuthenticationError("the fleet's secret is not known yet; read it first")
+        envelope = decode_datagram(self._keys, data)
+        self._guard.check(envelope.sender, envelope.sequence)
+        return envelope
+
+    def _take_open(self, data: bytes, host: str) -> bool:
+        """Take an unsigned datagram; return whether it is one."""
+        try:
+            envelope = decode_datagram(OPEN_KEYS, data)
+        except ProtocolError:
+            return False
+        self.counters["received_open"] += 1
+        for message in envelope.messages:
+            if isinstance(message, SecretRequest | SecretAnswer):
+                self._received_open(host, message)
+        return True
--- a/src/beamloom/runtime/store_follower.py
+++ b/src/beamloom/runtime/store_follower.py
@@ -1,13 +1,15 @@
 """Drives the part of a token node's core that follows the store: calls, timers, peers' datagrams.
 
 Peers are joined once the fleet's secret is known; what that takes is imported only then, as a node
-is ready to serve before it.
+is ready to serve before it. Where the store fails a starting node, the seeds are asked for the
+secret, and all else follows from peers.
 """
 
 from __future__ import annotations
 
 import asyncio
 import functools
+import os
 import random
 from _blake2 import blake2b
 from collections.abc import Callable
@@ -19,6 +21,7 @@
 from beamloom.replication.reader_duty import ReadingTurn
 from beamloom.replication.shared_secret import SharedSecret
 from beamloom.replication.store_view import ObjectChange
+from beamloom.routing.tokens.token import KEY_BYTES
 from beamloom.runtime.decision_log import DecisionLog
 from beamloom.runtime.http_client import HttpConnection
 from beamloom.runtime.shared_secret import SecretFormat, fetch_shared_secret
@@ -27,11 +30,15 @@
 
 if TYPE_CHECKING:
     from beamloom.protocol.messages import Message
+    from beamloom.replication.secret_exchange import SecretKeeper, SecretSeeker
     from beamloom.runtime.peer_link import PeerLink
 
 Record = TypeVar("Record")
 
 JOIN_PEERS_AFTER_SECONDS = 0.5
+ASK_PEERS_AFTER_SECONDS = 0.9
+"""A store that has not answered by then may never do so."""
+ASK_PEERS_EACH_SECONDS = 0.3
 PEER_KEY_PERSON = b"beamloom-peers"
 
 _BACKENDS = KindFormat(
@@ -73,6 +80,9 @@
         self._decisions = decisions
         self._chance = chance
         self._connections: list[HttpConnection] = []
+        self._seeker: SecretSeeker | None = None
+        self._keeper: SecretKeeper | None = None
+        self._secret_from_peer: asyncio.Future[bytes] | None = None
         self._has_peers = False
         self._was_alone = False
         self.readers = (
@@ -129,35 +139,89 @@
             self.link = None
 
     async def _fetch_key(self) -> None:
+        """Get the fleet's secret from the store or from a neighbour, whichever has it first."""
+        steps = SharedSecret(self._chance)
         connection = self._connect()
+        store = asyncio.create_task(fetch_shared_secret(steps, connection, _SECRET))
+        peers = asyncio.create_task(self._ask_peers(steps))
         try:
-            secret = await fetch_shared_secret(SharedSecret(self._chance), connection, _SECRET)
+            done, _ = await asyncio.wait({store, peers}, return_when=asyncio.FIRST_COMPLETED)
         finally:
+            store.cancel()
+            peers.cancel()
             connection.close()
+        secret = done.pop().result()
+        from_peer = store not in done and self._secret_from_peer is not None
+        self._decisions.life("SecretKnown", source="peer" if from_peer else "store")
         self._core.use_key(secret)
-        await asyncio.sleep(JOIN_PEERS_AFTER_SECONDS)
+        if not from_peer:
+            await asyncio.sleep(JOIN_PEERS_AFTER_SECONDS)
         self._join_peers(secret)
 
-    def _join_peers(self, secret: bytes) -> None:
+    async def _ask_peers(self, steps: SharedSecret) -> bytes:
+        """Ask the seeds for the secret where the store does not tell; return what one answers."""
+        began = _now()
+        while not steps.failures and _now() - began < ASK_PEERS_AFTER_SECONDS:
+            await asyncio.sleep(ASK_PEERS_EACH_SECONDS)
+        from beamloom.replication.secret_exchange import NONCE_BYTES, SecretSeeker
+
+        self._seeker = SecretSeeker(os.urandom(NONCE_BYTES), KEY_BYTES)
+        self._secret_from_peer = asyncio.get_running_loop().create_future()
+        while not self._secret_from_peer.done():
+            link = self._open_link()
+            if link is not None:
+                for request in self._seeker.requests(self._settings.seeds):
+                    link.send_open(request.host, request.message)
+            await asyncio.wait({self._secret_from_peer}, timeout=ASK_PEERS_EACH_SECONDS)
+        return self._secret_from_peer.result()
+
+    def _open_link(self) -> PeerLink | None:
+        """Return the socket for peers, bound now if it was not; None where that fails."""
+        if self.link is not None:
+            return self.link
         from beamloom.runtime.peer_link import PeerLink
 
         settings = self._settings
-        key = blake2b(key=secret, person=PEER_KEY_PERSON).digest()
         sender = self._core.duty.reader_id
         try:
-            self.link = PeerLink(settings.host, settings.peer_port, sender, key, self._take_message)
+            self.link = PeerLink(
+                settings.host, settings.peer_port, sender, self._take_message, self._take_open
+            )
         except OSError as error:
             self._decisions.dependency_lost("peers", str(error), 1)
-            return
-        self._core.join_peers(settings.host, settings.seeds)
+        return self.link
+
+    def _join_peers(self, secret: bytes) -> None:
+        from beamloom.replication.secret_exchange import SecretKeeper
+
+        self._seeker = None
+        self._keeper = SecretKeeper(secret)
+        link = self._open_link()
+        if link is not None:
+            link.use_key(blake2b(key=secret, person=PEER_KEY_PERSON).digest())
+            self._core.join_peers(self._settings.host, self._settings.seeds)
 
     def _take_message(self, host: str, message: Message) -> None:
+        if self._keeper is not None:
+            self._keeper.note_member(host, _now())
         try:
             self._core.handle_message(host, message, _now())
         except (TypeError, ValueError) as error:
             self._decisions.life("PeerMessageRefused", host=host, reason=repr(error))
         self._send()
 
+    def _take_open(self, host: str, message: Message) -> None:
+        """Take a message of the exchange of the secret."""
+        if self._keeper is not None and self.link is not None:
+            answer = self._keeper.answer(host, message, _now())
+            if answer is not None:
+                self._decisions.life("SecretGiven", host=host)
+                self.link.send_open(answer.host, answer.message)
+        if self._seeker is not None and self._secret_from_peer is not None:
+            secret = self._seeker.take(host, message)
+            if secret is not None and not self._secret_from_peer.done():
+                self._secret_from_peer.set_result(secret)
+
     def _send(self) -> None:
         if self.link is None:
             return
--- a/tests/functional/test_token_node.py
+++ b/tests/functional/test_token_node.py
@@ -7,11 +7,15 @@
 import time
 import unittest
 
+from beamloom.replication.reader_duty import LISTENING_SECONDS, LONGEST_HESITATION_SECONDS
+from beamloom.replication.reading_times import LONGEST_UNCONFIRMED_SECONDS, STALE_SPREAD_SECONDS
 from beamloom.routing.tokens.records import BackendState
 from beamloom.standins.token_client import FlowPlan, FlowState
 from tests.functional.token_node_case import METRICS_PORT, TokenNodeCase
 
 LONGEST_STOP_SECONDS = 6.0
+READERS_SETTLE_SECONDS = LISTENING_SECONDS + LONGEST_HESITATION_SECONDS + 0.5
+"""Until then a node hears of changes within the bounds of a start, not at once."""
 NOT_BEFORE_READY = {
     "aiohttp",
     "cbor2",
@@ -53,6 +57,28 @@
         for event in ("Started", "Ready", "FlowPlaced", "StopRequested", "Stopped"):
             self.assertIn(event, events)
 
+    async def test_a_start_with_a_stale_list_hears_soon_what_is_new(self) -> None:
+        self.add_endpoint(1)
+        self.configure(1, "tracker")
+        self.configure(2, "tracker")
+        self.add_endpoint(2)
+        self.store.store.stale_behind = 2
+        self.start_node(1)
+        await self.wait_until_ready(1)
+        await self.wait_for_line(1, "Ready")
+        ready = next(line for line in self.lines(1) if line["event"] == "Ready")
+        self.assertEqual((ready["version"], ready["backends"]), (1, 1))
+        end = time.monotonic() + LONGEST_UNCONFIRMED_SECONDS + STALE_SPREAD_SECONDS + 1.0
+        while not {2, "i-00000002"} <= self.heard(1):
+            self.assertLess(time.monotonic(), end, self.logs())
+            await asyncio.sleep(0.05)
+
+    def heard(self, number: int) -> set[object]:
+        """Return the versions and backends that a node has written down."""
+        lines = self.lines(number)
+        versions = {line["version"] for line in lines if line["event"] == "ConfigurationInForce"}
+        return versions | {line["backend"] for line in lines if line["event"] == "BackendChanged"}
+
     async def test_another_node_carries_flows_on_and_unknown_routes_are_refused(self) -> None:
         self.add_endpoint(1)
         self.add_endpoint(2)
@@ -61,6 +87,7 @@
         self.start_node(2)
         await self.wait_until_ready(1)
         await self.wait_until_ready(2)
+        await asyncio.sleep(READERS_SETTLE_SECONDS)
         flow = self.new_flow(2000, FlowPlan(requests=4, rest_seconds=0.4))
         began = time.monotonic()
         while not flow.answers:
@@ -101,6 +128,49 @@
         await self.play(1, flows)
         self.assertEqual({flow.answers[0] for flow in flows}, {"i-00000002"})
 
+    async def test_a_node_that_starts_while_the_store_is_down_learns_all_from_a_neighbour(
+        self,
+    ) -> None:
+        for fault in ("unavailable", "silent"):
+            with self.subTest(fault=fault):
+                await self.check_start_without_store(fault)
+
+    async def check_start_without_store(self, fault: str) -> None:
+        self.add_endpoint(1)
+        self.configure(3, "tracker")
+        self.start_node(1)
+        second = self.start_node(2)
+        for number in (1, 2):
+            await self.wait_until_ready(number)
+        await asyncio.sleep(2.0)
+        setattr(self.store.faults, fault, True)
+        second.kill()
+        second.wait()
+        self.start_node(2)
+        await self.wait_until_ready(2, seconds=5.0)
+        await self.wait_for_line(2, "SecretKnown")
+        known = [line for line in self.lines(2) if line["event"] == "SecretKnown"]
+        self.assertEqual([line["source"] for line in known], ["peer"])
+        flows = [self.new_flow(2200 + number) for number in range(6)]
+        await self.play(2, flows)
+        self.assertEqual({flow.state for flow in flows}, {FlowState.DONE})
+        setattr(self.store.faults, fault, False)
+        for number in (1, 2):
+            self.nodes[f"node-{number}"].kill()
+            self.nodes[f"node-{number}"].wait()
+
+    async def test_a_stranger_is_not_given_the_secret(self) -> None:
+        self.add_endpoint(1)
+        self.configure(3, "tracker")
+        self.start_node(1)
+        await self.wait_until_ready(1)
+        await asyncio.sleep(2.0)
+        self.store.faults.unavailable = True
+        self.start_node(2)
+        await asyncio.sleep(4.0)
+        self.assertEqual(await self.readiness(2), 503)
+        self.assertNotIn("SecretGiven", [line["event"] for line in self.lines(1)])
+
     async def test_a_lost_creation_of_the_secret_and_a_slow_store_do_no_harm(self) -> None:
         self.add_endpoint(1)
         self.configure(1, "tracker")
--- /dev/null
+++ b/tests/unit/views/test_secret_exchange.py
@@ -0,0 +1,73 @@
+"""The fleet's secret from neighbours: whom a node asks, and whom it answers."""
+
+import unittest
+
+from beamloom.protocol.messages import Message
+from beamloom.protocol.secret_messages import SecretAnswer, SecretRequest
+from beamloom.replication.secret_exchange import (
+    ANSWER_INTERVAL_SECONDS,
+    MAXIMUM_MEMBERS,
+    MEMBER_SECONDS,
+    NONCE_BYTES,
+    SecretKeeper,
+    SecretSeeker,
+)
+
+SECRET = bytes(range(16))
+NONCE = b"n" * NONCE_BYTES
+MEMBER = "10.0.0.2"
+
+
+class SeekerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.seeker = SecretSeeker(NONCE, len(SECRET))
+        self.seeker.requests([MEMBER])
+
+    def test_it_takes_an_answer_of_a_host_that_it_asked(self) -> None:
+        self.assertEqual(self.seeker.take(MEMBER, SecretAnswer(NONCE, SECRET)), SECRET)
+
+    def test_it_takes_nothing_else(self) -> None:
+        odd: list[tuple[str, Message]] = [
+            ("10.0.0.9", SecretAnswer(NONCE, SECRET)),
+            (MEMBER, SecretAnswer(b"m" * NONCE_BYTES, SECRET)),
+            (MEMBER, SecretAnswer(NONCE, SECRET[:4])),
+            (MEMBER, SecretAnswer(NONCE, "text")),  # type: ignore[arg-type]
+            (MEMBER, SecretRequest(NONCE)),
+        ]
+        for host, message in odd:
+            with self.subTest(message=message):
+                self.assertIsNone(self.seeker.take(host, message))
+
+
+class KeeperTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.keeper = SecretKeeper(SECRET)
+        self.keeper.note_member(MEMBER, 10.0)
+
+    def test_a_member_is_answered(self) -> None:
+        answer = self.keeper.answer(MEMBER, SecretRequest(NONCE), 20.0)
+        assert answer is not None
+        self.assertEqual((answer.host, answer.message), (MEMBER, SecretAnswer(NONCE, SECRET)))
+
+    def test_a_stranger_and_a_member_of_long_ago_are_not(self) -> None:
+        self.assertIsNone(self.keeper.answer("10.0.0.9", SecretRequest(NONCE), 20.0))
+        late = 10.0 + MEMBER_SECONDS
+        self.assertIsNone(self.keeper.answer(MEMBER, SecretRequest(NONCE), late))
+
+    def test_odd_messages_are_not(self) -> None:
+        for message in (SecretRequest(b""), SecretRequest(7), SecretAnswer(NONCE, SECRET)):  # type: ignore[arg-type]
+            self.assertIsNone(self.keeper.answer(MEMBER, message, 20.0))
+
+    def test_answers_to_a_host_are_bounded(self) -> None:
+        answers = [
+            self.keeper.answer(MEMBER, SecretRequest(NONCE), 20.0 + step / 100)
+            for step in range(100)
+        ]
+        given = sum(answer is not None for answer in answers)
+        self.assertLessEqual(given, 1.0 / ANSWER_INTERVAL_SECONDS + 1)
+
+    def test_memory_is_bounded(self) -> None:
+        for number in range(MAXIMUM_MEMBERS + 10):
+            self.keeper.note_member(f"h{number}", 10.0)
+        last = f"h{MAXIMUM_MEMBERS + 9}"
+        self.assertIsNone(self.keeper.answer(last, SecretRequest(NONCE), 11.0))
