--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -113,6 +113,7 @@
         self._duty = duty
         self._chance = chance
         self._stale_after = duty.times.stale_seconds
+        self._spread = 0.0
         self._unconfirmed_until = float("-inf")
         self._gathered = 0.0
 
@@ -131,7 +132,7 @@
         if age is None:
             return now >= self._unconfirmed_until
         if not self._duty.recent(now):
-            return age >= min(self._stale_after, STALE_WITHOUT_READERS_SECONDS)
+            return age >= min(self._stale_after, STALE_WITHOUT_READERS_SECONDS + self._spread)
         return age >= self._stale_after
 
     def note_answer(self, now: float, *, changes: bool) -> float:
@@ -140,9 +141,9 @@
         Changes come in bursts, each of which would else cost every reader a call of its own. When
         the view will count as stale is drawn anew, so that not all nodes ask at once.
         """
-        spread = self._chance.uniform(0.0, STALE_SPREAD_SECONDS)
-        self._stale_after = self._duty.times.stale_seconds + spread
-        self._unconfirmed_until = now + self._duty.times.unconfirmed_seconds + spread
+        self._spread = self._chance.uniform(0.0, STALE_SPREAD_SECONDS)
+        self._stale_after = self._duty.times.stale_seconds + self._spread
+        self._unconfirmed_until = now + self._duty.times.unconfirmed_seconds + self._spread
         self._gathered = self._duty.times.gather_seconds if changes else 0.0
         return self._gathered
 
