Remove warm_up: what a backend says of its warm-up no longer weighs in placement

Change: the share and its switch go; the pace of answers weighs for backends that warm up as for others.

--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -43,14 +43,12 @@
         "revision",
         "stalled",
         "suspect_until",
-        "warm_at",
     )
 
-    def __init__(self, record: BackendRecord, revision: int, now: float) -> None:
+    def __init__(self, record: BackendRecord, revision: int) -> None:
         self.record = record
         self.revision = revision
         self.ended = False
-        self.warm_at = now + record.warm_up_seconds
         self.gone_at: float | None = None
         self.forgotten = False
         self.pending = 0
@@ -127,7 +125,6 @@
             self._add(record, revision, now)
             return True
         known.record = record
-        known.warm_at = now + record.warm_up_seconds
         return True
 
     def remove(self, name: str, now: float) -> Backend | None:
@@ -139,7 +136,7 @@
         return known
 
     def _add(self, record: BackendRecord, revision: int, now: float) -> None:
-        backend = Backend(record, revision, now)
+        backend = Backend(record, revision)
         bucket = bucket_of_identity(record.identity)
         self._by_bucket.setdefault(bucket, []).append(backend)
         self._by_name[record.name] = backend
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -24,15 +24,14 @@
 class PlacementSettings(NamedTuple):
     """Leanings of a deployment.
 
-    `other_zone_surcharge` is in units of a backend's full load. `warm_up_share` is what a backend
-    can do while it warms up. `resting_flow_load` is the load of an open flow without a request.
+    `other_zone_surcharge` is in units of a backend's full load. `resting_flow_load` is the load of
+    an open flow without a request.
     `gone_grace_seconds` is how long a backend that has gone may still be used where no other is
     left; it must stay below the time in which a backend that left must be rid of new flows.
     `weighs_load`, `avoids_suspects` and `weighs_pace` are off only to measure what they are worth.
     """
 
     other_zone_surcharge: float = 0.5
-    warm_up_share: float = 0.6
     resting_flow_load: float = 0.05
     gone_grace_seconds: float = LONGEST_GONE_GRACE_SECONDS
     weighs_load: bool = True
@@ -53,8 +52,6 @@
     )
     if not mechanisms.own_zone:
         settings = settings._replace(other_zone_surcharge=0.0)
-    if not mechanisms.warm_up:
-        settings = settings._replace(warm_up_share=1.0)
     return settings
 
 
@@ -111,10 +108,7 @@
         if settings.weighs_load:
             load = backend.pending + backend.busy + settings.resting_flow_load * backend.open
         capacity = float(max(1, backend.record.slots))
-        if backend.warm_at > now:
-            capacity *= settings.warm_up_share
-        else:
-            capacity /= backend.pace.slowness(typical_seconds, now)
+        capacity /= backend.pace.slowness(typical_seconds, now)
         cost = (load + 1.0) / capacity
         if backend.record.zone != self._zone:
             cost += settings.other_zone_surcharge
--- a/src/beamloom/settings/mechanisms.py
+++ b/src/beamloom/settings/mechanisms.py
@@ -4,8 +4,6 @@
 (`tools/ablation.py`, docs/DECIDING.md), never to serve.
 """
 
-from __future__ import annotations
-
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -23,7 +21,6 @@
     own_zone: backends of other zones cost the same.
     observed_load: the flows that a node sees do not count, only slots.
     answer_pace: a backend whose answers have become slow counts as usual.
-    warm_up: a backend that warms up counts as warm.
     suspicion: backends that do not answer get flows like others.
     told_silence: nodes do not tell each other of silent backends.
     other_backend_for_copies: copies of an opening go where the opening went.
@@ -47,7 +44,6 @@
     own_zone: bool = True
     observed_load: bool = True
     answer_pace: bool = True
-    warm_up: bool = True
     suspicion: bool = True
     told_silence: bool = True
     other_backend_for_copies: bool = True
