Load at first use what asyncio imports for errors and child processes

Read off -X importtime and logs (exec to Started). Change: placeholders while asyncio is imported, loaded at the first name asked for; no garbage collection during imports; signals by signal.signal, as the loop's own way loads inspect.

--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -182,10 +182,14 @@
             self.log.flush()
 
     def _handle_signals(self) -> None:
+        """Obey signals in the loop; the loop's own way would load `inspect` before it is needed."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
-        loop.add_signal_handler(signal.SIGINT, self.request_stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        for number, obey in (
+            (signal.SIGTERM, self.request_stop),
+            (signal.SIGINT, self.request_stop),
+            (signal.SIGHUP, self.reload),
+        ):
+            signal.signal(number, partial(_call_in_loop, loop, obey))
 
     def _close(self) -> None:
         self._packets.close()
@@ -235,6 +239,13 @@
     return chance.uniform(0.0, TICK_SECONDS) if mechanisms.spread_ticks else 0.0
 
 
+def _call_in_loop(
+    loop: asyncio.AbstractEventLoop, obey: Callable[[], None], _number: int, _frame: object
+) -> None:
+    """Handle a signal: wake the loop, which calls `obey` between two other callbacks."""
+    loop.call_soon_threadsafe(obey)
+
+
 def _origin(error: BaseException) -> str:
     """Return file and line at which an error was raised."""
     trace = error.__traceback__
--- a/src/beamloom/runtime/token_node_main.py
+++ b/src/beamloom/runtime/token_node_main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import gc
 import os
 import sys
 from collections.abc import Iterator
@@ -12,6 +13,7 @@
 from beamloom.platform.errors import PlatformSettingsError
 from beamloom.platform.node_settings import read_settings, settings_path
 from beamloom.runtime.bound_socket import bind_datagrams
+from beamloom.runtime.deferred_modules import deferred
 from beamloom.settings.mechanisms import UnknownMechanismError, read_mechanisms
 
 if TYPE_CHECKING:
@@ -34,7 +36,8 @@
     except (PlatformSettingsError, UnknownMechanismError, OSError) as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
-    token_node = load_node()
+    with _no_collections():
+        token_node = load_node()
     import asyncio
 
     async def run() -> None:
@@ -46,7 +49,7 @@
 
 def load_node() -> type[TokenNode]:
     """Import all that a node needs before it is ready, and nothing else."""
-    with _missing("ssl"):
+    with _missing("ssl"), deferred():
         import asyncio  # noqa: F401
 
     from beamloom.runtime.token_node import TokenNode
@@ -64,5 +67,16 @@
         del sys.modules[module]
 
 
+@contextmanager
+def _no_collections() -> Iterator[None]:
+    """Let no garbage be collected: what imports make stays, and is not looked through again."""
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.freeze()
+        gc.enable()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/tests/functional/test_deferred_modules.py
@@ -0,0 +1,103 @@
+"""What a node that starts loads, and that what it left out is there when it is asked for."""
+
+import os
+import subprocess
+import sys
+import unittest
+
+LEFT_OUT = {
+    "asyncio.sslproto",
+    "concurrent.futures",
+    "inspect",
+    "linecache",
+    "logging",
+    "subprocess",
+    "traceback",
+}
+
+
+def run_program(code: str) -> str:
+    """Run a program that has loaded a node; return what it printed to both its outputs."""
+    begin = "import asyncio, sys\nfrom beamloom.runtime.token_node_main import load_node\n"
+    run = subprocess.run(
+        [
+            sys.executable,
+            "-S",
+            "-c",
+            f"from beamloom.runtime.token_node_main import load_node\nload_node()\n{begin}{code}",
+        ],
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, sys.path))},
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=True,
+    )
+    return run.stdout + run.stderr
+
+
+class DeferredModulesTest(unittest.TestCase):
+    def test_a_loop_that_runs_loads_none_of_them(self) -> None:
+        printed = run_program(
+            "async def serve():\n"
+            "    async with asyncio.TaskGroup() as group:\n"
+            "        group.create_task(asyncio.sleep(0))\n"
+            "    await asyncio.wait({asyncio.create_task(asyncio.sleep(0))})\n"
+            "    server = await asyncio.get_running_loop().create_server(\n"
+            "        asyncio.Protocol, '127.0.0.1', 0)\n"
+            "    address = server.sockets[0].getsockname()\n"
+            "    await asyncio.get_running_loop().create_connection(asyncio.Protocol, *address)\n"
+            "    server.close()\n"
+            "asyncio.run(serve())\n"
+            "print(' '.join(sys.modules))\n"
+        )
+        self.assertEqual(set(printed.split()) & LEFT_OUT, set())
+
+    def test_an_error_in_a_callback_is_logged_with_its_traceback(self) -> None:
+        printed = run_program(
+            "def fail():\n"
+            "    raise ValueError('on purpose')\n"
+            "async def serve():\n"
+            "    asyncio.get_running_loop().call_soon(fail)\n"
+            "    await asyncio.sleep(0.01)\n"
+            "asyncio.run(serve())\n"
+        )
+        self.assertIn("Exception in callback fail()", printed)
+        self.assertIn("ValueError: on purpose", printed)
+
+    def test_names_that_were_deferred_are_those_of_the_modules(self) -> None:
+        printed = run_program(
+            "import concurrent.futures, logging, subprocess, traceback\n"
+            "from asyncio import base_events, tasks\n"
+            "assert tasks.FIRST_COMPLETED == concurrent.futures.FIRST_COMPLETED\n"
+            "assert tasks.FIRST_EXCEPTION == concurrent.futures.FIRST_EXCEPTION\n"
+            "assert tasks.ALL_COMPLETED == concurrent.futures.ALL_COMPLETED\n"
+            "assert base_events.subprocess.Popen is subprocess.Popen\n"
+            "assert asyncio.subprocess.PIPE == subprocess.PIPE\n"
+            "assert asyncio.subprocess.STDOUT == subprocess.STDOUT\n"
+            "assert asyncio.subprocess.DEVNULL == subprocess.DEVNULL\n"
+            "assert base_events.traceback.format_list is traceback.format_list\n"
+            "from asyncio import futures\n"
+            "assert futures.STACK_DEBUG == logging.DEBUG - 1\n"
+            "assert asyncio.wrap_future(concurrent.futures.Future(),\n"
+            "    loop=asyncio.new_event_loop()) is not None\n"
+            "print('alike')\n"
+        )
+        self.assertEqual(printed.strip(), "alike")
+
+    def test_work_in_a_thread_is_possible(self) -> None:
+        printed = run_program("print(asyncio.run(asyncio.to_thread(sum, [1, 2])))")
+        self.assertEqual(printed.strip(), "3")
+
+    def test_a_missing_name_is_told_as_the_modules_own(self) -> None:
+        printed = run_program(
+            "from asyncio import base_events\n"
+            "try:\n"
+            "    base_events.subprocess.no_such_name\n"
+            "except AttributeError as error:\n"
+            "    print(error)\n"
+        )
+        self.assertIn("module 'subprocess' has no attribute 'no_such_name'", printed)
+
+
+if __name__ == "__main__":
+    unittest.main()
