Let a large fleet share the pace of calls to a store that fails

Cause: while the store refuses all, each node asks 2.5 times a second for each kind of object, and after 4.6 s each takes up a reader's duty: 195 nodes make a thousand calls a second, which the store prices. What one notices, all hear. Ruled out: long pauses for readers that others rely on, and for nodes that know nothing yet: both keep the short ones. Change: the pause grows with the number of peers, up to what the contact bound leaves; no duty is taken up while calls fail; the key is read stale again after a failure. Found in the same simulation: messages were delivered by a search.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -180,6 +180,7 @@
         self._advanced_at = self._now = now
         self._judge_refusals(now)
         self.router.advance(now)
+        self.duty.peer_count = 0 if self.exchange is None else len(self.exchange.peers)
         if self.duty.advance(now):
             self._observer.reader_duty(self.duty.reading)
         if self.exchange is not None:
--- a/src/beamloom/replication/backoff.py
+++ b/src/beamloom/replication/backoff.py
@@ -39,9 +39,15 @@
         self._longest = longest
         self._chance = chance
 
-    def next_pause(self) -> float:
-        """Note a failure; return the seconds to wait before the next attempt."""
+    def next_pause(self, shared_seconds: float = 0.0) -> float:
+        """Note a failure; return the seconds to wait before the next attempt.
+
+        `shared_seconds` is the pause of one caller among many that each notice for all: where it
+        is the longer one, the pause is that from the first failure on, or down to half of it.
+        """
         self.failures += 1
+        if shared_seconds > self._longest:
+            return self._chance.uniform(shared_seconds / 2, shared_seconds)
         bound = min(self._longest, self._first * 2 ** min(self.failures, 8))
         return self._chance.uniform(0.0, bound)
 
--- a/src/beamloom/replication/object_watch.py
+++ b/src/beamloom/replication/object_watch.py
@@ -167,13 +167,13 @@
         self._may_be_stale = False
         self._listing = _Listing()
 
-    def take_failure(self) -> float:
+    def take_failure(self, shared_pause_seconds: float = 0.0) -> float:
         """Note a call without a usable answer; return the seconds to wait before the next.
 
         A watch may have failed because it had too much to tell.
         """
         self._prefers_list = self._is_small
-        return self._pauses.next_pause()
+        return self._pauses.next_pause(shared_pause_seconds)
 
     @property
     def _is_small(self) -> bool:
--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -23,6 +23,11 @@
 LONGEST_HESITATION_SECONDS = 0.8
 LISTENING_SECONDS = 0.8
 """A node that has just started hears of its peers' readers before it may become one."""
+OUTAGE_CALLS_PER_SECOND = 20.0
+"""About so often a fleet asks a store that answers none of its nodes: by choice, a twentieth of a
+second is soon enough to notice its return, and what one node notices it tells the others."""
+KINDS_READ = 2
+"""Kinds of object that each node asks for: backends and configurations."""
 
 
 LEAST_CORES = 0.05
@@ -60,6 +65,8 @@
         self._heard: dict[str, float] = {}
         self._starts_at: float | None = None
         self._listens_until: float | None = None
+        self._failed_at = float("-inf")
+        self.peer_count = 0
 
     def note_answer(self, now: float) -> None:
         """Note that the store answered this node.
@@ -67,9 +74,19 @@
         Only a reader's answers count: a node that asked once, as its view was stale, would keep
         others from becoming readers.
         """
+        self._failed_at = float("-inf")
         if self.reading:
             self._heard[self.reader_id] = now
 
+    def note_failure(self, now: float) -> None:
+        """Note that the store did not answer this node: for now it is not one to rely on."""
+        self._failed_at = now
+
+    def shared_pause_seconds(self) -> float:
+        """Return the pause between calls that fail, the longer the more nodes call as well."""
+        shared = KINDS_READ * (self.peer_count + 1) / OUTAGE_CALLS_PER_SECOND
+        return min(shared, self.times.outage_pause_seconds)
+
     @property
     def answered(self) -> bool:
         """Whether the store has answered this reader lately, so that others hear of it.
@@ -95,7 +112,8 @@
                 self.reading = False
                 return True
             return False
-        if len(others) >= TARGET_READERS:
+        fails = now - self._failed_at < self.times.silence_seconds
+        if len(others) >= TARGET_READERS or fails:
             self._starts_at = None
             return False
         if self._listens_until is None:
@@ -186,6 +204,12 @@
         self._gathered = self._duty.times.gather_seconds if changes else 0.0
         return self._gathered
 
+    def note_failure(self, now: float) -> float:
+        """Note a call without a usable answer; return the seconds to rest before the next one."""
+        self._duty.note_failure(now)
+        relied_on = self._watch.must_list or (self._duty.reading and self._duty.answered)
+        return self._watch.take_failure(0.0 if relied_on else self._duty.shared_pause_seconds())
+
     def distrust(self) -> None:
         """Ask again before anything else: what was heard meanwhile looks newer than it is."""
         self._watch.view.confirmed_at = None
--- a/src/beamloom/replication/reading_times.py
+++ b/src/beamloom/replication/reading_times.py
@@ -40,7 +40,8 @@
     list leaves it to its peers to tell what has changed since. `gather_seconds` is how long a
     reader lets further changes come together before it asks for them. `overdue_seconds` is after
     how long without a confirmation a reader asks for what another one reads, before all would;
-    `late_seconds` is after how long a node asks its peers.
+    `late_seconds` is after how long a node asks its peers. `outage_pause_seconds` is the longest
+    pause of a node between calls that fail, where many others call as well.
     """
 
     wait_seconds: float
@@ -50,6 +51,7 @@
     gather_seconds: float
     overdue_seconds: float
     late_seconds: float
+    outage_pause_seconds: float
 
 
 def reading_times(
@@ -77,4 +79,5 @@
         gather_seconds=gather if mechanisms.gathering else 0.0,
         overdue_seconds=wait + OVERDUE_SHARE * (stale - wait),
         late_seconds=wait + LATE_SHARE * (stale - wait),
+        outage_pause_seconds=max(LONGEST_PAUSE_SECONDS, hanging),
     )
--- a/src/beamloom/replication/shared_secret.py
+++ b/src/beamloom/replication/shared_secret.py
@@ -50,5 +50,6 @@
 
     def take_failure(self) -> float:
         """Note a call without a usable answer; return the seconds to wait before reading again."""
-        self.step = SecretStep.READ
+        if self.step is not SecretStep.READ_STALE:
+            self.step = SecretStep.READ
         return self._pauses.next_pause()
--- a/src/beamloom/runtime/store_reader.py
+++ b/src/beamloom/runtime/store_reader.py
@@ -84,7 +84,7 @@
                 await self._wait_for_turn()
                 failure = await self._step()
                 if failure is not None:
-                    self._rest_seconds = self.watch.take_failure()
+                    self._rest_seconds = self._turn.note_failure(_now())
                     self.on_failure(failure, self.watch.failures)
                 if self._rest_seconds:
                     await asyncio.sleep(self._rest_seconds)
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -71,6 +71,7 @@
         self.link = StoreLink(self.clock, self.store)
         self.oracle = TokenOracle()
         self.nodes: dict[str, SimulatedTokenNode] = {}
+        self._by_host: dict[str, SimulatedTokenNode] = {}
         self.endpoints: dict[tuple[str, int], Endpoint] = {}
         self._every_endpoint: list[Endpoint] = []
         self.flows: dict[FlowEnd, TokenClientFlow] = {}
@@ -211,7 +212,7 @@
         self.clock.run_until(self.clock.now + seconds)
 
     def _start_node(self, name: str, host: str, zone: str) -> None:
-        self.nodes[name] = SimulatedTokenNode(
+        node = SimulatedTokenNode(
             name,
             host,
             zone,
@@ -223,13 +224,14 @@
             forward=lambda data, address: self._send(name, data, address),
             send_message=self._send_message,
         )
+        self.nodes[name] = self._by_host[host] = node
 
     def _send_message(self, source: str, host: str, message: Message) -> None:
         if {source, host} & self.peer_cuts or self._is_lost():
             return
-        for node in self.nodes.values():
-            if node.host == host and node.alive:
-                self.clock.call_later(NETWORK_SECONDS, node.take_message, source, message)
+        node = self._by_host.get(host)
+        if node is not None and node.alive:
+            self.clock.call_later(NETWORK_SECONDS, node.take_message, source, message)
 
     def _send(self, node: str, data: bytes, address: tuple[str, int]) -> None:
         if self._is_lost():
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -116,7 +116,7 @@
         elif answer.history_gone:
             self._watch.take_lost_history()
         else:
-            self._node.clock.call_later(self._watch.take_failure(), self._rest)
+            self._node.clock.call_later(self._turn.note_failure(now), self._rest)
             return
         if answer.history_gone:
             self._rest()
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -77,7 +77,7 @@
 
 def _parse_arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("bench")
+    parser.add_argument("bench", type=lambda text: str(Path(text).resolve()))
     parser.add_argument("sites", nargs="+")
     parser.add_argument("--why", required=True)
     parser.add_argument("--seeds", type=int, default=1, help="seeds a day: its own, then 2, 3, ...")
