Elect readers after nodes have met, and tell each store call's purpose

Cause: nodes listened for readers from their start, but met their peers 0.5 s and an import later; so after a common start nearly all nodes became readers (24 of 24 in a small twin's log), and all asked for a confirmation besides. Change: listening begins when a node has joined its peers; until a reader may be heard of nobody else asks; a reader that was unknown is passed on at once, to the seeds as well while nodes meet; peers are joined after 0.3 s, not 0.5. Calls are counted by purpose (start, history_lost, reader, confirmation, retry). ReadingTurn has a module of its own.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -14,8 +14,9 @@
 from typing import TYPE_CHECKING
 
 from beamloom.replication.object_watch import ObjectWatch
-from beamloom.replication.reader_duty import ReaderDuty, ReadingTurn
+from beamloom.replication.reader_duty import ReaderDuty
 from beamloom.replication.reading_times import ReadingTimes
+from beamloom.replication.reading_turn import ReadingTurn
 from beamloom.replication.store_view import ObjectChange, StoreView
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.configuration_history import ConfigurationHistory
@@ -181,7 +182,7 @@
         self._judge_refusals(now)
         self.router.advance(now)
         self.duty.peer_count = 0 if self.exchange is None else len(self.exchange.peers)
-        if self.duty.advance(now):
+        if self.duty.advance(now, joined=self.exchange is not None):
             self._observer.reader_duty(self.duty.reading)
         if self.exchange is not None:
             self.exchange.advance(now)
--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -11,18 +11,18 @@
 
 import math
 import random
-from typing import Any
 
-from beamloom.replication.object_watch import ObjectWatch
-from beamloom.replication.reading_times import STALE_SPREAD_SECONDS, ReadingTimes
+from beamloom.replication.reading_times import ReadingTimes
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 
 TARGET_READERS = 2
-STALE_WITHOUT_READERS_SECONDS = 0.7
-"""Where no reader is heard of, as after a start of all nodes, a view counts as stale sooner."""
 LONGEST_HESITATION_SECONDS = 0.8
-LISTENING_SECONDS = 0.8
-"""A node that has just started hears of its peers' readers before it may become one."""
+LISTENING_SECONDS = 0.3
+"""A node that has just met its peers hears of their readers before it may become one: as long as
+two heartbeats of nodes that meet take, by choice.
+"""
+LONGEST_JOIN_SECONDS = 3.0
+"""A node that has met no peers by then does without them; joining takes a second on slow ones."""
 OUTAGE_CALLS_PER_SECOND = 20.0
 """About so often a fleet asks a store that answers none of its nodes: by choice, a twentieth of a
 second is soon enough to notice its return, and what one node notices it tells the others."""
@@ -64,6 +64,7 @@
         self._chance = chance
         self._heard: dict[str, float] = {}
         self._starts_at: float | None = None
+        self._began_at: float | None = None
         self._listens_until: float | None = None
         self._failed_at = float("-inf")
         self.peer_count = 0
@@ -95,35 +96,53 @@
         """
         return self.reader_id in self._heard
 
-    def note_reader(self, reader_id: str, at: float) -> None:
-        """Note that the store answered another node at a moment."""
+    def note_reader(self, reader_id: str, at: float) -> bool:
+        """Note that the store answered another node at a moment.
+
+        Return whether that is one of the readers to rely on, and was unknown.
+        """
+        is_new = reader_id not in self._heard
         self._heard[reader_id] = max(at, self._heard.get(reader_id, at))
+        return is_new and reader_id in sorted(self._heard)[:TARGET_READERS]
+
+    @property
+    def expects_reader(self) -> bool:
+        """Whether this node has met its peers so lately that a reader may yet be heard of."""
+        if self._listens_until is None:
+            return True
+        return self._now < self._listens_until + LONGEST_HESITATION_SECONDS
+
+    def advance(self, now: float, *, joined: bool = True) -> bool:
+        """Take up or give up the duty; return whether that changed anything.
 
-    def advance(self, now: float) -> bool:
-        """Take up or give up the duty; return whether that changed anything."""
+        `joined` tells whether this node hears its peers by now.
+        """
         self._now = now
+        before = self.reading
         if not self._mechanisms.few_readers:
-            was, self.reading = self.reading, True
-            return not was
-        others = [name for name in self.recent(now) if name != self.reader_id]
-        if self.reading:
-            lower = sum(name < self.reader_id for name in others)
-            if lower >= TARGET_READERS:
-                self.reading = False
-                return True
-            return False
+            self.reading = True
+        elif self.reading:
+            lower = sum(name < self.reader_id for name in self.recent(now))
+            self.reading = lower < TARGET_READERS
+        else:
+            self.reading = self._takes_up(now, joined)
+        return self.reading != before
+
+    def _takes_up(self, now: float, joined: bool) -> bool:
+        """Whether to become a reader now: too few are heard of, for a moment drawn by chance."""
+        if self._began_at is None:
+            self._began_at = now
+        if self._listens_until is None and (joined or now - self._began_at > LONGEST_JOIN_SECONDS):
+            self._listens_until = now + LISTENING_SECONDS
         fails = now - self._failed_at < self.times.silence_seconds
-        if len(others) >= TARGET_READERS or fails:
+        if self._listens_until is None or fails or len(self.recent(now)) >= TARGET_READERS:
             self._starts_at = None
             return False
-        if self._listens_until is None:
-            self._listens_until = now + LISTENING_SECONDS
         if self._starts_at is None:
             self._starts_at = max(now, self._listens_until) + self._hesitation()
         if now < self._starts_at:
             return False
         self._starts_at = None
-        self.reading = True
         return True
 
     def reads(self, kind: int) -> bool:
@@ -155,62 +174,3 @@
             name: at for name, at in self._heard.items() if now - at < self.times.silence_seconds
         }
         return self._heard
-
-
-class ReadingTurn:
-    """Whether this node is to ask the store for one kind of object, the `kind`th, now."""
-
-    def __init__(
-        self, watch: ObjectWatch[Any], duty: ReaderDuty, chance: random.Random, kind: int = 0
-    ) -> None:
-        self._watch = watch
-        self._kind = kind
-        self._duty = duty
-        self._chance = chance
-        self._stale_after = duty.times.stale_seconds
-        self._spread = 0.0
-        self._unconfirmed_until = float("-inf")
-        self._gathered = 0.0
-
-    @property
-    def wait_seconds(self) -> float:
-        """How long a watch may wait: 0 but for a reader that others have heard of."""
-        if not self._duty.reads(self._kind) or not self._duty.answered:
-            return 0.0
-        return self._duty.times.wait_seconds - self._gathered
-
-    def must_ask(self, now: float) -> bool:
-        """Whether to ask now: as a reader, for want of a list, or as the view has become stale."""
-        if self._watch.must_list or self._duty.reads(self._kind):
-            return True
-        age = self._watch.view.age(now)
-        if age is None:
-            return now >= self._unconfirmed_until
-        if not self._duty.recent(now):
-            return age >= min(self._stale_after, STALE_WITHOUT_READERS_SECONDS + self._spread)
-        if self._duty.reading:
-            return age >= self._duty.times.overdue_seconds
-        return age >= self._stale_after
-
-    def note_answer(self, now: float, *, changes: bool) -> float:
-        """Note an answer of the store; return the seconds to rest before the next call.
-
-        Changes come in bursts, each of which would else cost every reader a call of its own. When
-        the view will count as stale is drawn anew, so that not all nodes ask at once.
-        """
-        self._spread = self._chance.uniform(0.0, STALE_SPREAD_SECONDS)
-        self._stale_after = self._duty.times.stale_seconds + self._spread
-        self._unconfirmed_until = now + self._duty.times.unconfirmed_seconds + self._spread
-        self._gathered = self._duty.times.gather_seconds if changes else 0.0
-        return self._gathered
-
-    def note_failure(self, now: float) -> float:
-        """Note a call without a usable answer; return the seconds to rest before the next one."""
-        self._duty.note_failure(now)
-        relied_on = self._watch.must_list or (self._duty.reading and self._duty.answered)
-        return self._watch.take_failure(0.0 if relied_on else self._duty.shared_pause_seconds())
-
-    def distrust(self) -> None:
-        """Ask again before anything else: what was heard meanwhile looks newer than it is."""
-        self._watch.view.confirmed_at = None
-        self._unconfirmed_until = float("-inf")
--- /dev/null
+++ b/src/beamloom/replication/reading_turn.py
@@ -0,0 +1,94 @@
+"""When a node asks the store for one kind of object, what for, and how long it rests in between."""
+
+from __future__ import annotations
+
+import random
+from enum import Enum
+from typing import Any
+
+from beamloom.replication.object_watch import ObjectWatch
+from beamloom.replication.reader_duty import ReaderDuty
+from beamloom.replication.reading_times import STALE_SPREAD_SECONDS
+
+STALE_WITHOUT_READERS_SECONDS = 0.7
+"""Where no reader is heard of, as after a start of all nodes, a view counts as stale sooner."""
+
+
+class CallPurpose(Enum):
+    """What a call to the store is for; the values are counter labels."""
+
+    START = "start"
+    HISTORY_LOST = "history_lost"
+    READER = "reader"
+    CONFIRMATION = "confirmation"
+    RETRY = "retry"
+
+
+class ReadingTurn:
+    """Whether this node is to ask the store for one kind of object, the `kind`th, now."""
+
+    def __init__(
+        self, watch: ObjectWatch[Any], duty: ReaderDuty, chance: random.Random, kind: int = 0
+    ) -> None:
+        self._watch = watch
+        self._kind = kind
+        self._duty = duty
+        self._chance = chance
+        self._stale_after = duty.times.stale_seconds
+        self._spread = 0.0
+        self._unconfirmed_until = float("-inf")
+        self._gathered = 0.0
+
+    @property
+    def purpose(self) -> CallPurpose:
+        """What the next call is for; a node that does not read asks to have its view confirmed."""
+        if self._watch.failures:
+            return CallPurpose.RETRY
+        if self._watch.view.revision is None:
+            return CallPurpose.START
+        if self._watch.must_list:
+            return CallPurpose.HISTORY_LOST
+        return CallPurpose.READER if self._duty.reads(self._kind) else CallPurpose.CONFIRMATION
+
+    @property
+    def wait_seconds(self) -> float:
+        """How long a watch may wait: 0 but for a reader that others have heard of."""
+        if not self._duty.reads(self._kind) or not self._duty.answered:
+            return 0.0
+        return self._duty.times.wait_seconds - self._gathered
+
+    def must_ask(self, now: float) -> bool:
+        """Whether to ask now: as a reader, for want of a list, or as the view has become stale."""
+        if self._watch.must_list or self._duty.reads(self._kind):
+            return True
+        age = self._watch.view.age(now)
+        if age is None:
+            return now >= self._unconfirmed_until
+        if not (self._duty.recent(now) or self._duty.expects_reader):
+            return age >= min(self._stale_after, STALE_WITHOUT_READERS_SECONDS + self._spread)
+        if self._duty.reading:
+            return age >= self._duty.times.overdue_seconds
+        return age >= self._stale_after
+
+    def note_answer(self, now: float, *, changes: bool) -> float:
+        """Note an answer of the store; return the seconds to rest before the next call.
+
+        Changes come in bursts, each of which would else cost every reader a call of its own. When
+        the view will count as stale is drawn anew, so that not all nodes ask at once.
+        """
+        self._spread = self._chance.uniform(0.0, STALE_SPREAD_SECONDS)
+        self._stale_after = self._duty.times.stale_seconds + self._spread
+        self._unconfirmed_until = now + self._duty.times.unconfirmed_seconds + self._spread
+        self._gathered = self._duty.times.gather_seconds if changes else 0.0
+        return self._gathered
+
+    def note_failure(self, now: float) -> float:
+        """Note a call without a usable answer; return the seconds to rest before the next one."""
+        self._duty.note_failure(now)
+        relied_on = self._watch.must_list or (self._duty.reading and self._duty.answered)
+        return self._watch.take_failure(0.0 if relied_on else self._duty.shared_pause_seconds())
+
+    def distrust(self) -> None:
+        """Ask again before anything else: what was heard meanwhile looks newer than it is."""
+        self._watch.view.confirmed_at = None
+        self._unconfirmed_until = float("-inf")
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -126,9 +126,15 @@
         return any(age is not None and 0 <= age - late < ASK_PEERS_SECONDS for age in ages)
 
     def announce(self, now: float) -> None:
-        """Tell others at once what this node has just learned."""
+        """Tell others at once what this node has just learned; while nodes meet, seeds as well.
+
+        Who has just started asks the seeds first.
+        """
         count = DIRECT_PEERS if len(self.peers) <= DIRECT_PEERS else FORWARD_PEERS
-        self._send_digest(self.peers.choose(count), now)
+        hosts = self.peers.choose(count)
+        if now - self._met_at < MEETING_SECONDS:
+            hosts = sorted({*hosts, *self.peers.seeds})
+        self._send_digest(hosts, now)
 
     def ask_to_stop(self, now: float) -> None:
         """Take part in the turns of stops, as this node has been asked to stop."""
@@ -169,10 +175,11 @@
             self._take_report(SilenceReport(backend, reporter, now - age / MILLISECONDS), now)
         for peer, age in digest.peers:
             self._note_peer(peer, now - age / MILLISECONDS, now)
-        for reader, age in digest.readers:
-            self._duty.note_reader(reader, now - age / MILLISECONDS)
         behind = False
         fresher = False
+        has_readers = False
+        for reader, age in digest.readers:
+            has_readers |= self._duty.note_reader(reader, now - age / MILLISECONDS)
         for index, (shared, (revision, age)) in enumerate(
             zip(self.views, digest.views, strict=False)
         ):
@@ -189,8 +196,9 @@
                 behind |= self._is_staler(shared, now - age / MILLISECONDS)
         if behind or is_new:
             self._answer_digest(host, is_new, now)
-        if fresher and len(self.peers) > DIRECT_PEERS:
-            self._send_digest(self.peers.choose(FORWARD_PEERS // 2), now)
+        if (fresher or has_readers) and len(self.peers) > DIRECT_PEERS:
+            count = FORWARD_PEERS if has_readers else FORWARD_PEERS // 2
+            self._send_digest(self.peers.choose(count), now)
 
     def _take_stop(self, host: str, stop: int, now: float) -> None:
         """Take how far a node of the zone is with its stop; states of tomorrow count as none."""
--- a/src/beamloom/runtime/store_follower.py
+++ b/src/beamloom/runtime/store_follower.py
@@ -18,7 +18,7 @@
 from beamloom.node.token_core import TokenCore
 from beamloom.platform import store_objects
 from beamloom.replication.object_watch import ObjectWatch
-from beamloom.replication.reader_duty import ReadingTurn
+from beamloom.replication.reading_turn import ReadingTurn
 from beamloom.replication.shared_secret import SharedSecret
 from beamloom.replication.store_view import ObjectChange
 from beamloom.routing.tokens.token import KEY_BYTES
@@ -37,7 +37,8 @@
 
 Record = TypeVar("Record")
 
-JOIN_PEERS_AFTER_SECONDS = 0.5
+JOIN_PEERS_AFTER_SECONDS = 0.3
+"""A node that has just become ready first takes the packets that waited; by choice."""
 ASK_PEERS_AFTER_SECONDS = 0.9
 """A store that has not answered by then may never do so."""
 ASK_PEERS_EACH_SECONDS = 0.3
--- a/src/beamloom/runtime/store_reader.py
+++ b/src/beamloom/runtime/store_reader.py
@@ -19,8 +19,8 @@
     ObjectWatch,
     WatchRequest,
 )
-from beamloom.replication.reader_duty import ReadingTurn
 from beamloom.replication.reading_times import CALL_PATIENCE_SECONDS
+from beamloom.replication.reading_turn import ReadingTurn
 from beamloom.replication.store_view import ObjectChange
 from beamloom.runtime.http_client import CallFailedError, CallFailure, HttpAnswer, HttpConnection
 from beamloom.telemetry.histogram import LatencyHistogram
@@ -60,6 +60,7 @@
     ) -> None:
         self.watch = watch
         self.counters: Counter[str] = Counter()
+        self.purposes: Counter[str] = Counter()
         self.list_seconds = LatencyHistogram()
         self.on_answer: Callable[[tuple[ObjectChange[Record], ...]], None] = lambda changes: None
         self.on_failure: Callable[[str, int], None] = lambda reason, failures: None
@@ -118,6 +119,7 @@
         return failure
 
     async def _call(self, request: ListRequest | WatchRequest) -> HttpAnswer:
+        self.purposes[self._turn.purpose.value] += 1
         if isinstance(request, ListRequest):
             return await self._connection.call(
                 "GET", self._kind.list_path(request), self._list_seconds
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -37,6 +37,10 @@
 READINESS_SECONDS = 0.5
 STEP_SECONDS = 0.02
 START_SECONDS = 0.5
+START_SPREAD_SECONDS = 0.3
+"""Machines that start together do so within this time (the users' platform says so)."""
+LONGEST_JOIN = 1.5
+"""How much longer joining the peers takes on the slowest machine than on the fastest."""
 STALE_BEHIND = 6
 """Revisions of the store by which stale reads are behind."""
 SERVE_ON_SECONDS = 4.0
@@ -53,7 +57,10 @@
 
 
 class TokenFleet:
-    """Everything of one run; `steady` routers move only the flows of a node that comes or goes."""
+    """Everything of one run; `steady` routers move only the flows of a node that comes or goes.
+
+    With `join_seconds` nodes start one after the other, and meet their peers so long after that.
+    """
 
     def __init__(
         self,
@@ -63,6 +70,7 @@
         endpoints: int = 8,
         steady: bool = True,
         loss: float = 0.0,
+        join_seconds: float = 0.0,
     ) -> None:
         self.chance = random.Random(seed)
         self.clock = VirtualClock()
@@ -78,6 +86,7 @@
         self.finished: list[TokenClientFlow] = []
         self.peer_cuts: set[str] = set()
         self._loss = loss
+        self._join_seconds = join_seconds
         self._steady = steady
         self._misses: dict[str, int] = {}
         self._next_identity = 0x7F3A9100
@@ -98,8 +107,11 @@
         number = len(self._misses)
         name, host = f"node-{number}", f"10.1.0.{number + 1}"
         self._misses[name] = 2
-        self.clock.call_later(START_SECONDS, self._start_node, name, host, zone)
-        self.oracle.note_disturbed(name, self.clock.now + START_SECONDS)
+        starts_in = START_SECONDS
+        if self._join_seconds:
+            starts_in += self.chance.uniform(0.0, START_SPREAD_SECONDS)
+        self.clock.call_later(starts_in, self._start_node, name, host, zone)
+        self.oracle.note_disturbed(name, self.clock.now + starts_in)
         return name
 
     def kill_node(self, name: str, *, restart: bool = True) -> None:
@@ -223,6 +235,9 @@
             secret=SECRET,
             forward=lambda data, address: self._send(name, data, address),
             send_message=self._send_message,
+            join_seconds=self._join_seconds * self.chance.uniform(1.0, LONGEST_JOIN)
+            if self._join_seconds
+            else 0.0,
         )
         self.nodes[name] = self._by_host[host] = node
 
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -11,8 +11,8 @@
 from beamloom.platform import packet_layout
 from beamloom.protocol.messages import Message
 from beamloom.replication.object_watch import ListRequest, ObjectWatch
-from beamloom.replication.reader_duty import ReadingTurn
 from beamloom.replication.reading_times import CALL_PATIENCE_SECONDS, reading_times
+from beamloom.replication.reading_turn import ReadingTurn
 from beamloom.replication.store_view import ObjectChange
 from beamloom.routing.tokens.decisions import Decision
 from beamloom.routing.tokens.packets import DropPacket, ForwardPacket, PacketKind
@@ -93,6 +93,7 @@
         self._call += 1
         call, asked_at = self._call, self._node.clock.now
         request = self._watch.next_request()
+        self._node.observer.counters[f"call_{self._turn.purpose.value}"] += 1
         wait = 0.0 if isinstance(request, ListRequest) else self._turn.wait_seconds
 
         def take_answer(answer: StoreAnswer) -> None:
@@ -147,6 +148,7 @@
         secret: bytes,
         forward: Forward,
         send_message: SendMessage,
+        join_seconds: float = 0.0,
     ) -> None:
         self.name = name
         self.host = host
@@ -176,7 +178,10 @@
             ),
         )
         core.use_key(secret)
-        core.join_peers(host, seeds)
+        if join_seconds:
+            clock.call_later(join_seconds, core.join_peers, host, seeds)
+        else:
+            core.join_peers(host, seeds)
         self._tick()
 
     @property
--- a/tests/unit/simulation/test_large_fleet.py
+++ b/tests/unit/simulation/test_large_fleet.py
@@ -1,11 +1,16 @@
 """What a large fleet asks of the store when all of it starts, or the store goes and comes back."""
 
 import unittest
+from collections import Counter
 
+from beamloom.replication.reader_duty import TARGET_READERS
+from beamloom.replication.reading_turn import CallPurpose
 from beamloom.simulation.tokens.fleet import TokenFleet
 from beamloom.simulation.tokens.store_link import StoreFault
 
 OUTAGE_SECONDS = 6.0
+SETTLING_SECONDS = 6.0
+"""By then each node of a common start has met its peers, and knows who reads."""
 CONTACT_SECONDS = 4.0
 """The users' bound, by default, for hearing of the store again once it answers."""
 
@@ -39,5 +44,37 @@
         self.assertLess(calls / 195, 6.0)
 
 
+class CommonStartTest(unittest.TestCase):
+    """Every node became a reader, as all had listened before any of them had met its peers."""
+
+    def test_a_fleet_that_starts_asks_little_more_than_a_list_each(self) -> None:
+        for nodes in (24, 195, 764):
+            with self.subTest(nodes=nodes):
+                fleet = TokenFleet(7, nodes=nodes, join_seconds=0.3)
+                fleet.run(SETTLING_SECONDS)
+                calls = calls_by_purpose(fleet)
+                started = calls.pop(CallPurpose.START.value)
+                self.assertLess(sum(calls.values()) / nodes, 0.75)
+                self.assertLessEqual(started / nodes, 3.0)
+                readers = [node for node in fleet.nodes.values() if node.core.duty.reading]
+                self.assertEqual(len(readers), TARGET_READERS)
+
+    def test_all_hear_of_the_store_soon_after_a_common_start(self) -> None:
+        fleet = TokenFleet(8, nodes=195, join_seconds=0.3)
+        fleet.run(SETTLING_SECONDS)
+        for node in fleet.nodes.values():
+            for view in (node.core.backends, node.core.configuration):
+                self.assertLess(view.age(fleet.clock.now) or 0.0, 3.0)
+
+
+def calls_by_purpose(fleet: TokenFleet) -> Counter[str]:
+    """Return the calls that the nodes of a fleet have made, by what each was for."""
+    total: Counter[str] = Counter()
+    for purpose in CallPurpose:
+        name = f"call_{purpose.value}"
+        total[purpose.value] = sum(node.observer.counters[name] for node in fleet.nodes.values())
+    return total
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/views/test_reader_duty.py
+++ b/tests/unit/views/test_reader_duty.py
@@ -3,14 +3,12 @@
 import random
 import unittest
 
-from beamloom.replication.object_watch import ChangeBatch, ListPage, ObjectWatch
 from beamloom.replication.reader_duty import (
     LISTENING_SECONDS,
     LONGEST_HESITATION_SECONDS,
-    STALE_WITHOUT_READERS_SECONDS,
+    LONGEST_JOIN_SECONDS,
     TARGET_READERS,
     ReaderDuty,
-    ReadingTurn,
     reader_id_of,
 )
 from beamloom.replication.reading_times import (
@@ -19,7 +17,6 @@
     STALE_SPREAD_SECONDS,
     reading_times,
 )
-from beamloom.replication.store_view import NamedRecord, ObjectChange, StoreView
 
 STEP_SECONDS = 0.25
 WAY_SECONDS = 0.01
@@ -115,6 +112,24 @@
             fleet.run(STEP_SECONDS)
             self.assertFalse(starting.advance(fleet.now))
 
+    def test_who_hears_no_peers_yet_leaves_reading_to_others_for_a_while(self) -> None:
+        """Found at 195 machines: all had listened before any of them could hear."""
+        duty = ReaderDuty("5", random.Random(3), reading_times())
+        now = 1.0
+        while now < 1.0 + LONGEST_JOIN_SECONDS:
+            self.assertFalse(duty.advance(now, joined=False))
+            now += STEP_SECONDS
+        while not duty.reading:
+            duty.advance(now, joined=False)
+            now += STEP_SECONDS
+        latest = LONGEST_JOIN_SECONDS + LISTENING_SECONDS + LONGEST_HESITATION_SECONDS
+        self.assertLess(now, 1.0 + latest + 3 * STEP_SECONDS)
+
+    def test_only_a_reader_that_others_rely_on_is_news(self) -> None:
+        duty = ReaderDuty("5", random.Random(1), reading_times())
+        news = [duty.note_reader(name, 1.0) for name in ("7", "7", "3", "9", "1")]
+        self.assertEqual(news, [True, False, True, False, True])
+
 
 class RankTest(unittest.TestCase):
     def test_machines_that_can_do_more_have_lower_ids(self) -> None:
@@ -140,82 +155,3 @@
             del fleet.duties[name]
         fleet.run(10.0)
         self.assertEqual({name[0] for name in fleet.readers}, {names[-1][0]})
-
-
-class ReadingTurnTest(unittest.TestCase):
-    def setUp(self) -> None:
-        chance = random.Random(1)
-        self.view: StoreView[str] = StoreView()
-        self.watch: ObjectWatch[str] = ObjectWatch(self.view, chance, stale_start=True)
-        self.times = reading_times()
-        self.duty = ReaderDuty("5", chance, self.times)
-        self.turn = ReadingTurn(self.watch, self.duty, chance)
-
-    def take_list(self, now: float) -> None:
-        self.watch.take_page(ListPage((NamedRecord("a", 1, "A"),), False, 10, "a"), asked_at=now)
-        self.turn.note_answer(now, changes=False)
-
-    def test_after_a_stale_list_peers_may_tell_what_is_new(self) -> None:
-        self.assertTrue(self.turn.must_ask(1.0))
-        self.take_list(1.0)
-        self.assertFalse(self.turn.must_ask(1.0 + self.times.unconfirmed_seconds - 0.01))
-        latest = 1.0 + self.times.unconfirmed_seconds + STALE_SPREAD_SECONDS
-        self.assertTrue(self.turn.must_ask(latest))
-
-    def test_where_no_reader_is_heard_of_a_view_is_stale_sooner(self) -> None:
-        """Found by comparing days: after a start of all nodes nobody heard of backends for 2 s."""
-        self.take_list(1.0)
-        self.watch.take_changes(ChangeBatch((), 12), now=2.0)
-        self.turn.note_answer(2.0, changes=False)
-        self.assertFalse(self.turn.must_ask(2.0 + STALE_WITHOUT_READERS_SECONDS - 0.01))
-        latest = 2.0 + STALE_WITHOUT_READERS_SECONDS + STALE_SPREAD_SECONDS
-        self.assertTrue(self.turn.must_ask(latest))
-        self.duty.note_reader("1", 2.5)
-        self.assertFalse(self.turn.must_ask(2.0 + self.times.stale_seconds - 0.01))
-
-    def test_a_node_that_stood_still_asks_at_once(self) -> None:
-        self.take_list(1.0)
-        self.turn.distrust()
-        self.assertTrue(self.turn.must_ask(1.01))
-
-    def test_a_new_reader_asks_without_waiting_so_that_others_hear_of_it(self) -> None:
-        """Found in inc-26d9: all nodes became readers while the first one's watch waited."""
-        self.duty.reading = True
-        self.assertEqual(self.turn.wait_seconds, 0.0)
-        self.duty.note_answer(2.0)
-        self.assertEqual(self.turn.wait_seconds, self.times.wait_seconds)
-        self.duty.advance(2.1 + self.times.silence_seconds)
-        self.assertEqual(self.turn.wait_seconds, 0.0)
-
-    def test_changes_are_gathered_within_the_time_that_a_watch_may_take(self) -> None:
-        self.duty.reading = True
-        self.duty.note_answer(1.0)
-        self.assertEqual(self.turn.wait_seconds, self.times.wait_seconds)
-        self.watch.take_changes(ChangeBatch((ObjectChange("b", 12, "B"),), 12), now=2.0)
-        rest = self.turn.note_answer(2.0, changes=True)
-        self.assertGreater(rest, 0.1)
-        self.assertLessEqual(rest + self.turn.wait_seconds, self.times.wait_seconds)
-        self.assertEqual(self.turn.note_answer(3.0, changes=False), 0.0)
-        self.assertEqual(self.turn.wait_seconds, self.times.wait_seconds)
-
-    def test_two_readers_share_the_kinds_and_a_lone_one_reads_all(self) -> None:
-        self.duty.reading = True
-        self.assertEqual([self.duty.reads(kind) for kind in (0, 1)], [True, True])
-        self.duty.note_reader("7", 0.0)
-        self.assertEqual([self.duty.reads(kind) for kind in (0, 1)], [True, False])
-        self.duty.note_reader("3", 0.0)
-        self.assertEqual([self.duty.reads(kind) for kind in (0, 1)], [False, True])
-        self.duty.advance(self.times.silence_seconds + 0.1)
-        self.assertEqual([self.duty.reads(kind) for kind in (0, 1)], [True, True])
-
-    def test_a_reader_of_other_kinds_steps_in_before_the_view_is_stale(self) -> None:
-        self.take_list(1.0)
-        self.watch.take_changes(ChangeBatch((), 12), now=2.0)
-        self.turn.note_answer(2.0, changes=False)
-        self.duty.reading = True
-        self.duty.note_reader("3", 2.0)
-        self.duty.note_reader("2", 2.0)
-        self.assertFalse(self.turn.must_ask(2.0 + self.times.wait_seconds))
-        self.assertTrue(self.turn.must_ask(2.01 + self.times.overdue_seconds))
-        self.assertLess(self.times.overdue_seconds, self.times.stale_seconds)
-        self.assertEqual(self.turn.wait_seconds, 0.0)
