Drop openings that waited out a stall also where timers run before packets

A wait that a signal interrupts after its time is over tells of no packets, so the tick runs first, notes the stall, and the packets that waited are taken as fresh. After a freeze that can let a second backend answer a flow. Ruled out: load (it fails on a quiet machine), the imports in pieces (untouched code fails too). Change: the core remembers a stall that a tick noticed until the packets that follow have been read, or the next tick.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -121,6 +121,8 @@
         self._now = 0.0
         self._advanced_at = float("inf")
         self._is_late = False
+        self._untaken_stall = False
+        self._took_stall = False
         self._doubts_until = float("inf")
 
     @property
@@ -172,11 +174,25 @@
         """Whether the process stood still until now: `advance` has not been called for long."""
         return now - self._advanced_at > LONGEST_STALL_SECONDS
 
+    def take_stall(self, now: float) -> bool:
+        """Return once whether the process stood still before the packets that are read next.
+
+        A loop that wakes from a stall may run its timers, and with them `advance`, first: a wait
+        that a signal interrupted after its time was over tells of no packets.
+        """
+        before_timers = self.has_stalled(now)
+        after_timers, self._untaken_stall = self._untaken_stall, False
+        self._took_stall = self._took_stall or before_timers
+        return before_timers or after_timers
+
     def advance(self, now: float) -> None:
         """Let time pass; to be called a few times a second."""
-        if self.has_stalled(now):
+        stalled = self.has_stalled(now)
+        if stalled:
             self._observer.stalled(now - self._advanced_at)
             self._forget_confirmations()
+        self._untaken_stall = stalled and not self._took_stall
+        self._took_stall = False
         self._is_late = now - self._advanced_at > LATE_SECONDS
         self._advanced_at = self._now = now
         self._judge_refusals(now)
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -212,7 +212,7 @@
 
     def _before_packets(self, now: float) -> None:
         """After a stall, let old opening packets go: see PacketSocket."""
-        if self._mechanisms.discard_after_stall and self.core.has_stalled(now):
+        if self._mechanisms.discard_after_stall and self.core.take_stall(now):
             self._packets.discard_waiting_openings()
 
     def _note_fault(self, error: Exception) -> None:
--- a/tests/unit/tokens/test_token_core.py
+++ b/tests/unit/tokens/test_token_core.py
@@ -6,6 +6,7 @@
 from beamloom.node.token_core import (
     LATE_SECONDS,
     LONGEST_DOUBT_SECONDS,
+    LONGEST_STALL_SECONDS,
     SUSPECT_BY_PEERS_SECONDS,
     TokenCore,
 )
@@ -37,6 +38,36 @@
 SOME = range(7, 13)
 
 
+class StallTest(unittest.TestCase):
+    """Found by a functional test that failed once: timers may run before the packets are read."""
+
+    def setUp(self) -> None:
+        self.core = new_core()
+        self.core.advance(START)
+
+    def test_a_stall_is_taken_once_by_packets_that_are_read_first(self) -> None:
+        woken = START + LONGEST_STALL_SECONDS + 0.5
+        self.assertTrue(self.core.take_stall(woken))
+        self.core.advance(woken)
+        self.assertFalse(self.core.take_stall(woken))
+
+    def test_a_stall_is_taken_by_packets_that_are_read_after_a_timer(self) -> None:
+        woken = START + LONGEST_STALL_SECONDS + 0.5
+        self.core.advance(woken)
+        self.assertTrue(self.core.take_stall(woken))
+        self.assertFalse(self.core.take_stall(woken))
+
+    def test_packets_that_come_later_have_not_waited(self) -> None:
+        woken = START + LONGEST_STALL_SECONDS + 0.5
+        self.core.advance(woken)
+        self.core.advance(woken + 0.25)
+        self.assertFalse(self.core.take_stall(woken + 0.3))
+
+    def test_a_node_that_runs_has_not_stalled(self) -> None:
+        self.core.advance(START + 0.25)
+        self.assertFalse(self.core.take_stall(START + 0.3))
+
+
 class CoreCase(unittest.TestCase):
     def setUp(self) -> None:
         self.core = new_core()
