--- a/tools/every_kind.py
+++ b/tools/every_kind.py
@@ -27,6 +27,8 @@
 FIRST_AT = 4.0
 SECOND_AT = 14.0
 PARALLEL_RUNS = 4
+SMALL_TWIN = re.compile(r"^small = .*$", re.MULTILINE)
+"""What a site's file says of the small twin of a day; it is the same for all its days."""
 KEPT_REPORTS = Path("target/every-kind")
 PLANNED = {"release", "scale_out", "scale_in", "roll_term", "add_nodes", "config_change", "hup"}
 PLANNED |= {"config_storm", "big_config"}
@@ -37,6 +39,10 @@
 srv_crash share=0.3 how="gone"
 srv_crash share=1.0 for_s=4 how="all"
 srv_slow share=0.3 x=5 for_s=6
+srv_grey share=0.15 x=0.45 for_s=6 how="errors"
+srv_grey share=0.15 x=0.45 for_s=6 how="mute"
+srv_grey share=0.15 x=0.45 for_s=6 how="hang"
+srv_flap share=0.1 gap_s=1.4 for_s=6
 release share=0.6 gap_s=1
 release share=1.0 x=3 gap_s=0.5
 replace_with_reuse share=0.3
@@ -88,6 +94,12 @@
 platform_down for_s=5 how="silent lapse"
 platform_down for_s=5 how="busy lapse"
 platform_down for_s=5 how="reset lapse"
+platform_down share=0.33 for_s=6 how="nodes"
+platform_down share=0.33 for_s=6 how="nodes busy"
+platform_down share=0.33 for_s=6 how="nodes many"
+platform_down share=0.33 for_s=6 how="nodes reset"
+platform_down share=0.5 for_s=6 how="nodes leader busy"
+platform_down share=0.33 for_s=8 how="nodes busy revoke meet"
 platform_slow x=80 for_s=5
 platform_lost x=0.5 for_s=5
 platform_lost x=0.5 for_s=5 how="late"
@@ -185,6 +197,9 @@
     parser.add_argument(
         "--standard", action="store_true", help="play the site's own days instead of kinds"
     )
+    parser.add_argument(
+        "--small", action="store_true", help="play small twins of the days of a large site"
+    )
     parser.add_argument("--pairs", type=int, default=0, help="play so many pairs instead")
     return parser.parse_args()
 
@@ -201,6 +216,7 @@
     plan.append('{ at = 24.0, kind = "config_change", how = "route" }')
     days = tomllib.loads(site.read_text())["day"]
     quiet = next(day for day in days if day["slot"] == "quiet")
+    small = SMALL_TWIN.search(site.read_text())
     return "\n".join(
         [
             'name = "own"',
@@ -213,6 +229,7 @@
             "labels = []",
             f"plan = [{', '.join(plan)}]",
             f"faults = [{', '.join(faults)}]",
+            small[0] if small else "",
         ]
     )
 
@@ -235,7 +252,8 @@
     day = folder / f"{label}.toml"
     day.write_text(text)
     why = f"{arguments.why}: {label}"
-    result = play(arguments.bench, site, str(day), why, "--seed", str(arguments.seed))
+    options = ["--small"] if arguments.small else []
+    result = play(arguments.bench, site, str(day), why, "--seed", str(arguments.seed), *options)
     return _judge(arguments, site, label, result, text)
 
 
