Leave a reader that gave up the duty out of its own count; say where reading times come from

Cause: reading the diff: the count of readers that are heard of had lost the exception for this node's own id, so that a node which has just given the duty up counted as one of two readers for up to 3.2 s after the other had gone. Comments on constants besides.

--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -16,24 +16,29 @@
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 
 TARGET_READERS = 2
+"""One that is lost is noticed while the other still reads; more would only cost calls."""
 LONGEST_HESITATION_SECONDS = 0.8
+"""Half of it by rank, half by chance; by choice, well below the shortest staleness (2 s)."""
 LISTENING_SECONDS = 0.3
-"""A node that has just met its peers hears of their readers before it may become one: as long as
-two heartbeats of nodes that meet take, by choice.
+"""A node that has just met its peers hears of their readers before it may become one: a heartbeat
+of nodes that meet (MEETING_HEARTBEAT_SECONDS).
 """
 LONGEST_JOIN_SECONDS = 3.0
 """A node that has met no peers by then does without them; joining takes a second on slow ones."""
 OUTAGE_CALLS_PER_SECOND = 20.0
 """About so often a fleet asks a store that answers none of its nodes: by choice, a twentieth of a
-second is soon enough to notice its return, and what one node notices it tells the others."""
+second is soon enough to notice its return, and what one node notices it tells the others.
+"""
 KINDS_READ = 2
 """Kinds of object that each node asks for: backends and configurations."""
 
 
 LEAST_CORES = 0.05
 LEAST_LINK_MEGABITS = 5.0
+"""A machine of so little has the lowest rank; chosen as the least that was met."""
 LOWEST_RANK = 9
 RANK_DIGITS = 1
+"""Ranks are a decimal digit at the beginning of an id, as ids compare as text."""
 
 
 def reader_id_of(cores: float, link_megabits: float, start: str) -> str:
@@ -135,7 +140,8 @@
         if self._listens_until is None and (joined or now - self._began_at > LONGEST_JOIN_SECONDS):
             self._listens_until = now + LISTENING_SECONDS
         fails = now - self._failed_at < self.times.silence_seconds
-        if self._listens_until is None or fails or len(self.recent(now)) >= TARGET_READERS:
+        others = self.recent(now).keys() - {self.reader_id}
+        if self._listens_until is None or fails or len(others) >= TARGET_READERS:
             self._starts_at = None
             return False
         if self._starts_at is None:
--- a/tests/unit/views/test_reader_duty.py
+++ b/tests/unit/views/test_reader_duty.py
@@ -125,6 +125,22 @@
         latest = LONGEST_JOIN_SECONDS + LISTENING_SECONDS + LONGEST_HESITATION_SECONDS
         self.assertLess(now, 1.0 + latest + 3 * STEP_SECONDS)
 
+    def test_who_gave_up_the_duty_does_not_count_itself_as_a_reader(self) -> None:
+        times = reading_times()
+        duty = ReaderDuty("5", random.Random(1), times)
+        duty.reading = True
+        duty.note_answer(1.0)
+        duty.note_reader("1", -1.0)
+        duty.note_reader("2", 1.0)
+        duty.advance(1.1)
+        self.assertFalse(duty.reading)
+        now = 1.1
+        while not duty.reading:
+            now += STEP_SECONDS
+            duty.note_reader("2", now)
+            duty.advance(now)
+        self.assertLess(now, 1.0 + times.silence_seconds)
+
     def test_only_a_reader_that_others_rely_on_is_news(self) -> None:
         duty = ReaderDuty("5", random.Random(1), reading_times())
         news = [duty.note_reader(name, 1.0) for name in ("7", "7", "3", "9", "1")]
