Split the tests of the exchange by what they test; wait in functional tests by one loop

Change: network and nodes stand in a module of builders; tests of large configurations, told silence and transfer have files of their own. The 28 tests are the same ones; one loop serves two of the waits (the third waits for a coroutine).

--- a/tests/functional/test_token_node.py
+++ b/tests/functional/test_token_node.py
@@ -7,7 +7,6 @@
 import sys
 import time
 import unittest
-from collections.abc import Callable
 
 from beamloom.replication.reader_duty import LISTENING_SECONDS, LONGEST_HESITATION_SECONDS
 from beamloom.replication.reading_times import (
@@ -120,13 +119,6 @@
             self.assertLess(time.monotonic(), end, self.logs())
             await asyncio.sleep(0.05)
 
-    async def wait_until(self, holds: Callable[[], bool], seconds: float) -> None:
-        """Wait until something holds; lines are written a few times a second."""
-        end = time.monotonic() + seconds
-        while not holds():
-            self.assertLess(time.monotonic(), end, self.logs())
-            await asyncio.sleep(0.05)
-
     def told(self, number: int) -> set[object]:
         """Return the states of backends and the versions that a node has heard from its peers."""
         lines = [line for line in self.lines(number) if line.get("source") == "peer"]
--- a/tests/functional/token_node_case.py
+++ b/tests/functional/token_node_case.py
@@ -12,7 +12,7 @@
 import unittest
 import urllib.error
 import urllib.request
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 
 from beamloom.platform import store_encoding
@@ -187,13 +187,21 @@
             self.assertLess(time.monotonic(), end, self.logs())
             await asyncio.sleep(0.05)
 
-    async def wait_for_line(self, number: int, event: str, seconds: float = 3.0) -> None:
-        """Wait until a node has written a line; lines are written a few times a second."""
+    async def wait_until(self, holds: Callable[[], bool], seconds: float, what: str = "") -> None:
+        """Wait until something holds; lines are written a few times a second."""
         end = time.monotonic() + seconds
-        while event not in [line["event"] for line in self.lines(number)]:
-            self.assertLess(time.monotonic(), end, f"no {event}: {self.logs()}")
+        while not holds():
+            self.assertLess(time.monotonic(), end, f"{what}: {self.logs()}")
             await asyncio.sleep(0.05)
 
+    async def wait_for_line(self, number: int, event: str, seconds: float = 3.0) -> None:
+        """Wait until a node has written a line."""
+
+        def is_written() -> bool:
+            return event in [line["event"] for line in self.lines(number)]
+
+        await self.wait_until(is_written, seconds, f"no {event}")
+
     def logs(self) -> str:
         return "\n".join(path.read_text() for path in sorted(self.folder.glob("*.log")))
 
--- /dev/null
+++ b/tests/unit/views/exchange_network.py
@@ -0,0 +1,125 @@
+"""Nodes that exchange views over a network that delays and loses datagrams, for tests."""
+
+import random
+from heapq import heappop, heappush
+
+from beamloom.node.view_codecs import BACKEND_CODEC, ConfigurationCodec
+from beamloom.protocol.messages import Message
+from beamloom.protocol.view_messages import ViewPart
+from beamloom.replication.peer_table import PeerTable
+from beamloom.replication.reader_duty import ReaderDuty
+from beamloom.replication.reading_times import reading_times
+from beamloom.replication.shared_view import SharedView
+from beamloom.replication.store_view import NamedRecord, ObjectChange, StoreView
+from beamloom.replication.view_exchange import ViewExchange
+from beamloom.routing.tokens.configuration_history import ConfigurationHistory
+from beamloom.routing.tokens.records import BackendRecord, RoutingConfiguration
+
+STEP_SECONDS = 0.05
+DELAY_SECONDS = 0.003
+MOST_HOPS = 8
+"""A digest tells how old a confirmation is, and its way is not counted."""
+
+
+class Node:
+    def __init__(self, host: str, seeds: list[str], chance: random.Random) -> None:
+        self.host = host
+        self.view: StoreView[BackendRecord] = StoreView()
+        self.configuration: StoreView[RoutingConfiguration] = StoreView()
+        self.history = ConfigurationHistory()
+        self.heard: list[str] = []
+        views = (
+            SharedView(self.view, BACKEND_CODEC, self.take),
+            SharedView(
+                self.configuration, ConfigurationCodec(self.history), self.take_configuration
+            ),
+        )
+        peers = PeerTable(host, seeds, chance)
+        self.exchange = ViewExchange(
+            views, peers, ReaderDuty(host, chance, reading_times()), chance
+        )
+
+    def take(self, changes: tuple[ObjectChange[BackendRecord], ...]) -> None:
+        self.heard += [change.name for change in changes]
+
+    def take_configuration(self, changes: tuple[ObjectChange[RoutingConfiguration], ...]) -> None:
+        for change in changes:
+            assert change.record is not None
+            self.history.note(change.revision, change.record)
+
+
+class Network:
+    """Nodes on a virtual clock; a datagram takes `delay` seconds, or is lost."""
+
+    def __init__(self, count: int, seed: int, loss: float = 0.0) -> None:
+        self.chance = random.Random(seed)
+        self.loss = loss
+        self.delay = DELAY_SECONDS
+        self.now = 0.0
+        self.sent = 0
+        self.part_bytes = 0
+        hosts = [f"10.0.{number // 250}.{number % 250 + 1}" for number in range(count)]
+        self.nodes = {host: Node(host, hosts[:3], self.chance) for host in hosts}
+        self._flying: list[tuple[float, int, str, str, Message]] = []
+        self.cut: set[str] = set()
+
+    def flush(self, node: Node) -> None:
+        for send in node.exchange.take_sends():
+            self.sent += 1
+            if isinstance(send.message, ViewPart):
+                self.part_bytes += len(send.message.data)
+            if self.chance.random() < self.loss or {node.host, send.host} & self.cut:
+                continue
+            due = self.now + self.delay
+            heappush(self._flying, (due, self.sent, node.host, send.host, send.message))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        step = self.now
+        while self.now < end:
+            step += STEP_SECONDS
+            while self._flying and self._flying[0][0] <= step:
+                self.now, _, source, target, message = heappop(self._flying)
+                if target in self.nodes:
+                    self.nodes[target].exchange.handle(source, message, self.now)
+                    self.flush(self.nodes[target])
+            self.now = step
+            for node in self.nodes.values():
+                node.exchange.advance(self.now)
+                self.flush(node)
+
+    def learn(self, node: Node, *records: BackendRecord, revision: int) -> None:
+        """Let a node hear of records from the store."""
+        changes = tuple(ObjectChange(record.name, revision, record) for record in records)
+        if node.view.revision is None:
+            named = [NamedRecord(record.name, revision, record) for record in records]
+            node.view.replace(named, revision)
+        else:
+            node.view.apply(changes, revision)
+        node.view.confirm(self.now)
+        node.exchange.announce(self.now)
+        self.flush(node)
+
+    def configure(self, node: Node, record: RoutingConfiguration, revision: int) -> None:
+        """Let a node hear of a version from the store."""
+        change = ObjectChange("main", revision, record)
+        if node.configuration.revision is None:
+            node.configuration.replace([NamedRecord("main", revision, record)], revision)
+        else:
+            node.configuration.apply([change], revision)
+        node.take_configuration((change,))
+        node.exchange.announce(self.now)
+        self.flush(node)
+
+    def versions(self) -> set[int]:
+        """Return the versions that nodes hold; 0 stands for none."""
+        held = [node.history.newest_revision for node in self.nodes.values()]
+        found = [
+            None if revision is None else node.history.find(revision)
+            for node, revision in zip(self.nodes.values(), held, strict=True)
+        ]
+        return {0 if record is None else record.version for record in found}
+
+    def share_at(self, revision: int) -> float:
+        reached = sum(node.view.revision == revision for node in self.nodes.values())
+        return reached / len(self.nodes)
