--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -39,8 +39,8 @@
 START_SECONDS = 0.5
 START_SPREAD_SECONDS = 0.3
 """Machines that start together do so within this time (the users' platform says so)."""
-LONGEST_JOIN = 1.5
-"""How much longer joining the peers takes on the slowest machine than on the fastest."""
+LONGEST_JOIN_FACTOR = 1.5
+"""So many times longer joining the peers takes on the slowest machine than on the fastest."""
 STALE_BEHIND = 6
 """Revisions of the store by which stale reads are behind."""
 SERVE_ON_SECONDS = 4.0
@@ -235,7 +235,7 @@
             secret=SECRET,
             forward=lambda data, address: self._send(name, data, address),
             send_message=self._send_message,
-            join_seconds=self._join_seconds * self.chance.uniform(1.0, LONGEST_JOIN)
+            join_seconds=self._join_seconds * self.chance.uniform(1.0, LONGEST_JOIN_FACTOR)
             if self._join_seconds
             else 0.0,
         )
--- a/tests/functional/test_deferred_modules.py
+++ b/tests/functional/test_deferred_modules.py
@@ -1,10 +1,9 @@
 """What a node that starts loads, and that what it left out is there when it is asked for."""
 
-import os
-import subprocess
-import sys
 import unittest
 
+from tests.functional.bare_program import run_bare
+
 LEFT_OUT = {
     "asyncio.sslproto",
     "concurrent.futures",
@@ -16,23 +15,16 @@
 }
 
 
+LOAD = """
+from beamloom.runtime.token_node_main import load_node
+load_node()
+import asyncio, sys
+"""
+
+
 def run_program(code: str) -> str:
     """Run a program that has loaded a node; return what it printed to both its outputs."""
-    begin = "import asyncio, sys\nfrom beamloom.runtime.token_node_main import load_node\n"
-    run = subprocess.run(
-        [
-            sys.executable,
-            "-S",
-            "-c",
-            f"from beamloom.runtime.token_node_main import load_node\nload_node()\n{begin}{code}",
-        ],
-        env={**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, sys.path))},
-        capture_output=True,
-        text=True,
-        timeout=20,
-        check=True,
-    )
-    return run.stdout + run.stderr
+    return run_bare(LOAD + code)
 
 
 class DeferredModulesTest(unittest.TestCase):
--- a/tests/functional/test_gradual_import.py
+++ b/tests/functional/test_gradual_import.py
@@ -1,12 +1,10 @@
 """Modules that are imported while packets are forwarded: all of them, and one at a time."""
 
 import asyncio
-import os
-import subprocess
-import sys
 import unittest
 
 from beamloom.runtime.gradual_import import PEER_MODULES, import_gradually
+from tests.functional.bare_program import run_bare
 
 JOIN = """
 import asyncio, random, sys
@@ -41,15 +39,7 @@
         self.assertGreaterEqual(turns, 3)
 
     def test_joining_the_peers_imports_nothing_more(self) -> None:
-        run = subprocess.run(
-            [sys.executable, "-S", "-c", JOIN],
-            env={**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, sys.path))},
-            capture_output=True,
-            text=True,
-            timeout=20,
-            check=True,
-        )
-        self.assertEqual(run.stdout.split(), [])
+        self.assertEqual(run_bare(JOIN).split(), [])
 
     def test_each_module_is_named_once(self) -> None:
         self.assertEqual(len(set(PEER_MODULES)), len(PEER_MODULES))
--- a/tests/functional/test_token_node.py
+++ b/tests/functional/test_token_node.py
@@ -1,7 +1,6 @@
 """A token node as a process: the whole path, and what it does when things change or fail."""
 
 import asyncio
-import os
 import signal
 import subprocess
 import sys
@@ -18,6 +17,7 @@
 from beamloom.runtime.planned_stop import LONGEST_FORWARD_SECONDS, SHORTEST_PROBE_GAP_SECONDS
 from beamloom.runtime.token_node import TICK_SECONDS
 from beamloom.standins.token_client import FlowPlan, FlowState
+from tests.functional.bare_program import run_bare
 from tests.functional.token_node_case import METRICS_PORT, TokenNodeCase
 
 LONGEST_STOP_SECONDS = 6.0
@@ -287,15 +287,7 @@
             "load_node()\n"
             "print(' '.join({name.partition('.')[0] for name in sys.modules}))"
         )
-        run = subprocess.run(
-            [sys.executable, "-S", "-c", code],
-            env={**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, sys.path))},
-            capture_output=True,
-            text=True,
-            timeout=20,
-            check=True,
-        )
-        self.assertEqual(set(run.stdout.split()) & NOT_BEFORE_READY, set())
+        self.assertEqual(set(run_bare(code).split()) & NOT_BEFORE_READY, set())
 
 
 if __name__ == "__main__":
