Send cold backends few new flows from the whole fleet

Cause: each node placed flows at cold backends by its own view.

Change: a backend is cold for as long as its entry says, and where its zone is taken back. An opening that only cold backends could take waits for its copies; the last is refused at once.

Ruled out: a share by a fleet size that may be wrong (views differ by a twentieth in the test, and a node alone would send all).

--- a/src/beamloom/node/evacuation_follower.py
+++ b/src/beamloom/node/evacuation_follower.py
@@ -60,7 +60,7 @@
         )
         self.since: dict[str, float] = {}
         self.counters: Counter[str] = Counter()
-        self.on_zones: Callable[[frozenset[str]], None] = lambda zones: None
+        self.on_zones: Callable[[frozenset[str], float], None] = lambda zones, now: None
         self.on_change: Callable[[str, bool, int], None] = lambda zone, evacuated, revision: None
         self.on_unknown: Callable[[str], None] = lambda zone: None
         self._times = times
@@ -86,7 +86,7 @@
         for change in changes:
             self._apply_one(change, now)
         if self.since.keys() != before:
-            self.on_zones(frozenset(self.since))
+            self.on_zones(frozenset(self.since), now)
 
     def _apply_one(self, change: ObjectChange[ZoneEvacuation], now: float) -> None:
         zone = change.name
--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -20,6 +20,10 @@
 from beamloom.replication.reading_turn import ReadingTurn
 from beamloom.replication.store_view import ObjectChange, StoreView
 from beamloom.routing.tokens.backend_table import Backend
+from beamloom.routing.tokens.cold_starts import (
+    SENDERS_OF_A_BACKEND,
+    ColdStartGate,
+)
 from beamloom.routing.tokens.configuration_history import ConfigurationHistory
 from beamloom.routing.tokens.decisions import Decision
 from beamloom.routing.tokens.placement import Placement, PlacementSettings
@@ -27,6 +31,7 @@
 from beamloom.routing.tokens.router import TokenRouter
 from beamloom.routing.tokens.token import TokenCodec
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
+from beamloom.settings.token_node import ColdStartLimits
 from beamloom.telemetry.histogram import LatencyHistogram
 
 if TYPE_CHECKING:
@@ -89,7 +94,7 @@
     """One node. `configuration_name` is the object that holds the configuration in force.
 
     Evacuations are followed where `evacuation_times` are given; `known_zones` are those of the
-    deployment.
+    deployment. Cold backends are limited where `cold_starts` are given.
     """
 
     def __init__(
@@ -105,10 +110,12 @@
         mechanisms: Mechanisms = ALL_MECHANISMS,
         evacuation_times: ReadingTimes | None = None,
         known_zones: Collection[str] = (),
+        cold_starts: ColdStartLimits | None = None,
     ) -> None:
         self._mechanisms = mechanisms
+        self._cold_starts = None if cold_starts is None else ColdStartGate(cold_starts)
         self.router = TokenRouter(
-            Placement(zone, placement or PlacementSettings(), chance),
+            Placement(zone, placement or PlacementSettings(), chance, self._cold_starts),
             observer.decision,
             moves_copies=mechanisms.other_backend_for_copies,
         )
@@ -173,6 +180,7 @@
         Its modules are imported only here: a node is ready to serve before it meets its peers.
         """
         from beamloom.node.view_codecs import BACKEND_CODEC, ConfigurationCodec
+        from beamloom.replication.fleet_share import FleetShare
         from beamloom.replication.peer_table import PeerTable
         from beamloom.replication.shared_view import SharedView
         from beamloom.replication.view_exchange import ViewExchange
@@ -201,6 +209,9 @@
         peers = PeerTable(host, seeds, self._chance, self._zone)
         self.exchange = ViewExchange(views, peers, self.duty, self._chance)
         self.exchange.on_silent = self._suspect
+        if self._cold_starts is not None:
+            share = FleetShare(peers, SENDERS_OF_A_BACKEND, self._now)
+            self._cold_starts.is_sender = share.holds
         self.exchange.catch_up_seconds = self.catch_up_seconds
 
     def has_stalled(self, now: float) -> bool:
@@ -353,6 +364,8 @@
             self._versions.note(change.revision, change.record)
             before = self.router.routes.version
             if self.router.put_in_force(change.record):
+                if self._cold_starts is not None:
+                    self._cold_starts.use_rates(change.record.warm_ups)
                 version, routes = change.record.version, len(change.record.routes)
                 self._observer.configuration(version, before, routes, source)
         self.on_progress()
--- a/src/beamloom/node/view_codecs.py
+++ b/src/beamloom/node/view_codecs.py
@@ -26,6 +26,7 @@
     RoutePart,
     RouteRecord,
     RoutingConfiguration,
+    ServiceWarmUp,
     ZoneEvacuation,
 )
 
@@ -147,26 +148,39 @@
 def configuration_to_list(record: RoutingConfiguration) -> list[Any]:
     """Return the fields of a configuration."""
     routes = [_route_to_list(route) for route in record.routes]
-    return [record.version, routes, record.idle_seconds]
+    return [record.version, routes, record.idle_seconds, list(map(list, record.warm_ups))]
 
 
 def configuration_from_list(fields: list[Any]) -> RoutingConfiguration:
     """Return the configuration of these fields."""
     version, routes, idle_seconds = fields[:3]
-    return RoutingConfiguration(version, tuple(map(_route_from_list, routes)), idle_seconds)
+    records = tuple(map(_route_from_list, routes))
+    return RoutingConfiguration(version, records, idle_seconds, _warm_ups_from(fields[3:4]))
 
 
 def difference_to_list(difference: ConfigurationDifference) -> list[Any]:
     """Return the fields of a difference."""
     changed = [_route_to_list(route) for route in difference.changed]
-    return [difference.version, difference.idle_seconds, changed, list(difference.removed)]
+    return [
+        difference.version,
+        difference.idle_seconds,
+        changed,
+        list(difference.removed),
+        list(map(list, difference.warm_ups)),
+    ]
 
 
 def difference_from_list(fields: list[Any]) -> ConfigurationDifference:
     """Return the difference of these fields."""
     version, idle_seconds, changed, removed = fields[:4]
     routes = tuple(map(_route_from_list, changed))
-    return ConfigurationDifference(version, idle_seconds, routes, tuple(removed))
+    warm_ups = _warm_ups_from(fields[4:5])
+    return ConfigurationDifference(version, idle_seconds, routes, tuple(removed), warm_ups)
+
+
+def _warm_ups_from(field: list[Any]) -> tuple[ServiceWarmUp, ...]:
+    """Return the warm-ups of a field that nodes of an earlier version do not send."""
+    return tuple(ServiceWarmUp(*fields[:3]) for fields in (field[0] if field else ()))
 
 
 def _route_to_list(route: RouteRecord) -> list[Any]:
--- a/src/beamloom/platform/node_settings.py
+++ b/src/beamloom/platform/node_settings.py
@@ -20,7 +20,7 @@
     to_positive,
     to_text,
 )
-from beamloom.settings.token_node import Endpoint, TokenNodeSettings
+from beamloom.settings.token_node import ColdStartLimits, Endpoint, TokenNodeSettings
 
 SETTINGS_VARIABLE = "BEAMLOOM_CONFIG"
 METRICS_VARIABLE = "BEAMLOOM_METRICS_PORT"
@@ -68,12 +68,19 @@
         contact_seconds=fields.read("bounds.contact-ms", _milliseconds, 4.0, required=False),
         evacuate_seconds=fields.read("bounds.evacuate-ms", _milliseconds, None, required=False),
         zones=fields.read("zones", to_names, (), required=False),
+        cold_starts=_cold_start_limits(fields),
     )
     if fields.faults:
         raise PlatformSettingsError(path, "; ".join(fields.faults))
     return settings
 
 
+def _cold_start_limits(fields: FieldReader) -> ColdStartLimits | None:
+    excess = fields.read("bounds.warmup-excess", to_positive, None, required=False)
+    slack = fields.read("bounds.warmup-slack", to_positive, 0.0, required=False)
+    return None if excess is None else ColdStartLimits(excess, slack)
+
+
 _NOWHERE = Endpoint("", 0)
 
 
--- a/src/beamloom/platform/store_encoding.py
+++ b/src/beamloom/platform/store_encoding.py
@@ -90,6 +90,14 @@
     return {
         "version": configuration.version,
         "routes": routes,
+        "services": [
+            {
+                "name": warm_up.service,
+                "warmup-s": warm_up.seconds,
+                "warmup-per-s": warm_up.requests_per_second,
+            }
+            for warm_up in configuration.warm_ups
+        ],
         "limits": {"idle-timeout-ms": idle},
     }
 
--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -17,6 +17,7 @@
     RoutePart,
     RouteRecord,
     RoutingConfiguration,
+    ServiceWarmUp,
     ZoneEvacuation,
 )
 
@@ -175,9 +176,15 @@
         version=int(entry["version"]),
         routes=tuple(_translate_route(route) for route in entry["routes"]),
         idle_seconds=float(limits.get("idle-timeout-ms", 15_000)) / MILLISECONDS,
+        warm_ups=tuple(_translate_warm_up(service) for service in entry.get("services", ())),
     )
 
 
+def _translate_warm_up(service: Mapping[str, Any]) -> ServiceWarmUp:
+    seconds, rate = service.get("warmup-s", 0), service.get("warmup-per-s", 0)
+    return ServiceWarmUp(str(service["name"]), float(seconds), float(rate))
+
+
 def translate_evacuation(name: str, _entry: Mapping[str, Any] | None) -> ZoneEvacuation:
     """Translate a request to evacuate a zone: its name is the zone's, it has no fields."""
     return ZoneEvacuation(name)
--- a/src/beamloom/replication/peer_table.py
+++ b/src/beamloom/replication/peer_table.py
@@ -74,6 +74,10 @@
         chosen = self._chance.sample(near, from_near)
         return chosen + self._chance.sample(far, count - from_near)
 
+    def hosts(self) -> Iterable[str]:
+        """Return all hosts heard of lately."""
+        return self._heard.keys()
+
     def of_own_zone(self) -> list[str]:
         """Return the hosts that are known to be in this node's zone."""
         return [host for host, zone in self._zones.items() if zone == self.zone]
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from beamloom.routing.tokens.answer_pace import AnswerPace
-from beamloom.routing.tokens.records import BackendRecord, BackendState
+from beamloom.routing.tokens.records import BackendRecord, BackendState, ServiceWarmUp
 from beamloom.routing.tokens.token import bucket_of_identity, bucket_of_token
 
 SWEEP_SECONDS = 1.0
@@ -25,13 +25,15 @@
     an answer. `failures` counts openings in a row that were not answered. `stalled` requests have
     been repeated again and again. `ended` means that a later incarnation has its address;
     `forgotten`, that nothing is known of it any more; `evacuated`, that operators evacuate its
-    zone. `revision` is that of the store's last word on it. `answered_at` is when it last answered
-    an opening, `pace` how long its answers take. Times are in seconds.
+    zone. It may be cold, as after a start, until `cold_until`. `revision` is that of the store's
+    last word on it. `answered_at` is when it last answered an opening, `pace` how long its answers
+    take. Times are in seconds.
     """
 
     __slots__ = (
         "answered_at",
         "busy",
+        "cold_until",
         "ended",
         "evacuated",
         "failures",
@@ -51,6 +53,7 @@
         self.revision = revision
         self.ended = False
         self.evacuated = False
+        self.cold_until = float("-inf")
         self.gone_at: float | None = None
         self.forgotten = False
         self.pending = 0
@@ -62,6 +65,11 @@
         self.answered_at = float("-inf")
         self.pace = AnswerPace()
 
+    def note_warm_up(self, record: BackendRecord, now: float) -> None:
+        """Take how much longer the backend says that it is cold."""
+        if record.warm_up_seconds > 0:
+            self.cold_until = max(self.cold_until, now + record.warm_up_seconds)
+
     @property
     def takes_flows(self) -> bool:
         """Whether the store lists it as ready, and nobody evacuates its zone."""
@@ -79,6 +87,7 @@
         self._by_address: dict[tuple[str, int], Backend] = {}
         self._swept_at = float("-inf")
         self._evacuated_zones: frozenset[str] = frozenset()
+        self._warm_up_seconds: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._by_name)
@@ -111,11 +120,22 @@
         backend.suspect_until = until
         return backend
 
-    def evacuate(self, zones: frozenset[str]) -> None:
-        """Let backends of these zones, and of no others, get no new flows."""
+    def use_warm_ups(self, warm_ups: Iterable[ServiceWarmUp]) -> None:
+        """Take how long backends of each service may be cold."""
+        self._warm_up_seconds = {warm_up.service: warm_up.seconds for warm_up in warm_ups}
+
+    def evacuate(self, zones: frozenset[str], now: float) -> None:
+        """Let backends of these zones, and of no others, get no new flows.
+
+        Those of a zone that is taken back may have turned cold unheard.
+        """
         self._evacuated_zones = zones
         for backend in self._by_name.values():
-            backend.evacuated = backend.record.zone in zones
+            evacuated = backend.record.zone in zones
+            if backend.evacuated and not evacuated:
+                seconds = self._warm_up_seconds.get(backend.record.service, 0.0)
+                backend.cold_until = max(backend.cold_until, now + seconds)
+            backend.evacuated = evacuated
 
     def update(self, record: BackendRecord, revision: int, now: float) -> bool:
         """Take one record of the store; return whether it changes anything."""
@@ -129,6 +149,7 @@
         known.gone_at = None
         if known.record == record and not came_back:
             return False
+        known.note_warm_up(record, now)
         if known.record.service != record.service:
             self._forget(known)
             self._add(record, revision, now)
@@ -147,6 +168,7 @@
 
     def _add(self, record: BackendRecord, revision: int, now: float) -> None:
         backend = Backend(record, revision)
+        backend.note_warm_up(record, now)
         backend.evacuated = record.zone in self._evacuated_zones
         bucket = bucket_of_identity(record.identity)
         self._by_bucket.setdefault(bucket, []).append(backend)
--- a/src/beamloom/routing/tokens/configuration_history.py
+++ b/src/beamloom/routing/tokens/configuration_history.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-from beamloom.routing.tokens.records import RouteRecord, RoutingConfiguration
+from beamloom.routing.tokens.records import RouteRecord, RoutingConfiguration, ServiceWarmUp
 
 VERSIONS_KEPT = 32
 """More than change within the seconds in which a node hears of them."""
@@ -26,6 +26,7 @@
     idle_seconds: float
     changed: tuple[RouteRecord, ...]
     removed: tuple[str, ...]
+    warm_ups: tuple[ServiceWarmUp, ...] = ()
 
 
 def difference_between(
@@ -39,6 +40,7 @@
         target.idle_seconds,
         tuple(route for route in target.routes if before.get(route.name) != route),
         tuple(name for name in before if name not in names),
+        target.warm_ups,
     )
     return difference if apply_difference(base, difference) == target else None
 
@@ -52,7 +54,9 @@
         routes.pop(name, None)
     for route in difference.changed:
         routes[route.name] = route
-    return RoutingConfiguration(difference.version, tuple(routes.values()), difference.idle_seconds)
+    return RoutingConfiguration(
+        difference.version, tuple(routes.values()), difference.idle_seconds, difference.warm_ups
+    )
 
 
 class ConfigurationHistory:
@@ -89,7 +93,7 @@
 ) -> RoutingConfiguration:
     known = {route.name: route for route in other.routes}
     routes = tuple(_same_or_new(known.get(route.name), route) for route in configuration.routes)
-    return RoutingConfiguration(configuration.version, routes, configuration.idle_seconds)
+    return configuration._replace(routes=routes)
 
 
 def _same_or_new(known: RouteRecord | None, route: RouteRecord) -> RouteRecord:
--- a/src/beamloom/routing/tokens/packets.py
+++ b/src/beamloom/routing/tokens/packets.py
@@ -22,6 +22,7 @@
     LATE_OPENING = "late_opening"
     NO_BACKEND_FOR_COPY = "no_backend_for_copy"
     UNCONFIRMED_VIEW = "unconfirmed_view"
+    COLD_BACKENDS = "cold_backends"
 
 
 class RefusalReason(Enum):
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -13,6 +13,7 @@
 
 from beamloom.routing.tokens.answer_pace import typical_seconds
 from beamloom.routing.tokens.backend_table import Backend
+from beamloom.routing.tokens.cold_starts import ColdStartGate
 from beamloom.routing.tokens.records import BackendState
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 
@@ -56,9 +57,19 @@
 
 
 class Placement:
-    """Chooses backends for one node in `zone`; ties are broken by `chance`."""
+    """Chooses backends for one node in `zone`; ties are broken by `chance`.
 
-    def __init__(self, zone: str, settings: PlacementSettings, chance: random.Random) -> None:
+    Cold backends are passed over as `cold_starts` says; without it they count as all others.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        settings: PlacementSettings,
+        chance: random.Random,
+        cold_starts: ColdStartGate | None = None,
+    ) -> None:
+        self._cold_starts = cold_starts
         self._zone = zone
         self._settings = settings
         self.chance = chance
@@ -71,14 +82,44 @@
         `tried` ones got an earlier copy of the opening packet and did not answer it.
         """
         ready = [backend for backend in backends if backend.takes_flows]
+        cold: list[Backend] = []
+        if self._cold_starts is not None:
+            cold = [backend for backend in ready if backend.cold_until > now]
+            ready = [backend for backend in ready if backend.cold_until <= now]
         fresh = [backend for backend in ready if backend not in tried]
         answering = [backend for backend in fresh if not self._is_suspect(backend, now)]
+        if cold and not any(map(_has_room, answering)):
+            answering += self._open_to_cold(cold, tried, now)
         for candidates in (answering, fresh, ready):
             if candidates:
                 return self._cheapest(candidates, now)
         lately_gone = [backend for backend in backends if self._is_lately_gone(backend, now)]
         return self._cheapest(lately_gone, now) if lately_gone else None
 
+    def waits_for_cold(self, backends: Collection[Backend], now: float) -> bool:
+        """Whether a cold backend may take a flow before long, though none may take it now."""
+        return self._cold_starts is not None and any(
+            backend.takes_flows and backend.cold_until > now for backend in backends
+        )
+
+    def note_opening(self, backend: Backend, now: float) -> None:
+        """Count an opening packet that goes to a backend, where cold ones are limited."""
+        if self._cold_starts is not None and backend.cold_until > now:
+            self._cold_starts.note_opening(backend, now)
+
+    def _open_to_cold(
+        self, cold: list[Backend], tried: Collection[Backend], now: float
+    ) -> list[Backend]:
+        """Return the cold backends at which this node may open a flow now."""
+        assert self._cold_starts is not None
+        return [
+            backend
+            for backend in cold
+            if backend not in tried
+            and not self._is_suspect(backend, now)
+            and self._cold_starts.allows(backend, now)
+        ]
+
     def _is_suspect(self, backend: Backend, now: float) -> bool:
         return self._settings.avoids_suspects and backend.suspect_until > now
 
@@ -86,6 +127,7 @@
         return (
             backend.gone_at is not None
             and not backend.evacuated
+            and not (self._cold_starts is not None and backend.cold_until > now)
             and backend.record.state is BackendState.READY
             and now - backend.gone_at < self._settings.gone_grace_seconds
         )
@@ -114,3 +156,8 @@
         if backend.record.zone != self._zone:
             cost += settings.other_zone_surcharge
         return cost
+
+
+def _has_room(backend: Backend) -> bool:
+    """Whether a backend has a free slot, as far as this node sees."""
+    return backend.pending + backend.busy < max(1, backend.record.slots)
--- a/src/beamloom/routing/tokens/records.py
+++ b/src/beamloom/routing/tokens/records.py
@@ -57,9 +57,18 @@
     zone: str
 
 
+class ServiceWarmUp(NamedTuple):
+    """How backends of a service start: cold for `seconds`, when each bears so many requests."""
+
+    service: str
+    seconds: float
+    requests_per_second: float
+
+
 class RoutingConfiguration(NamedTuple):
     """One version of the routes. A flow that rests for `idle_seconds` may be forgotten."""
 
     version: int
     routes: tuple[RouteRecord, ...]
     idle_seconds: float = DEFAULT_IDLE_SECONDS
+    warm_ups: tuple[ServiceWarmUp, ...] = ()
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -39,6 +39,9 @@
 numbers of the other. Clients send copies after 0.2 s at the earliest.
 """
 
+LAST_COPY = 2
+"""Clients send two copies of an opening packet, after 0.2 and 0.6 s (the platform's protocol)."""
+
 
 def ignore_decision(_decision: Decision) -> None:
     """Take a decision nobody wants to hear of."""
@@ -75,6 +78,7 @@
         taken = self.routes.put_in_force(configuration)
         if taken:
             self.flows.idle_seconds = configuration.idle_seconds
+            self.backends.use_warm_ups(configuration.warm_ups)
         return taken
 
     def handle(self, packet: ClientPacket, now: float) -> RouterCommand:
@@ -99,18 +103,37 @@
             return self._forward(packet, flow.backend, flow.token)
         if flow is not None and self._keeps_copy(flow, now):
             token = codec.mint(packet.flow, flow.backend.record.identity)
+            self._placement.note_opening(flow.backend, now)
             return self._forward(packet, flow.backend, token)
         backend = self._choose(route, _tried_before(flow), now)
         if backend is None:
-            if packet.acknowledged:
-                return self._drop(packet, DropReason.NO_BACKEND_FOR_COPY)
-            return self._refuse_opening(packet, RefusalReason.NO_BACKEND)
+            return self._open_nowhere(packet, route, flow, now)
         self._tell_placed(packet, route, backend, now)
+        self._placement.note_opening(backend, now)
         self.flows.note_opening(packet.flow, backend, now)
         self.counters["opening_copies" if packet.acknowledged else "openings"] += 1
         token = codec.mint(packet.flow, backend.record.identity)
         return self._forward(packet, backend, token)
 
+    def _open_nowhere(
+        self, packet: ClientPacket, route: ActiveRoute, flow: ObservedFlow | None, now: float
+    ) -> RouterCommand:
+        """Answer an opening that no backend may take now.
+
+        Where cold backends may take it a moment later, its copies are waited for, but for the last.
+        """
+        if flow is not None:
+            return self._drop(packet, DropReason.NO_BACKEND_FOR_COPY)
+        waits = any(
+            self._placement.waits_for_cold(self.backends.of_service(part.service), now)
+            for part in route.record.parts
+        )
+        if waits and packet.acknowledged < LAST_COPY:
+            return self._drop(packet, DropReason.COLD_BACKENDS)
+        if packet.acknowledged and not waits:
+            return self._drop(packet, DropReason.NO_BACKEND_FOR_COPY)
+        return self._refuse_opening(packet, RefusalReason.NO_BACKEND)
+
     def _keeps_copy(self, flow: ObservedFlow, now: float) -> bool:
         """Whether a copy of a flow's opening packet goes where the last one went."""
         if flow.backend.evacuated:
--- a/src/beamloom/runtime/gradual_import.py
+++ b/src/beamloom/runtime/gradual_import.py
@@ -37,6 +37,7 @@
     "beamloom.node.view_codecs",
     "beamloom.replication.peer_table",
     "beamloom.replication.view_exchange",
+    "beamloom.replication.fleet_share",
 )
 """What joining the peers imports, each after what it needs itself, so that each step is short."""
 
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -87,6 +87,7 @@
             mechanisms=mechanisms,
             evacuation_times=_evacuation_times(settings, mechanisms),
             known_zones=settings.zones,
+            cold_starts=settings.cold_starts,
         )
         self.core.on_progress = self._note_ready
         self.follower = StoreFollower(settings, self.core, self.decisions, chance, mechanisms)
--- a/src/beamloom/settings/token_node.py
+++ b/src/beamloom/settings/token_node.py
@@ -20,6 +20,17 @@
         return (self.host, self.port)
 
 
+class ColdStartLimits(NamedTuple):
+    """What all nodes together may send a cold backend in any second.
+
+    That is `rate * excess_factor + slack_requests`; the configuration tells each service's rate, in
+    requests a second.
+    """
+
+    excess_factor: float
+    slack_requests: float
+
+
 class TokenNodeSettings(NamedTuple):
     """Addresses and bounds of one node; bounds are in seconds.
 
@@ -29,7 +40,8 @@
     `flow_seconds`. After SIGTERM a node has `stop_seconds`. `cores` and `link_megabits` (a second)
     are what the machine can do. A zone that is evacuated gets no new flows after
     `evacuate_seconds`; None where operators cannot ask for that. `zones` are those of the
-    deployment, as far as told.
+    deployment, as far as told. `cold_starts` limits what backends get while they are cold; None
+    where the deployment does not.
     """
 
     node: str
@@ -50,6 +62,7 @@
     link_megabits: float = 1000.0
     evacuate_seconds: float | None = None
     zones: tuple[str, ...] = ()
+    cold_starts: ColdStartLimits | None = None
 
 
 FIELDS_OF_A_START = frozenset(
@@ -65,6 +78,7 @@
         "drain_seconds",
         "contact_seconds",
         "evacuate_seconds",
+        "cold_starts",
         "cores",
         "link_megabits",
     }
--- a/tests/unit/tokens/builders.py
+++ b/tests/unit/tokens/builders.py
@@ -1,8 +1,11 @@
 """Records and packets for tests of the token router."""
 
 import random
+from collections.abc import Iterable
 
 from beamloom.node.token_core import TokenCore
+from beamloom.replication.fleet_share import FleetShare
+from beamloom.replication.peer_table import PeerTable
 from beamloom.replication.reading_times import evacuation_reading_times, reading_times
 from beamloom.replication.store_view import NamedRecord, ObjectChange
 from beamloom.routing.tokens.decisions import Decision
@@ -148,6 +151,14 @@
     )
 
 
+def settled_share(host: str, hosts: Iterable[str], count: int) -> FleetShare:
+    """Return the share of a node that has long known these hosts."""
+    peers = PeerTable(host, (), random.Random(1))
+    for other in hosts:
+        peers.note(other, 0.0, 0.0)
+    return FleetShare(peers, count, float("-inf"))
+
+
 def make_core(mechanisms: Mechanisms, *records: BackendRecord) -> TokenCore:
     """Return a core that knows the backends and routes DESTINATION, neither confirmed."""
     core = new_core(mechanisms)
--- a/tests/unit/tokens/test_evacuation.py
+++ b/tests/unit/tokens/test_evacuation.py
@@ -44,31 +44,31 @@
 class RoutingTest(unittest.TestCase):
     def setUp(self) -> None:
         self.router = make_router(backend(1), backend(2, zone="east"))
-        self.router.backends.evacuate(frozenset({ZONE}))
+        self.router.backends.evacuate(frozenset({ZONE}), START)
 
     def test_new_flows_go_to_other_zones(self) -> None:
         for client in range(20):
             self.assertEqual(forwarded_to(self.router.handle(opening(client), START)), 2)
 
     def test_open_flows_stay(self) -> None:
-        self.router.backends.evacuate(frozenset())
+        self.router.backends.evacuate(frozenset(), START)
         command = self.router.handle(opening(1), START)
         assert not isinstance(command, ResetFlow)
         token = command.token  # type: ignore[union-attr]
         data = packet(1, PacketKind.DATA, token=token, data_length=9)
         chosen = forwarded_to(self.router.handle(data, START + 0.1))
-        self.router.backends.evacuate(frozenset({ZONE, "east"}))
+        self.router.backends.evacuate(frozenset({ZONE, "east"}), START)
         self.assertEqual(forwarded_to(self.router.handle(data, START + 1.0)), chosen)
 
     def test_a_copy_of_an_opening_leaves_an_evacuated_zone(self) -> None:
-        self.router.backends.evacuate(frozenset())
+        self.router.backends.evacuate(frozenset(), START)
         first = forwarded_to(self.router.handle(opening(1), START))
         zone = {1: ZONE, 2: "east"}[first]
-        self.router.backends.evacuate(frozenset({zone}))
+        self.router.backends.evacuate(frozenset({zone}), START)
         self.assertNotEqual(forwarded_to(self.router.handle(opening(1, 1), START + 0.01)), first)
 
     def test_where_nothing_is_left_a_flow_is_refused_at_once(self) -> None:
-        self.router.backends.evacuate(frozenset({ZONE, "east"}))
+        self.router.backends.evacuate(frozenset({ZONE, "east"}), START)
         command = self.router.handle(opening(1), START)
         assert isinstance(command, ResetFlow)
         self.assertIs(command.reason, RefusalReason.NO_BACKEND)
@@ -77,7 +77,7 @@
         self.router.backends.remove(backend(2).name, START)
         self.router.backends.remove(backend(1).name, START)
         self.assertEqual(forwarded_to(self.router.handle(opening(1), START + 0.1)), 2)
-        self.router.backends.evacuate(frozenset({ZONE, "east"}))
+        self.router.backends.evacuate(frozenset({ZONE, "east"}), START)
         self.assertIsInstance(self.router.handle(opening(2), START + 0.1), ResetFlow)
 
     def test_backends_that_come_or_move_later_are_evacuated_as_well(self) -> None:
@@ -90,7 +90,7 @@
     def setUp(self) -> None:
         self.follower = make_follower(known_zones=("west", "east"))
         self.zones: list[set[str]] = []
-        self.follower.on_zones = lambda zones: self.zones.append(set(zones))
+        self.follower.on_zones = lambda zones, now: self.zones.append(set(zones))
 
     def test_it_holds_until_it_is_removed(self) -> None:
         self.follower.apply((evacuation("west"),), START)
