Check backends that seem dead, and end the flows of dead ones at once

Change: unanswered openings, repeated or quiet requests, a lost entry or a peer's report make a node connect to the backend's address. Refused or silent: its open flows here are reset, idle ones too, peers are told at once and check for themselves. Copies of openings go to another zone first; a client that opens again at once gets another backend (removed again later). Flows of a backend whose address has passed on are reset without waiting for a packet.

Ruled out: resets by packets' evidence alone (a full queue looks the same), a request for health (takes a slot, may lie).

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -26,6 +26,8 @@
 )
 from beamloom.routing.tokens.configuration_history import ConfigurationHistory
 from beamloom.routing.tokens.decisions import Decision
+from beamloom.routing.tokens.liveness import CheckOutcome, LivenessChecks, Suspicion
+from beamloom.routing.tokens.packets import RefusalReason
 from beamloom.routing.tokens.placement import Placement, PlacementSettings
 from beamloom.routing.tokens.records import BackendRecord, RoutingConfiguration
 from beamloom.routing.tokens.router import TokenRouter
@@ -81,6 +83,14 @@
     def suspected(self, backend: str, service: str, age: float) -> None:
         """Hear that nodes found a backend silent, the last `age` seconds ago."""
 
+    @abstractmethod
+    def backend_down(self, record: BackendRecord, outcome: CheckOutcome, flows: int) -> None:
+        """Hear that a check found a backend dead, and how many of its flows were ended."""
+
+    @abstractmethod
+    def backend_up(self, record: BackendRecord) -> None:
+        """Hear that a backend that was found dead can be reached again."""
+
     @abstractmethod
     def reader_duty(self, reading: bool) -> None:
         """Hear that this node has become a reader of the store, or is one no longer."""
@@ -118,7 +128,14 @@
             Placement(zone, placement or PlacementSettings(), chance, self._cold_starts),
             observer.decision,
             moves_copies=mechanisms.other_backend_for_copies,
+            leaves_zones=mechanisms.other_zone_for_copies,
+            notes_reopenings=mechanisms.reopenings,
         )
+        self.checks = LivenessChecks()
+        if mechanisms.liveness_checks:
+            self.checks.on_down = self._note_down
+            self.checks.on_up = self._note_up
+            self.router.flows.on_suspicion = self.checks.suspect
         self.router.may_refuse = False
         self.router.flows.on_unanswered = self._tell_unanswered
         self.duty = ReaderDuty(reader_id, chance, times, mechanisms)
@@ -209,6 +226,8 @@
         peers = PeerTable(host, seeds, self._chance, self._zone)
         self.exchange = ViewExchange(views, peers, self.duty, self._chance)
         self.exchange.on_silent = self._suspect
+        if self._mechanisms.liveness_checks:
+            self.exchange.on_down = self._take_down_report
         if self._cold_starts is not None:
             share = FleetShare(peers, SENDERS_OF_A_BACKEND, self._now)
             self._cold_starts.is_sender = share.holds
@@ -241,6 +260,7 @@
         self._advanced_at = self._now = now
         self._judge_refusals(now)
         self.router.advance(now)
+        self.checks.advance(now)
         self.duty.peer_count = 0 if self.exchange is None else len(self.exchange.peers)
         if self.duty.advance(now, joined=self.exchange is not None):
             self._observer.reader_duty(self.duty.reading)
@@ -304,6 +324,29 @@
         if self.exchange is not None and tells:
             self.exchange.note_silent(backend.record.name, now)
 
+    def _note_down(self, backend: Backend, outcome: CheckOutcome, now: float) -> None:
+        """End the flows of a backend that a check found dead, and let others check it too."""
+        flows = self.router.end_flows(backend, RefusalReason.BACKEND_DOWN)
+        self._observer.backend_down(backend.record, outcome, flows)
+        if self.exchange is not None:
+            self.exchange.note_down(backend.record.name, now)
+        service = self.router.backends.of_service(backend.record.service)
+        self.checks.check_zone(service, backend.record.zone, now)
+
+    def _note_up(self, backend: Backend, _now: float) -> None:
+        self._observer.backend_up(backend.record)
+
+    def _take_down_report(self, name: str) -> None:
+        """Check a backend that another node found dead; pass it over where no flow is open here."""
+        backend = self.router.backends.find(name)
+        if backend is None:
+            return
+        if backend.open:
+            self.checks.suspect(backend, Suspicion.REPORTED, self._now)
+        else:
+            until = self._now + SUSPECT_BY_PEERS_SECONDS
+            self.router.backends.suspect(name, self._now, until)
+
     def _suspect(self, backend: str, since: float) -> None:
         """Pass over what several nodes have found silent."""
         suspected = self.router.backends.suspect(backend, since, since + SUSPECT_BY_PEERS_SECONDS)
@@ -351,6 +394,8 @@
                 if gone is not None:
                     service = gone.record.service
                     self._observer.backend_gone(change.name, service, change.revision, source)
+                    if gone.open:
+                        self.router.flows.on_suspicion(gone, Suspicion.GONE, self._now)
             elif self.router.backends.update(change.record, change.revision, self._now):
                 self._observer.backend_changed(change.record, change.revision, source)
         self.on_progress()
--- a/src/beamloom/platform/packet_layout.py
+++ b/src/beamloom/platform/packet_layout.py
@@ -12,6 +12,8 @@
 _READ_FIELDS = struct.Struct("!12xIIHI4xB3x")
 """Of a head: seq, ack, len, echo, flags."""
 _FLOW = slice(0, 12)
+_FLOW_FIELDS = struct.Struct("!4sH4sH")
+"""Of a flow: dst, sport, src, dport."""
 _CLIENT_ADDRESS = slice(6, 10)
 _ECHO_OFFSET = 22
 _ECHO_END = 26
@@ -42,7 +44,15 @@
         kind = PacketKind.DATA
     destination = data[0:4] + data[10:12]
     return ClientPacket(
-        kind, data[_FLOW], destination, echo, sequence, acknowledged, data_length, data
+        kind,
+        data[_FLOW],
+        destination,
+        echo,
+        sequence,
+        acknowledged,
+        data_length,
+        data,
+        data[_CLIENT_ADDRESS],
     )
 
 
@@ -66,9 +76,8 @@
 
 
 def encode_reset(command: ResetFlow) -> bytes:
-    """Return the reset that answers a client's packet."""
-    packet = command.packet
-    destination, client_port, client, service_port = struct.unpack_from("!4sH4sH", packet.data)
+    """Return the packet that resets a client's flow."""
+    destination, client_port, client, service_port = _FLOW_FIELDS.unpack(command.flow)
     return HEAD.pack(
         client,
         service_port,
@@ -84,14 +93,14 @@
     )
 
 
-def client_host(packet: ClientPacket) -> str:
-    """Return the address of the client's end, as text."""
-    return ".".join(str(byte) for byte in packet.data[_CLIENT_ADDRESS])
+def client_host(flow: bytes) -> str:
+    """Return the address of the client's end of a flow, as text."""
+    return _dotted(flow[_CLIENT_ADDRESS])
 
 
 def describe_flow(flow: bytes) -> str:
     """Return a flow's id as logs show it: client address and port, then destination."""
-    destination, client_port, client, service_port = struct.unpack("!4sH4sH", flow)
+    destination, client_port, client, service_port = _FLOW_FIELDS.unpack(flow)
     return f"{_dotted(client)}:{client_port}>{_dotted(destination)}:{service_port}"
 
 
--- a/src/beamloom/protocol/view_messages.py
+++ b/src/beamloom/protocol/view_messages.py
@@ -58,3 +58,14 @@
     part: int
     parts: int
     data: bytes
+
+
+@register_message(85, Priority.STATUS)
+@dataclass(frozen=True, slots=True)
+class BackendsDown(Message):
+    """Backends that a check has just found dead, by name; see `replication/down_reports.py`.
+
+    At 560 nodes a report takes about 100 bytes, which each node sends to `FORWARD_PEERS` others.
+    """
+
+    names: list[str]
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -14,7 +14,14 @@
 from typing import Any, NamedTuple
 
 from beamloom.protocol.messages import Message
-from beamloom.protocol.view_messages import NEVER, ViewDigest, ViewPart, ViewRequest
+from beamloom.protocol.view_messages import (
+    NEVER,
+    BackendsDown,
+    ViewDigest,
+    ViewPart,
+    ViewRequest,
+)
+from beamloom.replication.down_reports import DownReports
 from beamloom.replication.peer_table import PeerTable
 from beamloom.replication.reader_duty import ReaderDuty
 from beamloom.replication.shared_view import SharedView
@@ -61,7 +68,8 @@
     """Digests, requests and parts of one node; `take_sends` hands out what is to be sent.
 
     `catch_up_seconds` is from hearing that a peer knows more to knowing it. `on_silent` hears of
-    backends that enough nodes have found silent, and since when.
+    backends that enough nodes have found silent, and since when; `on_down` of those that another
+    node has found dead.
     """
 
     def __init__(
@@ -75,6 +83,8 @@
         self.catch_up_seconds = LatencyHistogram()
         self.peers = peers
         self.on_silent: Callable[[str, float], None] = lambda backend, at: None
+        self.on_down: Callable[[str], None] = lambda backend: None
+        self._down = DownReports()
         self.stops = StopTurns(peers.host)
         self._silence = SilenceReports()
         self._silence_told_at = float("-inf")
@@ -97,6 +107,17 @@
         """Note that a backend did not answer an opening of this node; others hear of it soon."""
         self._take_report(SilenceReport(backend, self._duty.reader_id, now), now)
 
+    def note_down(self, backend: str, now: float) -> None:
+        """Tell others at once that this node has found a backend dead."""
+        self._spread_down(self._down.take_news([backend], now))
+
+    def _spread_down(self, names: list[str]) -> None:
+        if names:
+            message = BackendsDown(names)
+            hosts = self.peers.choose(FORWARD_PEERS)
+            self.counters["down_reports"] += len(hosts)
+            self._sends.extend(SendToHost(host, message) for host in hosts)
+
     def advance(self, now: float) -> None:
         """Send what is new, and the heartbeat if its time has come."""
         if now - self._silence_told_at >= SILENCE_SECONDS and self._silence.take_news():
@@ -162,6 +183,14 @@
                 self._answer_request(host, message)
             case ViewPart():
                 self._take_part(host, message, now)
+            case BackendsDown():
+                self._take_down_reports(message, now)
+
+    def _take_down_reports(self, message: BackendsDown, now: float) -> None:
+        news = self._down.take_news(message.names, now)
+        self._spread_down(news)
+        for backend in news:
+            self.on_down(backend)
 
     def _note_peer(self, host: str, at: float, now: float) -> bool:
         is_new = self.peers.note(host, at, now)
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from beamloom.routing.tokens.answer_pace import AnswerPace
 from beamloom.routing.tokens.records import BackendRecord, BackendState, ServiceWarmUp
@@ -25,15 +25,20 @@
     an answer. `failures` counts openings in a row that were not answered. `stalled` requests have
     been repeated again and again. `ended` means that a later incarnation has its address;
     `forgotten`, that nothing is known of it any more; `evacuated`, that operators evacuate its
-    zone. It may be cold, as after a start, until `cold_until`. `revision` is that of the store's
-    last word on it. `answered_at` is when it last answered an opening, `pace` how long its answers
-    take. Times are in seconds.
+    zone; `down_since`, that a check found it dead. It may be cold, as after a start, until
+    `cold_until`. `revision` is that of the store's
+    last word on it. `answered_at` is when it last answered an opening, `alive_at` when anything
+    last came of it, `pace` how long its answers take. It is not checked before `check_from`; so
+    many checks (`same_outcomes`) in a row told the same. Times are in seconds.
     """
 
     __slots__ = (
+        "alive_at",
         "answered_at",
         "busy",
+        "check_from",
         "cold_until",
+        "down_since",
         "ended",
         "evacuated",
         "failures",
@@ -44,6 +49,7 @@
         "pending",
         "record",
         "revision",
+        "same_outcomes",
         "stalled",
         "suspect_until",
     )
@@ -64,6 +70,10 @@
         self.suspect_until = 0.0
         self.answered_at = float("-inf")
         self.pace = AnswerPace()
+        self.alive_at = float("-inf")
+        self.down_since: float | None = None
+        self.check_from = float("-inf")
+        self.same_outcomes = 0
 
     def note_warm_up(self, record: BackendRecord, now: float) -> None:
         """Take how much longer the backend says that it is cold."""
@@ -78,7 +88,10 @@
 
 
 class BackendTable:
-    """All backends that packets may go to."""
+    """All backends that packets may go to.
+
+    `on_ended` hears of each whose address has passed to a later incarnation.
+    """
 
     def __init__(self) -> None:
         self._by_name: dict[str, Backend] = {}
@@ -88,6 +101,7 @@
         self._swept_at = float("-inf")
         self._evacuated_zones: frozenset[str] = frozenset()
         self._warm_up_seconds: dict[str, float] = {}
+        self.on_ended: Callable[[Backend, float], None] = lambda backend, now: None
 
     def __len__(self) -> int:
         return len(self._by_name)
@@ -96,6 +110,10 @@
         """Return every backend, gone ones among them."""
         return self._by_name.values()
 
+    def find(self, name: str) -> Backend | None:
+        """Return the backend of a name."""
+        return self._by_name.get(name)
+
     def candidates(self, token: int) -> list[Backend]:
         """Return the few backends that a token may have been minted for."""
         return self._by_bucket.get(bucket_of_token(token), [])
@@ -186,6 +204,7 @@
             earlier.ended = True
             if earlier.gone_at is None:
                 earlier.gone_at = now
+            self.on_ended(earlier, now)
         self._by_address[address] = later
 
     def _forget_gone(self, now: float) -> None:
--- a/src/beamloom/routing/tokens/cold_starts.py
+++ b/src/beamloom/routing/tokens/cold_starts.py
@@ -10,6 +10,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
+
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.records import ServiceWarmUp
 from beamloom.settings.token_node import ColdStartLimits
--- a/src/beamloom/routing/tokens/flow_observer.py
+++ b/src/beamloom/routing/tokens/flow_observer.py
@@ -13,6 +13,7 @@
 
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.decisions import Decision, OpeningUnanswered, RequestStalled
+from beamloom.routing.tokens.liveness import Suspicion
 from beamloom.routing.tokens.packets import ClientPacket
 from beamloom.routing.tokens.token import NO_TOKEN
 from beamloom.telemetry.histogram import LatencyHistogram
@@ -21,6 +22,10 @@
 """A backend answers an opening within milliseconds; copies come after 0.2 s."""
 LONGEST_PATIENCE_SECONDS = 1.2
 """A client gives an opening up after 1.4 s."""
+QUIET_SECONDS = 0.3
+"""A client repeats a request after 0.2 s; one that neither repeats it nor acknowledges an answer by
+then was told that its flow is over, by the backend's host or its next owner.
+"""
 LONGEST_SUSPICION_DOUBLINGS = 3
 SUSPECT_AFTER_FAILURES = 2
 STALLED_AFTER_REPEATS = 2
@@ -87,7 +92,7 @@
     `opening_seconds` is from an opening packet to the first one with a token, `answer_seconds` from
     a client's data to the first sign that it got more of an answer. `patience_seconds` grows where
     clients are so far away that their answers to a backend take longer. `on_unanswered` hears of
-    each opening that a backend did not answer.
+    each opening that a backend did not answer, `on_suspicion` of all that makes one suspect.
     """
 
     def __init__(self, on_decision: Callable[[Decision], None]) -> None:
@@ -95,10 +100,12 @@
         self.answer_seconds = LatencyHistogram()
         self.patience_seconds = OPENING_PATIENCE_SECONDS
         self.on_unanswered: Callable[[Backend, float], None] = lambda backend, now: None
+        self.on_suspicion: Callable[[Backend, Suspicion, float], None] = lambda *_: None
         self._on_decision = on_decision
         self.idle_seconds = 15.0
         self._flows: dict[bytes, ObservedFlow] = {}
         self._openings: deque[tuple[float, bytes, Backend]] = deque()
+        self._asked: deque[tuple[float, bytes, int]] = deque()
         self._resting: deque[tuple[float, bytes]] = deque()
 
     def __len__(self) -> int:
@@ -108,6 +115,23 @@
         """Return what is known of a flow."""
         return self._flows.get(key)
 
+    def take_open_flows_of(self, backend: Backend) -> list[tuple[bytes, int]]:
+        """Forget the open flows of a backend; return each with what its client acknowledged."""
+        ended = [
+            (key, flow)
+            for key, flow in self._flows.items()
+            if flow.backend is backend and flow.opened
+        ]
+        for key, flow in ended:
+            del self._flows[key]
+            self._leave(flow)
+        return [(key, flow.acknowledged) for key, flow in ended]
+
+    def next_judgement(self) -> float | None:
+        """Return when `advance` has an opening or a request to judge; None: nothing waits."""
+        times = [waiting[0][0] for waiting in (self._openings, self._asked) if waiting]
+        return min(times, default=None)
+
     def note_opening(self, key: bytes, backend: Backend, now: float) -> None:
         """Note that an opening packet, or a copy of it, went to a backend."""
         flow = self._flows.get(key)
@@ -159,6 +183,8 @@
             flow = self._flows.get(key)
             if flow is not None and flow.backend is backend:
                 self._note_unanswered(key, flow, now)
+        while self._asked and self._asked[0][0] <= now:
+            self._judge_request(*self._asked.popleft()[1:], now)
         while self._resting and self._resting[0][0] <= now:
             _, key = self._resting.popleft()
             flow = self._flows.get(key)
@@ -194,7 +220,7 @@
         backend.open += 1
         backend.failures = 0
         backend.suspect_until = 0.0
-        backend.answered_at = now
+        backend.answered_at = backend.alive_at = now
 
     def _note_misjudged(self, seconds: float) -> None:
         """Be more patient: a backend did answer an opening that counted as unanswered."""
@@ -214,6 +240,7 @@
             backend.suspect_until = now + SUSPECT_SECONDS * 2**doublings
         suspect = backend.suspect_until > now
         self.on_unanswered(backend, now)
+        self.on_suspicion(backend, Suspicion.UNANSWERED_OPENING, now)
         self._on_decision(OpeningUnanswered(key, backend.record.name, backend.failures, suspect))
 
     def _note_data(self, flow: ObservedFlow, packet: ClientPacket, now: float) -> None:
@@ -223,8 +250,10 @@
             self._end_stall(flow)
             flow.sequence = packet.sequence
             flow.asked_at = now
+            self._asked.append((now + QUIET_SECONDS, packet.flow, packet.sequence))
             return
         flow.repeats += 1
+        self.on_suspicion(flow.backend, Suspicion.REPEATED_REQUEST, now)
         if flow.repeats != STALLED_AFTER_REPEATS:
             return
         backend = flow.backend
@@ -236,10 +265,17 @@
             RequestStalled(packet.flow, backend.record.name, flow.repeats, waited, backend.stalled)
         )
 
+    def _judge_request(self, key: bytes, sequence: int, now: float) -> None:
+        """Suspect a backend whose client has neither an answer nor asks for it any more."""
+        flow = self._flows.get(key)
+        if flow is not None and flow.busy and flow.sequence == sequence and not flow.repeats:
+            self.on_suspicion(flow.backend, Suspicion.QUIET_REQUEST, now)
+
     def _note_answer(self, flow: ObservedFlow, now: float) -> None:
         seconds = now - flow.asked_at
         self.answer_seconds.observe(seconds)
         flow.backend.pace.note(seconds, now)
+        flow.backend.alive_at = now
 
     def _end_stall(self, flow: ObservedFlow) -> None:
         if flow.repeats >= STALLED_AFTER_REPEATS:
--- a/src/beamloom/routing/tokens/packets.py
+++ b/src/beamloom/routing/tokens/packets.py
@@ -28,19 +28,21 @@
 class RefusalReason(Enum):
     """Why a flow was answered with a reset.
 
-    BACKEND_ENDED is the only one for a flow that was open: its backend cannot hold it any more.
+    Two are for flows that were open, which their backend cannot hold any more: BACKEND_ENDED, as
+    its address has passed on, and BACKEND_DOWN, as a check found it dead.
     """
 
     NO_ROUTE = "no_route"
     NO_BACKEND = "no_backend"
     BACKEND_ENDED = "backend_ended"
+    BACKEND_DOWN = "backend_down"
 
 
 class ClientPacket(NamedTuple):
     """The fields of one packet. `flow` is its 4-tuple as on the wire, `destination` part of it.
 
     `sequence` and `acknowledged` are those of the client; in an opening packet the latter counts
-    the copies sent before.
+    the copies sent before. `client` is the client's address, as far as the layout tells it.
     """
 
     kind: PacketKind
@@ -51,6 +53,7 @@
     acknowledged: int
     data_length: int
     data: bytes
+    client: bytes = b""
 
 
 class ForwardPacket(NamedTuple):
@@ -63,12 +66,13 @@
 
 
 class ResetFlow(NamedTuple):
-    """Answer a packet with a reset at once: its flow was not opened, or its backend has ended.
+    """Tell a client at once that its flow was not opened, or that its backend has ended.
 
-    `sequence` is what the client expects next of its backend.
+    `flow` is its 4-tuple as in `ClientPacket`, `sequence` what the client expects next of its
+    backend.
     """
 
-    packet: ClientPacket
+    flow: bytes
     reason: RefusalReason
     sequence: int = 0
 
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -56,6 +56,16 @@
     return settings
 
 
+class Tried(NamedTuple):
+    """What has just left a client without an answer: some backends, and perhaps whole zones."""
+
+    backends: Collection[Backend]
+    zones: frozenset[str] = frozenset()
+
+
+NOTHING_TRIED = Tried(())
+
+
 class Placement:
     """Chooses backends for one node in `zone`; ties are broken by `chance`.
 
@@ -74,23 +84,29 @@
         self._settings = settings
         self.chance = chance
 
-    def choose(
-        self, backends: Collection[Backend], tried: Collection[Backend], now: float
-    ) -> Backend | None:
+    def choose(self, backends: Collection[Backend], tried: Tried, now: float) -> Backend | None:
         """Return the backend for a new flow, or None where no backend may take it.
 
-        `tried` ones got an earlier copy of the opening packet and did not answer it.
+        `tried` ones got an earlier copy of the opening packet and did not answer it; other zones
+        come first where some zones are told.
         """
         ready = [backend for backend in backends if backend.takes_flows]
         cold: list[Backend] = []
         if self._cold_starts is not None:
             cold = [backend for backend in ready if backend.cold_until > now]
             ready = [backend for backend in ready if backend.cold_until <= now]
-        fresh = [backend for backend in ready if backend not in tried]
+        fresh = [
+            backend
+            for backend in ready
+            if backend not in tried.backends and backend.down_since is None
+        ]
         answering = [backend for backend in fresh if not self._is_suspect(backend, now)]
         if cold and not any(map(_has_room, answering)):
-            answering += self._open_to_cold(cold, tried, now)
-        for candidates in (answering, fresh, ready):
+            answering += self._open_to_cold(cold, tried.backends, now)
+        elsewhere = answering
+        if tried.zones:
+            elsewhere = [other for other in answering if other.record.zone not in tried.zones]
+        for candidates in (elsewhere, answering, fresh, ready):
             if candidates:
                 return self._cheapest(candidates, now)
         lately_gone = [backend for backend in backends if self._is_lately_gone(backend, now)]
@@ -116,6 +132,7 @@
             backend
             for backend in cold
             if backend not in tried
+            and backend.down_since is None
             and not self._is_suspect(backend, now)
             and self._cold_starts.allows(backend, now)
         ]
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -1,13 +1,14 @@
 """The token router: one packet of a client in, one command out.
 
 An opening packet gets a backend and its token; any other packet is sent where its token says, if
-the token was minted for this flow. No reset goes out on a flow that may be open; where a later
-incarnation has the address of a flow's backend, the flow is over, and its client is told at once.
+the token was minted for this flow. No reset goes out on a flow that may be open; where its backend
+is dead, as a later incarnation has the address or a check says so, the flow is over, and its client
+is told at once.
 """
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 
 from beamloom.routing.tokens.backend_table import Backend, BackendTable
@@ -18,6 +19,7 @@
     PacketDropped,
 )
 from beamloom.routing.tokens.flow_observer import FlowObserver, ObservedFlow
+from beamloom.routing.tokens.liveness import Suspicion
 from beamloom.routing.tokens.packets import (
     ClientPacket,
     DropPacket,
@@ -28,8 +30,9 @@
     ResetFlow,
     RouterCommand,
 )
-from beamloom.routing.tokens.placement import Placement
+from beamloom.routing.tokens.placement import NOTHING_TRIED, Placement, Tried
 from beamloom.routing.tokens.records import RoutingConfiguration
+from beamloom.routing.tokens.reopenings import Opening, Reopenings
 from beamloom.routing.tokens.route_table import ActiveRoute, RouteTable
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
 
@@ -42,6 +45,9 @@
 LAST_COPY = 2
 """Clients send two copies of an opening packet, after 0.2 and 0.6 s (the platform's protocol)."""
 
+MOST_RESETS = 65536
+"""More flows than a node has; the oldest give way, and are told when their next packet comes."""
+
 
 def ignore_decision(_decision: Decision) -> None:
     """Take a decision nobody wants to hear of."""
@@ -53,7 +59,9 @@
     `on_decision` hears of openings, refusals and drops. Before `codec` is set, all is dropped.
     While routes and backends may be out of date, `may_refuse` is to be False: what is not known
     here may be there, so its opening packets are dropped, and their copies judged by what is known
-    then. With `moves_copies`, a copy of an opening packet goes to another backend.
+    then. With `moves_copies`, a copy of an opening packet goes to another backend, with
+    `leaves_zones` in another zone. With `notes_reopenings`, so does a client that opens again at
+    once. `resets` are for flows that have ended without a packet of theirs.
     """
 
     def __init__(
@@ -62,13 +70,20 @@
         on_decision: Callable[[Decision], None] = ignore_decision,
         *,
         moves_copies: bool = True,
+        leaves_zones: bool = True,
+        notes_reopenings: bool = True,
     ) -> None:
         self._moves_copies = moves_copies
+        self._leaves_zones = leaves_zones
+        self._notes_reopenings = notes_reopenings
         self.codec: TokenCodec | None = None
         self.may_refuse = True
         self.routes = RouteTable(placement.chance)
         self.backends = BackendTable()
         self.flows = FlowObserver(on_decision)
+        self.reopenings = Reopenings(self.flows)
+        self.resets: deque[ResetFlow] = deque(maxlen=MOST_RESETS)
+        self.backends.on_ended = self._end_flows_of_ended
         self._on_decision = on_decision
         self.counters: Counter[str] = Counter()
         self._placement = placement
@@ -105,12 +120,15 @@
             token = codec.mint(packet.flow, flow.backend.record.identity)
             self._placement.note_opening(flow.backend, now)
             return self._forward(packet, flow.backend, token)
-        backend = self._choose(route, _tried_before(flow), now)
+        backend = self._choose(route, self._tried_before(packet, flow, now), now)
         if backend is None:
             return self._open_nowhere(packet, route, flow, now)
         self._tell_placed(packet, route, backend, now)
         self._placement.note_opening(backend, now)
         self.flows.note_opening(packet.flow, backend, now)
+        if self._notes_reopenings:
+            opened = Opening(now, packet.flow, backend)
+            self.reopenings.note(packet.client, packet.destination, opened)
         self.counters["opening_copies" if packet.acknowledged else "openings"] += 1
         token = codec.mint(packet.flow, backend.record.identity)
         return self._forward(packet, backend, token)
@@ -142,7 +160,25 @@
             return True
         return not self._moves_copies and flow.backend.takes_flows
 
-    def _choose(self, route: ActiveRoute, tried: Sequence[Backend], now: float) -> Backend | None:
+    def _tried_before(self, packet: ClientPacket, flow: ObservedFlow | None, now: float) -> Tried:
+        """Return which backends have left this client without an answer, and which zones."""
+        if flow is not None:
+            backends = [*flow.tried, flow.backend]
+            return Tried(backends, self._zones_of(backends))
+        if not self._notes_reopenings or not packet.client:
+            return NOTHING_TRIED
+        backends = self.reopenings.unanswered(packet.client, packet.destination, now)
+        for backend in backends:
+            self.flows.on_suspicion(backend, Suspicion.REOPENED, now)
+        refused_twice = len(backends) > 1
+        return Tried(backends, self._zones_of(backends) if refused_twice else frozenset())
+
+    def _zones_of(self, backends: Sequence[Backend]) -> frozenset[str]:
+        if not self._leaves_zones:
+            return frozenset()
+        return frozenset(backend.record.zone for backend in backends)
+
+    def _choose(self, route: ActiveRoute, tried: Tried, now: float) -> Backend | None:
         for part in route.next_parts():
             backends = self.backends.of_service(part.service)
             backend = self._placement.choose(backends, tried, now)
@@ -164,17 +200,37 @@
                 return self._drop(packet, DropReason.UNKNOWN_TOKEN)
             backend = verified
         if backend.ended:
-            return self._end_flow(packet, now)
+            return self._end_flow(packet, RefusalReason.BACKEND_ENDED, now)
+        if backend.down_since is not None:
+            return self._end_flow(packet, RefusalReason.BACKEND_DOWN, now)
         if packet.kind is PacketKind.END:
             self.flows.note_end(packet.flow, now)
         else:
             self.flows.note_packet(packet, backend, now)
         return self._forward(packet, backend, NO_TOKEN)
 
-    def _end_flow(self, packet: ClientPacket, now: float) -> RouterCommand:
-        """Answer a packet of a flow whose backend has ended."""
+    def end_flows(self, backend: Backend, reason: RefusalReason) -> int:
+        """Reset the open flows of a backend that cannot hold them any more; return how many.
+
+        A client that waits is told what else it would learn at its deadline; one that does not
+        opens another flow for its next request.
+        """
+        ended = self.flows.take_open_flows_of(backend)
+        for flow, acknowledged in ended:
+            self.counters[f"refused_{reason.value}"] += 1
+            self.resets.append(ResetFlow(flow, reason, acknowledged))
+            version = self.routes.version
+            service = (backend.record.service,)
+            self._on_decision(FlowRefused(flow, reason, version, 0, service, 0))
+        return len(ended)
+
+    def _end_flows_of_ended(self, backend: Backend, _now: float) -> None:
+        self.end_flows(backend, RefusalReason.BACKEND_ENDED)
+
+    def _end_flow(self, packet: ClientPacket, reason: RefusalReason, now: float) -> RouterCommand:
+        """Answer a packet of a flow whose backend cannot hold it any more."""
         self.flows.note_end(packet.flow, now)
-        return self._refuse(packet, RefusalReason.BACKEND_ENDED, packet.acknowledged)
+        return self._refuse(packet, reason, packet.acknowledged)
 
     def _tell_placed(
         self, packet: ClientPacket, route: ActiveRoute, backend: Backend, now: float
@@ -220,14 +276,10 @@
                 known=sum(len(self.backends.of_service(part.service)) for part in parts),
             )
         )
-        return ResetFlow(packet, reason, sequence)
+        return ResetFlow(packet.flow, reason, sequence)
 
     def _drop(self, packet: ClientPacket, reason: DropReason) -> DropPacket:
         self.counters[f"dropped_{reason.value}"] += 1
         version = self.routes.version
         self._on_decision(PacketDropped(packet.flow, reason, version, packet.token))
         return DropPacket(packet, reason)
-
-
-def _tried_before(flow: ObservedFlow | None) -> list[Backend]:
-    return [] if flow is None else [*flow.tried, flow.backend]
--- /dev/null
+++ b/src/beamloom/runtime/backend_check.py
@@ -0,0 +1,74 @@
+"""Checks over TCP whether anybody listens at a backend's address.
+
+Only a connection is opened and closed: a request for health would take a slot of the backend, and
+what it answers says little of its flows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from beamloom.routing.tokens.backend_table import Backend
+from beamloom.routing.tokens.liveness import CheckOutcome, LivenessChecks
+
+ATTEMPTS = 2
+"""One lost packet must not count as silence."""
+ATTEMPT_SECONDS = 0.15
+"""Some ten times the longest way to a backend and back; by choice."""
+LATE_SECONDS = 0.05
+"""A loop that is later than this may not have seen an answer that was there in time."""
+
+
+class BackendChecker:
+    """Makes the checks that `checks` asks for; `on_done` is called after each outcome."""
+
+    def __init__(
+        self, checks: LivenessChecks, local_host: str, on_done: Callable[[], None]
+    ) -> None:
+        self._checks = checks
+        self._local_host = local_host
+        self._on_done = on_done
+        self._tasks: set[asyncio.Task[None]] = set()
+        checks.begin = self._begin
+
+    def close(self) -> None:
+        """Give up the checks under way."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _begin(self, backend: Backend) -> None:
+        task = asyncio.get_running_loop().create_task(self._check(backend))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check(self, backend: Backend) -> None:
+        outcome = CheckOutcome.UNCLEAR
+        for _ in range(ATTEMPTS):
+            outcome = await _connect(backend.record.address, self._local_host)
+            if outcome is not CheckOutcome.SILENT:
+                break
+        self._checks.take(backend, outcome, asyncio.get_running_loop().time())
+        self._on_done()
+
+
+async def _connect(address: tuple[str, int], local_host: str) -> CheckOutcome:
+    """Try to open a connection once."""
+    loop = asyncio.get_running_loop()
+    due = loop.time() + ATTEMPT_SECONDS
+    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        connection.setblocking(False)
+        connection.bind((local_host, 0))
+        async with asyncio.timeout_at(due):
+            await loop.sock_connect(connection, address)
+    except TimeoutError:
+        return CheckOutcome.SILENT if loop.time() - due < LATE_SECONDS else CheckOutcome.UNCLEAR
+    except (ConnectionRefusedError, ConnectionResetError):
+        return CheckOutcome.REFUSED
+    except OSError:
+        return CheckOutcome.UNCLEAR
+    finally:
+        connection.close()
+    return CheckOutcome.ALIVE
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -17,6 +17,7 @@
     PacketDropped,
     RequestStalled,
 )
+from beamloom.routing.tokens.liveness import CheckOutcome
 from beamloom.routing.tokens.records import BackendRecord
 from beamloom.telemetry.event_log import EventLog, FieldValue
 
@@ -135,6 +136,23 @@
         }
         self._log.record("BackendSuspected", fields)
 
+    def backend_down(self, record: BackendRecord, outcome: CheckOutcome, flows: int) -> None:
+        """Note that a check found a backend dead, and how many of its flows were ended."""
+        self._log.record(
+            "BackendDown",
+            {
+                "backend": record.name,
+                "service": record.service,
+                "zone": record.zone,
+                "outcome": outcome.value,
+                "flows_ended": flows,
+            },
+        )
+
+    def backend_up(self, record: BackendRecord) -> None:
+        """Note that a backend that was found dead can be reached again."""
+        self._log.record("BackendUp", {"backend": record.name, "service": record.service})
+
     def reader_duty(self, reading: bool) -> None:
         """Note that this node has become a reader of the store, or is one no longer."""
         self._log.record("ReaderDuty", {"reading": reading})
--- a/src/beamloom/runtime/packet_socket.py
+++ b/src/beamloom/runtime/packet_socket.py
@@ -12,12 +12,15 @@
     DropReason,
     ForwardPacket,
     PacketKind,
+    ResetFlow,
     RouterCommand,
 )
 from beamloom.routing.tokens.router import TokenRouter
 
 BATCH_SIZE = 64
 LARGEST_DATAGRAM = 2048
+RESETS_AT_ONCE = 100
+"""About 10 ms of a small machine; what is left goes with the next tick. By choice."""
 
 
 class PacketSocket:
@@ -25,7 +28,7 @@
 
     `datagrams` is bound and does not block; clients take resets at the same port number.
     `on_fault` hears of errors of our own; each costs the one packet that met it. `before_batch` is
-    called with the time before each batch of packets.
+    called with the time before each batch of packets, `after_batch` after it.
     """
 
     def __init__(
@@ -34,7 +37,9 @@
         router: TokenRouter,
         on_fault: Callable[[Exception], None],
         before_batch: Callable[[float], None],
+        after_batch: Callable[[], None],
     ) -> None:
+        self._after_batch = after_batch
         self._before_batch = before_batch
         self._client_port = datagrams.getsockname()[1]
         self._router = router
@@ -70,6 +75,10 @@
     def _read_batch(self) -> None:
         now = self._loop.time()
         self._before_batch(now)
+        self._take_batch(now)
+        self._after_batch()
+
+    def _take_batch(self, now: float) -> None:
         receive = self._socket.recv
         for _ in range(BATCH_SIZE):
             try:
@@ -99,8 +108,17 @@
         if isinstance(command, ForwardPacket):
             self._send(packet_layout.encode_forward(command), command.address)
         elif not isinstance(command, DropPacket):
-            client = packet_layout.client_host(command.packet)
-            self._send(packet_layout.encode_reset(command), (client, self._client_port))
+            self._reset(command)
+
+    def send_resets(self) -> None:
+        """Send the resets of flows that have ended by themselves, as many as one call may take."""
+        resets = self._router.resets
+        for _ in range(min(RESETS_AT_ONCE, len(resets))):
+            self._reset(resets.popleft())
+
+    def _reset(self, command: ResetFlow) -> None:
+        client = packet_layout.client_host(command.flow)
+        self._send(packet_layout.encode_reset(command), (client, self._client_port))
 
     def _send(self, data: bytes, address: tuple[str, int]) -> None:
         try:
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -25,6 +25,7 @@
     reading_times,
 )
 from beamloom.routing.tokens.placement import placement_settings
+from beamloom.runtime.backend_check import BackendChecker
 from beamloom.runtime.decision_log import DecisionLog
 from beamloom.runtime.http_client import HttpAnswer
 from beamloom.runtime.http_responder import HttpResponder
@@ -92,8 +93,10 @@
         self.core.on_progress = self._note_ready
         self.follower = StoreFollower(settings, self.core, self.decisions, chance, mechanisms)
         self._packets = PacketSocket(
-            packets, self.core.router, self._note_fault, self._before_packets
+            packets, self.core.router, self._note_fault, self._before_packets, self._judge_later
         )
+        self._checker = BackendChecker(self.core.checks, settings.host, self._send_all)
+        self._judgement: asyncio.TimerHandle | None = None
         self._responder = HttpResponder({store_objects.READINESS_PATH: self._answer_readiness})
         self.loop_lag = LatencyHistogram()
         self._metrics_responder = HttpResponder({METRICS_PATH: self._answer_metrics})
@@ -186,8 +189,25 @@
             self.loop_lag.observe(now - due)
             self.core.advance(now)
             self.follower.advance(now)
+            self._packets.send_resets()
             self.log.flush()
 
+    def _send_all(self) -> None:
+        """Send what the outcome of a check leads to: resets, and word to other nodes."""
+        self._packets.send_resets()
+        self.follower.send()
+
+    def _judge_later(self) -> None:
+        """Judge openings and requests without an answer as soon as their time is over."""
+        due = self.core.router.flows.next_judgement()
+        if due is not None and self._judgement is None:
+            self._judgement = asyncio.get_running_loop().call_at(due, self._judge)
+
+    def _judge(self) -> None:
+        self._judgement = None
+        self.core.router.advance(asyncio.get_running_loop().time())
+        self._judge_later()
+
     def _handle_signals(self) -> None:
         """Obey signals in the loop; the loop's own way would load `inspect` before it is needed."""
         loop = asyncio.get_running_loop()
@@ -199,6 +219,9 @@
             signal.signal(number, partial(_call_in_loop, loop, obey))
 
     def _close(self) -> None:
+        if self._judgement is not None:
+            self._judgement.cancel()
+        self._checker.close()
         self._packets.close()
         self._responder.close()
         self._metrics_responder.close()
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from beamloom.platform.packet_layout import FLAG_RST, FLAG_SYN
 from beamloom.protocol.messages import Message
+from beamloom.routing.tokens.liveness import CheckOutcome
 from beamloom.routing.tokens.records import BackendRecord, BackendState, ZoneEvacuation
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 from beamloom.simulation.clock import VirtualClock
@@ -46,17 +48,25 @@
 """So many times longer joining the peers takes on the slowest machine than on the fastest."""
 STALE_BEHIND = 6
 """Revisions of the store by which stale reads are behind."""
+DARK_SHARE = 0.5
+"""How many of the endpoints that die take their host with them."""
+CHECK_SECONDS = 0.3
+"""How long a node waits for an answer to its connections."""
 SERVE_ON_SECONDS = 4.0
 """How long an endpoint that leaves serves on."""
 
 
 class Endpoint:
-    """A simulated endpoint: the model, where it is, and whether it still runs."""
+    """A simulated endpoint: the model, where it is, and whether it still runs.
+
+    A `dark` one has lost its host with its process.
+    """
 
     def __init__(self, model: TokenEndpoint, record: BackendRecord) -> None:
         self.model = model
         self.record = record
         self.alive = True
+        self.dark = False
 
 
 class TokenFleet:
@@ -200,6 +210,7 @@
     def crash_endpoint(self, endpoint: Endpoint) -> None:
         """Let an endpoint die without a word; the store notices after three heartbeats."""
         endpoint.alive = False
+        endpoint.dark = self.chance.random() < DARK_SHARE
         self.clock.call_later(3.6, self._forget_endpoint, endpoint)
 
     def reuse_address(self, endpoint: Endpoint, service: str) -> None:
@@ -252,6 +263,7 @@
             secret=SECRET,
             forward=lambda data, address: self._send(name, data, address),
             send_message=self._send_message,
+            check_backend=self._check_backend,
             join_seconds=self._join_seconds * self.chance.uniform(1.0, LONGEST_JOIN_FACTOR)
             if self._join_seconds
             else 0.0,
@@ -266,6 +278,18 @@
         if node is not None and node.alive:
             self.clock.call_later(NETWORK_SECONDS, node.take_message, source, message)
 
+    def _check_backend(
+        self, host: str, address: tuple[str, int], take: Callable[[CheckOutcome], None]
+    ) -> None:
+        """Let a node try to connect to an address; where a process is gone, its host refuses."""
+        endpoint = self.endpoints.get(address)
+        if endpoint is not None and endpoint.alive:
+            self.clock.call_later(2 * NETWORK_SECONDS, take, CheckOutcome.ALIVE)
+        elif endpoint is not None and not endpoint.dark:
+            self.clock.call_later(2 * NETWORK_SECONDS, take, CheckOutcome.REFUSED)
+        else:
+            self.clock.call_later(CHECK_SECONDS, take, CheckOutcome.SILENT)
+
     def _send(self, node: str, data: bytes, address: tuple[str, int]) -> None:
         if self._is_lost():
             return
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -18,7 +18,9 @@
 )
 from beamloom.replication.reading_turn import ReadingTurn
 from beamloom.replication.store_view import ObjectChange
+from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.decisions import Decision
+from beamloom.routing.tokens.liveness import CheckOutcome
 from beamloom.routing.tokens.packets import DropPacket, ForwardPacket, PacketKind
 from beamloom.routing.tokens.records import BackendRecord
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
@@ -34,6 +36,8 @@
 
 Forward = Callable[[bytes, tuple[str, int]], None]
 SendMessage = Callable[[str, str, Message], None]
+CheckBackend = Callable[[str, tuple[str, int], Callable[[CheckOutcome], None]], None]
+"""Checks an address for the node at a host, and calls back with the outcome."""
 
 
 class QuietObserver(BeliefObserver):
@@ -70,6 +74,15 @@
         """Count a backend that nodes found silent."""
         self.counters["suspected"] += 1
 
+    def backend_down(self, record: BackendRecord, outcome: CheckOutcome, flows: int) -> None:
+        """Count a backend that a check found dead, and the flows that were ended."""
+        self.counters[f"down_{outcome.value}"] += 1
+        self.counters["flows_ended"] += flows
+
+    def backend_up(self, record: BackendRecord) -> None:
+        """Count a backend that can be reached again."""
+        self.counters["up"] += 1
+
     def reader_duty(self, reading: bool) -> None:
         """Count a duty taken up or given up."""
         self.counters["duty"] += 1
@@ -163,6 +176,7 @@
         secret: bytes,
         forward: Forward,
         send_message: SendMessage,
+        check_backend: CheckBackend,
         join_seconds: float = 0.0,
         mechanisms: Mechanisms = ALL_MECHANISMS,
     ) -> None:
@@ -189,6 +203,9 @@
         self._waiting: list[Callable[[], None]] = []
         self._forward = forward
         self._send_message = send_message
+        self._check_backend = check_backend
+        self._judges = False
+        self.core.checks.begin = self._begin_check
         core = self.core
         self._readers = [
             _Reader(self, BACKENDS, core.backend_watch, core.backend_turn, core.take_backends),
@@ -275,8 +292,41 @@
             self._forward(packet_layout.encode_forward(command), command.address)
         elif not isinstance(command, DropPacket):
             self._forward(
-                packet_layout.encode_reset(command), (packet_layout.client_host(packet), 0)
+                packet_layout.encode_reset(command), (packet_layout.client_host(command.flow), 0)
             )
+        self._judge_later()
+
+    def _judge_later(self) -> None:
+        """Let the router judge what waits as soon as its time is over, as the node does."""
+        due = self.core.router.flows.next_judgement()
+        if due is None or self._judges:
+            return
+        self._judges = True
+        self.clock.call_later(max(0.0, due - self.clock.now), self.when_running, self._judge)
+
+    def _judge(self) -> None:
+        self._judges = False
+        self.core.router.advance(self.clock.now)
+        self._judge_later()
+
+    def _begin_check(self, backend: Backend) -> None:
+        def take(outcome: CheckOutcome) -> None:
+            self.when_running(lambda: self._take_check(backend, outcome))
+
+        self._check_backend(self.host, backend.record.address, take)
+
+    def _take_check(self, backend: Backend, outcome: CheckOutcome) -> None:
+        self.core.checks.take(backend, outcome, self.clock.now)
+        self.send_resets()
+        self.send_messages()
+
+    def send_resets(self) -> None:
+        """Send the resets of flows that have ended without a packet of theirs."""
+        resets = self.core.router.resets
+        while resets:
+            command = resets.popleft()
+            client = packet_layout.client_host(command.flow)
+            self._forward(packet_layout.encode_reset(command), (client, 0))
 
     def _tick(self) -> None:
         if not self.alive:
@@ -287,6 +337,7 @@
         self.core.advance(self.clock.now)
         for reader in self._readers:
             reader.advance()
+        self.send_resets()
         self.send_messages()
 
     def _wake(self) -> None:
--- a/src/beamloom/soak/platform_side.py
+++ b/src/beamloom/soak/platform_side.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import Counter
 from collections.abc import Callable
 
@@ -33,23 +34,43 @@
 """Long enough to see a node that goes on sending new flows, which it may for 3 s."""
 REUSE_SECONDS = 2.0
 HEARTBEATS_SECONDS = 3.6
+LISTEN_BACKLOG = 128
 STALE_BEHIND = 6
 """Revisions of the store by which stale reads are behind."""
 
 
 class SoakEndpoint:
-    """An endpoint on a socket; `alive` False means that its process is gone."""
+    """An endpoint on a socket; `alive` False means that its process is gone.
+
+    `listener` takes connections that ask whether it is there, and serves none.
+    """
 
     def __init__(self, model: TokenEndpoint, record: BackendRecord) -> None:
         self.model = model
         self.record = record
         self.alive = True
         self.socket = bind_datagrams(Endpoint(record.host, record.port))
+        self.listener = socket.create_server((record.host, record.port), backlog=LISTEN_BACKLOG)
+        self.listener.setblocking(False)
+
+    def accept(self) -> None:
+        """Take the connections that wait, and close them."""
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            connection.close()
 
     def end(self) -> None:
         """Let the process be gone."""
         self.alive = False
+        self.close()
+
+    def close(self) -> None:
+        """Leave the address."""
         self.socket.close()
+        self.listener.close()
 
 
 class SoakPlatform:
@@ -86,7 +107,7 @@
     async def close(self) -> None:
         """End store and endpoints."""
         for endpoint in self.endpoints:
-            endpoint.socket.close()
+            endpoint.close()
         await self.server.close()
 
     def disturb_store(self, fault: str, value: object, seconds: float) -> None:
--- a/tests/unit/platform_adapter/test_packet_layout.py
+++ b/tests/unit/platform_adapter/test_packet_layout.py
@@ -27,7 +27,7 @@
         assert packet is not None
         self.assertIs(packet.kind, PacketKind.OPEN)
         self.assertEqual(packet.destination, bytes((198, 18, 0, 1, 0x01, 0xBB)))
-        self.assertEqual(packet_layout.client_host(packet), "100.64.0.7")
+        self.assertEqual(packet_layout.client_host(packet.flow), "100.64.0.7")
         self.assertEqual(
             packet_layout.describe_flow(packet.flow), "100.64.0.7:40001>198.18.0.1:443"
         )
@@ -35,7 +35,7 @@
     def test_the_reset_of_the_example_is_made(self) -> None:
         packet = packet_layout.parse_packet(OPENING)
         assert packet is not None
-        refusal = ResetFlow(packet, RefusalReason.NO_ROUTE)
+        refusal = ResetFlow(packet.flow, RefusalReason.NO_ROUTE)
         self.assertEqual(packet_layout.encode_reset(refusal), RESET)
 
     def test_kinds_by_flags(self) -> None:
--- a/tests/unit/simulation/test_token_fleet.py
+++ b/tests/unit/simulation/test_token_fleet.py
@@ -151,7 +151,7 @@
             command = original(router, packet, now)
             acknowledges = packet.kind is PacketKind.DATA and not packet.data_length
             if isinstance(command, ForwardPacket) and acknowledges and packet.flow[5] == 7:
-                return ResetFlow(packet, RefusalReason.NO_BACKEND)
+                return ResetFlow(packet.flow, RefusalReason.NO_BACKEND)
             return command
 
         with mock.patch.object(TokenRouter, "handle", reset_unknown):
@@ -184,7 +184,7 @@
 
     def test_refusals_although_there_is_a_route_are_seen(self) -> None:
         def refuse(_router: TokenRouter, packet: ClientPacket, *_: object) -> RouterCommand:
-            return ResetFlow(packet, RefusalReason.NO_ROUTE)
+            return ResetFlow(packet.flow, RefusalReason.NO_ROUTE)
 
         with mock.patch.object(TokenRouter, "_open", refuse):
             self.assertIn("configuration", self.play(range(1, 2), faults=0))
