Suspect silent backends sooner; tests of checks; more kinds to play

Cause: a verdict took 0.5 s (logs of a dark zone): 0.2 s until a client repeats, 0.3 s of connections; openings were judged after 0.15 s.

Change: openings make a backend suspect after 0.06 s, an attempt takes 0.1 s.

Endpoints of the soak and the functional tests listen on TCP, as the platform's do; without that a check finds them dead. every_kind plays burst, false health, cuts of servers, zone cuts, one-way paths, cold returns and evacuations; variants with cold rates.

--- a/src/beamloom/routing/tokens/flow_observer.py
+++ b/src/beamloom/routing/tokens/flow_observer.py
@@ -20,6 +20,8 @@
 
 OPENING_PATIENCE_SECONDS = 0.15
 """A backend answers an opening within milliseconds; copies come after 0.2 s."""
+SUSPICION_SHARE = 0.4
+"""A backend is checked after this part of the patience: a check costs less than a judgement."""
 LONGEST_PATIENCE_SECONDS = 1.2
 """A client gives an opening up after 1.4 s."""
 QUIET_SECONDS = 0.3
@@ -105,6 +107,7 @@
         self.idle_seconds = 15.0
         self._flows: dict[bytes, ObservedFlow] = {}
         self._openings: deque[tuple[float, bytes, Backend]] = deque()
+        self._unproved: deque[tuple[float, bytes, Backend]] = deque()
         self._asked: deque[tuple[float, bytes, int]] = deque()
         self._resting: deque[tuple[float, bytes]] = deque()
 
@@ -129,7 +132,8 @@
 
     def next_judgement(self) -> float | None:
         """Return when `advance` has an opening or a request to judge; None: nothing waits."""
-        times = [waiting[0][0] for waiting in (self._openings, self._asked) if waiting]
+        queues = (self._unproved, self._openings, self._asked)
+        times = [waiting[0][0] for waiting in queues if waiting]
         return min(times, default=None)
 
     def note_opening(self, key: bytes, backend: Backend, now: float) -> None:
@@ -147,6 +151,7 @@
         if flow.opening_at is None:
             flow.opening_at = now
         self._openings.append((now + self.patience_seconds, key, backend))
+        self._unproved.append((now + SUSPICION_SHARE * self.patience_seconds, key, backend))
 
     def note_packet(self, packet: ClientPacket, backend: Backend, now: float) -> None:
         """Note a packet of an open flow that went to a backend by its token."""
@@ -178,6 +183,8 @@
 
     def advance(self, now: float) -> None:
         """Judge openings whose time is over and forget flows that have rested too long."""
+        while self._unproved and self._unproved[0][0] <= now:
+            self._judge_opening(*self._unproved.popleft()[1:], now)
         while self._openings and self._openings[0][0] <= now:
             _, key, backend = self._openings.popleft()
             flow = self._flows.get(key)
@@ -240,7 +247,6 @@
             backend.suspect_until = now + SUSPECT_SECONDS * 2**doublings
         suspect = backend.suspect_until > now
         self.on_unanswered(backend, now)
-        self.on_suspicion(backend, Suspicion.UNANSWERED_OPENING, now)
         self._on_decision(OpeningUnanswered(key, backend.record.name, backend.failures, suspect))
 
     def _note_data(self, flow: ObservedFlow, packet: ClientPacket, now: float) -> None:
@@ -265,6 +271,12 @@
             RequestStalled(packet.flow, backend.record.name, flow.repeats, waited, backend.stalled)
         )
 
+    def _judge_opening(self, key: bytes, backend: Backend, now: float) -> None:
+        """Suspect a backend that has not answered an opening yet."""
+        flow = self._flows.get(key)
+        if flow is not None and flow.backend is backend and flow.phase is FlowPhase.OPENING:
+            self.on_suspicion(backend, Suspicion.UNANSWERED_OPENING, now)
+
     def _judge_request(self, key: bytes, sequence: int, now: float) -> None:
         """Suspect a backend whose client has neither an answer nor asks for it any more."""
         flow = self._flows.get(key)
--- a/src/beamloom/runtime/backend_check.py
+++ b/src/beamloom/runtime/backend_check.py
@@ -15,9 +15,9 @@
 
 ATTEMPTS = 2
 """One lost packet must not count as silence."""
-ATTEMPT_SECONDS = 0.15
-"""Some ten times the longest way to a backend and back; by choice."""
-LATE_SECONDS = 0.05
+ATTEMPT_SECONDS = 0.1
+"""More than ten times the longest way to a backend and back; by choice."""
+LATE_SECONDS = 0.03
 """A loop that is later than this may not have seen an answer that was there in time."""
 
 
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -50,7 +50,7 @@
 """Revisions of the store by which stale reads are behind."""
 DARK_SHARE = 0.5
 """How many of the endpoints that die take their host with them."""
-CHECK_SECONDS = 0.3
+CHECK_SECONDS = 0.2
 """How long a node waits for an answer to its connections."""
 SERVE_ON_SECONDS = 4.0
 """How long an endpoint that leaves serves on."""
--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -189,7 +189,7 @@
             await asyncio.sleep(STEP_SECONDS)
 
     def _serve(self, endpoint: SoakEndpoint, now: float) -> None:
-        endpoint.accept()
+        endpoint.listener.accept()
         packets = endpoint.model.advance(now)
         for data, host in _drain_socket(endpoint.socket):
             forwarded = decode_forwarded(data)
--- a/src/beamloom/soak/platform_side.py
+++ b/src/beamloom/soak/platform_side.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections import Counter
 from collections.abc import Callable
 
@@ -24,6 +23,7 @@
     first_routes,
 )
 from beamloom.simulation.tokens.oracle import TokenOracle
+from beamloom.standins.listener import Listener
 from beamloom.standins.token_endpoint import TokenEndpoint
 from beamloom.standins.token_store import TokenStore
 from beamloom.standins.token_store_server import TokenStoreFaults, TokenStoreServer
@@ -34,7 +34,6 @@
 """Long enough to see a node that goes on sending new flows, which it may for 3 s."""
 REUSE_SECONDS = 2.0
 HEARTBEATS_SECONDS = 3.6
-LISTEN_BACKLOG = 128
 STALE_BEHIND = 6
 """Revisions of the store by which stale reads are behind."""
 
@@ -50,17 +49,7 @@
         self.record = record
         self.alive = True
         self.socket = bind_datagrams(Endpoint(record.host, record.port))
-        self.listener = socket.create_server((record.host, record.port), backlog=LISTEN_BACKLOG)
-        self.listener.setblocking(False)
-
-    def accept(self) -> None:
-        """Take the connections that wait, and close them."""
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            connection.close()
+        self.listener = Listener(record.host, record.port)
 
     def end(self) -> None:
         """Let the process be gone."""
--- a/tests/functional/test_packet_socket.py
+++ b/tests/functional/test_packet_socket.py
@@ -41,6 +41,7 @@
             self.router,  # type: ignore[arg-type]
             self.faults.append,
             self.before_batch,
+            lambda: None,
         )
         self.addCleanup(self.packets.close)
         self.sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/tests/functional/token_node_case.py
+++ b/tests/functional/token_node_case.py
@@ -31,6 +31,7 @@
     decode_forwarded,
     decode_packet,
 )
+from beamloom.standins.listener import Listener
 from beamloom.standins.token_client import FlowPlan, TokenClientFlow
 from beamloom.standins.token_endpoint import TokenEndpoint
 from beamloom.standins.token_store import TokenStore
@@ -54,8 +55,14 @@
         self.socket.setblocking(False)
         self.socket.bind((host, 0))
         self.address = self.socket.getsockname()
+        self.listener = Listener(*self.address)
+
+    def close(self) -> None:
+        self.socket.close()
+        self.listener.close()
 
     def step(self) -> None:
+        self.listener.accept()
         packets = self.model.advance(time.monotonic())
         while True:
             try:
@@ -93,7 +100,7 @@
     def add_endpoint(self, number: int, service: str = "tracker") -> EndpointProcess:
         name = f"i-{number:08x}"
         endpoint = EndpointProcess(f"{self.network}.{150 + number}", TokenEndpoint(name, number))
-        self.addCleanup(endpoint.socket.close)
+        self.addCleanup(endpoint.close)
         self.endpoints.append(endpoint)
         self.announce(endpoint, service, BackendState.READY)
         return endpoint
--- a/tests/unit/simulation/test_token_fleet.py
+++ b/tests/unit/simulation/test_token_fleet.py
@@ -179,7 +179,7 @@
             self.assertIn("configuration", self.play(range(100, 104)))
 
     def test_an_evacuation_that_is_not_obeyed_is_seen(self) -> None:
-        with mock.patch.object(BackendTable, "evacuate", lambda _table, _zones: None):
+        with mock.patch.object(BackendTable, "evacuate", lambda *_: None):
             self.assertIn("evacuation", self.play(range(100, 104)))
 
     def test_refusals_although_there_is_a_route_are_seen(self) -> None:
--- /dev/null
+++ b/tests/unit/tokens/test_liveness.py
@@ -0,0 +1,338 @@
+"""Backends that seem dead: when they are checked, and what becomes of their flows."""
+
+import unittest
+
+from beamloom.node.token_core import TokenCore
+from beamloom.protocol.view_messages import BackendsDown
+from beamloom.routing.tokens.backend_table import Backend
+from beamloom.routing.tokens.flow_observer import QUIET_SECONDS
+from beamloom.routing.tokens.liveness import (
+    CHECKS_AT_ONCE,
+    LONGEST_RECHECK_SECONDS,
+    RECHECK_SECONDS,
+    ZONE_DOWN_BACKENDS,
+    CheckOutcome,
+    LivenessChecks,
+    Suspicion,
+)
+from beamloom.routing.tokens.packets import ForwardPacket, PacketKind, RefusalReason, ResetFlow
+from beamloom.settings.mechanisms import ALL_MECHANISMS
+from beamloom.simulation.tokens.deployment import SERVICES, ZONES
+from beamloom.simulation.tokens.fleet import TokenFleet
+from beamloom.standins.token_client import FlowPlan, FlowState
+from tests.unit.tokens.builders import (
+    ZONE,
+    backend,
+    make_core,
+    make_router,
+    opening,
+    packet,
+)
+
+START = 10.0
+
+
+class ChecksTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.checks = LivenessChecks()
+        self.begun: list[Backend] = []
+        self.down: list[tuple[int, CheckOutcome]] = []
+        self.up: list[int] = []
+        self.checks.begin = self.begun.append
+        self.checks.on_down = lambda held, outcome, now: self.down.append(
+            (held.record.identity, outcome)
+        )
+        self.checks.on_up = lambda held, now: self.up.append(held.record.identity)
+        self.backend = Backend(backend(1), 1)
+
+    def test_a_backend_is_checked_once_for_many_suspicions(self) -> None:
+        for step in range(10):
+            self.checks.suspect(self.backend, Suspicion.REPEATED_REQUEST, START + step * 0.01)
+        self.assertEqual(self.begun, [self.backend])
+
+    def test_one_that_lives_is_left_alone_longer_and_longer(self) -> None:
+        now, starts = START, []
+        while now < START + 10.0:
+            self.checks.suspect(self.backend, Suspicion.QUIET_REQUEST, now)
+            if self.begun:
+                starts.append(now)
+                self.begun.clear()
+                self.checks.take(self.backend, CheckOutcome.ALIVE, now)
+            now += 0.1
+        self.assertLessEqual(len(starts), 8)
+        self.assertEqual(self.down, [])
+
+    def test_silence_and_refusal_are_deaths(self) -> None:
+        for number, outcome in ((1, CheckOutcome.SILENT), (2, CheckOutcome.REFUSED)):
+            held = Backend(backend(number), 1)
+            self.checks.suspect(held, Suspicion.UNANSWERED_OPENING, START)
+            self.checks.take(held, outcome, START + 0.3)
+            self.assertEqual(held.down_since, START + 0.3)
+        self.assertEqual(self.down, [(1, CheckOutcome.SILENT), (2, CheckOutcome.REFUSED)])
+
+    def test_a_sign_of_life_during_the_check_outweighs_its_silence(self) -> None:
+        self.checks.suspect(self.backend, Suspicion.REPEATED_REQUEST, START)
+        self.backend.alive_at = START + 0.1
+        self.checks.take(self.backend, CheckOutcome.SILENT, START + 0.3)
+        self.assertEqual((self.down, self.backend.down_since), ([], None))
+
+    def test_an_unclear_check_is_made_again(self) -> None:
+        self.checks.suspect(self.backend, Suspicion.REPEATED_REQUEST, START)
+        self.checks.take(self.backend, CheckOutcome.UNCLEAR, START + 0.3)
+        self.assertEqual(self.down, [])
+        self.backend.open = 1
+        self.checks.advance(START + 0.4)
+        self.assertEqual(len(self.begun), 1)
+
+    def test_one_that_is_listed_is_checked_until_it_is_back(self) -> None:
+        self.checks.suspect(self.backend, Suspicion.REPEATED_REQUEST, START)
+        self.checks.take(self.backend, CheckOutcome.SILENT, START + 0.3)
+        self.checks.advance(START + 0.3 + RECHECK_SECONDS)
+        self.assertEqual(len(self.begun), 2)
+        self.checks.take(self.backend, CheckOutcome.ALIVE, START + 1.0)
+        self.assertEqual((self.up, self.backend.down_since), ([1], None))
+        self.checks.advance(START + 20.0)
+        self.assertEqual(len(self.begun), 2)
+
+    def test_one_that_has_gone_and_lives_is_checked_while_flows_are_open(self) -> None:
+        self.backend.gone_at = START
+        self.backend.open = 2
+        self.checks.suspect(self.backend, Suspicion.GONE, START)
+        self.checks.take(self.backend, CheckOutcome.ALIVE, START + 0.01)
+        self.checks.advance(START + 0.1 + LONGEST_RECHECK_SECONDS)
+        self.assertEqual(len(self.begun), 2)
+        self.checks.take(self.backend, CheckOutcome.ALIVE, START + 2.2)
+        self.backend.open = 0
+        self.checks.advance(START + 20.0)
+        self.assertEqual(len(self.begun), 2)
+
+    def test_only_so_many_at_once(self) -> None:
+        held = [Backend(backend(number), 1) for number in range(1, 30)]
+        for one in held:
+            self.checks.suspect(one, Suspicion.REPORTED, START)
+        self.assertEqual(len(self.begun), CHECKS_AT_ONCE)
+        while self.begun:
+            self.checks.take(self.begun.pop(0), CheckOutcome.SILENT, START + 0.3)
+        self.assertEqual(len(self.down), len(held))
+
+    def test_where_many_of_a_zone_are_down_all_of_it_is_checked(self) -> None:
+        held = [Backend(backend(number), 1) for number in range(1, 8)]
+        held.append(Backend(backend(9, zone="east"), 1))
+        for one in held[:ZONE_DOWN_BACKENDS]:
+            self.checks.suspect(one, Suspicion.UNANSWERED_OPENING, START)
+            self.checks.take(one, CheckOutcome.REFUSED, START + 0.01)
+            self.checks.check_zone(held, ZONE, START + 0.01)
+        self.assertEqual({one.record.identity for one in self.begun}, set(range(1, 8)))
+
+
+class SuspicionTest(unittest.TestCase):
+    """What makes a node check a backend."""
+
+    def setUp(self) -> None:
+        self.router = make_router(backend(1))
+        self.heard: list[Suspicion] = []
+        self.router.flows.on_suspicion = lambda held, why, now: self.heard.append(why)
+        command = self.router.handle(opening(1), START)
+        assert isinstance(command, ForwardPacket)
+        self.token = command.token
+
+    def ask(self, now: float, sequence: int = 1) -> None:
+        data = packet(1, token=self.token, sequence=sequence, data_length=9)
+        self.router.handle(data, now)
+
+    def test_an_opening_without_an_answer(self) -> None:
+        self.router.advance(START + 0.2)
+        self.assertEqual(self.heard, [Suspicion.UNANSWERED_OPENING])
+
+    def test_a_request_that_is_repeated(self) -> None:
+        self.ask(START + 0.01)
+        self.assertEqual(self.heard, [])
+        self.ask(START + 0.21)
+        self.assertEqual(self.heard, [Suspicion.REPEATED_REQUEST])
+
+    def test_a_request_that_neither_gets_an_answer_nor_is_repeated(self) -> None:
+        self.ask(START + 0.01)
+        self.router.advance(START + 0.02 + QUIET_SECONDS)
+        self.assertEqual(self.heard, [Suspicion.QUIET_REQUEST])
+
+    def test_an_answer_clears_it(self) -> None:
+        self.ask(START + 0.01)
+        self.router.handle(packet(1, token=self.token, acknowledged=900), START + 0.05)
+        self.router.advance(START + 1.0)
+        self.assertEqual(self.heard, [])
+
+
+class EndingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.router = make_router(backend(1), backend(2, port=9000))
+        self.tokens = {}
+        for client in (1, 2, 3, 4):
+            command = self.router.handle(opening(client), START)
+            assert isinstance(command, ForwardPacket)
+            self.tokens[client] = command
+            opened = packet(client, token=command.token, acknowledged=70 + client)
+            self.router.handle(opened, START + 0.01)
+
+    def clients_at(self, identity: int) -> list[int]:
+        return [client for client, at in self.tokens.items() if at.identity == identity]
+
+    def held(self, identity: int) -> Backend:
+        found = self.router.backends.find(backend(identity).name)
+        assert found is not None
+        return found
+
+    def test_open_flows_of_a_dead_backend_are_reset_idle_ones_too(self) -> None:
+        count = self.router.end_flows(self.held(1), RefusalReason.BACKEND_DOWN)
+        self.assertEqual(count, 2)
+        expected = {(packet(client).flow, 70 + client) for client in self.clients_at(1)}
+        self.assertEqual({(reset.flow, reset.sequence) for reset in self.router.resets}, expected)
+        self.assertEqual(self.held(1).open, 0)
+        self.assertEqual(self.held(2).open, 2)
+
+    def test_flows_of_a_backend_whose_address_has_passed_on_are_reset_at_once(self) -> None:
+        self.router.backends.update(backend(7, "other", port=8001), 50, START + 5.0)
+        self.assertEqual(len(self.router.resets), 2)
+        self.assertEqual(
+            {reset.reason for reset in self.router.resets}, {RefusalReason.BACKEND_ENDED}
+        )
+
+    def test_a_packet_for_a_dead_backend_is_answered_by_any_node(self) -> None:
+        client = self.clients_at(1)[0]
+        self.held(1).down_since = START + 1.0
+        data = packet(client, token=self.tokens[client].token, data_length=9, acknowledged=5)
+        command = self.router.handle(data, START + 1.1)
+        assert isinstance(command, ResetFlow)
+        self.assertEqual((command.reason, command.sequence), (RefusalReason.BACKEND_DOWN, 5))
+
+    def test_a_dead_backend_gets_new_flows_only_where_no_other_is_left(self) -> None:
+        self.held(1).down_since = START
+        for client in range(20, 30):
+            command = self.router.handle(opening(client), START + 1.0)
+            assert isinstance(command, ForwardPacket)
+            self.assertEqual(command.identity, 2)
+        self.router.backends.remove(backend(2).name, START + 1.0)
+        self.assertIsInstance(self.router.handle(opening(40), START + 1.0), ForwardPacket)
+
+
+class CoreTest(unittest.TestCase):
+    def test_a_peers_word_alone_ends_no_flow(self) -> None:
+        core = make_core_with_flow()
+        held = core.router.backends.find(backend(1).name)
+        assert held is not None
+        begun: list[Backend] = []
+        core.checks.begin = begun.append
+        core.join_peers("10.0.0.1", ())
+        core.handle_message("10.0.0.2", BackendsDown([backend(1).name]), START + 0.5)
+        self.assertEqual((len(core.router.resets), begun), (0, [held]))
+        core.checks.take(held, CheckOutcome.SILENT, START + 1.0)
+        self.assertEqual(len(core.router.resets), 1)
+
+    def test_a_gone_backend_is_checked_where_flows_are_open(self) -> None:
+        core = make_core_with_flow()
+        begun: list[Backend] = []
+        core.checks.begin = begun.append
+        changes = core.backends.replace([], 12)
+        core.take_backends(changes, START + 1.0)
+        self.assertEqual([held.record.identity for held in begun], [1])
+
+
+def make_core_with_flow() -> TokenCore:
+    """Return a core with one open flow, at the backend of number 1."""
+    core = make_core(ALL_MECHANISMS, backend(1))
+    command = core.router.handle(opening(1), START)
+    assert isinstance(command, ForwardPacket)
+    core.router.handle(packet(1, PacketKind.DATA, token=command.token), START + 0.01)
+    return core
+
+
+class ReopeningsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        west = [backend(number) for number in range(1, 9)]
+        east = [backend(number, zone="east") for number in range(11, 14)]
+        self.router = make_router(*west, *east)
+
+    def reopen(self, port: int, now: float, client: bytes = b"abcd") -> int:
+        """Open a flow of one client; return the backend's identity."""
+        command = self.router.handle(opening(port)._replace(client=client), now)
+        assert isinstance(command, ForwardPacket)
+        return command.identity
+
+    def test_the_third_try_leaves_the_zone(self) -> None:
+        for client in range(20):
+            name = bytes([client])
+            ports = range(3 * client, 3 * client + 3)
+            tries = [self.reopen(port, START + 0.003 * port, name) for port in ports]
+            self.assertNotEqual(tries[0], tries[1])
+            self.assertGreater(tries[2], 10)
+
+    def test_other_clients_are_not_concerned(self) -> None:
+        self.reopen(1, START)
+        self.reopen(2, START + 0.005)
+        self.assertLess(self.reopen(3, START + 0.01, client=b"wxyz"), 10)
+
+    def test_who_comes_later_begins_anew(self) -> None:
+        self.reopen(1, START)
+        self.reopen(2, START + 0.005)
+        self.assertLess(self.reopen(3, START + 0.3), 10)
+
+    def test_what_was_opened_is_no_refusal(self) -> None:
+        for port in (1, 2):
+            command = self.router.handle(opening(port)._replace(client=b"abcd"), START)
+            assert isinstance(command, ForwardPacket)
+            self.router.handle(packet(port, token=command.token), START + 0.004)
+        self.assertLess(self.reopen(3, START + 0.01), 10)
+
+    def test_what_seems_to_have_refused_is_checked(self) -> None:
+        heard: list[int] = []
+        self.router.flows.on_suspicion = lambda held, why, now: heard.append(held.record.identity)
+        first = self.reopen(1, START)
+        self.reopen(2, START + 0.005)
+        self.assertEqual(heard, [first])
+
+
+class FleetTest(unittest.TestCase):
+    """Real cores on the virtual clock: who waits on a dead backend, and who is let down."""
+
+    def play(self, seed: int, *, dark: bool) -> TokenFleet:
+        fleet = TokenFleet(seed, nodes=12, endpoints=24)
+        fleet.run(6.0)
+        plan = FlowPlan(requests=40, rest_seconds=0.3, deadline_seconds=3.0)
+        for _ in range(120):
+            fleet.open_flow(1, plan)
+            fleet.run(0.02)
+        for endpoint in fleet.running_endpoints(SERVICES[0]):
+            if endpoint.record.zone == ZONES[seed % 3]:
+                fleet.crash_endpoint(endpoint)
+                endpoint.dark = dark
+        fleet.run(1.5)
+        return fleet
+
+    def test_clients_of_a_dark_zone_are_told_within_a_second_and_a_half(self) -> None:
+        for seed in range(3):
+            for dark in (True, False):
+                with self.subTest(seed=seed, dark=dark):
+                    fleet = self.play(seed, dark=dark)
+                    dead = [one for one in fleet.endpoints.values() if not one.alive]
+                    waiting = [
+                        flow
+                        for flow in fleet.flows.values()
+                        if any(one.model.holds(flow.source) for one in dead)
+                    ]
+                    self.assertEqual(waiting, [])
+                    reset = [flow for flow in fleet.finished if flow.state is FlowState.RESET]
+                    self.assertGreater(len(reset), 20)
+                    self.assertEqual(fleet.oracle.violations, [])
+
+    def test_a_node_that_is_cut_from_peers_and_store_resets_nobody(self) -> None:
+        fleet = TokenFleet(9, nodes=7)
+        fleet.run(6.0)
+        for _ in range(60):
+            fleet.open_flow(1, FlowPlan(requests=10, rest_seconds=0.5))
+            fleet.run(0.02)
+        name = next(iter(fleet.nodes))
+        fleet.cut_from_store(name, 6.0)
+        fleet.cut_from_peers(name, 6.0)
+        fleet.freeze_node(name, 3.0)
+        fleet.run(10.0)
+        self.assertEqual(fleet.oracle.violations, [])
+        self.assertEqual([f for f in fleet.finished if f.state is FlowState.RESET], [])
--- a/tests/unit/tokens/test_mechanisms.py
+++ b/tests/unit/tokens/test_mechanisms.py
@@ -14,6 +14,7 @@
 from beamloom.replication.store_view import StoreView
 from beamloom.replication.view_transfer import pack
 from beamloom.routing.tokens.answer_pace import SAMPLES_NEEDED
+from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.configuration_history import ConfigurationHistory
 from beamloom.routing.tokens.packets import ForwardPacket
 from beamloom.routing.tokens.placement import placement_settings
@@ -108,6 +109,34 @@
     return first.identity == copy.identity
 
 
+def other_zone_for_copies(mechanisms: Mechanisms) -> object:
+    records = [backend(number) for number in range(1, 9)]
+    core = make_core(mechanisms, *records, backend(11, zone="east"))
+    core.router.handle(opening(1), NOW)
+    copy = core.router.handle(opening(1, 1), NOW + 0.2)
+    assert isinstance(copy, ForwardPacket)
+    return copy.identity > 10
+
+
+def reopenings(mechanisms: Mechanisms) -> object:
+    records = [backend(number) for number in range(1, 9)]
+    core = make_core(mechanisms, *records, backend(11, zone="east"))
+    for client in (1, 2):
+        core.router.handle(opening(client)._replace(client=b"abcd"), NOW)
+    third = core.router.handle(opening(3)._replace(client=b"abcd"), NOW + 0.01)
+    assert isinstance(third, ForwardPacket)
+    return third.identity > 10
+
+
+def liveness_checks(mechanisms: Mechanisms) -> object:
+    core = make_core(mechanisms, backend(1))
+    begun: list[Backend] = []
+    core.checks.begin = begun.append
+    core.router.handle(opening(1), NOW)
+    core.router.advance(NOW + 1.0)
+    return len(begun)
+
+
 def told_silence(mechanisms: Mechanisms) -> object:
     core = make_core(mechanisms, backend(1))
     core.join_peers("10.0.0.1", ("10.0.0.2:1",))
@@ -232,6 +261,9 @@
         suspicion,
         gone_grace,
         other_backend_for_copies,
+        other_zone_for_copies,
+        reopenings,
+        liveness_checks,
         told_silence,
         confirmed_refusals,
         few_readers,
--- a/tools/every_kind.py
+++ b/tools/every_kind.py
@@ -31,7 +31,9 @@
 """What a site's file says of the small twin of a day; it is the same for all its days."""
 KEPT_REPORTS = Path("target/every-kind")
 PLANNED = {"release", "scale_out", "scale_in", "roll_term", "add_nodes", "config_change", "hup"}
-PLANNED |= {"config_storm", "big_config"}
+PLANNED |= {"config_storm", "big_config", "evacuate"}
+PLACES_ONLY = {"evacuate"}
+"""Kinds that are open only where a site has the contract `places`."""
 
 TROUBLES = """
 srv_crash share=0.3 for_s=5
@@ -116,6 +118,30 @@
 after_ack_kill for_s=3 how="timed"
 reset_conns share=0.5 x=0.8
 shift share=0.5 for_s=6
+burst x=1.8 for_s=4
+srv_lying_health share=0.15 for_s=6 how="errors"
+srv_lying_health share=0.15 for_s=6 how="bad"
+srv_grey share=0.15 x=0.45 for_s=6 how="shed"
+srv_grey share=0.15 x=0.45 for_s=6 how="busy"
+srv_grey share=0.15 x=0.45 for_s=6 how="reset"
+srv_grey share=0.15 x=9 for_s=6 how="slow"
+srv_cut share=0.3 for_s=5
+srv_cut share=0.3 for_s=5 how="fronts"
+srv_cut share=0.3 for_s=5 how="some lossy"
+srv_cut share=0.3 for_s=5 how="one_way"
+srv_cut share=0.3 for_s=5 how="reborn"
+node_cut share=0.3 for_s=5 how="servers reborn"
+zone_cut for_s=5
+zone_cut for_s=5 how="refuse"
+zone_loss
+one_way for_s=5
+one_way for_s=5 how="all"
+one_way for_s=5 how="all in"
+lossy x=0.04 for_s=6
+cold_return for_s=5
+cold_return for_s=5 how="dark"
+evacuate for_s=8
+evacuate for_s=7 how="warm"
 """.strip().splitlines()
 
 
@@ -157,7 +183,7 @@
         path = derive_site(site, Path(folder), arguments.variant)
         if arguments.standard:
             return _print_table(arguments, site, _play_standard_days(arguments, path))
-        wanted = [Trouble(line) for line in TROUBLES if arguments.only in line]
+        wanted = [trouble for trouble in _open_troubles(site) if arguments.only in trouble.text]
         if arguments.pairs:
             chance = random.Random(arguments.seed)
             days = list(_pairs(path, wanted, arguments.pairs, chance))
@@ -172,6 +198,13 @@
     return _print_table(arguments, site, outcomes)
 
 
+def _open_troubles(site: Path) -> list[Trouble]:
+    """Return the troubles that may befall a site."""
+    has_places = "places" in tomllib.loads(site.read_text())["contracts"]
+    troubles = [Trouble(line) for line in TROUBLES]
+    return [one for one in troubles if has_places or one.kind not in PLACES_ONLY]
+
+
 def _play_standard_days(arguments: argparse.Namespace, site: Path) -> list[Outcome]:
     names = [day["name"] for day in tomllib.loads(site.read_text())["day"]]
     with ThreadPoolExecutor(PARALLEL_RUNS) as pool:
--- a/tools/site_variants.py
+++ b/tools/site_variants.py
@@ -83,6 +83,26 @@
         day["faults"] = [*day.get("faults", ()), trouble]
 
 
+def cold_rate_4(site: Site) -> None:
+    """Let a cold server bear 4 requests a second."""
+    _set_cold_rate(site, 4.0)
+
+
+def cold_rate_10(site: Site) -> None:
+    """Let a cold server bear 10 requests a second."""
+    _set_cold_rate(site, 10.0)
+
+
+def cold_rate_40(site: Site) -> None:
+    """Let a cold server bear 40 requests a second."""
+    _set_cold_rate(site, 40.0)
+
+
+def _set_cold_rate(site: Site, per_second: float) -> None:
+    for service in site["services"]:
+        service["cold_per_s"] = per_second
+
+
 def _scale_deadlines(site: Site, factor: float) -> None:
     for kind in site["classes"]:
         kind["deadline_ms"] = factor * kind["deadline_ms"]
@@ -101,6 +121,9 @@
         double_deadlines,
         slow_links,
         lossy,
+        cold_rate_4,
+        cold_rate_10,
+        cold_rate_40,
     )
 }
 
