Pass over backends that answer with errors

Change: an answer much shorter than its destination usually gives is reported; two nodes' reports pass the backend over for 2 s, a fifth of a service at most.

Open flows stay, which bounds the gain.

Ruled out: a threshold by node (a node of 74 sees one answer of a backend in ten seconds); time alone (labels are as quick as errors).

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -48,6 +48,8 @@
 """`advance` is called four times a second; a node that lags cannot tell who is silent."""
 SUSPECT_BY_PEERS_SECONDS = 2.0
 """How long a backend is passed over that other nodes have found silent."""
+AVOID_FAILING_SECONDS = 2.0
+"""How long after the last report a backend is passed over that answers with errors; by choice."""
 FROM_STORE = "store"
 FROM_PEER = "peer"
 
@@ -87,6 +89,10 @@
     def backend_down(self, record: BackendRecord, outcome: CheckOutcome, flows: int) -> None:
         """Hear that a check found a backend dead, and how many of its flows were ended."""
 
+    @abstractmethod
+    def backend_failing(self, record: BackendRecord) -> None:
+        """Hear that a backend answers several nodes with errors."""
+
     @abstractmethod
     def backend_up(self, record: BackendRecord) -> None:
         """Hear that a backend that was found dead can be reached again."""
@@ -136,6 +142,8 @@
             self.checks.on_down = self._note_down
             self.checks.on_up = self._note_up
             self.router.flows.on_suspicion = self.checks.suspect
+        if mechanisms.error_answers:
+            self.router.flows.on_short_answer = self._tell_short_answer
         self.router.may_refuse = False
         self.router.flows.on_unanswered = self._tell_unanswered
         self.duty = ReaderDuty(reader_id, chance, times, mechanisms)
@@ -226,6 +234,7 @@
         peers = PeerTable(host, seeds, self._chance, self._zone)
         self.exchange = ViewExchange(views, peers, self.duty, self._chance)
         self.exchange.on_silent = self._suspect
+        self.exchange.on_failing = self._avoid_failing
         if self._mechanisms.liveness_checks:
             self.exchange.on_down = self._take_down_report
         if self._cold_starts is not None:
@@ -324,6 +333,18 @@
         if self.exchange is not None and tells:
             self.exchange.note_silent(backend.record.name, now)
 
+    def _tell_short_answer(self, backend: Backend, now: float) -> None:
+        """Tell others of a backend that seems to have answered with an error."""
+        if self.exchange is not None:
+            self.exchange.note_failing(backend.record.name, now)
+
+    def _avoid_failing(self, name: str, since: float) -> None:
+        """Pass over what answers several nodes with errors; its open flows stay."""
+        until = since + AVOID_FAILING_SECONDS
+        failing = self.router.backends.note_failing(name, self._now, until)
+        if failing is not None:
+            self._observer.backend_failing(failing.record)
+
     def _note_down(self, backend: Backend, outcome: CheckOutcome, now: float) -> None:
         """End the flows of a backend that a check found dead, and let others check it too."""
         flows = self.router.end_flows(backend, RefusalReason.BACKEND_DOWN)
--- a/src/beamloom/protocol/view_messages.py
+++ b/src/beamloom/protocol/view_messages.py
@@ -24,7 +24,8 @@
     `readers` holds `[id, milliseconds since the store last answered it]` of nodes that read the
     store; `peers` holds `[host, milliseconds since it was heard]`. `zone` is the sender's.
     `silent` holds `[backend, reporter, milliseconds since]` of openings that were not answered.
-    `stop` is how far the sender's own planned stop is (`StopState`).
+    `stop` is how far the sender's own planned stop is (`StopState`). `failing` holds the same as
+    `silent` of answers that seem to be errors.
     """
 
     views: list[list[int]]
@@ -33,6 +34,7 @@
     zone: str = ""
     silent: list[tuple[str, str, int]] = field(default_factory=list)
     stop: int = 0
+    failing: list[tuple[str, str, int]] = field(default_factory=list)
 
 
 @register_message(81, Priority.CONFIGURATION)
--- a/src/beamloom/replication/silence_reports.py
+++ b/src/beamloom/replication/silence_reports.py
@@ -1,4 +1,4 @@
-"""Which backends do not answer openings, as far as nodes have told each other lately.
+"""Which backends do not answer, or with errors, as far as nodes have told each other lately.
 
 In a large fleet a node opens few flows at a backend, so each node by itself would need seconds, and
 clients' time, to find out what others know. One node's word is not enough: its own way to the
@@ -20,7 +20,7 @@
 
 
 class SilenceReport(NamedTuple):
-    """A node found that a backend did not answer an opening; `at` is in seconds."""
+    """A node found that a backend did not answer an opening, or with an error; `at` in seconds."""
 
     backend: str
     reporter: str
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -68,8 +68,8 @@
     """Digests, requests and parts of one node; `take_sends` hands out what is to be sent.
 
     `catch_up_seconds` is from hearing that a peer knows more to knowing it. `on_silent` hears of
-    backends that enough nodes have found silent, and since when; `on_down` of those that another
-    node has found dead.
+    backends that enough nodes have found silent, and since when, `on_failing` of those that answer
+    enough nodes with errors; `on_down` of those that another node has found dead.
     """
 
     def __init__(
@@ -86,8 +86,10 @@
         self.on_down: Callable[[str], None] = lambda backend: None
         self._down = DownReports()
         self.stops = StopTurns(peers.host)
+        self.on_failing: Callable[[str, float], None] = lambda backend, at: None
         self._silence = SilenceReports()
-        self._silence_told_at = float("-inf")
+        self._failing = SilenceReports()
+        self._reported_at = float("-inf")
         self.views = views
         self._duty = duty
         self._chance = chance
@@ -107,6 +109,10 @@
         """Note that a backend did not answer an opening of this node; others hear of it soon."""
         self._take_report(SilenceReport(backend, self._duty.reader_id, now), now)
 
+    def note_failing(self, backend: str, now: float) -> None:
+        """Note that a backend answered with an error, it seems; others hear of it soon."""
+        self._take_failing(SilenceReport(backend, self._duty.reader_id, now), now)
+
     def note_down(self, backend: str, now: float) -> None:
         """Tell others at once that this node has found a backend dead."""
         self._spread_down(self._down.take_news([backend], now))
@@ -120,9 +126,7 @@
 
     def advance(self, now: float) -> None:
         """Send what is new, and the heartbeat if its time has come."""
-        if now - self._silence_told_at >= SILENCE_SECONDS and self._silence.take_news():
-            self._silence_told_at = now
-            self.announce(now)
+        self._tell_reports(now)
         if self._is_late(now):
             self._send_digest(self.peers.choose(LATE_PEERS), now)
         if now < self._next_heartbeat:
@@ -140,6 +144,14 @@
             host: at for host, at in self._answered.items() if now - at < ANSWER_SECONDS
         }
 
+    def _tell_reports(self, now: float) -> None:
+        if now - self._reported_at < SILENCE_SECONDS:
+            return
+        silent, failing = self._silence.take_news(), self._failing.take_news()
+        if silent or failing:
+            self._reported_at = now
+            self.announce(now)
+
     def _is_late(self, now: float) -> bool:
         """Whether a confirmation should have come by now: peers that have it answer a digest."""
         for shared in self.views:
@@ -204,6 +216,8 @@
             self._take_stop(host, digest.stop, now)
         for backend, reporter, age in digest.silent:
             self._take_report(SilenceReport(backend, reporter, now - age / MILLISECONDS), now)
+        for backend, reporter, age in digest.failing:
+            self._take_failing(SilenceReport(backend, reporter, now - age / MILLISECONDS), now)
         for peer, age in digest.peers:
             self._note_peer(peer, now - age / MILLISECONDS, now)
         behind = False
@@ -243,6 +257,10 @@
         if self._silence.note(report, now):
             self.on_silent(report.backend, report.at)
 
+    def _take_failing(self, report: SilenceReport, now: float) -> None:
+        if self._failing.note(report, now):
+            self.on_failing(report.backend, report.at)
+
     def _is_staler(self, shared: SharedView[Any], at: float) -> bool:
         """Whether a peer's confirmation is so old that this node's own is worth telling."""
         mine = shared.view.confirmed_at
@@ -323,11 +341,22 @@
         readers = [(name, _age(at, now)) for name, at in self._duty.foremost(now)]
         sample = self.peers.sample(now) if names_peers else []
         peers = [(host, int(age * MILLISECONDS)) for host, age in sample]
-        silent = [
-            (report.backend, report.reporter, _age(report.at, now))
-            for report in self._silence.recent(now)
-        ]
-        return ViewDigest(views, readers, peers, self.peers.zone, silent, int(self.stops.state))
+        return ViewDigest(
+            views,
+            readers,
+            peers,
+            self.peers.zone,
+            _told(self._silence, now),
+            int(self.stops.state),
+            _told(self._failing, now),
+        )
+
+
+def _told(reports: SilenceReports, now: float) -> list[tuple[str, str, int]]:
+    """Return reports as a digest holds them."""
+    return [
+        (report.backend, report.reporter, _age(report.at, now)) for report in reports.recent(now)
+    ]
 
 
 def _age(at: float | None, now: float) -> int:
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -14,6 +14,8 @@
 
 SWEEP_SECONDS = 1.0
 MOST_SUSPECTED = 1 / 3
+MOST_FAILING = 1 / 5
+"""The others must bear what these would get; by choice."""
 GONE_BACKEND_SECONDS = 75.0
 """Longer than a flow is kept (60 s)."""
 
@@ -25,11 +27,11 @@
     an answer. `failures` counts openings in a row that were not answered. `stalled` requests have
     been repeated again and again. `ended` means that a later incarnation has its address;
     `forgotten`, that nothing is known of it any more; `evacuated`, that operators evacuate its
-    zone; `down_since`, that a check found it dead. It may be cold, as after a start, until
-    `cold_until`. `revision` is that of the store's
-    last word on it. `answered_at` is when it last answered an opening, `alive_at` when anything
-    last came of it, `pace` how long its answers take. It is not checked before `check_from`; so
-    many checks (`same_outcomes`) in a row told the same. Times are in seconds.
+    zone; `down_since`, that a check found it dead; `failing_until`, that it answers with errors. It
+    may be cold, as after a start, until `cold_until`. `revision` is that of the store's last word
+    on it. `answered_at` is when it last answered an opening, `alive_at` when anything last came of
+    it, `pace` how long its answers take. It is not checked before `check_from`; so many checks
+    (`same_outcomes`) in a row told the same. Times are in seconds.
     """
 
     __slots__ = (
@@ -41,6 +43,7 @@
         "down_since",
         "ended",
         "evacuated",
+        "failing_until",
         "failures",
         "forgotten",
         "gone_at",
@@ -71,6 +74,7 @@
         self.answered_at = float("-inf")
         self.pace = AnswerPace()
         self.alive_at = float("-inf")
+        self.failing_until = float("-inf")
         self.down_since: float | None = None
         self.check_from = float("-inf")
         self.same_outcomes = 0
@@ -110,6 +114,22 @@
         """Return every backend, gone ones among them."""
         return self._by_name.values()
 
+    def note_failing(self, name: str, now: float, until: float) -> Backend | None:
+        """Pass a backend over that answers with errors; return it if that is new.
+
+        Never more than MOST_FAILING of a service: then something else is wrong.
+        """
+        backend = self._by_name.get(name)
+        if backend is None or backend.failing_until >= until:
+            return None
+        is_new = backend.failing_until < now
+        peers = [other for other in self.of_service(backend.record.service) if other.takes_flows]
+        failing = sum(other.failing_until >= now for other in peers if other is not backend)
+        if failing + 1 > MOST_FAILING * len(peers):
+            return None
+        backend.failing_until = until
+        return backend if is_new else None
+
     def find(self, name: str) -> Backend | None:
         """Return the backend of a name."""
         return self._by_name.get(name)
--- a/src/beamloom/routing/tokens/flow_observer.py
+++ b/src/beamloom/routing/tokens/flow_observer.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from enum import Enum
 
+from beamloom.routing.tokens.answer_sizes import AnswerSizes
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.decisions import Decision, OpeningUnanswered, RequestStalled
 from beamloom.routing.tokens.liveness import Suspicion
@@ -24,6 +25,8 @@
 """A backend is checked after this part of the patience: a check costs less than a judgement."""
 LONGEST_PATIENCE_SECONDS = 1.2
 """A client gives an opening up after 1.4 s."""
+SEQUENCE_MASK = 0xFFFF_FFFF
+"""Sequence numbers have 32 bits (the platform's packets)."""
 QUIET_SECONDS = 0.3
 """A client repeats a request after 0.2 s; one that neither repeats it nor acknowledges an answer by
 then was told that its flow is over, by the backend's host or its next owner.
@@ -94,7 +97,8 @@
     `opening_seconds` is from an opening packet to the first one with a token, `answer_seconds` from
     a client's data to the first sign that it got more of an answer. `patience_seconds` grows where
     clients are so far away that their answers to a backend take longer. `on_unanswered` hears of
-    each opening that a backend did not answer, `on_suspicion` of all that makes one suspect.
+    each opening that a backend did not answer, `on_suspicion` of all that makes one suspect,
+    `on_short_answer` of answers that may be errors.
     """
 
     def __init__(self, on_decision: Callable[[Decision], None]) -> None:
@@ -102,6 +106,8 @@
         self.answer_seconds = LatencyHistogram()
         self.patience_seconds = OPENING_PATIENCE_SECONDS
         self.on_unanswered: Callable[[Backend, float], None] = lambda backend, now: None
+        self.on_short_answer: Callable[[Backend, float], None] = lambda backend, now: None
+        self._sizes = AnswerSizes()
         self.on_suspicion: Callable[[Backend, Suspicion, float], None] = lambda *_: None
         self._on_decision = on_decision
         self.idle_seconds = 15.0
@@ -168,6 +174,7 @@
             self._set_busy(flow, False)
             self._end_stall(flow)
             self._note_answer(flow, now)
+            self._judge_size(flow, packet, now)
         flow.token = packet.token
         flow.acknowledged = packet.acknowledged
         flow.last_packet = now
@@ -289,6 +296,12 @@
         flow.backend.pace.note(seconds, now)
         flow.backend.alive_at = now
 
+    def _judge_size(self, flow: ObservedFlow, packet: ClientPacket, now: float) -> None:
+        """Tell of an answer that is much shorter than its destination's usually are."""
+        size_bytes = (packet.acknowledged - flow.acknowledged) & SEQUENCE_MASK
+        if self._sizes.note(packet.destination, size_bytes):
+            self.on_short_answer(flow.backend, now)
+
     def _end_stall(self, flow: ObservedFlow) -> None:
         if flow.repeats >= STALLED_AFTER_REPEATS:
             flow.backend.stalled -= 1
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -138,7 +138,8 @@
         ]
 
     def _is_suspect(self, backend: Backend, now: float) -> bool:
-        return self._settings.avoids_suspects and backend.suspect_until > now
+        suspected_until = max(backend.suspect_until, backend.failing_until)
+        return self._settings.avoids_suspects and suspected_until > now
 
     def _is_lately_gone(self, backend: Backend, now: float) -> bool:
         return (
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -149,6 +149,10 @@
             },
         )
 
+    def backend_failing(self, record: BackendRecord) -> None:
+        """Note that a backend answers several nodes with errors."""
+        self._log.record("BackendFailing", {"backend": record.name, "service": record.service})
+
     def backend_up(self, record: BackendRecord) -> None:
         """Note that a backend that was found dead can be reached again."""
         self._log.record("BackendUp", {"backend": record.name, "service": record.service})
--- a/src/beamloom/settings/mechanisms.py
+++ b/src/beamloom/settings/mechanisms.py
@@ -22,6 +22,7 @@
     observed_load: the flows that a node sees do not count, only slots.
     answer_pace: a backend whose answers have become slow counts as usual.
     suspicion: backends that do not answer get flows like others.
+    error_answers: nodes do not tell each other of backends that answer with errors.
     told_silence: nodes do not tell each other of silent backends.
     other_backend_for_copies: copies of an opening go where the opening went.
     other_zone_for_copies: copies of an opening go to any zone, the silent one's too.
@@ -49,6 +50,7 @@
     observed_load: bool = True
     answer_pace: bool = True
     suspicion: bool = True
+    error_answers: bool = True
     told_silence: bool = True
     other_backend_for_copies: bool = True
     other_zone_for_copies: bool = True
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -79,6 +79,10 @@
         self.counters[f"down_{outcome.value}"] += 1
         self.counters["flows_ended"] += flows
 
+    def backend_failing(self, record: BackendRecord) -> None:
+        """Count a backend that answers with errors."""
+        self.counters["failing"] += 1
+
     def backend_up(self, record: BackendRecord) -> None:
         """Count a backend that can be reached again."""
         self.counters["up"] += 1
--- a/tests/unit/tokens/test_mechanisms.py
+++ b/tests/unit/tokens/test_mechanisms.py
@@ -137,6 +137,15 @@
     return len(begun)
 
 
+def error_answers(mechanisms: Mechanisms) -> object:
+    core = make_core(mechanisms, backend(1))
+    core.join_peers("10.0.0.1", ("10.0.0.2:1",))
+    core.router.flows.on_short_answer(Backend(backend(1), 1), NOW)
+    core.advance(NOW)
+    digests = [send.message for send in core.take_sends() if isinstance(send.message, ViewDigest)]
+    return any(digest.failing for digest in digests)
+
+
 def told_silence(mechanisms: Mechanisms) -> object:
     core = make_core(mechanisms, backend(1))
     core.join_peers("10.0.0.1", ("10.0.0.2:1",))
@@ -264,6 +273,7 @@
         other_zone_for_copies,
         reopenings,
         liveness_checks,
+        error_answers,
         told_silence,
         confirmed_refusals,
         few_readers,
