--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -135,7 +135,6 @@
             observer.decision,
             moves_copies=mechanisms.other_backend_for_copies,
             leaves_zones=mechanisms.other_zone_for_copies,
-            notes_reopenings=mechanisms.reopenings,
         )
         self.checks = LivenessChecks()
         if mechanisms.liveness_checks:
--- a/src/beamloom/platform/packet_layout.py
+++ b/src/beamloom/platform/packet_layout.py
@@ -44,15 +44,7 @@
         kind = PacketKind.DATA
     destination = data[0:4] + data[10:12]
     return ClientPacket(
-        kind,
-        data[_FLOW],
-        destination,
-        echo,
-        sequence,
-        acknowledged,
-        data_length,
-        data,
-        data[_CLIENT_ADDRESS],
+        kind, data[_FLOW], destination, echo, sequence, acknowledged, data_length, data
     )
 
 
--- a/src/beamloom/routing/tokens/answer_sizes.py
+++ b/src/beamloom/routing/tokens/answer_sizes.py
@@ -11,7 +11,7 @@
 ANSWERS_KEPT = 64
 ANSWERS_NEEDED = 32
 RENEWED_EACH = 16
-"""Answers after which the measure is taken anew; by choice, as sorting costs some processor time."""
+"""Answers after which the measure is taken anew; by choice, as sorting costs processor time."""
 LOW_QUANTILE = 0.2
 """Where more of the answers are errors, being short says nothing of a single backend."""
 SHORT_SHARE = 0.5
--- a/src/beamloom/routing/tokens/liveness.py
+++ b/src/beamloom/routing/tokens/liveness.py
@@ -45,7 +45,6 @@
     UNANSWERED_OPENING = "unanswered_opening"
     REPEATED_REQUEST = "repeated_request"
     QUIET_REQUEST = "quiet_request"
-    REOPENED = "reopened"
     GONE = "gone"
     REPORTED = "reported"
     ZONE = "zone"
--- a/src/beamloom/routing/tokens/packets.py
+++ b/src/beamloom/routing/tokens/packets.py
@@ -42,7 +42,7 @@
     """The fields of one packet. `flow` is its 4-tuple as on the wire, `destination` part of it.
 
     `sequence` and `acknowledged` are those of the client; in an opening packet the latter counts
-    the copies sent before. `client` is the client's address, as far as the layout tells it.
+    the copies sent before.
     """
 
     kind: PacketKind
@@ -53,7 +53,6 @@
     acknowledged: int
     data_length: int
     data: bytes
-    client: bytes = b""
 
 
 class ForwardPacket(NamedTuple):
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from beamloom.routing.tokens.backend_table import Backend, BackendTable
 from beamloom.routing.tokens.decisions import (
@@ -19,7 +19,6 @@
     PacketDropped,
 )
 from beamloom.routing.tokens.flow_observer import FlowObserver, ObservedFlow
-from beamloom.routing.tokens.liveness import Suspicion
 from beamloom.routing.tokens.packets import (
     ClientPacket,
     DropPacket,
@@ -32,7 +31,6 @@
 )
 from beamloom.routing.tokens.placement import NOTHING_TRIED, Placement, Tried
 from beamloom.routing.tokens.records import RoutingConfiguration
-from beamloom.routing.tokens.reopenings import Opening, Reopenings
 from beamloom.routing.tokens.route_table import ActiveRoute, RouteTable
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
 
@@ -60,8 +58,8 @@
     While routes and backends may be out of date, `may_refuse` is to be False: what is not known
     here may be there, so its opening packets are dropped, and their copies judged by what is known
     then. With `moves_copies`, a copy of an opening packet goes to another backend, with
-    `leaves_zones` in another zone. With `notes_reopenings`, so does a client that opens again at
-    once. `resets` are for flows that have ended without a packet of theirs.
+    `leaves_zones` in another zone. `resets` are for flows that have ended without a packet of
+    theirs.
     """
 
     def __init__(
@@ -71,17 +69,14 @@
         *,
         moves_copies: bool = True,
         leaves_zones: bool = True,
-        notes_reopenings: bool = True,
     ) -> None:
         self._moves_copies = moves_copies
         self._leaves_zones = leaves_zones
-        self._notes_reopenings = notes_reopenings
         self.codec: TokenCodec | None = None
         self.may_refuse = True
         self.routes = RouteTable(placement.chance)
         self.backends = BackendTable()
         self.flows = FlowObserver(on_decision)
-        self.reopenings = Reopenings(self.flows)
         self.resets: deque[ResetFlow] = deque(maxlen=MOST_RESETS)
         self.backends.on_ended = self._end_flows_of_ended
         self._on_decision = on_decision
@@ -120,15 +115,12 @@
             token = codec.mint(packet.flow, flow.backend.record.identity)
             self._placement.note_opening(flow.backend, now)
             return self._forward(packet, flow.backend, token)
-        backend = self._choose(route, self._tried_before(packet, flow, now), now)
+        backend = self._choose(route, self._tried_before(flow), now)
         if backend is None:
             return self._open_nowhere(packet, route, flow, now)
         self._tell_placed(packet, route, backend, now)
         self._placement.note_opening(backend, now)
         self.flows.note_opening(packet.flow, backend, now)
-        if self._notes_reopenings:
-            opened = Opening(now, packet.flow, backend)
-            self.reopenings.note(packet.client, packet.destination, opened)
         self.counters["opening_copies" if packet.acknowledged else "openings"] += 1
         token = codec.mint(packet.flow, backend.record.identity)
         return self._forward(packet, backend, token)
@@ -160,23 +152,13 @@
             return True
         return not self._moves_copies and flow.backend.takes_flows
 
-    def _tried_before(self, packet: ClientPacket, flow: ObservedFlow | None, now: float) -> Tried:
-        """Return which backends have left this client without an answer, and which zones."""
-        if flow is not None:
-            backends = [*flow.tried, flow.backend]
-            return Tried(backends, self._zones_of(backends))
-        if not self._notes_reopenings or not packet.client:
+    def _tried_before(self, flow: ObservedFlow | None) -> Tried:
+        """Return which backends have left a client's copies without an answer, and their zones."""
+        if flow is None:
             return NOTHING_TRIED
-        backends = self.reopenings.unanswered(packet.client, packet.destination, now)
-        for backend in backends:
-            self.flows.on_suspicion(backend, Suspicion.REOPENED, now)
-        refused_twice = len(backends) > 1
-        return Tried(backends, self._zones_of(backends) if refused_twice else frozenset())
-
-    def _zones_of(self, backends: Sequence[Backend]) -> frozenset[str]:
-        if not self._leaves_zones:
-            return frozenset()
-        return frozenset(backend.record.zone for backend in backends)
+        backends = [*flow.tried, flow.backend]
+        zones = (backend.record.zone for backend in backends)
+        return Tried(backends, frozenset(zones if self._leaves_zones else ()))
 
     def _choose(self, route: ActiveRoute, tried: Tried, now: float) -> Backend | None:
         for part in route.next_parts():
--- a/src/beamloom/settings/mechanisms.py
+++ b/src/beamloom/settings/mechanisms.py
@@ -26,7 +26,6 @@
     told_silence: nodes do not tell each other of silent backends.
     other_backend_for_copies: copies of an opening go where the opening went.
     other_zone_for_copies: copies of an opening go to any zone, the silent one's too.
-    reopenings: a client that opens again at once may get what has just refused it.
     liveness_checks: backends that seem dead are not checked, and their flows not ended.
     gone_grace: backends that have gone from the store get nothing, though no other is left.
     confirmed_refusals: what is not known is refused, though the view is not confirmed.
@@ -54,7 +53,6 @@
     told_silence: bool = True
     other_backend_for_copies: bool = True
     other_zone_for_copies: bool = True
-    reopenings: bool = True
     liveness_checks: bool = True
     gone_grace: bool = True
     confirmed_refusals: bool = True
