--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -19,7 +19,7 @@
 OPENING_PERIOD_SECONDS = 0.05
 LONGEST_FAULT_PAUSE_SECONDS = 4.0
 SHARE_OF_CHANGES = 0.4
-CHANGES = ("drain", "reuse", "route")
+CHANGES = ("drain", "reuse", "route", "evacuate")
 """Planned changes, which nodes must follow in time; they disturb nobody."""
 QUIET_END_SECONDS = 10.0
 SETTLE_SECONDS = 5.0
--- a/tests/unit/test_nodes_command.py
+++ b/tests/unit/test_nodes_command.py
@@ -48,6 +48,17 @@
         self.assertEqual((row["state"], row["version"], row["backends"]), ("ready", 7, 10))
         self.assertEqual((row["refused"], row["dropped"], row["trouble"]), (5, 4, ""))
 
+    def test_dead_backends_and_evacuated_zones_are_counted(self) -> None:
+        page = (
+            GOOD_PAGE
+            + "# TYPE beamloom_backends_down gauge\nbeamloom_backends_down 3.0\n"
+            + "# TYPE beamloom_evacuated_zones gauge\nbeamloom_evacuated_zones 1.0\n"
+        )
+        row = self.describe(page)
+        self.assertEqual((row["down"], row["evacuated zones"]), (3, 1))
+        row = self.describe(GOOD_PAGE)
+        self.assertEqual((row["down"], row["evacuated zones"]), (None, None))
+
     def test_troubles_are_named(self) -> None:
         cases = {
             "takes no packets": GOOD_PAGE.replace("ready 1.0", "ready 0.0"),
--- a/tools/soak_broken_builds.py
+++ b/tools/soak_broken_builds.py
@@ -47,6 +47,11 @@
     module.BackendTable.update = deaf
     module.BackendTable.remove = lambda *_: None
 patch("beamloom.routing.tokens.backend_table", change)
+""",
+    "evacuation": """
+def change(module):
+    module.BackendTable.evacuate = lambda *_: None
+patch("beamloom.routing.tokens.backend_table", change)
 """,
     "configuration": """
 def change(module):
@@ -61,7 +66,7 @@
         command = handle(router, packet, now)
         plain = packet.kind is module.PacketKind.DATA and not packet.data_length
         if plain and packet.flow[5] % 16 == 7:
-            return module.ResetFlow(packet, module.RefusalReason.NO_BACKEND)
+            return module.ResetFlow(packet.flow, module.RefusalReason.NO_BACKEND)
         return command
     module.TokenRouter.handle = reset
 patch("beamloom.routing.tokens.router", change)
