Test checks of backends on real sockets

A listener is alive, a closed port refuses, a port whose queue of connections is full is silent after all attempts; the unit tests of the checks have no sockets.

--- /dev/null
+++ b/tests/functional/test_backend_check.py
@@ -0,0 +1,58 @@
+"""Checks of backends on real sockets: what a listener, a closed port and a silent one tell."""
+
+import asyncio
+import socket
+import time
+import unittest
+
+from beamloom.routing.tokens.backend_table import Backend
+from beamloom.routing.tokens.liveness import CheckOutcome, LivenessChecks, Suspicion
+from beamloom.runtime.backend_check import ATTEMPT_SECONDS, ATTEMPTS, BackendChecker
+from tests.unit.tokens.builders import backend
+
+HOST = "127.0.0.1"
+
+
+class BackendCheckTest(unittest.IsolatedAsyncioTestCase):
+    async def check(self, port: int) -> tuple[str, float]:
+        """Check a port; return the outcome and how long it took, in seconds."""
+        checks = LivenessChecks()
+        done = asyncio.Event()
+        checker = BackendChecker(checks, HOST, done.set)
+        began_at = time.monotonic()
+        held = Backend(backend(1, port=port), 1)
+        checks.suspect(held, Suspicion.REPORTED, asyncio.get_running_loop().time())
+        await asyncio.wait_for(done.wait(), 5.0)
+        checker.close()
+        outcomes = {outcome.value for outcome in CheckOutcome}
+        (found,) = outcomes & checks.counters.keys()
+        return found, time.monotonic() - began_at
+
+    def listen(self, backlog: int) -> socket.socket:
+        server = socket.create_server((HOST, 0), backlog=backlog)
+        self.addCleanup(server.close)
+        return server
+
+    async def test_a_listener_is_alive(self) -> None:
+        outcome, _ = await self.check(self.listen(8).getsockname()[1])
+        self.assertEqual(outcome, "alive")
+
+    async def test_a_port_that_nobody_listens_on_refuses(self) -> None:
+        server = self.listen(1)
+        port = server.getsockname()[1]
+        server.close()
+        self.assertEqual((await self.check(port))[0], "refused")
+
+    async def test_a_port_that_answers_nothing_is_silent_after_all_attempts(self) -> None:
+        """A full queue of connections drops what opens another one, as a dark machine would."""
+        server = self.listen(0)
+        port = server.getsockname()[1]
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((HOST, port))
+            self.addCleanup(filler.close)
+        outcome, seconds = await self.check(port)
+        self.assertIn(outcome, {"silent", "unclear"})
+        self.assertGreaterEqual(seconds, ATTEMPT_SECONDS)
+        self.assertLess(seconds, ATTEMPTS * ATTEMPT_SECONDS + 2.0)
