--- a/tests/unit/tokens/builders.py
+++ b/tests/unit/tokens/builders.py
@@ -26,7 +26,7 @@
 from beamloom.routing.tokens.router import TokenRouter
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
-from beamloom.simulation.tokens.node import QuietObserver
+from beamloom.simulation.tokens.quiet_observer import QuietObserver
 
 KEY = bytes(range(16))
 DESTINATION = bytes((198, 18, 0, 1, 1, 187))
@@ -124,8 +124,13 @@
     return command.identity
 
 
-def new_core(mechanisms: Mechanisms = ALL_MECHANISMS) -> TokenCore:
-    """Return a core that has just started."""
+def new_core(
+    mechanisms: Mechanisms = ALL_MECHANISMS, *, evacuate_seconds: float | None = None
+) -> TokenCore:
+    """Return a core that has just started; it follows evacuations where there is a bound."""
+    evacuation_times = None
+    if evacuate_seconds is not None:
+        evacuation_times = evacuation_reading_times(evacuate_seconds)
     return TokenCore(
         ZONE,
         "5-node",
@@ -134,20 +139,7 @@
         chance=random.Random(1),
         times=reading_times(),
         mechanisms=mechanisms,
-    )
-
-
-def evacuating_core(mechanisms: Mechanisms, bound_seconds: float | None = 5.0) -> TokenCore:
-    """Return a core that has just started and follows evacuations, where there is a bound."""
-    return TokenCore(
-        ZONE,
-        "5-node",
-        "main",
-        QuietObserver(),
-        chance=random.Random(1),
-        times=reading_times(),
-        mechanisms=mechanisms,
-        evacuation_times=None if bound_seconds is None else evacuation_reading_times(bound_seconds),
+        evacuation_times=evacuation_times,
     )
 
 
--- a/tests/unit/tokens/test_evacuation.py
+++ b/tests/unit/tokens/test_evacuation.py
@@ -11,13 +11,13 @@
 from beamloom.replication.store_view import NamedRecord, ObjectChange
 from beamloom.routing.tokens.packets import PacketKind, RefusalReason, ResetFlow
 from beamloom.routing.tokens.records import ZoneEvacuation
-from beamloom.settings.mechanisms import ALL_MECHANISMS, mechanisms_without
+from beamloom.settings.mechanisms import mechanisms_without
 from tests.unit.tokens.builders import (
     ZONE,
     backend,
-    evacuating_core,
     forwarded_to,
     make_router,
+    new_core,
     opening,
     packet,
 )
@@ -147,7 +147,10 @@
 
 class CoreTest(unittest.TestCase):
     def test_peers_are_told_with_the_other_kinds(self) -> None:
-        told, hearing = evacuating_core(ALL_MECHANISMS), evacuating_core(ALL_MECHANISMS)
+        told, hearing = (
+            new_core(evacuate_seconds=BOUND_SECONDS),
+            new_core(evacuate_seconds=BOUND_SECONDS),
+        )
         for core, host in ((told, "10.0.0.1"), (hearing, "10.0.0.2")):
             core.join_peers(host, ())
             core.advance(START)
@@ -167,4 +170,4 @@
         self.assertEqual(set(hearing.evacuations.since), {"east"})
 
     def test_a_platform_without_evacuations_is_not_asked_for_them(self) -> None:
-        self.assertIsNone(evacuating_core(ALL_MECHANISMS, bound_seconds=None).evacuations)
+        self.assertIsNone(new_core().evacuations)
--- a/tests/unit/tokens/test_mechanisms.py
+++ b/tests/unit/tokens/test_mechanisms.py
@@ -32,7 +32,6 @@
 from tests.unit.tokens.builders import (
     ZONE,
     backend,
-    evacuating_core,
     flow_id,
     make_change,
     make_core,
@@ -177,7 +176,7 @@
 
 
 def evacuations_from_peers(mechanisms: Mechanisms) -> object:
-    evacuations = evacuating_core(mechanisms).evacuations
+    evacuations = new_core(mechanisms, evacuate_seconds=5.0).evacuations
     assert evacuations is not None
     return evacuations.turn.must_ask(NOW)
 
--- a/tests/unit/tokens/test_token_core.py
+++ b/tests/unit/tokens/test_token_core.py
@@ -23,7 +23,7 @@
     RouterCommand,
 )
 from beamloom.routing.tokens.records import BackendRecord
-from beamloom.simulation.tokens.node import QuietObserver
+from beamloom.simulation.tokens.quiet_observer import QuietObserver
 from tests.unit.tokens.builders import (
     KEY,
     OTHER_DESTINATION,
