--- a/src/beamloom/runtime/store_follower.py
+++ b/src/beamloom/runtime/store_follower.py
@@ -44,26 +44,26 @@
 ASK_PEERS_EACH_SECONDS = 0.3
 PEER_KEY_PERSON = b"beamloom-peers"
 
-_BACKENDS = KindFormat(
-    "backends",
-    functools.partial(store_objects.list_path, store_objects.BACKENDS_KIND),
-    functools.partial(store_objects.watch_path, store_objects.BACKENDS_KIND),
-    functools.partial(store_objects.read_page, translate=store_objects.translate_backend),
-    functools.partial(store_objects.read_changes, translate=store_objects.translate_backend),
-)
-_CONFIGURATION = KindFormat(
-    "configuration",
-    functools.partial(store_objects.list_path, store_objects.CONFIGURATION_KIND),
-    functools.partial(store_objects.watch_path, store_objects.CONFIGURATION_KIND),
-    functools.partial(store_objects.read_page, translate=store_objects.translate_configuration),
-    functools.partial(store_objects.read_changes, translate=store_objects.translate_configuration),
+
+def _kind_format(
+    label: str, kind: str, translate: store_objects.Translate[Record]
+) -> KindFormat[Record]:
+    """Return how a kind of object is asked for and read."""
+    return KindFormat(
+        label,
+        functools.partial(store_objects.list_path, kind),
+        functools.partial(store_objects.watch_path, kind),
+        functools.partial(store_objects.read_page, translate=translate),
+        functools.partial(store_objects.read_changes, translate=translate),
+    )
+
+
+_BACKENDS = _kind_format("backends", store_objects.BACKENDS_KIND, store_objects.translate_backend)
+_CONFIGURATION = _kind_format(
+    "configuration", store_objects.CONFIGURATION_KIND, store_objects.translate_configuration
 )
-_EVACUATIONS = KindFormat(
-    "evacuations",
-    functools.partial(store_objects.list_path, store_objects.EVACUATIONS_KIND),
-    functools.partial(store_objects.watch_path, store_objects.EVACUATIONS_KIND),
-    functools.partial(store_objects.read_page, translate=store_objects.translate_evacuation),
-    functools.partial(store_objects.read_changes, translate=store_objects.translate_evacuation),
+_EVACUATIONS = _kind_format(
+    "evacuations", store_objects.EVACUATIONS_KIND, store_objects.translate_evacuation
 )
 _SECRET = SecretFormat(
     store_objects.secret_path(stale=False),
