--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -11,7 +11,7 @@
 from beamloom.routing.tokens.records import BackendRecord, BackendState, ZoneEvacuation
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 from beamloom.simulation.clock import VirtualClock
-from beamloom.simulation.tokens.changes import zones_of
+from beamloom.simulation.tokens.client_side import NETWORK_SECONDS, ClientSide
 from beamloom.simulation.tokens.deployment import (
     SERVICES,
     ZONES,
@@ -20,8 +20,6 @@
     endpoint_record,
     first_routes,
     key_of,
-    service_end,
-    stable_hash,
 )
 from beamloom.simulation.tokens.node import (
     BACKENDS,
@@ -32,14 +30,11 @@
 )
 from beamloom.simulation.tokens.oracle import TokenOracle
 from beamloom.simulation.tokens.store_link import StoreFault, StoreLink
-from beamloom.standins.flow_packets import FlowEnd, FlowPacket, decode_forwarded, decode_packet
-from beamloom.standins.token_client import FlowPlan, FlowState, TokenClientFlow
+from beamloom.standins.flow_packets import FlowPacket, decode_forwarded
 from beamloom.standins.token_endpoint import TokenEndpoint
 from beamloom.standins.token_store import TokenStore
 
 SECRET = bytes(16)
-NETWORK_SECONDS = 0.0015
-READINESS_SECONDS = 0.5
 STEP_SECONDS = 0.02
 START_SECONDS = 0.5
 START_SPREAD_SECONDS = 0.3
@@ -96,16 +91,11 @@
         self.nodes: dict[str, SimulatedTokenNode] = {}
         self._by_host: dict[str, SimulatedTokenNode] = {}
         self.endpoints: dict[tuple[str, int], Endpoint] = {}
-        self._every_endpoint: list[Endpoint] = []
-        self.flows: dict[FlowEnd, TokenClientFlow] = {}
-        self.finished: list[TokenClientFlow] = []
+        self.every_endpoint: list[Endpoint] = []
         self.peer_cuts: set[str] = set()
-        self._loss = loss
         self._join_seconds = join_seconds
-        self._steady = steady
-        self._misses: dict[str, int] = {}
+        self.clients = ClientSide(self, loss=loss, steady=steady)
         self._next_identity = 0x7F3A9100
-        self._next_port = 1024
         self._next_host = 10
         self.version = 0
         self.routes: dict[bytes, frozenset[str]] = {}
@@ -114,14 +104,14 @@
         self.set_routes(first_routes())
         for number in range(nodes):
             self.add_node(ZONES[number % len(ZONES)])
-        self._poll_readiness()
+        self.clients.poll_readiness()
         self._step()
 
     def add_node(self, zone: str) -> str:
         """Start a node; it runs after START_SECONDS."""
-        number = len(self._misses)
+        number = self.clients.known_nodes
         name, host = f"node-{number}", f"10.1.0.{number + 1}"
-        self._misses[name] = 2
+        self.clients.expect_node(name)
         starts_in = START_SECONDS
         if self._join_seconds:
             starts_in += self.chance.uniform(0.0, START_SPREAD_SECONDS)
@@ -187,7 +177,7 @@
         record = endpoint_record(identity, service, address)
         endpoint = Endpoint(TokenEndpoint(record.name, identity), record)
         self.endpoints[address] = endpoint
-        self._every_endpoint.append(endpoint)
+        self.every_endpoint.append(endpoint)
         self.store.put(BACKENDS, record.name, record)
         return endpoint
 
@@ -239,14 +229,6 @@
         self.store.remove(EVACUATIONS, zone)
         self.oracle.note_taken_back(zone, self.clock.now)
 
-    def open_flow(self, service: int, plan: FlowPlan) -> TokenClientFlow:
-        """Let a client open a flow to one of the addresses."""
-        self._next_port += 1
-        source = FlowEnd(bytes((100, 64, 0, self._next_port % 200 + 1)), self._next_port)
-        flow = TokenClientFlow(source, service_end(service), plan, self.clock.now)
-        self.flows[source] = flow
-        return flow
-
     def run(self, seconds: float) -> None:
         """Let time pass."""
         self.clock.run_until(self.clock.now + seconds)
@@ -272,7 +254,7 @@
         self.nodes[name] = self._by_host[host] = node
 
     def _send_message(self, source: str, host: str, message: Message) -> None:
-        if {source, host} & self.peer_cuts or self._is_lost():
+        if {source, host} & self.peer_cuts or self.clients.loses_packet():
             return
         node = self._by_host.get(host)
         if node is not None and node.alive:
@@ -291,10 +273,10 @@
             self.clock.call_later(CHECK_SECONDS, take, CheckOutcome.SILENT)
 
     def _send(self, node: str, data: bytes, address: tuple[str, int]) -> None:
-        if self._is_lost():
+        if self.clients.loses_packet():
             return
         if address[1] == 0:
-            self.clock.call_later(NETWORK_SECONDS, self._arrive_at_client, data, node)
+            self.clock.call_later(NETWORK_SECONDS, self.clients.receive, data, node)
         else:
             self.clock.call_later(NETWORK_SECONDS, self._arrive_at_endpoint, node, data, address)
 
@@ -314,65 +296,14 @@
 
     def _deliver(self, packets: list[FlowPacket]) -> None:
         for packet in packets:
-            if not self._is_lost():
+            if not self.clients.loses_packet():
                 signed = not packet.flags & FLAG_RST
                 data = packet.encode(signed=signed)
-                self.clock.call_later(NETWORK_SECONDS, self._arrive_at_client, data, None)
-
-    def _arrive_at_client(self, data: bytes, node: str | None) -> None:
-        packet = decode_packet(data)
-        assert packet is not None
-        flow = self.flows.get(packet.destination)
-        if flow is None or flow.ended:
-            return
-        if node is not None:
-            self._judge_reset(flow, node)
-        first = flow.answers[0] if flow.answers else None
-        count = len(flow.answers)
-        replies = flow.handle(packet, self.clock.now)
-        if len(flow.answers) > count:
-            self.oracle.judge_answer(first, flow.answers[-1], str(flow.source), self.clock.now)
-        for text in flow.mixed:
-            self.oracle.report("mixed", self.clock.now, text)
-        self._send_to_nodes(replies)
-
-    def _judge_reset(self, flow: TokenClientFlow, node: str) -> None:
-        if flow.state is not FlowState.OPENING:
-            if any(held.alive and held.model.holds(flow.source) for held in self._every_endpoint):
-                self.oracle.report("flow", self.clock.now, f"{node} reset {flow.source}")
-            return
-        destination = key_of(flow.service)
-        zones = zones_of(self, destination)
-        self.oracle.judge_refusal(node, destination, self.clock.now, zones)
-
-    def _send_to_nodes(self, packets: list[FlowPacket]) -> None:
-        for packet in packets:
-            node = self._pick_node(packet.source)
-            if node is not None and not self._is_lost():
-                self.clock.call_later(NETWORK_SECONDS, node.take_datagram, packet.encode())
-
-    def _pick_node(self, source: FlowEnd) -> SimulatedTokenNode | None:
-        names = sorted(name for name in self.nodes if self._misses[name] < 2)
-        if not names:
-            names = sorted(self.nodes)
-        if not names:
-            return None
-        text = str(source)
-        if self._steady:
-            return self.nodes[max(names, key=lambda name: stable_hash(f"{text}|{name}"))]
-        return self.nodes[names[stable_hash(text) % len(names)]]
-
-    def _poll_readiness(self) -> None:
-        for name, node in self.nodes.items():
-            self._misses[name] = 0 if node.ready else self._misses[name] + 1
-        self.clock.call_later(READINESS_SECONDS, self._poll_readiness)
+                self.clock.call_later(NETWORK_SECONDS, self.clients.receive, data, None)
 
     def _step(self) -> None:
         now = self.clock.now
-        for source, flow in list(self.flows.items()):
-            self._send_to_nodes(flow.advance(now))
-            if flow.ended:
-                self.finished.append(self.flows.pop(source))
+        self.clients.advance(now)
         for endpoint in self.endpoints.values():
             if endpoint.alive:
                 self._deliver(endpoint.model.advance(now))
@@ -385,6 +316,3 @@
     def _forget_endpoint(self, endpoint: Endpoint) -> None:
         self.store.remove(BACKENDS, endpoint.record.name)
         self.oracle.note_left(endpoint.record.name, self.clock.now)
-
-    def _is_lost(self) -> bool:
-        return self._loss > 0.0 and self.chance.random() < self._loss
--- a/src/beamloom/simulation/tokens/run.py
+++ b/src/beamloom/simulation/tokens/run.py
@@ -98,12 +98,14 @@
         )
     while fleet.clock.now < end:
         plan = FlowPlan(requests=chance.randrange(1, 6), rest_seconds=chance.uniform(0.2, 3.0))
-        fleet.open_flow(chance.choice((1, 2)), plan)
+        fleet.clients.open_flow(chance.choice((1, 2)), plan)
         fleet.run(OPENING_PERIOD_SECONDS)
     fleet.run(QUIET_END_SECONDS)
-    flows = Counter(flow.state.value for flow in fleet.finished)
-    flows["answers"] = sum(len(flow.answers) for flow in fleet.finished)
-    flows["unfinished"] = sum(flow.state is not FlowState.DONE for flow in fleet.flows.values())
+    flows = Counter(flow.state.value for flow in fleet.clients.finished)
+    flows["answers"] = sum(len(flow.answers) for flow in fleet.clients.finished)
+    flows["unfinished"] = sum(
+        flow.state is not FlowState.DONE for flow in fleet.clients.flows.values()
+    )
     violations = fleet.oracle.violations
     return TokenRunResult(
         flows, schedule.struck, violations, fleet.link.calls, fleet.oracle.counters
--- a/tests/unit/simulation/test_token_fleet.py
+++ b/tests/unit/simulation/test_token_fleet.py
@@ -52,7 +52,9 @@
     def test_all_nodes_killed_at_once_carry_the_open_flows_on(self) -> None:
         fleet = TokenFleet(seed=3)
         fleet.run(6.0)
-        flows = [fleet.open_flow(1, FlowPlan(requests=4, rest_seconds=1.0)) for _ in range(40)]
+        flows = [
+            fleet.clients.open_flow(1, FlowPlan(requests=4, rest_seconds=1.0)) for _ in range(40)
+        ]
         fleet.run(1.0)
         for name in list(fleet.nodes):
             fleet.kill_node(name)
@@ -99,7 +101,7 @@
             for name in readers:
                 fleet.kill_node(name)
             for _ in range(100):
-                fleet.open_flow(1, FlowPlan(requests=1))
+                fleet.clients.open_flow(1, FlowPlan(requests=1))
                 fleet.run(0.1)
             self.assertEqual(fleet.oracle.violations, [])
             for name, node in fleet.nodes.items():
--- a/tests/unit/tokens/test_liveness.py
+++ b/tests/unit/tokens/test_liveness.py
@@ -267,7 +267,7 @@
         fleet.run(6.0)
         plan = FlowPlan(requests=40, rest_seconds=0.3, deadline_seconds=3.0)
         for _ in range(120):
-            fleet.open_flow(1, plan)
+            fleet.clients.open_flow(1, plan)
             fleet.run(0.02)
         for endpoint in fleet.running_endpoints(SERVICES[0]):
             if endpoint.record.zone == ZONES[seed % 3]:
@@ -284,11 +284,13 @@
                     dead = [one for one in fleet.endpoints.values() if not one.alive]
                     waiting = [
                         flow
-                        for flow in fleet.flows.values()
+                        for flow in fleet.clients.flows.values()
                         if any(one.model.holds(flow.source) for one in dead)
                     ]
                     self.assertEqual(waiting, [])
-                    reset = [flow for flow in fleet.finished if flow.state is FlowState.RESET]
+                    reset = [
+                        flow for flow in fleet.clients.finished if flow.state is FlowState.RESET
+                    ]
                     self.assertGreater(len(reset), 20)
                     self.assertEqual(fleet.oracle.violations, [])
 
@@ -296,7 +298,7 @@
         fleet = TokenFleet(9, nodes=7)
         fleet.run(6.0)
         for _ in range(60):
-            fleet.open_flow(1, FlowPlan(requests=10, rest_seconds=0.5))
+            fleet.clients.open_flow(1, FlowPlan(requests=10, rest_seconds=0.5))
             fleet.run(0.02)
         name = next(iter(fleet.nodes))
         fleet.cut_from_store(name, 6.0)
@@ -304,4 +306,4 @@
         fleet.freeze_node(name, 3.0)
         fleet.run(10.0)
         self.assertEqual(fleet.oracle.violations, [])
-        self.assertEqual([f for f in fleet.finished if f.state is FlowState.RESET], [])
+        self.assertEqual([f for f in fleet.clients.finished if f.state is FlowState.RESET], [])
