Carry the terms of routes from the store to placement

Objective, time-out, priority and kind of a route were dropped when the configuration was read, so placement could not weigh them. They are now typed (RouteTerms), with cautious defaults: no objective, may not be repeated.

Between nodes they are a fourth field of a route, left out where all are defaults. A node of the version before neither sends nor knows them: what it told is taken with default terms and marked, and never becomes the base of a difference, which would keep its lost terms lost. Ruled out: deriving that from routes alone, as a configuration may well have default terms only.

No decision depends on them yet.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -304,7 +304,9 @@
         for change in changes:
             if change.record is None or change.name != self._configuration_name:
                 continue
-            self._versions.note(change.revision, change.record)
+            if change.record.tells_terms:
+                # As a base for differences, a version without its terms would keep them lost.
+                self._versions.note(change.revision, change.record)
             before = self.router.routes.version
             if self.router.put_in_force(change.record):
                 if self._cold_starts is not None:
--- a/src/beamloom/node/view_codecs.py
+++ b/src/beamloom/node/view_codecs.py
@@ -21,10 +21,13 @@
     difference_between,
 )
 from beamloom.routing.tokens.records import (
+    DEFAULT_TERMS,
     BackendRecord,
     BackendState,
+    RequestKind,
     RoutePart,
     RouteRecord,
+    RouteTerms,
     RoutingConfiguration,
     ServiceWarmUp,
     ZoneEvacuation,
@@ -33,6 +36,10 @@
 Record = TypeVar("Record")
 
 LENGTH_WITH_DIFFERENCE = 4
+PLAIN_ROUTE_LENGTH = 3
+MILLISECONDS = 1000
+REQUEST_KINDS = (RequestKind.UNSAFE, RequestKind.SAFE, RequestKind.DOWNLOAD)
+"""By the number that stands for each between nodes; new ones are added at the end."""
 BASES_NAMED = 8
 """In a storm nodes skip versions, and not the same ones."""
 
@@ -148,14 +155,16 @@
 def configuration_to_list(record: RoutingConfiguration) -> list[Any]:
     """Return the fields of a configuration."""
     routes = [_route_to_list(route) for route in record.routes]
-    return [record.version, routes, record.idle_seconds, list(map(list, record.warm_ups))]
+    warm_ups = list(map(list, record.warm_ups))
+    return [record.version, routes, record.idle_seconds, warm_ups, record.tells_terms]
 
 
 def configuration_from_list(fields: list[Any]) -> RoutingConfiguration:
     """Return the configuration of these fields."""
     version, routes, idle_seconds = fields[:3]
     records = tuple(map(_route_from_list, routes))
-    return RoutingConfiguration(version, records, idle_seconds, _warm_ups_from(fields[3:4]))
+    warm_ups = _warm_ups_from(fields[3:4])
+    return RoutingConfiguration(version, records, idle_seconds, warm_ups, _tells_terms(fields, 4))
 
 
 def difference_to_list(difference: ConfigurationDifference) -> list[Any]:
@@ -167,6 +176,7 @@
         changed,
         list(difference.removed),
         list(map(list, difference.warm_ups)),
+        difference.tells_terms,
     ]
 
 
@@ -175,7 +185,9 @@
     version, idle_seconds, changed, removed = fields[:4]
     routes = tuple(map(_route_from_list, changed))
     warm_ups = _warm_ups_from(fields[4:5])
-    return ConfigurationDifference(version, idle_seconds, routes, tuple(removed), warm_ups)
+    return ConfigurationDifference(
+        version, idle_seconds, routes, tuple(removed), warm_ups, _tells_terms(fields, 5)
+    )
 
 
 def _warm_ups_from(field: list[Any]) -> tuple[ServiceWarmUp, ...]:
@@ -183,14 +195,48 @@
     return tuple(ServiceWarmUp(*fields[:3]) for fields in (field[0] if field else ()))
 
 
+def _tells_terms(fields: list[Any], position: int) -> bool:
+    """Return whether whoever sent a configuration knows terms; earlier versions do not say it."""
+    return len(fields) > position and fields[position] is True
+
+
 def _route_to_list(route: RouteRecord) -> list[Any]:
     parts = [[part.service, part.weight] for part in route.parts]
-    return [route.name, route.destination, parts]
+    fields: list[Any] = [route.name, route.destination, parts]
+    if route.terms != DEFAULT_TERMS:
+        fields.append(_terms_to_list(route.terms))
+    return fields
 
 
 def _route_from_list(fields: list[Any]) -> RouteRecord:
     name, destination, parts = fields[:3]
-    return RouteRecord(name, destination, tuple(RoutePart(*part[:2]) for part in parts))
+    terms = _terms_from_list(fields[3]) if len(fields) > PLAIN_ROUTE_LENGTH else DEFAULT_TERMS
+    return RouteRecord(name, destination, tuple(RoutePart(*part[:2]) for part in parts), terms)
+
+
+def _terms_to_list(terms: RouteTerms) -> list[Any]:
+    """Return terms in whole milliseconds: seven to ten bytes of CBOR for most routes."""
+    return [
+        _milliseconds(terms.objective_seconds),
+        _milliseconds(terms.timeout_seconds),
+        terms.priority,
+        REQUEST_KINDS.index(terms.kind),
+    ]
+
+
+def _terms_from_list(fields: list[Any]) -> RouteTerms:
+    """Return the terms of these fields; a kind that a later version added counts as UNSAFE."""
+    objective, timeout, priority, kind = fields[:4]
+    known = REQUEST_KINDS[kind] if 0 <= kind < len(REQUEST_KINDS) else RequestKind.UNSAFE
+    return RouteTerms(_seconds(objective), _seconds(timeout), int(priority), known)
+
+
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * MILLISECONDS)
+
+
+def _seconds(milliseconds: int | None) -> float | None:
+    return None if milliseconds is None else milliseconds / MILLISECONDS
 
 
 def evacuation_to_list(record: ZoneEvacuation) -> list[Any]:
--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import socket
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Generic, TypeVar
@@ -12,10 +13,13 @@
 from beamloom.replication.object_watch import ChangeBatch, ListPage, ListRequest, WatchRequest
 from beamloom.replication.store_view import NamedRecord, ObjectChange
 from beamloom.routing.tokens.records import (
+    DEFAULT_TERMS,
     BackendRecord,
     BackendState,
+    RequestKind,
     RoutePart,
     RouteRecord,
+    RouteTerms,
     RoutingConfiguration,
     ServiceWarmUp,
     ZoneEvacuation,
@@ -34,8 +38,11 @@
 MILLISECONDS = 1000
 
 Record = TypeVar("Record")
-Translate = Callable[[str, Any], Record]
-"""Makes a record of an object's name and content; the content may be null."""
+Translate = Callable[[str, Any, list[str]], Record]
+"""Makes a record of an object's name and content; the content may be null.
+
+The third argument takes what could not be read and was replaced by a default.
+"""
 
 
 def list_path(kind: str, request: ListRequest) -> str:
@@ -101,7 +108,7 @@
         for change in objects.changes
         if change.record is not None
     )
-    return ListPage(records, more, revision, last, tuple(objects.unreadable))
+    return ListPage(records, more, revision, last, tuple(objects.unreadable), tuple(objects.faults))
 
 
 def read_changes(body: bytes, translate: Translate[Record]) -> ChangeBatch[Record]:
@@ -114,7 +121,8 @@
         revision = int(document["at"])
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise PlatformFormatError(f"changes of the store cannot be read: {error!r}") from error
-    return ChangeBatch(tuple(objects.changes), revision, tuple(objects.unreadable), len(body))
+    unreadable, faults = tuple(objects.unreadable), tuple(objects.faults)
+    return ChangeBatch(tuple(objects.changes), revision, unreadable, len(body), faults)
 
 
 def _last_events(events: Iterable[Mapping[str, Any]]) -> Iterable[Mapping[str, Any]]:
@@ -123,12 +131,16 @@
 
 
 class _Objects(Generic[Record]):
-    """Objects of one answer: those that could be translated, and the names of the others."""
+    """Objects of one answer: those that could be translated, and the names of the others.
+
+    `faults` are fields of the former that could not be read.
+    """
 
     def __init__(self, translate: Translate[Record]) -> None:
         self.names: list[str] = []
         self.changes: list[ObjectChange[Record]] = []
         self.unreadable: list[str] = []
+        self.faults: list[str] = []
         self._translate = translate
 
     def take(self, entry: Mapping[str, Any], *, gone: bool) -> None:
@@ -139,14 +151,16 @@
         record = None
         if not gone:
             try:
-                record = self._translate(name, entry["spec"] or entry["status"])
+                record = self._translate(name, entry["spec"] or entry["status"], self.faults)
             except (KeyError, TypeError, ValueError, AttributeError, OSError) as error:
                 self.unreadable.append(f"{name}: {error!r}")
                 return
         self.changes.append(ObjectChange(name, revision, record))
 
 
-def translate_backend(name: str, entry: Mapping[str, Any]) -> BackendRecord:
+def translate_backend(
+    name: str, entry: Mapping[str, Any], _faults: list[str] | None = None
+) -> BackendRecord:
     """Translate the entry of an endpoint."""
     host, _, port = str(entry["address"]).rpartition(":")
     state = BackendState.DRAINING if entry["state"] == "draining" else BackendState.READY
@@ -169,12 +183,15 @@
     return int(digits, 16)
 
 
-def translate_configuration(_name: str, entry: Mapping[str, Any]) -> RoutingConfiguration:
-    """Translate the operator's configuration."""
+def translate_configuration(
+    _name: str, entry: Mapping[str, Any], faults: list[str] | None = None
+) -> RoutingConfiguration:
+    """Translate the operator's configuration; `faults` takes the terms that cannot be read."""
+    faults = [] if faults is None else faults
     limits = entry.get("limits", {})
     return RoutingConfiguration(
         version=int(entry["version"]),
-        routes=tuple(_translate_route(route) for route in entry["routes"]),
+        routes=tuple(_translate_route(route, faults) for route in entry["routes"]),
         idle_seconds=float(limits.get("idle-timeout-ms", 15_000)) / MILLISECONDS,
         warm_ups=tuple(_translate_warm_up(service) for service in entry.get("services", ())),
     )
@@ -185,17 +202,62 @@
     return ServiceWarmUp(str(service["name"]), float(seconds), float(rate))
 
 
-def translate_evacuation(name: str, _entry: Mapping[str, Any] | None) -> ZoneEvacuation:
+def translate_evacuation(
+    name: str, _entry: Mapping[str, Any] | None, _faults: list[str] | None = None
+) -> ZoneEvacuation:
     """Translate a request to evacuate a zone: its name is the zone's, it has no fields."""
     return ZoneEvacuation(name)
 
 
-def _translate_route(route: Mapping[str, Any]) -> RouteRecord:
+def _translate_route(route: Mapping[str, Any], faults: list[str]) -> RouteRecord:
     address = socket.inet_aton(route["hostname"])
     port = int(str(route["path-prefix"]).strip("/"))
     split = route.get("split") or [{"service": route.get("service"), "weight": 1}]
     parts = tuple(RoutePart(str(part["service"]), float(part["weight"])) for part in split)
-    return RouteRecord(str(route["name"]), destination_key(address, port), parts)
+    terms = _translate_terms(route, faults)
+    return RouteRecord(str(route["name"]), destination_key(address, port), parts, terms)
+
+
+def _translate_terms(route: Mapping[str, Any], faults: list[str]) -> RouteTerms:
+    """Translate what is promised for a route; a term that cannot be read gets its default.
+
+    The wire's `type` is the kind of request, its `target-latency-ms` the objective.
+    """
+    terms = DEFAULT_TERMS._asdict()
+    for key, field, read in _TERMS:
+        if key not in route:
+            continue
+        try:
+            terms[field] = read(route[key])
+        except (TypeError, ValueError) as error:
+            faults.append(f"route {route['name']}: {key}: {error}; the default is used")
+    return RouteTerms(**terms)
+
+
+def _whole_seconds(milliseconds: object) -> float:
+    """Return seconds in whole milliseconds, one at least; raises TypeError or ValueError."""
+    if isinstance(milliseconds, bool) or not isinstance(milliseconds, int | float):
+        raise TypeError(f"{milliseconds!r} is no number")
+    if not math.isfinite(milliseconds) or round(milliseconds) < 1:
+        raise ValueError(f"{milliseconds!r} is no time")
+    return round(milliseconds) / MILLISECONDS
+
+
+def _priority(value: object) -> int:
+    """Return a priority; raises TypeError or ValueError."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"{value!r} is no whole number")
+    if value < 0:
+        raise ValueError(f"{value!r} is below 0, the highest")
+    return value
+
+
+_TERMS: tuple[tuple[str, str, Callable[[Any], object]], ...] = (
+    ("type", "kind", RequestKind),
+    ("timeout-ms", "timeout_seconds", _whole_seconds),
+    ("target-latency-ms", "objective_seconds", _whole_seconds),
+    ("priority", "priority", _priority),
+)
 
 
 def _load(body: bytes) -> Mapping[str, Any]:
--- a/src/beamloom/routing/tokens/records.py
+++ b/src/beamloom/routing/tokens/records.py
@@ -36,6 +36,43 @@
         return (self.host, self.port)
 
 
+class RequestKind(Enum):
+    """What may become of a request that is left without an answer.
+
+    Only a SAFE one may run twice; a DOWNLOAD has a long answer.
+    """
+
+    UNSAFE = "unsafe"
+    SAFE = "safe"
+    DOWNLOAD = "download"
+
+
+ORDINARY_PRIORITY = 2
+"""That of a route which names none: no room is reserved for it. Most routes have it (by choice)."""
+
+
+class RouteTerms(NamedTuple):
+    """What is promised for the requests of a route, in whole milliseconds; None: nothing is.
+
+    Answers are due within `objective_seconds`; after `timeout_seconds` the client waits no longer.
+    Priority 0 is the highest.
+    """
+
+    objective_seconds: float | None = None
+    timeout_seconds: float | None = None
+    priority: int = ORDINARY_PRIORITY
+    kind: RequestKind = RequestKind.UNSAFE
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a client may send a request again that may have run."""
+        return self.kind is RequestKind.SAFE
+
+
+DEFAULT_TERMS = RouteTerms()
+"""Of a route whose terms are not known: the cautious ones."""
+
+
 class RoutePart(NamedTuple):
     """A service that gets `weight` of a route's new flows, relative to the route's other parts."""
 
@@ -49,6 +86,7 @@
     name: str
     destination: bytes
     parts: tuple[RoutePart, ...]
+    terms: RouteTerms = DEFAULT_TERMS
 
 
 class ZoneEvacuation(NamedTuple):
@@ -66,9 +104,13 @@
 
 
 class RoutingConfiguration(NamedTuple):
-    """One version of the routes. A flow that rests for `idle_seconds` may be forgotten."""
+    """One version of the routes. A flow that rests for `idle_seconds` may be forgotten.
+
+    Without `tells_terms` it came by way of a node that does not know the terms of routes.
+    """
 
     version: int
     routes: tuple[RouteRecord, ...]
     idle_seconds: float = DEFAULT_IDLE_SECONDS
     warm_ups: tuple[ServiceWarmUp, ...] = ()
+    tells_terms: bool = True
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -169,6 +169,10 @@
         """Note an object of the store that was left out, as it is not as it should be."""
         self._log.record("ObjectUnreadable", {"kind": kind, "object": text})
 
+    def field_unreadable(self, kind: str, text: str) -> None:
+        """Note a field of an object that cannot be read, so that its default is used."""
+        self._log.record("FieldUnreadable", {"kind": kind, "field": text})
+
     def dependency_lost(self, dependency: str, reason: str, failures: int) -> None:
         """Note a call without a usable answer; only the first of a row is a loss."""
         event = "DependencyLost" if failures == 1 else "DependencyStillLost"
--- a/tests/unit/tokens/builders.py
+++ b/tests/unit/tokens/builders.py
@@ -21,6 +21,7 @@
     BackendState,
     RoutePart,
     RouteRecord,
+    RouteTerms,
     RoutingConfiguration,
 )
 from beamloom.routing.tokens.router import TokenRouter
@@ -57,6 +58,12 @@
     return RoutingConfiguration(version, (RouteRecord("route", destination, parts),))
 
 
+def with_terms(version: int, terms: RouteTerms) -> RoutingConfiguration:
+    """Return a configuration whose one route has these terms."""
+    plain = configuration(version, "tracker")
+    return plain._replace(routes=(plain.routes[0]._replace(terms=terms),))
+
+
 def many_routes(version: int, count: int, changed: int = 0) -> RoutingConfiguration:
     """Return a configuration of `count` routes, of which the first `changed` differ by version."""
     return RoutingConfiguration(
