Doubt backends by the objective, and spare requests that may not run twice

A request without an answer after 0.75 of its route's objective, sent once, is now a sign of failure, told as error answers are. A sign of one node keeps flows of routes whose requests may not run twice away (while half of the others are not doubted); signs of two nodes keep all away, as before, and twice as long after each relapse. Answers that end with their flow are judged by size too.

--- a/src/beamloom/node/backend_judge.py
+++ b/src/beamloom/node/backend_judge.py
@@ -24,6 +24,18 @@
 """How long after the last report a backend is passed over that answers with errors; by choice."""
 
 
+RELAPSE_SECONDS = 4.0
+"""A backend that fails again so soon after it was passed over has not recovered in between."""
+MOST_FAILING_DOUBLINGS = 2
+"""Each relapse doubles the time; 8 s at most, so that one that has recovered serves again soon."""
+DOUBT_SECONDS = 3.0
+"""How long requests that may not run twice keep away after a sign seen here; by choice: a sign may
+be chance, and other backends take them.
+"""
+DOUBT_CONFIRMED_SECONDS = 8.0
+"""The same after several nodes saw signs. Requests that may run twice try the backend sooner."""
+
+
 class BackendJudge:
     """Joins a router's signs of trouble, the checks, and what nodes tell each other."""
 
@@ -37,6 +49,9 @@
         self._exchange: ViewExchange | None = None
         self._is_late = False
         router.flows.on_unanswered = self._tell_unanswered
+        if mechanisms.overdue_answers:
+            router.flows.find_patience = router.find_patience
+            router.flows.on_overdue = self._tell_overdue
         if mechanisms.error_answers:
             router.flows.on_short_answer = self._tell_short_answer
         if mechanisms.liveness_checks:
@@ -49,6 +64,7 @@
         self._exchange = exchange
         exchange.reports.on_silent = self._avoid_silent
         exchange.reports.on_failing = self._avoid_failing
+        exchange.reports.on_sign_of_failure = self._doubt
         if self._mechanisms.liveness_checks:
             exchange.reports.on_down = self._take_down_report
 
@@ -70,12 +86,24 @@
 
     def _tell_unanswered(self, backend: Backend, now: float) -> None:
         """Tell others of a silent backend, unless it is this node that is slow."""
+        if not self._is_late:
+            backend.doubt(now + DOUBT_SECONDS)
         tells = self._mechanisms.told_silence and not self._is_late
         if self._exchange is not None and tells:
             self._exchange.reports.note_silent(backend.record.name, now)
 
     def _tell_short_answer(self, backend: Backend, now: float) -> None:
         """Tell others of a backend that seems to have answered with an error."""
+        backend.doubt(now + DOUBT_SECONDS)
+        if self._exchange is not None:
+            self._exchange.reports.note_failing(backend.record.name, now)
+
+    def _tell_overdue(self, backend: Backend, now: float) -> None:
+        """Tell others of a backend that is late with an answer, unless this node is slow."""
+        if self._is_late:
+            return
+        self._router.counters["answers_overdue"] += 1
+        backend.doubt(now + DOUBT_SECONDS)
         if self._exchange is not None:
             self._exchange.reports.note_failing(backend.record.name, now)
 
@@ -87,12 +115,31 @@
             self._observer.suspected(name, silent.record.service, max(0.0, now - since))
 
     def _avoid_failing(self, name: str, since: float, now: float) -> None:
-        """Pass over what answers several nodes with errors; its open flows stay."""
-        until = since + AVOID_FAILING_SECONDS
+        """Pass over what fails requests of several nodes; its open flows stay."""
+        backend = self._router.backends.find(name)
+        if backend is None:
+            return
+        backend.doubt(since + DOUBT_CONFIRMED_SECONDS)
+        spells = self._spells(backend, now)
+        until = since + AVOID_FAILING_SECONDS * 2**spells
         failing = self._router.backends.note_failing(name, now, until)
         if failing is not None:
+            failing.failing_spells = spells
             self._observer.backend_failing(failing.record)
 
+    def _spells(self, backend: Backend, now: float) -> int:
+        """Return how often a backend has been passed over for failures in a row, bounded."""
+        if backend.failing_until >= now or not self._mechanisms.longer_relapses:
+            return backend.failing_spells
+        relapsed = now - backend.failing_until < RELAPSE_SECONDS
+        return min(backend.failing_spells + 1, MOST_FAILING_DOUBLINGS) if relapsed else 0
+
+    def _doubt(self, name: str, since: float) -> None:
+        """Take one node's sign of failure; no quorum, as others take what may not run twice."""
+        backend = self._router.backends.find(name)
+        if backend is not None:
+            backend.doubt(since + DOUBT_SECONDS)
+
     def _note_down(self, backend: Backend, outcome: CheckOutcome, now: float) -> None:
         """End the flows of a backend that a check found dead, and let others check it too."""
         flows = self._router.end_flows(backend, RefusalReason.BACKEND_DOWN)
--- a/src/beamloom/replication/backend_reports.py
+++ b/src/beamloom/replication/backend_reports.py
@@ -25,12 +25,14 @@
     """The reports of one node, whose id is `reporter`, and those that it has heard.
 
     `on_silent` and `on_failing` hear of backends that enough nodes have reported, since when, and
-    the time; `on_down` of those that another node has found dead.
+    the time; `on_sign_of_failure` of each report of a failure, and since when; `on_down` of those
+    that another node has found dead.
     """
 
     def __init__(self, reporter: str) -> None:
         self.on_silent: Callable[[str, float, float], None] = lambda backend, at, now: None
         self.on_failing: Callable[[str, float, float], None] = lambda backend, at, now: None
+        self.on_sign_of_failure: Callable[[str, float], None] = lambda backend, at: None
         self.on_down: Callable[[str, float], None] = lambda backend, now: None
         self._reporter = reporter
         self._silent = SilenceReports()
@@ -84,6 +86,7 @@
             self.on_silent(report.backend, report.at, now)
 
     def _take_failing(self, report: SilenceReport, now: float) -> None:
+        self.on_sign_of_failure(report.backend, report.at)
         if self._failing.note(report, now):
             self.on_failing(report.backend, report.at, now)
 
--- a/src/beamloom/routing/tokens/answer_pace.py
+++ b/src/beamloom/routing/tokens/answer_pace.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections.abc import Iterable
 
@@ -52,6 +53,29 @@
         return 1.0 + (ratio - 1.0) * math.pow(0.5, half_lives)
 
 
+class DueAnswers:
+    """Requests without an answer, each with the time at which its answer will be overdue."""
+
+    def __init__(self) -> None:
+        self._waiting: list[tuple[float, bytes, int]] = []
+
+    @property
+    def next_at(self) -> float | None:
+        """When the first of them will be overdue; None without any."""
+        return self._waiting[0][0] if self._waiting else None
+
+    def expect(self, due_at: float, key: bytes, sequence: int) -> None:
+        """Wait for the answer to the request of a flow that ends with a sequence number."""
+        heapq.heappush(self._waiting, (due_at, key, sequence))
+
+    def take(self, now: float) -> list[tuple[bytes, int]]:
+        """Return once those whose time is over; some may have been answered meanwhile."""
+        taken = []
+        while self._waiting and self._waiting[0][0] <= now:
+            taken.append(heapq.heappop(self._waiting)[1:])
+        return taken
+
+
 def typical_seconds(paces: Iterable[AnswerPace]) -> float:
     """Return the median of the averages that are known, the lower one of two; 0 without any."""
     known = sorted(pace.seconds for pace in paces if pace.known)
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -27,7 +27,9 @@
     an answer. `failures` counts openings in a row that were not answered. `stalled` requests have
     been repeated again and again. `ended` means that a later incarnation has its address;
     `forgotten`, that nothing is known of it any more; `evacuated`, that operators evacuate its
-    zone; `down_since`, that a check found it dead; `failing_until`, that it answers with errors. It
+    zone; `down_since`, that a check found it dead; `failing_until`, that it fails requests, for the
+    `failing_spells`-th time after another such spell;
+    `doubted_until`, that requests which may not run twice are better kept from it. It
     may be cold, as after a start, until `cold_until`. `revision` is that of the store's last word
     on it. `answered_at` is when it last answered an opening, `alive_at` when anything last came of
     it, `pace` how long its answers take. It is not checked before `check_from`; so many checks
@@ -40,9 +42,11 @@
         "busy",
         "check_from",
         "cold_until",
+        "doubted_until",
         "down_since",
         "ended",
         "evacuated",
+        "failing_spells",
         "failing_until",
         "failures",
         "forgotten",
@@ -75,10 +79,16 @@
         self.pace = AnswerPace()
         self.alive_at = float("-inf")
         self.failing_until = float("-inf")
+        self.failing_spells = 0
+        self.doubted_until = float("-inf")
         self.down_since: float | None = None
         self.check_from = float("-inf")
         self.same_outcomes = 0
 
+    def doubt(self, until: float) -> None:
+        """Keep requests that may not run twice from it until then, where others can take them."""
+        self.doubted_until = max(self.doubted_until, until)
+
     def note_warm_up(self, record: BackendRecord, now: float) -> None:
         """Take how much longer the backend says that it is cold."""
         if record.warm_up_seconds > 0:
--- a/src/beamloom/routing/tokens/decisions.py
+++ b/src/beamloom/routing/tokens/decisions.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from beamloom.routing.tokens.packets import DropReason, RefusalReason
+from beamloom.routing.tokens.records import ORDINARY_PRIORITY
 
 
 class FlowPlaced(NamedTuple):
@@ -10,7 +11,8 @@
 
     `candidates` backends of `service` were listed, `load` is this node's own view of the chosen
     one: requests under way and openings not yet answered. `answer_seconds` is how long its answers
-    took on average, 0 before the first.
+    took on average, 0 before the first. It was `doubted` if requests that may not run twice were to
+    keep away; `repeatable` and `priority` are the route's.
     """
 
     flow: bytes
@@ -24,6 +26,9 @@
     suspect: bool
     gone: bool
     answer_seconds: float = 0.0
+    doubted: bool = False
+    repeatable: bool = False
+    priority: int = ORDINARY_PRIORITY
 
 
 class FlowRefused(NamedTuple):
--- a/src/beamloom/routing/tokens/flow_observer.py
+++ b/src/beamloom/routing/tokens/flow_observer.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from enum import Enum
 
+from beamloom.routing.tokens.answer_pace import DueAnswers
 from beamloom.routing.tokens.answer_sizes import AnswerSizes
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.decisions import Decision, OpeningUnanswered, RequestStalled
@@ -52,7 +53,8 @@
     """One flow: its backend, the backends tried before, and whether a request is under way.
 
     `token` is the one by which its last packet was verified. `sequence` is that of the last data,
-    sent first at `asked_at` and `repeats` times again. `placed_at` is when an opening packet last
+    sent first at `asked_at` and `repeats` times again; its answer is overdue at `due_at`, if the
+    route has an objective. `placed_at` is when an opening packet last
     went to `backend`.
     """
 
@@ -61,6 +63,7 @@
         "asked_at",
         "backend",
         "busy",
+        "due_at",
         "last_packet",
         "opening_at",
         "phase",
@@ -80,6 +83,7 @@
         self.acknowledged = 0
         self.sequence = -1
         self.asked_at = now
+        self.due_at: float | None = None
         self.repeats = 0
         self.opening_at: float | None = None
         self.placed_at = now
@@ -98,7 +102,8 @@
     a client's data to the first sign that it got more of an answer. `patience_seconds` grows where
     clients are so far away that their answers to a backend take longer. `on_unanswered` hears of
     each opening that a backend did not answer, `on_suspicion` of all that makes one suspect,
-    `on_short_answer` of answers that may be errors.
+    `on_short_answer` of answers that may be errors, `on_overdue` of requests without an answer for
+    longer than `find_patience` gives for their destination; None: such requests are not judged.
     """
 
     def __init__(self, on_decision: Callable[[Decision], None]) -> None:
@@ -107,7 +112,10 @@
         self.patience_seconds = OPENING_PATIENCE_SECONDS
         self.on_unanswered: Callable[[Backend, float], None] = lambda backend, now: None
         self.on_short_answer: Callable[[Backend, float], None] = lambda backend, now: None
+        self.on_overdue: Callable[[Backend, float], None] = lambda backend, now: None
+        self.find_patience: Callable[[bytes], float | None] = lambda destination: None
         self._sizes = AnswerSizes()
+        self._due = DueAnswers()
         self.on_suspicion: Callable[[Backend, Suspicion, float], None] = lambda *_: None
         self._on_decision = on_decision
         self.idle_seconds = 15.0
@@ -140,6 +148,8 @@
         """Return when `advance` has an opening or a request to judge; None: nothing waits."""
         queues = (self._unproved, self._openings, self._asked)
         times = [waiting[0][0] for waiting in queues if waiting]
+        if self._due.next_at is not None:
+            times.append(self._due.next_at)
         return min(times, default=None)
 
     def note_opening(self, key: bytes, backend: Backend, now: float) -> None:
@@ -179,13 +189,15 @@
         flow.acknowledged = packet.acknowledged
         flow.last_packet = now
 
-    def note_end(self, key: bytes, now: float) -> None:
+    def note_end(self, packet: ClientPacket, now: float) -> None:
         """Note that the client ended its flow: it has its answer, or waits for it no longer."""
-        flow = self._flows.pop(key, None)
+        flow = self._flows.pop(packet.flow, None)
         if flow is None:
             return
         if flow.busy:
             flow.backend.pace.note(now - flow.asked_at, now)
+            if flow.opened and packet.acknowledged != flow.acknowledged:
+                self._judge_size(flow, packet, now)
         self._leave(flow)
 
     def advance(self, now: float) -> None:
@@ -199,6 +211,8 @@
                 self._note_unanswered(key, flow, now)
         while self._asked and self._asked[0][0] <= now:
             self._judge_request(*self._asked.popleft()[1:], now)
+        for key, sequence in self._due.take(now):
+            self._judge_overdue(key, sequence, now)
         while self._resting and self._resting[0][0] <= now:
             _, key = self._resting.popleft()
             flow = self._flows.get(key)
@@ -263,6 +277,8 @@
             self._end_stall(flow)
             flow.sequence = packet.sequence
             flow.asked_at = now
+            patience = self.find_patience(packet.destination)
+            flow.due_at = None if patience is None else now + patience
             self._asked.append((now + QUIET_SECONDS, packet.flow, packet.sequence))
             return
         flow.repeats += 1
@@ -286,9 +302,24 @@
 
     def _judge_request(self, key: bytes, sequence: int, now: float) -> None:
         """Suspect a backend whose client has neither an answer nor asks for it any more."""
+        flow = self._find_quiet(key, sequence)
+        if flow is None:
+            return
+        self.on_suspicion(flow.backend, Suspicion.QUIET_REQUEST, now)
+        if flow.due_at is not None:
+            self._due.expect(flow.due_at, key, sequence)
+
+    def _judge_overdue(self, key: bytes, sequence: int, now: float) -> None:
+        """Tell of a backend that has taken a request and does not answer it in its time."""
+        flow = self._find_quiet(key, sequence)
+        if flow is not None:
+            self.on_overdue(flow.backend, now)
+
+    def _find_quiet(self, key: bytes, sequence: int) -> ObservedFlow | None:
+        """Return the flow whose request waits for an answer and has not been sent again."""
         flow = self._flows.get(key)
-        if flow is not None and flow.busy and flow.sequence == sequence and not flow.repeats:
-            self.on_suspicion(flow.backend, Suspicion.QUIET_REQUEST, now)
+        waits = flow is not None and flow.busy and flow.sequence == sequence and not flow.repeats
+        return flow if waits else None
 
     def _note_answer(self, flow: ObservedFlow, now: float) -> None:
         seconds = now - flow.asked_at
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Collection
 from typing import NamedTuple
 
 from beamloom.routing.tokens.answer_pace import typical_seconds
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.cold_starts import ColdStartGate
-from beamloom.routing.tokens.records import BackendState
+from beamloom.routing.tokens.records import DEFAULT_TERMS, BackendState, RouteTerms
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 
 LONGEST_GONE_GRACE_SECONDS = 2.0
@@ -22,6 +23,10 @@
 """How long news of a backend may take to a node, with some room."""
 
 
+LEAST_UNDOUBTED_SHARE = 0.5
+"""Where more of a service is doubted, load is the reason, and the few others must not bear all."""
+
+
 class PlacementSettings(NamedTuple):
     """Leanings of a deployment.
 
@@ -29,7 +34,8 @@
     an open flow without a request.
     `gone_grace_seconds` is how long a backend that has gone may still be used where no other is
     left; it must stay below the time in which a backend that left must be rid of new flows.
-    `weighs_load`, `avoids_suspects` and `weighs_pace` are off only to measure what they are worth.
+    `weighs_load`, `avoids_suspects` and `weighs_pace` and `spares_unrepeatable` are off only
+    to measure what they are worth.
     """
 
     other_zone_surcharge: float = 0.5
@@ -38,6 +44,7 @@
     weighs_load: bool = True
     avoids_suspects: bool = True
     weighs_pace: bool = True
+    spares_unrepeatable: bool = True
 
 
 def placement_settings(
@@ -50,6 +57,7 @@
         weighs_load=mechanisms.observed_load,
         avoids_suspects=mechanisms.suspicion,
         weighs_pace=mechanisms.answer_pace,
+        spares_unrepeatable=mechanisms.risk_aversion,
     )
     if not mechanisms.own_zone:
         settings = settings._replace(other_zone_surcharge=0.0)
@@ -70,6 +78,7 @@
     """Chooses backends for one node in `zone`; ties are broken by `chance`.
 
     Cold backends are passed over as `cold_starts` says; without it they count as all others.
+    `counters` tell how often a decision hung on a route's terms.
     """
 
     def __init__(
@@ -83,8 +92,15 @@
         self._zone = zone
         self._settings = settings
         self.chance = chance
+        self.counters: Counter[str] = Counter()
 
-    def choose(self, backends: Collection[Backend], tried: Tried, now: float) -> Backend | None:
+    def choose(
+        self,
+        backends: Collection[Backend],
+        tried: Tried,
+        now: float,
+        terms: RouteTerms = DEFAULT_TERMS,
+    ) -> Backend | None:
         """Return the backend for a new flow, or None where no backend may take it.
 
         `tried` ones got an earlier copy of the opening packet and did not answer it; other zones
@@ -103,6 +119,8 @@
         answering = [backend for backend in fresh if not self._is_suspect(backend, now)]
         if cold and not any(map(_has_room, answering)):
             answering += self._open_to_cold(cold, tried.backends, now)
+        if self._settings.spares_unrepeatable and not terms.repeatable:
+            answering = self._undoubted(answering, now)
         elsewhere = answering
         if tried.zones:
             elsewhere = [other for other in answering if other.record.zone not in tried.zones]
@@ -112,6 +130,17 @@
         lately_gone = [backend for backend in backends if self._is_lately_gone(backend, now)]
         return self._cheapest(lately_gone, now) if lately_gone else None
 
+    def _undoubted(self, answering: list[Backend], now: float) -> list[Backend]:
+        """Return the backends for a flow whose requests may not run twice."""
+        undoubted = [backend for backend in answering if backend.doubted_until <= now]
+        if len(undoubted) == len(answering):
+            return answering
+        if len(undoubted) < LEAST_UNDOUBTED_SHARE * len(answering):
+            self.counters["doubted_not_spared"] += 1
+            return answering
+        self.counters["doubted_spared"] += 1
+        return undoubted
+
     def waits_for_cold(self, backends: Collection[Backend], now: float) -> bool:
         """Whether a cold backend may take a flow before long, though none may take it now."""
         return self._cold_starts is not None and any(
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -40,6 +40,10 @@
 numbers of the other. Clients send copies after 0.2 s at the earliest.
 """
 
+OVERDUE_SHARE = 0.75
+"""Part of a route's objective after which an answer is overdue: its client can still be served by
+others in time, and a backend that does its usual work is seldom so late.
+"""
 LAST_COPY = 2
 """Clients send two copies of an opening packet, after 0.2 and 0.6 s (the platform's protocol)."""
 
@@ -82,6 +86,7 @@
         self._on_decision = on_decision
         self.counters: Counter[str] = Counter()
         self._placement = placement
+        placement.counters = self.counters
 
     def put_in_force(self, configuration: RoutingConfiguration) -> bool:
         """Take a configuration if it is newer; return whether it was."""
@@ -91,6 +96,13 @@
             self.backends.use_warm_ups(configuration.warm_ups)
         return taken
 
+    def find_patience(self, destination: bytes) -> float | None:
+        """Return how long an answer may take before its backend is doubted; None: no objective."""
+        route = self.routes.find(destination)
+        if route is None or route.record.terms.objective_seconds is None:
+            return None
+        return OVERDUE_SHARE * route.record.terms.objective_seconds
+
     def handle(self, packet: ClientPacket, now: float) -> RouterCommand:
         """Decide what becomes of one packet."""
         if self.codec is None:
@@ -163,7 +175,7 @@
     def _choose(self, route: ActiveRoute, tried: Tried, now: float) -> Backend | None:
         for part in route.next_parts():
             backends = self.backends.of_service(part.service)
-            backend = self._placement.choose(backends, tried, now)
+            backend = self._placement.choose(backends, tried, now, route.record.terms)
             if backend is not None:
                 return backend
         return None
@@ -186,7 +198,7 @@
         if backend.down_since is not None:
             return self._end_flow(packet, RefusalReason.BACKEND_DOWN, now)
         if packet.kind is PacketKind.END:
-            self.flows.note_end(packet.flow, now)
+            self.flows.note_end(packet, now)
         else:
             self.flows.note_packet(packet, backend, now)
         return self._forward(packet, backend, NO_TOKEN)
@@ -211,7 +223,7 @@
 
     def _end_flow(self, packet: ClientPacket, reason: RefusalReason, now: float) -> RouterCommand:
         """Answer a packet of a flow whose backend cannot hold it any more."""
-        self.flows.note_end(packet.flow, now)
+        self.flows.note_end(packet, now)
         return self._refuse(packet, reason, packet.acknowledged)
 
     def _tell_placed(
@@ -231,6 +243,9 @@
                 suspect=backend.suspect_until > now,
                 gone=backend.gone_at is not None,
                 answer_seconds=backend.pace.seconds,
+                doubted=backend.doubted_until > now,
+                repeatable=route.record.terms.repeatable,
+                priority=route.record.terms.priority,
             )
         )
 
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -53,6 +53,9 @@
                     "suspect": decision.suspect,
                     "gone": decision.gone,
                     "answer_ms": round(decision.answer_seconds * MILLISECONDS),
+                    "doubted": decision.doubted,
+                    "repeatable": decision.repeatable,
+                    "priority": decision.priority,
                 }
             case FlowRefused():
                 fields |= {
--- a/src/beamloom/settings/mechanisms.py
+++ b/src/beamloom/settings/mechanisms.py
@@ -23,6 +23,9 @@
     answer_pace: a backend whose answers have become slow counts as usual.
     suspicion: backends that do not answer get flows like others.
     error_answers: nodes do not tell each other of backends that answer with errors.
+    overdue_answers: backends that are late with answers, by the objective, are not told of.
+    longer_relapses: backends that fail again and again are tried again each time as soon.
+    risk_aversion: flows whose requests may not run twice are placed as all others.
     told_silence: nodes do not tell each other of silent backends.
     other_backend_for_copies: copies of an opening go where the opening went.
     other_zone_for_copies: copies of an opening go to any zone, the silent one's too.
@@ -50,6 +53,9 @@
     answer_pace: bool = True
     suspicion: bool = True
     error_answers: bool = True
+    overdue_answers: bool = True
+    longer_relapses: bool = True
+    risk_aversion: bool = True
     told_silence: bool = True
     other_backend_for_copies: bool = True
     other_zone_for_copies: bool = True
