Keep room for the highest priority, refuse what cannot meet its time-out

Where a route of priority 0 leads to a service, others take the last slot of a backend only when no backend has another one free; they are never refused for it. An opening for which only cold backends are left was left to its copies even where its time-out ends before the first of them; it is refused at once, and only if it is a first packet, as an earlier copy may be at a backend.

Tests: placement, signs and refusals by terms, with a property over random backends that terms never leave a flow without a backend that others get; a probe for each switch.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -71,6 +71,7 @@
             observer.decision,
             moves_copies=mechanisms.other_backend_for_copies,
             leaves_zones=mechanisms.other_zone_for_copies,
+            refuses_too_late=mechanisms.timely_refusals,
         )
         self.router.may_refuse = False
         self._judge = BackendJudge(self.router, observer, mechanisms)
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -27,6 +27,13 @@
 """Where more of a service is doubted, load is the reason, and the few others must not bear all."""
 
 
+HIGHEST_PRIORITY = 0
+RESERVED_SLOTS = 1
+"""Of each backend that has more: a burst of other requests finds the rest, then each other backend,
+and only then these.
+"""
+
+
 class PlacementSettings(NamedTuple):
     """Leanings of a deployment.
 
@@ -34,8 +41,8 @@
     an open flow without a request.
     `gone_grace_seconds` is how long a backend that has gone may still be used where no other is
     left; it must stay below the time in which a backend that left must be rid of new flows.
-    `weighs_load`, `avoids_suspects` and `weighs_pace` and `spares_unrepeatable` are off only
-    to measure what they are worth.
+    `weighs_load`, `avoids_suspects`, `weighs_pace`, `spares_unrepeatable` and `keeps_reserve` are
+    off only to measure what they are worth.
     """
 
     other_zone_surcharge: float = 0.5
@@ -45,6 +52,7 @@
     avoids_suspects: bool = True
     weighs_pace: bool = True
     spares_unrepeatable: bool = True
+    keeps_reserve: bool = True
 
 
 def placement_settings(
@@ -58,6 +66,7 @@
         avoids_suspects=mechanisms.suspicion,
         weighs_pace=mechanisms.answer_pace,
         spares_unrepeatable=mechanisms.risk_aversion,
+        keeps_reserve=mechanisms.priority_reserve,
     )
     if not mechanisms.own_zone:
         settings = settings._replace(other_zone_surcharge=0.0)
@@ -78,6 +87,7 @@
     """Chooses backends for one node in `zone`; ties are broken by `chance`.
 
     Cold backends are passed over as `cold_starts` says; without it they count as all others.
+    Backends of `reserving_services` keep room for requests of the highest priority.
     `counters` tell how often a decision hung on a route's terms.
     """
 
@@ -93,6 +103,7 @@
         self._settings = settings
         self.chance = chance
         self.counters: Counter[str] = Counter()
+        self.reserving_services: frozenset[str] = frozenset()
 
     def choose(
         self,
@@ -121,6 +132,8 @@
             answering += self._open_to_cold(cold, tried.backends, now)
         if self._settings.spares_unrepeatable and not terms.repeatable:
             answering = self._undoubted(answering, now)
+        if self.reserving_services and terms.priority > HIGHEST_PRIORITY:
+            answering = self._outside_reserve(answering)
         elsewhere = answering
         if tried.zones:
             elsewhere = [other for other in answering if other.record.zone not in tried.zones]
@@ -141,6 +154,17 @@
         self.counters["doubted_spared"] += 1
         return undoubted
 
+    def _outside_reserve(self, answering: list[Backend]) -> list[Backend]:
+        """Return the backends that leave room for the highest priority; all, where none does."""
+        if not self._settings.keeps_reserve or not answering:
+            return answering
+        if answering[0].record.service not in self.reserving_services:
+            return answering
+        outside = list(filter(_has_room_beside_reserve, answering))
+        if outside and len(outside) < len(answering):
+            self.counters["reserve_kept"] += 1
+        return outside or answering
+
     def waits_for_cold(self, backends: Collection[Backend], now: float) -> bool:
         """Whether a cold backend may take a flow before long, though none may take it now."""
         return self._cold_starts is not None and any(
@@ -209,3 +233,9 @@
 def _has_room(backend: Backend) -> bool:
     """Whether a backend has a free slot, as far as this node sees."""
     return backend.pending + backend.busy < max(1, backend.record.slots)
+
+
+def _has_room_beside_reserve(backend: Backend) -> bool:
+    """Whether a backend has a free slot and would keep RESERVED_SLOTS free, if it has so many."""
+    slots = max(1, backend.record.slots - RESERVED_SLOTS)
+    return backend.pending + backend.busy < slots
--- a/src/beamloom/routing/tokens/records.py
+++ b/src/beamloom/routing/tokens/records.py
@@ -114,3 +114,12 @@
     idle_seconds: float = DEFAULT_IDLE_SECONDS
     warm_ups: tuple[ServiceWarmUp, ...] = ()
     tells_terms: bool = True
+
+    def services_of_priority(self, priority: int) -> frozenset[str]:
+        """Return the services to which routes of a priority lead."""
+        return frozenset(
+            part.service
+            for route in self.routes
+            if route.terms.priority == priority
+            for part in route.parts
+        )
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -29,7 +29,7 @@
     ResetFlow,
     RouterCommand,
 )
-from beamloom.routing.tokens.placement import NOTHING_TRIED, Placement, Tried
+from beamloom.routing.tokens.placement import HIGHEST_PRIORITY, NOTHING_TRIED, Placement, Tried
 from beamloom.routing.tokens.records import RoutingConfiguration
 from beamloom.routing.tokens.route_table import ActiveRoute, RouteTable
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
@@ -44,6 +44,8 @@
 """Part of a route's objective after which an answer is overdue: its client can still be served by
 others in time, and a backend that does its usual work is seldom so late.
 """
+FIRST_COPY_SECONDS = 0.2
+"""From a client's first opening packet to its first copy (the platform's protocol)."""
 LAST_COPY = 2
 """Clients send two copies of an opening packet, after 0.2 and 0.6 s (the platform's protocol)."""
 
@@ -62,8 +64,8 @@
     While routes and backends may be out of date, `may_refuse` is to be False: what is not known
     here may be there, so its opening packets are dropped, and their copies judged by what is known
     then. With `moves_copies`, a copy of an opening packet goes to another backend, with
-    `leaves_zones` in another zone. `resets` are for flows that have ended without a packet of
-    theirs.
+    `leaves_zones` in another zone. With `refuses_too_late`, what cannot be served within its
+    time-out is refused at once. `resets` are for flows that have ended without a packet of theirs.
     """
 
     def __init__(
@@ -73,9 +75,11 @@
         *,
         moves_copies: bool = True,
         leaves_zones: bool = True,
+        refuses_too_late: bool = True,
     ) -> None:
         self._moves_copies = moves_copies
         self._leaves_zones = leaves_zones
+        self._refuses_too_late = refuses_too_late
         self.codec: TokenCodec | None = None
         self.may_refuse = True
         self.routes = RouteTable(placement.chance)
@@ -94,6 +98,9 @@
         if taken:
             self.flows.idle_seconds = configuration.idle_seconds
             self.backends.use_warm_ups(configuration.warm_ups)
+            self._placement.reserving_services = configuration.services_of_priority(
+                HIGHEST_PRIORITY
+            )
         return taken
 
     def find_patience(self, destination: bytes) -> float | None:
@@ -150,12 +157,25 @@
             self._placement.waits_for_cold(self.backends.of_service(part.service), now)
             for part in route.record.parts
         )
-        if waits and packet.acknowledged < LAST_COPY:
+        if waits and packet.acknowledged < LAST_COPY and self._has_time(route, packet):
             return self._drop(packet, DropReason.COLD_BACKENDS)
         if packet.acknowledged and not waits:
             return self._drop(packet, DropReason.NO_BACKEND_FOR_COPY)
         return self._refuse_opening(packet, RefusalReason.NO_BACKEND)
 
+    def _has_time(self, route: ActiveRoute, packet: ClientPacket) -> bool:
+        """Whether a client still waits when it would send its next copy.
+
+        Only a first packet is judged: an earlier copy may be at a backend, by way of another node.
+        """
+        timeout = route.record.terms.timeout_seconds
+        if not self._refuses_too_late or timeout is None or packet.acknowledged:
+            return True
+        if timeout > FIRST_COPY_SECONDS:
+            return True
+        self.counters["cannot_meet_timeout"] += 1
+        return False
+
     def _keeps_copy(self, flow: ObservedFlow, now: float) -> bool:
         """Whether a copy of a flow's opening packet goes where the last one went."""
         if flow.backend.evacuated:
--- a/src/beamloom/settings/mechanisms.py
+++ b/src/beamloom/settings/mechanisms.py
@@ -26,6 +26,8 @@
     overdue_answers: backends that are late with answers, by the objective, are not told of.
     longer_relapses: backends that fail again and again are tried again each time as soon.
     risk_aversion: flows whose requests may not run twice are placed as all others.
+    priority_reserve: backends keep no room for requests of the highest priority.
+    timely_refusals: a client waits for cold backends though its time-out is over before its copy.
     told_silence: nodes do not tell each other of silent backends.
     other_backend_for_copies: copies of an opening go where the opening went.
     other_zone_for_copies: copies of an opening go to any zone, the silent one's too.
@@ -56,6 +58,8 @@
     overdue_answers: bool = True
     longer_relapses: bool = True
     risk_aversion: bool = True
+    priority_reserve: bool = True
+    timely_refusals: bool = True
     told_silence: bool = True
     other_backend_for_copies: bool = True
     other_zone_for_copies: bool = True
--- a/tests/unit/tokens/builders.py
+++ b/tests/unit/tokens/builders.py
@@ -27,6 +27,7 @@
 from beamloom.routing.tokens.router import TokenRouter
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
+from beamloom.settings.token_node import ColdStartLimits
 from beamloom.simulation.tokens.quiet_observer import QuietObserver
 
 KEY = bytes(range(16))
@@ -64,6 +65,18 @@
     return plain._replace(routes=(plain.routes[0]._replace(terms=terms),))
 
 
+def two_priorities(version: int) -> RoutingConfiguration:
+    """Return a configuration in which a route of the highest priority has the same backends."""
+    plain = configuration(version, "tracker").routes[0]
+    urgent = RouteRecord("urgent", OTHER_DESTINATION, plain.parts, RouteTerms(priority=0))
+    return RoutingConfiguration(version, (plain, urgent))
+
+
+def put_terms_in_force(core: TokenCore, terms: RouteTerms) -> None:
+    """Let the next version of the configuration of `make_core` change the terms of its route."""
+    core.router.put_in_force(with_terms(core.router.routes.version + 1, terms))
+
+
 def many_routes(version: int, count: int, changed: int = 0) -> RoutingConfiguration:
     """Return a configuration of `count` routes, of which the first `changed` differ by version."""
     return RoutingConfiguration(
@@ -132,7 +145,10 @@
 
 
 def new_core(
-    mechanisms: Mechanisms = ALL_MECHANISMS, *, evacuate_seconds: float | None = None
+    mechanisms: Mechanisms = ALL_MECHANISMS,
+    *,
+    evacuate_seconds: float | None = None,
+    cold_starts: ColdStartLimits | None = None,
 ) -> TokenCore:
     """Return a core that has just started; it follows evacuations where there is a bound."""
     evacuation_times = None
@@ -147,6 +163,7 @@
         times=reading_times(),
         mechanisms=mechanisms,
         evacuation_times=evacuation_times,
+        cold_starts=cold_starts,
     )
 
 
--- a/tests/unit/tokens/test_mechanisms.py
+++ b/tests/unit/tokens/test_mechanisms.py
@@ -18,7 +18,7 @@
 from beamloom.routing.tokens.configuration_history import ConfigurationHistory
 from beamloom.routing.tokens.packets import ForwardPacket
 from beamloom.routing.tokens.placement import placement_settings
-from beamloom.routing.tokens.records import BackendRecord
+from beamloom.routing.tokens.records import BackendRecord, RouteTerms
 from beamloom.runtime.planned_stop import PlannedStop
 from beamloom.runtime.token_node import first_tick_seconds
 from beamloom.settings.mechanisms import (
@@ -29,7 +29,9 @@
     mechanisms_without,
     read_mechanisms,
 )
+from beamloom.settings.token_node import ColdStartLimits
 from tests.unit.tokens.builders import (
+    KEY,
     ZONE,
     backend,
     flow_id,
@@ -39,6 +41,9 @@
     many_routes,
     new_core,
     opening,
+    packet,
+    put_terms_in_force,
+    two_priorities,
 )
 
 NOW = 10.0
@@ -135,6 +140,60 @@
     return any(digest.failing for digest in digests)
 
 
+def overdue_answers(mechanisms: Mechanisms) -> object:
+    core = make_core(mechanisms, backend(1))
+    put_terms_in_force(core, RouteTerms(0.4))
+    core.advance(NOW)
+    command = core.router.handle(opening(1), NOW)
+    assert isinstance(command, ForwardPacket)
+    core.router.handle(packet(1, token=command.token, data_length=9), NOW + 0.01)
+    core.router.advance(NOW + 0.32)
+    return core.router.backends.of_service("tracker")[0].doubted_until > NOW
+
+
+def risk_aversion(mechanisms: Mechanisms) -> object:
+    chosen = set()
+    for seed in range(SEED_COUNT):
+        settings = placement_settings(3.0, mechanisms)
+        router = make_router(backend(1), backend(2), settings=settings, seed=seed)
+        router.backends.of_service("tracker")[0].doubt(5.0)
+        command = router.handle(opening(1), 0.0)
+        assert isinstance(command, ForwardPacket)
+        chosen.add(command.identity)
+    return chosen
+
+
+def longer_relapses(mechanisms: Mechanisms) -> object:
+    core = make_core(mechanisms, *(backend(number) for number in range(1, 6)))
+    core.join_peers("10.0.0.1", ())
+    assert core.exchange is not None
+    core.exchange.reports.on_failing("i-00000001", NOW, NOW)
+    core.exchange.reports.on_failing("i-00000001", NOW + 3.0, NOW + 3.0)
+    failing = core.router.backends.find("i-00000001")
+    assert failing is not None
+    return failing.failing_until
+
+
+def priority_reserve(mechanisms: Mechanisms) -> object:
+    settings = placement_settings(3.0, mechanisms)
+    records = (backend(1, slots=4), backend(2, zone="far", slots=1))
+    router = make_router(*records, settings=settings)
+    router.put_in_force(two_priorities(2))
+    for client in range(4):
+        router.handle(opening(client), 0.0)
+    return [held.pending for held in router.backends.of_service("tracker")]
+
+
+def timely_refusals(mechanisms: Mechanisms) -> object:
+    core = new_core(mechanisms, cold_starts=ColdStartLimits(1.0, 0.0))
+    core.use_key(KEY)
+    put_terms_in_force(core, RouteTerms(timeout_seconds=0.15))
+    core.router.may_refuse = True
+    core.router.backends.update(backend(1, warm_up=5.0), 1, NOW)
+    core.router.handle(opening(1), NOW)
+    return type(core.router.handle(opening(2), NOW))
+
+
 def told_silence(mechanisms: Mechanisms) -> object:
     core = make_core(mechanisms, backend(1))
     core.join_peers("10.0.0.1", ("10.0.0.2:1",))
@@ -262,6 +321,11 @@
         other_zone_for_copies,
         liveness_checks,
         error_answers,
+        overdue_answers,
+        risk_aversion,
+        longer_relapses,
+        priority_reserve,
+        timely_refusals,
         told_silence,
         confirmed_refusals,
         few_readers,
--- /dev/null
+++ b/tests/unit/tokens/test_placement_by_terms.py
@@ -0,0 +1,243 @@
+"""What the terms of a route change: which backend a flow gets, and what is told of backends."""
+
+import random
+import unittest
+
+from beamloom.routing.tokens.backend_table import Backend
+from beamloom.routing.tokens.packets import DropPacket, ForwardPacket, PacketKind, ResetFlow
+from beamloom.routing.tokens.placement import NOTHING_TRIED, Placement, PlacementSettings, Tried
+from beamloom.routing.tokens.records import (
+    BackendState,
+    RequestKind,
+    RouteTerms,
+    RoutingConfiguration,
+)
+from beamloom.settings.mechanisms import ALL_MECHANISMS
+from beamloom.settings.token_node import ColdStartLimits
+from tests.unit.tokens.builders import (
+    KEY,
+    OTHER_DESTINATION,
+    ZONE,
+    backend,
+    forwarded_to,
+    make_core,
+    make_router,
+    new_core,
+    opening,
+    packet,
+    put_terms_in_force,
+    two_priorities,
+    with_terms,
+)
+
+NOW = 10.0
+POST = RouteTerms(0.4, 2.5, 1, RequestKind.UNSAFE)
+FEED = RouteTerms(0.4, 2.0, 2, RequestKind.SAFE)
+
+
+def chosen_by(terms: RouteTerms, doubted: int, known: int = 6) -> set[int]:
+    """Return where flows go while the first `doubted` of some backends are doubted."""
+    identities = set()
+    for seed in range(40):
+        router = make_router(*(backend(n) for n in range(1, known + 1)), seed=seed)
+        router.put_in_force(with_terms(2, terms))
+        for held in router.backends.of_service("tracker")[:doubted]:
+            held.doubt(NOW + 1)
+        identities.add(forwarded_to(router.handle(opening(1), NOW)))
+    return identities
+
+
+class DoubtTest(unittest.TestCase):
+    def test_what_may_not_run_twice_keeps_away_from_doubted_backends(self) -> None:
+        self.assertEqual(chosen_by(POST, doubted=2), {3, 4, 5, 6})
+
+    def test_what_may_run_twice_does_not(self) -> None:
+        self.assertEqual(chosen_by(FEED, doubted=2), {1, 2, 3, 4, 5, 6})
+
+    def test_where_most_are_doubted_the_others_do_not_bear_all(self) -> None:
+        self.assertEqual(chosen_by(POST, doubted=4), {1, 2, 3, 4, 5, 6})
+
+    def test_another_zone_is_better_than_a_doubted_backend(self) -> None:
+        router = make_router(backend(1), backend(2, zone="far"))
+        router.backends.of_service("tracker")[0].doubt(NOW + 1)
+        self.assertEqual(forwarded_to(router.handle(opening(1), NOW)), 2)
+        self.assertEqual(router.counters["doubted_spared"], 1)
+
+    def test_doubt_ends(self) -> None:
+        router = make_router(backend(1), backend(2, zone="far"))
+        router.backends.of_service("tracker")[0].doubt(NOW)
+        self.assertEqual(forwarded_to(router.handle(opening(1), NOW + 0.1)), 1)
+
+
+class OverdueTest(unittest.TestCase):
+    """A backend takes a request, acknowledges it, and does not answer."""
+
+    def setUp(self) -> None:
+        self.core = make_core(ALL_MECHANISMS, *(backend(n) for n in range(1, 6)))
+        self.core.join_peers("10.0.0.1", ())
+        put_terms_in_force(self.core, POST)
+        self.core.advance(NOW)
+        command = self.core.router.handle(opening(1), NOW)
+        assert isinstance(command, ForwardPacket)
+        self.token = command.token
+        held = self.core.router.flows.find(opening(1).flow)
+        assert held is not None
+        self.backend = held.backend
+        self.ask(NOW, sequence=1)
+
+    def ask(self, now: float, sequence: int) -> None:
+        self.core.router.handle(packet(1, token=self.token, sequence=sequence, data_length=9), now)
+
+    def test_it_is_doubted_after_a_part_of_the_objective(self) -> None:
+        self.core.router.advance(NOW + 0.29)
+        self.assertLess(self.backend.doubted_until, NOW)
+        self.core.router.advance(NOW + 0.31)
+        self.assertGreater(self.backend.doubted_until, NOW + 1)
+        self.assertEqual(self.core.router.counters["answers_overdue"], 1)
+
+    def test_its_flow_stays_open(self) -> None:
+        self.core.router.advance(NOW + 0.31)
+        command = self.core.router.handle(packet(1, token=self.token, data_length=9), NOW + 0.4)
+        self.assertEqual(forwarded_to(command), self.backend.record.identity)
+
+    def test_an_answer_in_time_is_not_held_against_it(self) -> None:
+        self.core.router.handle(packet(1, token=self.token, acknowledged=900), NOW + 0.2)
+        self.core.router.advance(NOW + 0.5)
+        self.assertLess(self.backend.doubted_until, NOW)
+
+    def test_a_request_that_had_to_be_sent_again_tells_of_the_way(self) -> None:
+        self.ask(NOW + 0.2, sequence=1)
+        self.core.router.advance(NOW + 0.5)
+        self.assertEqual(self.core.router.counters["answers_overdue"], 0)
+
+    def test_without_an_objective_nothing_is_due(self) -> None:
+        put_terms_in_force(self.core, RouteTerms())
+        self.ask(NOW + 0.1, sequence=2)
+        self.core.router.advance(NOW + 5.0)
+        self.assertEqual(self.core.router.counters["answers_overdue"], 0)
+
+    def test_a_node_that_lags_blames_nobody(self) -> None:
+        self.core.advance(NOW + 0.9)
+        self.assertEqual(self.core.router.counters["answers_overdue"], 0)
+
+    def test_a_peer_s_word_is_enough_for_doubt_and_two_for_all_flows(self) -> None:
+        assert self.core.exchange is not None
+        reports = self.core.exchange.reports
+        self.core.router.advance(NOW + 0.31)
+        self.assertLess(self.backend.failing_until, NOW)
+        reports.on_sign_of_failure(self.backend.record.name, NOW + 0.4)
+        self.assertGreater(self.backend.doubted_until, NOW + 3)
+        reports.on_failing(self.backend.record.name, NOW + 0.5, NOW + 0.5)
+        self.assertGreater(self.backend.failing_until, NOW + 2)
+
+
+class LastAnswerTest(unittest.TestCase):
+    def test_a_short_answer_that_ends_its_flow_is_a_sign(self) -> None:
+        router = make_router(backend(1))
+        signs: list[Backend] = []
+        router.flows.on_short_answer = lambda held, now: signs.append(held)
+        for client in range(40):
+            command = router.handle(opening(client), NOW)
+            assert isinstance(command, ForwardPacket)
+            router.handle(packet(client, token=command.token, data_length=9), NOW)
+            size = 210 if client == 39 else 1000
+            end = packet(client, PacketKind.END, token=command.token, acknowledged=size)
+            router.handle(end, NOW + 0.1)
+        self.assertEqual(len(signs), 1)
+
+
+class PriorityTest(unittest.TestCase):
+    def test_a_burst_leaves_room_for_the_highest_priority(self) -> None:
+        router = make_router(*(backend(n) for n in range(1, 5)))
+        router.put_in_force(two_priorities(2))
+        for client in range(4):
+            router.handle(opening(client), NOW)
+        busy = [held.pending for held in router.backends.of_service("tracker")]
+        self.assertEqual(busy, [1, 1, 1, 1])
+        router.handle(opening(9, destination=OTHER_DESTINATION), NOW)
+        busy = [held.pending for held in router.backends.of_service("tracker")]
+        self.assertEqual(max(busy), 2)
+
+    def test_no_priority_is_starved(self) -> None:
+        """Whatever backends are like, terms never leave a flow without one that others get."""
+        chance = random.Random(5)
+        for _ in range(2000):
+            held = [random_backend(number, chance) for number in range(chance.randrange(6))]
+            placement = Placement(ZONE, PlacementSettings(), random.Random(1))
+            placement.reserving_services = frozenset({"tracker"})
+            tried = Tried([other for other in held if chance.random() < 0.3])
+            plain = placement.choose(held, NOTHING_TRIED, NOW, RouteTerms(priority=0))
+            for priority in range(4):
+                for kind in RequestKind:
+                    terms = RouteTerms(0.4, 1.0, priority, kind)
+                    for skipped in (NOTHING_TRIED, tried):
+                        chosen = placement.choose(held, skipped, NOW, terms)
+                        self.assertEqual(chosen is None, plain is None)
+
+    def test_a_lower_priority_keeps_all_its_flows_under_a_burst_of_the_highest(self) -> None:
+        router = make_router(*(backend(n) for n in range(1, 4)))
+        router.put_in_force(two_priorities(2))
+        for client in range(300):
+            router.handle(opening(client, destination=OTHER_DESTINATION), NOW)
+            self.assertIsInstance(router.handle(opening(1000 + client), NOW), ForwardPacket)
+
+
+class TimelyRefusalTest(unittest.TestCase):
+    """Only cold backends are left, and they may take a flow a moment later."""
+
+    def answer(self, terms: RouteTerms, copies: int = 0) -> object:
+        core = new_core(cold_starts=ColdStartLimits(1.0, 0.0))
+        core.use_key(KEY)
+        core.router.put_in_force(with_terms(1, terms))
+        core.router.may_refuse = True
+        core.router.backends.update(backend(1, warm_up=5.0), 1, NOW)
+        return type(core.router.handle(opening(1, copies), NOW))
+
+    def test_what_cannot_wait_for_its_copy_is_refused_at_once(self) -> None:
+        self.assertIs(self.answer(RouteTerms(timeout_seconds=0.2)), ResetFlow)
+
+    def test_what_can_wait_is_waited_for(self) -> None:
+        self.assertIs(self.answer(RouteTerms(timeout_seconds=2.0)), DropPacket)
+        self.assertIs(self.answer(RouteTerms()), DropPacket)
+
+    def test_a_copy_is_not_refused_as_the_packet_before_may_be_at_a_backend(self) -> None:
+        self.assertIs(self.answer(RouteTerms(timeout_seconds=0.2), copies=1), DropPacket)
+
+
+def random_backend(number: int, chance: random.Random) -> Backend:
+    """Return a backend in any state that matters to placement."""
+    state = chance.choice([BackendState.READY, BackendState.READY, BackendState.DRAINING])
+    zone = chance.choice([ZONE, "far"])
+    held = Backend(backend(number, state=state, zone=zone, slots=chance.randrange(1, 4)), 1)
+    held.pending, held.busy = chance.randrange(4), chance.randrange(4)
+    held.doubted_until = chance.choice([0.0, NOW + 1])
+    held.failing_until = chance.choice([0.0, 0.0, NOW + 1])
+    held.suspect_until = chance.choice([0.0, 0.0, NOW + 1])
+    held.down_since = chance.choice([None, None, NOW - 1])
+    held.gone_at = chance.choice([None, None, NOW - 1, NOW - 9])
+    return held
+
+
+class VersionTest(unittest.TestCase):
+    def test_placement_follows_the_terms_in_force(self) -> None:
+        router = make_router(backend(1), backend(2, zone="far"))
+        router.put_in_force(with_terms(2, FEED))
+        router.backends.of_service("tracker")[0].doubt(NOW + 1)
+        self.assertEqual(forwarded_to(router.handle(opening(1), NOW)), 1)
+        router.put_in_force(with_terms(3, POST))
+        self.assertEqual(forwarded_to(router.handle(opening(2), NOW)), 2)
+        router.put_in_force(with_terms(2, FEED))
+        self.assertEqual(forwarded_to(router.handle(opening(3), NOW)), 2)
+
+    def test_a_reserve_ends_with_its_route(self) -> None:
+        router = make_router(backend(1))
+        router.put_in_force(two_priorities(2))
+        kept = two_priorities(3).routes[:1]
+        router.put_in_force(RoutingConfiguration(3, kept))
+        for client in range(2):
+            router.handle(opening(client), NOW)
+        self.assertEqual(router.counters["reserve_kept"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
