--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -71,6 +71,7 @@
             observer.decision,
             moves_copies=mechanisms.other_backend_for_copies,
             leaves_zones=mechanisms.other_zone_for_copies,
+            refuses_too_late=mechanisms.timely_refusals,
         )
         self.router.may_refuse = False
         self._judge = BackendJudge(self.router, observer, mechanisms)
@@ -304,7 +305,9 @@
         for change in changes:
             if change.record is None or change.name != self._configuration_name:
                 continue
-            self._versions.note(change.revision, change.record)
+            if change.record.tells_terms:
+                # As a base for differences, a version without its terms would keep them lost.
+                self._versions.note(change.revision, change.record)
             before = self.router.routes.version
             if self.router.put_in_force(change.record):
                 if self._cold_starts is not None:
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Collection
 from typing import NamedTuple
 
 from beamloom.routing.tokens.answer_pace import typical_seconds
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.cold_starts import ColdStartGate
-from beamloom.routing.tokens.records import BackendState
+from beamloom.routing.tokens.records import DEFAULT_TERMS, BackendState, RouteTerms
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 
 LONGEST_GONE_GRACE_SECONDS = 2.0
@@ -22,6 +23,17 @@
 """How long news of a backend may take to a node, with some room."""
 
 
+LEAST_UNDOUBTED_SHARE = 0.5
+"""Where more of a service is doubted, load is the reason, and the few others must not bear all."""
+
+
+HIGHEST_PRIORITY = 0
+RESERVED_SLOTS = 1
+"""Of each backend that has more: a burst of other requests finds the rest, then each other backend,
+and only then these.
+"""
+
+
 class PlacementSettings(NamedTuple):
     """Leanings of a deployment.
 
@@ -29,7 +41,8 @@
     an open flow without a request.
     `gone_grace_seconds` is how long a backend that has gone may still be used where no other is
     left; it must stay below the time in which a backend that left must be rid of new flows.
-    `weighs_load`, `avoids_suspects` and `weighs_pace` are off only to measure what they are worth.
+    `weighs_load`, `avoids_suspects`, `weighs_pace`, `spares_unrepeatable` and `keeps_reserve` are
+    off only to measure what they are worth.
     """
 
     other_zone_surcharge: float = 0.5
@@ -38,6 +51,8 @@
     weighs_load: bool = True
     avoids_suspects: bool = True
     weighs_pace: bool = True
+    spares_unrepeatable: bool = True
+    keeps_reserve: bool = True
 
 
 def placement_settings(
@@ -50,6 +65,8 @@
         weighs_load=mechanisms.observed_load,
         avoids_suspects=mechanisms.suspicion,
         weighs_pace=mechanisms.answer_pace,
+        spares_unrepeatable=mechanisms.risk_aversion,
+        keeps_reserve=mechanisms.priority_reserve,
     )
     if not mechanisms.own_zone:
         settings = settings._replace(other_zone_surcharge=0.0)
@@ -70,6 +87,8 @@
     """Chooses backends for one node in `zone`; ties are broken by `chance`.
 
     Cold backends are passed over as `cold_starts` says; without it they count as all others.
+    Backends of `reserving_services` keep room for requests of the highest priority.
+    `counters` tell how often a decision hung on a route's terms.
     """
 
     def __init__(
@@ -83,8 +102,16 @@
         self._zone = zone
         self._settings = settings
         self.chance = chance
+        self.counters: Counter[str] = Counter()
+        self.reserving_services: frozenset[str] = frozenset()
 
-    def choose(self, backends: Collection[Backend], tried: Tried, now: float) -> Backend | None:
+    def choose(
+        self,
+        backends: Collection[Backend],
+        tried: Tried,
+        now: float,
+        terms: RouteTerms = DEFAULT_TERMS,
+    ) -> Backend | None:
         """Return the backend for a new flow, or None where no backend may take it.
 
         `tried` ones got an earlier copy of the opening packet and did not answer it; other zones
@@ -103,6 +130,10 @@
         answering = [backend for backend in fresh if not self._is_suspect(backend, now)]
         if cold and not any(map(_has_room, answering)):
             answering += self._open_to_cold(cold, tried.backends, now)
+        if self._settings.spares_unrepeatable and not terms.repeatable:
+            answering = self._undoubted(answering, now)
+        if self.reserving_services and terms.priority > HIGHEST_PRIORITY:
+            answering = self._outside_reserve(answering)
         elsewhere = answering
         if tried.zones:
             elsewhere = [other for other in answering if other.record.zone not in tried.zones]
@@ -112,6 +143,28 @@
         lately_gone = [backend for backend in backends if self._is_lately_gone(backend, now)]
         return self._cheapest(lately_gone, now) if lately_gone else None
 
+    def _undoubted(self, answering: list[Backend], now: float) -> list[Backend]:
+        """Return the backends for a flow whose requests may not run twice."""
+        undoubted = [backend for backend in answering if backend.doubted_until <= now]
+        if len(undoubted) == len(answering):
+            return answering
+        if len(undoubted) < LEAST_UNDOUBTED_SHARE * len(answering):
+            self.counters["doubted_not_spared"] += 1
+            return answering
+        self.counters["doubted_spared"] += 1
+        return undoubted
+
+    def _outside_reserve(self, answering: list[Backend]) -> list[Backend]:
+        """Return the backends that leave room for the highest priority; all, where none does."""
+        if not self._settings.keeps_reserve or not answering:
+            return answering
+        if answering[0].record.service not in self.reserving_services:
+            return answering
+        outside = list(filter(_has_room_beside_reserve, answering))
+        if outside and len(outside) < len(answering):
+            self.counters["reserve_kept"] += 1
+        return outside or answering
+
     def waits_for_cold(self, backends: Collection[Backend], now: float) -> bool:
         """Whether a cold backend may take a flow before long, though none may take it now."""
         return self._cold_starts is not None and any(
@@ -180,3 +233,9 @@
 def _has_room(backend: Backend) -> bool:
     """Whether a backend has a free slot, as far as this node sees."""
     return backend.pending + backend.busy < max(1, backend.record.slots)
+
+
+def _has_room_beside_reserve(backend: Backend) -> bool:
+    """Whether a backend has a free slot and would keep RESERVED_SLOTS free, if it has so many."""
+    slots = max(1, backend.record.slots - RESERVED_SLOTS)
+    return backend.pending + backend.busy < slots
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -29,7 +29,7 @@
     ResetFlow,
     RouterCommand,
 )
-from beamloom.routing.tokens.placement import NOTHING_TRIED, Placement, Tried
+from beamloom.routing.tokens.placement import HIGHEST_PRIORITY, NOTHING_TRIED, Placement, Tried
 from beamloom.routing.tokens.records import RoutingConfiguration
 from beamloom.routing.tokens.route_table import ActiveRoute, RouteTable
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
@@ -40,6 +40,12 @@
 numbers of the other. Clients send copies after 0.2 s at the earliest.
 """
 
+OVERDUE_SHARE = 0.75
+"""Part of a route's objective after which an answer is overdue: its client can still be served by
+others in time, and a backend that does its usual work is seldom so late.
+"""
+FIRST_COPY_SECONDS = 0.2
+"""From a client's first opening packet to its first copy (the platform's protocol)."""
 LAST_COPY = 2
 """Clients send two copies of an opening packet, after 0.2 and 0.6 s (the platform's protocol)."""
 
@@ -58,8 +64,8 @@
     While routes and backends may be out of date, `may_refuse` is to be False: what is not known
     here may be there, so its opening packets are dropped, and their copies judged by what is known
     then. With `moves_copies`, a copy of an opening packet goes to another backend, with
-    `leaves_zones` in another zone. `resets` are for flows that have ended without a packet of
-    theirs.
+    `leaves_zones` in another zone. With `refuses_too_late`, what cannot be served within its
+    time-out is refused at once. `resets` are for flows that have ended without a packet of theirs.
     """
 
     def __init__(
@@ -69,9 +75,11 @@
         *,
         moves_copies: bool = True,
         leaves_zones: bool = True,
+        refuses_too_late: bool = True,
     ) -> None:
         self._moves_copies = moves_copies
         self._leaves_zones = leaves_zones
+        self._refuses_too_late = refuses_too_late
         self.codec: TokenCodec | None = None
         self.may_refuse = True
         self.routes = RouteTable(placement.chance)
@@ -82,6 +90,7 @@
         self._on_decision = on_decision
         self.counters: Counter[str] = Counter()
         self._placement = placement
+        placement.counters = self.counters
 
     def put_in_force(self, configuration: RoutingConfiguration) -> bool:
         """Take a configuration if it is newer; return whether it was."""
@@ -89,8 +98,18 @@
         if taken:
             self.flows.idle_seconds = configuration.idle_seconds
             self.backends.use_warm_ups(configuration.warm_ups)
+            self._placement.reserving_services = configuration.services_of_priority(
+                HIGHEST_PRIORITY
+            )
         return taken
 
+    def find_patience(self, destination: bytes) -> float | None:
+        """Return how long an answer may take before its backend is doubted; None: no objective."""
+        route = self.routes.find(destination)
+        if route is None or route.record.terms.objective_seconds is None:
+            return None
+        return OVERDUE_SHARE * route.record.terms.objective_seconds
+
     def handle(self, packet: ClientPacket, now: float) -> RouterCommand:
         """Decide what becomes of one packet."""
         if self.codec is None:
@@ -138,12 +157,25 @@
             self._placement.waits_for_cold(self.backends.of_service(part.service), now)
             for part in route.record.parts
         )
-        if waits and packet.acknowledged < LAST_COPY:
+        if waits and packet.acknowledged < LAST_COPY and self._has_time(route, packet):
             return self._drop(packet, DropReason.COLD_BACKENDS)
         if packet.acknowledged and not waits:
             return self._drop(packet, DropReason.NO_BACKEND_FOR_COPY)
         return self._refuse_opening(packet, RefusalReason.NO_BACKEND)
 
+    def _has_time(self, route: ActiveRoute, packet: ClientPacket) -> bool:
+        """Whether a client still waits when it would send its next copy.
+
+        Only a first packet is judged: an earlier copy may be at a backend, by way of another node.
+        """
+        timeout = route.record.terms.timeout_seconds
+        if not self._refuses_too_late or timeout is None or packet.acknowledged:
+            return True
+        if timeout > FIRST_COPY_SECONDS:
+            return True
+        self.counters["cannot_meet_timeout"] += 1
+        return False
+
     def _keeps_copy(self, flow: ObservedFlow, now: float) -> bool:
         """Whether a copy of a flow's opening packet goes where the last one went."""
         if flow.backend.evacuated:
@@ -163,7 +195,7 @@
     def _choose(self, route: ActiveRoute, tried: Tried, now: float) -> Backend | None:
         for part in route.next_parts():
             backends = self.backends.of_service(part.service)
-            backend = self._placement.choose(backends, tried, now)
+            backend = self._placement.choose(backends, tried, now, route.record.terms)
             if backend is not None:
                 return backend
         return None
@@ -186,7 +218,7 @@
         if backend.down_since is not None:
             return self._end_flow(packet, RefusalReason.BACKEND_DOWN, now)
         if packet.kind is PacketKind.END:
-            self.flows.note_end(packet.flow, now)
+            self.flows.note_end(packet, now)
         else:
             self.flows.note_packet(packet, backend, now)
         return self._forward(packet, backend, NO_TOKEN)
@@ -211,7 +243,7 @@
 
     def _end_flow(self, packet: ClientPacket, reason: RefusalReason, now: float) -> RouterCommand:
         """Answer a packet of a flow whose backend cannot hold it any more."""
-        self.flows.note_end(packet.flow, now)
+        self.flows.note_end(packet, now)
         return self._refuse(packet, reason, packet.acknowledged)
 
     def _tell_placed(
@@ -231,6 +263,9 @@
                 suspect=backend.suspect_until > now,
                 gone=backend.gone_at is not None,
                 answer_seconds=backend.pace.seconds,
+                doubted=backend.doubted_until > now,
+                repeatable=route.record.terms.repeatable,
+                priority=route.record.terms.priority,
             )
         )
 
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -53,6 +53,9 @@
                     "suspect": decision.suspect,
                     "gone": decision.gone,
                     "answer_ms": round(decision.answer_seconds * MILLISECONDS),
+                    "doubted": decision.doubted,
+                    "repeatable": decision.repeatable,
+                    "priority": decision.priority,
                 }
             case FlowRefused():
                 fields |= {
@@ -169,6 +172,10 @@
         """Note an object of the store that was left out, as it is not as it should be."""
         self._log.record("ObjectUnreadable", {"kind": kind, "object": text})
 
+    def field_unreadable(self, kind: str, text: str) -> None:
+        """Note a field of an object that cannot be read, so that its default is used."""
+        self._log.record("FieldUnreadable", {"kind": kind, "field": text})
+
     def dependency_lost(self, dependency: str, reason: str, failures: int) -> None:
         """Note a call without a usable answer; only the first of a row is a loss."""
         event = "DependencyLost" if failures == 1 else "DependencyStillLost"
