Notice connections that fall silent before their deadlines; one place for their limits

Cause: a call on a kept connection that had fallen silent cost its whole deadline (a watch's wait and 0.7 s, a list up to 8 s), and a list that stood still half-way the same. A responder whose callers' connections were silent refused new ones at 64 for up to 30 s, kept half-sent requests as long, and answered everything a caller sent that does not read.

Now the kernel watches kept and waiting connections to the store (TCP_USER_TIMEOUT, keep-alive): a call fails after about 0.9 s, a waiting watch after 2 s, and the next call follows at once on a new connection without a wait. The rest of an answer that stands still is given up after half a list's deadline. The responder evicts the longest idle connection, and bounds half-sent and unread ones.

Ruled out: a second call that races the first (each call is priced), probes of our own over HTTP (the same), a fresh connection for each call (new connections of readers at each watch). Not watched is the first call on a new connection: while a fleet starts, acknowledgements queue behind answers.

Switch: silence_probes.

--- a/src/beamloom/runtime/backend_check.py
+++ b/src/beamloom/runtime/backend_check.py
@@ -12,11 +12,8 @@
 
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.liveness import CheckOutcome, LivenessChecks
+from beamloom.runtime.connection_limits import CHECK_ATTEMPT_SECONDS, CHECK_ATTEMPTS
 
-ATTEMPTS = 2
-"""One lost packet must not count as silence."""
-ATTEMPT_SECONDS = 0.1
-"""More than ten times the longest way to a backend and back; by choice."""
 LATE_SECONDS = 0.03
 """A loop that is later than this may not have seen an answer that was there in time."""
 
@@ -45,7 +42,7 @@
 
     async def _check(self, backend: Backend) -> None:
         outcome = CheckOutcome.UNCLEAR
-        for _ in range(ATTEMPTS):
+        for _ in range(CHECK_ATTEMPTS):
             outcome = await _connect(backend.record.address, self._local_host)
             if outcome is not CheckOutcome.SILENT:
                 break
@@ -56,7 +53,7 @@
 async def _connect(address: tuple[str, int], local_host: str) -> CheckOutcome:
     """Try to open a connection once."""
     loop = asyncio.get_running_loop()
-    due = loop.time() + ATTEMPT_SECONDS
+    due = loop.time() + CHECK_ATTEMPT_SECONDS
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         connection.setblocking(False)
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -174,6 +174,10 @@
         event = "DependencyLost" if failures == 1 else "DependencyStillLost"
         self._log.record(event, {"dependency": dependency, "reason": reason, "failures": failures})
 
+    def connection_silent(self, connection: str, cause: str) -> None:
+        """Note that a connection was given up as nothing came on it any more."""
+        self._log.record("ConnectionSilent", {"connection": connection, "cause": cause})
+
     def dependency_regained(self, dependency: str, failures: int) -> None:
         """Note that a dependency answers again."""
         self._log.record("DependencyRegained", {"dependency": dependency, "failures": failures})
--- a/src/beamloom/runtime/shared_secret.py
+++ b/src/beamloom/runtime/shared_secret.py
@@ -7,9 +7,9 @@
 
 from beamloom.replication.shared_secret import SecretStep, SharedSecret
 from beamloom.routing.tokens.token import KEY_BYTES
+from beamloom.runtime.connection_limits import SECRET_LIMITS
 from beamloom.runtime.http_client import CallFailedError, HttpConnection
 
-CALL_SECONDS = 1.5
 STATUS_CONFLICT = 409
 STATUS_NOT_FOUND = 404
 STATUSES_DONE = frozenset({200, 201})
@@ -44,7 +44,7 @@
 
 async def _read(secret: SharedSecret, connection: HttpConnection, form: SecretFormat) -> bool:
     path = form.stale_path if secret.step is SecretStep.READ_STALE else form.read_path
-    answer = await connection.call("GET", path, CALL_SECONDS)
+    answer = await connection.call("GET", path, SECRET_LIMITS)
     if answer.status == STATUS_NOT_FOUND:
         secret.take_absent()
         return True
@@ -56,7 +56,7 @@
 
 async def _create(secret: SharedSecret, connection: HttpConnection, form: SecretFormat) -> bool:
     body = form.encode(os.urandom(KEY_BYTES))
-    answer = await connection.call("POST", form.create_path, CALL_SECONDS, body)
+    answer = await connection.call("POST", form.create_path, SECRET_LIMITS, body)
     if answer.status in STATUSES_DONE or answer.status == STATUS_CONFLICT:
         secret.take_created()
         return True
--- a/src/beamloom/runtime/store_follower.py
+++ b/src/beamloom/runtime/store_follower.py
@@ -12,6 +12,7 @@
 import os
 import random
 from _blake2 import blake2b
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -22,9 +23,10 @@
 from beamloom.replication.shared_secret import SharedSecret
 from beamloom.replication.store_view import ObjectChange
 from beamloom.routing.tokens.token import KEY_BYTES
+from beamloom.runtime.connection_limits import ConnectionKind
 from beamloom.runtime.decision_log import DecisionLog
 from beamloom.runtime.gradual_import import import_gradually
-from beamloom.runtime.http_client import HttpConnection
+from beamloom.runtime.http_client import CallFailure, HttpConnection
 from beamloom.runtime.shared_secret import SecretFormat, fetch_shared_secret
 from beamloom.runtime.store_reader import KindFormat, StoreReader
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
@@ -92,6 +94,7 @@
         self._decisions = decisions
         self._chance = chance
         self._connections: list[HttpConnection] = []
+        self.silent_connections: Counter[str] = Counter()
         self._seeker: SecretSeeker | None = None
         self._keeper: SecretKeeper | None = None
         self._secret_from_peer: asyncio.Future[bytes] | None = None
@@ -160,7 +163,7 @@
     async def _fetch_key(self) -> None:
         """Get the fleet's secret from the store or from a neighbour, whichever has it first."""
         steps = SharedSecret(self._chance)
-        connection = self._connect()
+        connection = self._connect(ConnectionKind.SECRET)
         store = asyncio.create_task(fetch_shared_secret(steps, connection, _SECRET))
         peers = asyncio.create_task(self._ask_peers(steps))
         try:
@@ -258,7 +261,8 @@
         turn: ReadingTurn,
         take: Callable[[tuple[ObjectChange[Record], ...], float], None],
     ) -> StoreReader[Record]:
-        reader = StoreReader(watch, kind, self._connect(), turn)
+        connection = self._connect(ConnectionKind(kind.label))
+        reader = StoreReader(watch, kind, connection, turn)
         dependency = f"store {kind.label}"
         reader.on_failure = functools.partial(self._decisions.dependency_lost, dependency)
         reader.on_unreadable = functools.partial(self._decisions.object_unreadable, kind.label)
@@ -271,12 +275,23 @@
         reader.on_answer = take_answer
         return reader
 
-    def _connect(self) -> HttpConnection:
+    def _connect(self, kind: ConnectionKind) -> HttpConnection:
         settings = self._settings
-        connection = HttpConnection(*settings.store.pair, local_host=settings.host)
+        connection = HttpConnection(
+            *settings.store.pair,
+            local_host=settings.host,
+            notices_silence=self._mechanisms.silence_probes,
+        )
+        connection.on_silence = functools.partial(self._note_silence, kind)
         self._connections.append(connection)
         return connection
 
+    def _note_silence(self, kind: ConnectionKind, failure: CallFailure) -> None:
+        """Count a connection that may be silent; a missed deadline may be the store's fault."""
+        self.silent_connections[f"{kind.value}_{failure.value}"] += 1
+        if failure is not CallFailure.DEADLINE:
+            self._decisions.connection_silent(kind.value, failure.value)
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/beamloom/runtime/store_reader.py
+++ b/src/beamloom/runtime/store_reader.py
@@ -1,8 +1,10 @@
 """Drives one ObjectWatch over a connection: lists, watches, deadlines, pauses.
 
 Each call has a deadline, so a connection that is dead, or a store that takes calls and never
-answers, costs one wait. A node that has the reader's duty watches all the time; any other asks only
-when its view has not been confirmed for a while, by itself or by peers.
+answers, costs one wait. A connection that the kernel finds silent says nothing of the store: the
+next call follows at once on a new one, and does not wait for a change, so that the view is
+confirmed before other nodes find theirs stale. A node that has the reader's duty watches all the
+time; any other asks only when its view has not been confirmed for a while, by itself or by peers.
 """
 
 from __future__ import annotations
@@ -19,18 +21,19 @@
     ObjectWatch,
     WatchRequest,
 )
-from beamloom.replication.reading_times import CALL_PATIENCE_SECONDS
 from beamloom.replication.reading_turn import ReadingTurn
 from beamloom.replication.store_view import ObjectChange
+from beamloom.runtime.connection_limits import (
+    LIST_SECONDS,
+    LONGEST_LIST_SECONDS,
+    list_limits,
+    watch_limits,
+)
 from beamloom.runtime.http_client import CallFailedError, CallFailure, HttpAnswer, HttpConnection
 from beamloom.telemetry.histogram import LatencyHistogram
 
 Record = TypeVar("Record")
 
-LIST_SECONDS = 2.0
-LONGEST_LIST_SECONDS = 8.0
-"""Where a whole large fleet starts at once, the store's link is full; giving up would only add."""
-
 STATUS_OK = 200
 STATUS_GONE = 410
 
@@ -72,6 +75,7 @@
         self._wake = asyncio.Event()
         self._list_seconds = LIST_SECONDS
         self._rest_seconds = 0.0
+        self._was_silent = False
 
     def advance(self, now: float) -> None:
         """Begin to ask where it has become necessary; to be called a few times a second."""
@@ -109,24 +113,32 @@
             answer = await self._call(request)
         except CallFailedError as error:
             self.counters[f"calls_{error.failure.value}"] += 1
-            if error.failure is CallFailure.DEADLINE:
-                self._list_seconds = min(LONGEST_LIST_SECONDS, 2 * self._list_seconds)
-            return error.failure.value
+            return self._take_failure(error.failure)
+        self._was_silent = False
         self.counters[f"calls_{answer.status}"] += 1
         failure = self._take(request, answer, asked_at)
         if failure is None and failures:
             self.on_recovery(failures)
         return failure
 
+    def _take_failure(self, failure: CallFailure) -> str | None:
+        """Return why a call had no answer; None where the next one is to follow at once."""
+        if failure is CallFailure.SILENT and not self._was_silent:
+            self._was_silent = True
+            return None
+        self._was_silent = False
+        if failure in (CallFailure.DEADLINE, CallFailure.STALLED):
+            self._list_seconds = min(LONGEST_LIST_SECONDS, 2 * self._list_seconds)
+        return failure.value
+
     async def _call(self, request: ListRequest | WatchRequest) -> HttpAnswer:
         self.purposes[self._turn.purpose.value] += 1
         if isinstance(request, ListRequest):
-            return await self._connection.call(
-                "GET", self._kind.list_path(request), self._list_seconds
-            )
-        wait = self._turn.wait_seconds
+            limits = list_limits(self._list_seconds)
+            return await self._connection.call("GET", self._kind.list_path(request), limits)
+        wait = 0.0 if self._was_silent else self._turn.wait_seconds
         path = self._kind.watch_path(request, wait)
-        return await self._connection.call("GET", path, wait + CALL_PATIENCE_SECONDS)
+        return await self._connection.call("GET", path, watch_limits(wait))
 
     def _take(
         self, request: ListRequest | WatchRequest, answer: HttpAnswer, asked_at: float
--- a/src/beamloom/runtime/token_metrics.py
+++ b/src/beamloom/runtime/token_metrics.py
@@ -20,6 +20,7 @@
     "evacuations": "Evacuations heard of that were not taken, by why.",
     "backend_checks": "Backends by why they were suspected, and by what a check found.",
     "store_calls_for": "Calls to the store for objects, by what each was for.",
+    "silent_connections": "Connections given up as silent, by kind and what showed it.",
     "peer_messages": "Digests, requests and answers exchanged with other nodes.",
     "peer_datagrams": "Datagrams between nodes, by what became of them.",
     "log_lines": "Log lines left out, and writes that failed.",
@@ -74,12 +75,21 @@
         "evacuations": Counter() if core.evacuations is None else core.evacuations.counters,
         "backend_checks": core.checks.counters,
         "store_calls_for": purposes,
+        "silent_connections": _silent_connections(node),
         "peer_messages": Counter() if core.exchange is None else core.exchange.counters,
         "peer_datagrams": Counter() if follower.link is None else follower.link.counters,
         "log_lines": node.log.counters,
     }
 
 
+def _silent_connections(node: TokenNode) -> Counter[str]:
+    found = Counter(node.follower.silent_connections)
+    for responder in node.responders:
+        for cause, count in responder.counters.items():
+            found[f"{responder.kind.value}_{cause}"] += count
+    return found
+
+
 def _gauges(node: TokenNode) -> dict[str, float | None]:
     core = node.core
     evacuations = core.evacuations
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -26,6 +26,7 @@
 )
 from beamloom.routing.tokens.placement import placement_settings
 from beamloom.runtime.backend_check import BackendChecker
+from beamloom.runtime.connection_limits import ConnectionKind
 from beamloom.runtime.decision_log import DecisionLog
 from beamloom.runtime.http_client import HttpAnswer
 from beamloom.runtime.http_responder import HttpResponder
@@ -97,9 +98,14 @@
         )
         self._checker = BackendChecker(self.core.checks, settings.host, self._send_all)
         self._judgement: asyncio.TimerHandle | None = None
-        self._responder = HttpResponder({store_objects.READINESS_PATH: self._answer_readiness})
+        self._responder = HttpResponder(
+            {store_objects.READINESS_PATH: self._answer_readiness}, ConnectionKind.READINESS
+        )
         self.loop_lag = LatencyHistogram()
-        self._metrics_responder = HttpResponder({METRICS_PATH: self._answer_metrics})
+        self._metrics_responder = HttpResponder(
+            {METRICS_PATH: self._answer_metrics}, ConnectionKind.METRICS
+        )
+        self.responders = (self._responder, self._metrics_responder)
         self._began_at = time.monotonic()
         self._stop = PlannedStop(
             settings.stop_seconds,
--- a/src/beamloom/settings/mechanisms.py
+++ b/src/beamloom/settings/mechanisms.py
@@ -43,6 +43,7 @@
     stop_turns: nodes of a zone stop without regard to each other.
     discard_after_stall: opening packets that waited while a process stood still are sent on.
     spread_ticks: nodes that start together ask the store in the same moments.
+    silence_probes: only its deadlines tell a node that a connection to the store is silent.
     """
 
     own_zone: bool = True
@@ -70,6 +71,7 @@
     stop_turns: bool = True
     discard_after_stall: bool = True
     spread_ticks: bool = True
+    silence_probes: bool = True
 
 
 ALL_MECHANISMS = Mechanisms()
--- a/tests/functional/test_backend_check.py
+++ b/tests/functional/test_backend_check.py
@@ -7,7 +7,8 @@
 
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.liveness import CheckOutcome, LivenessChecks, Suspicion
-from beamloom.runtime.backend_check import ATTEMPT_SECONDS, ATTEMPTS, BackendChecker
+from beamloom.runtime.backend_check import BackendChecker
+from beamloom.runtime.connection_limits import CHECK_ATTEMPT_SECONDS, CHECK_ATTEMPTS
 from tests.unit.tokens.builders import backend
 
 HOST = "127.0.0.1"
@@ -54,5 +55,5 @@
             self.addCleanup(filler.close)
         outcome, seconds = await self.check(port)
         self.assertIn(outcome, {"silent", "unclear"})
-        self.assertGreaterEqual(seconds, ATTEMPT_SECONDS)
-        self.assertLess(seconds, ATTEMPTS * ATTEMPT_SECONDS + 2.0)
+        self.assertGreaterEqual(seconds, CHECK_ATTEMPT_SECONDS)
+        self.assertLess(seconds, CHECK_ATTEMPTS * CHECK_ATTEMPT_SECONDS + 2.0)
--- a/tests/functional/test_mechanisms.py
+++ b/tests/functional/test_mechanisms.py
@@ -12,6 +12,10 @@
 ASKING_SECONDS = 2.5
 """Longer than a node waits before it asks its peers for the key."""
 STALL_SECONDS = 1.5
+READING_SECONDS = 3.0
+"""By then a node that is alone reads the store, and its watches wait."""
+WATCH_DEADLINE_SECONDS = 2.9
+"""Of bounds of 5 s: 0.75 times a staleness of 3 s, and the patience of 0.7 s."""
 LATE_OPENINGS = 'event="dropped_late_opening"'
 NO_KEY = 'event="dropped_no_key"'
 
@@ -74,6 +78,25 @@
                 node.kill()
                 node.wait()
 
+    async def test_a_connection_that_falls_silent_while_a_watch_waits(self) -> None:
+        self.add_endpoint(1)
+        self.configure(1, "tracker")
+        self.bounds = {"config-apply-ms": 5000, "drain-ms": 5000}
+        proxy = await self.put_proxy_before_store()
+        for names, noticed in (((), True), (("silence_probes",), False)):
+            with self.subTest(off=names):
+                node = self.start_node(1, self.off(*names))
+                await self.wait_until_ready(1)
+                await asyncio.sleep(READING_SECONDS)
+                proxy.fall_silent()
+                event = "ConnectionSilent" if noticed else "DependencyLost"
+                await self.wait_for_line(1, event, seconds=WATCH_DEADLINE_SECONDS + 1.0)
+                events = {line["event"] for line in self.lines(1)}
+                self.assertEqual("DependencyLost" in events, not noticed)
+                self.assertEqual("ConnectionSilent" in events, noticed)
+                node.kill()
+                node.wait()
+
     async def test_an_unknown_name_ends_the_start_with_a_remedy(self) -> None:
         node = self.start_node(1, self.off("haste"))
         self.assertEqual(await asyncio.to_thread(node.wait, 5.0), 2)
--- /dev/null
+++ b/tests/functional/test_silent_connections.py
@@ -0,0 +1,268 @@
+"""Connections that fall silent at each moment: who notices, how soon, and what comes next."""
+
+import asyncio
+import socket
+import unittest
+
+from beamloom.runtime.connection_limits import (
+    KEEP_ALIVE_SECONDS,
+    UNACKNOWLEDGED_SECONDS,
+    CallLimits,
+    ConnectionKind,
+    ResponderLimits,
+    list_limits,
+    watch_limits,
+)
+from beamloom.runtime.http_client import CallFailedError, CallFailure, HttpAnswer, HttpConnection
+from beamloom.runtime.http_responder import HttpResponder
+from tests.functional.silent_proxy import Silence, SilentProxy
+from tests.functional.token_node_case import METRICS_PORT, TokenNodeCase
+
+HOST = "127.0.0.1"
+LATE_SECONDS = 1.0
+"""What the kernel's repetitions and a busy machine may add to any of the times."""
+UNNOTICED_SECONDS = UNACKNOWLEDGED_SECONDS + LATE_SECONDS
+UNPROBED_SECONDS = 2 * KEEP_ALIVE_SECONDS + LATE_SECONDS
+LIST = list_limits(8.0)
+BODY = bytes(50_000)
+LARGE = bytes(8_000_000)
+"""More than the kernel keeps of what is sent."""
+
+
+class _Server:
+    """Answers each request after `pause_seconds`; reads no body."""
+
+    def __init__(self) -> None:
+        self.pause_seconds = 0.0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                await asyncio.sleep(self.pause_seconds)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY))
+                writer.write(BODY)
+        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
+            writer.close()
+        except asyncio.CancelledError:
+            # The test is over; the stream server would report it as an error.
+            writer.close()
+
+
+class SilentCallsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.server = _Server()
+        listener = await asyncio.start_server(self.server.serve, HOST, 0)
+        self.addCleanup(listener.close)
+        self.proxy = SilentProxy(listener.sockets[0].getsockname())
+        await self.proxy.start(HOST)
+        self.addAsyncCleanup(self.proxy.close)
+        self.connection = self.connect()
+        self.found: list[CallFailure] = []
+        self.connection.on_silence = self.found.append
+        await self.call()
+
+    def connect(self, *, notices_silence: bool = True) -> HttpConnection:
+        connection = HttpConnection(HOST, self.proxy.port, HOST, notices_silence=notices_silence)
+        self.addCleanup(connection.close)
+        return connection
+
+    async def call(self, limits: CallLimits = LIST, body: bytes = b"") -> HttpAnswer:
+        return await self.connection.call("GET", "/objects", limits, body)
+
+    async def failure(
+        self, within_seconds: float, limits: CallLimits = LIST, body: bytes = b""
+    ) -> CallFailure:
+        """Call in vain, and then on a new connection; return why the first call failed."""
+        async with asyncio.timeout(within_seconds):
+            with self.assertRaises(CallFailedError) as caught:
+                await self.call(limits, body)
+        self.assertEqual(self.found, [caught.exception.failure])
+        self.server.pause_seconds = 0.0
+        self.assertEqual((await self.call()).body, BODY)
+        self.assertEqual(self.proxy.opened, 2)
+        return caught.exception.failure
+
+    async def test_silent_while_idle(self) -> None:
+        self.proxy.fall_silent()
+        self.assertIs(await self.failure(UNNOTICED_SECONDS), CallFailure.SILENT)
+
+    async def test_silent_while_idle_though_its_kernel_answers(self) -> None:
+        self.proxy.silence = Silence.KERNEL
+        self.proxy.fall_silent()
+        limits = watch_limits(0.0)
+        within = limits.deadline_seconds + LATE_SECONDS
+        self.assertIs(await self.failure(within, limits), CallFailure.DEADLINE)
+
+    async def test_silent_in_the_middle_of_a_request(self) -> None:
+        self.proxy.request_bytes = 1000
+        failure = await self.failure(UNNOTICED_SECONDS, body=LARGE)
+        self.assertIs(failure, CallFailure.SILENT)
+
+    async def test_silent_in_the_middle_of_an_answer(self) -> None:
+        limits = list_limits(2.0)
+        for silence in Silence:
+            with self.subTest(silence=silence):
+                self.connection = self.connect()
+                self.connection.on_silence = self.found.append
+                self.found.clear()
+                self.proxy.opened = 0
+                self.proxy.silence = silence
+                await self.call()
+                self.proxy.answer_bytes = len(BODY) // 2
+                within = limits.progress_seconds + LATE_SECONDS
+                self.assertIs(await self.failure(within, limits), CallFailure.STALLED)
+
+    async def test_silent_while_a_watch_waits(self) -> None:
+        limits = watch_limits(10.0)
+        self.server.pause_seconds = 20.0
+        asyncio.get_running_loop().call_later(0.2, self.proxy.fall_silent)
+        self.assertIs(await self.failure(UNPROBED_SECONDS, limits), CallFailure.SILENT)
+
+    async def test_silent_while_a_watch_waits_though_its_kernel_answers(self) -> None:
+        limits = watch_limits(1.0)
+        self.proxy.silence = Silence.KERNEL
+        self.server.pause_seconds = 20.0
+        asyncio.get_running_loop().call_later(0.2, self.proxy.fall_silent)
+        within = limits.deadline_seconds + LATE_SECONDS
+        self.assertIs(await self.failure(within, limits), CallFailure.DEADLINE)
+
+    async def test_a_watch_that_waits_for_longer_than_probes_take_is_not_given_up(self) -> None:
+        self.server.pause_seconds = UNPROBED_SECONDS
+        answer = await self.call(watch_limits(2 * UNPROBED_SECONDS))
+        self.assertEqual(answer.body, BODY)
+
+    async def test_an_answer_that_comes_slowly_is_not_given_up(self) -> None:
+        limits = CallLimits(4.0, 0.3)
+        protocol = self.connection._protocol
+        assert protocol is not None
+        answer = protocol.expect_answer(limits)
+        protocol.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+        for _ in range(5):
+            await asyncio.sleep(0.2)
+            protocol.data_received(b"x")
+        self.assertEqual((await answer).body, b"xxxxx")
+
+    async def test_without_probes_only_the_deadline_shows_it(self) -> None:
+        self.connection = self.connect(notices_silence=False)
+        self.connection.on_silence = self.found.append
+        self.proxy.opened = 0
+        await self.call()
+        self.proxy.fall_silent()
+        limits = list_limits(UNNOTICED_SECONDS)
+        within = UNNOTICED_SECONDS + LATE_SECONDS
+        self.assertIs(await self.failure(within, limits), CallFailure.DEADLINE)
+
+
+REQUEST = b"GET /ready HTTP/1.1\r\n\r\n"
+SHORT = ResponderLimits(connections=3, request_seconds=0.3, unread_seconds=1.0)
+LARGE_ANSWER = bytes(16_000_000)
+
+
+class SilentCallersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        handlers = {
+            "/ready": lambda: HttpAnswer(200, b"ready\n"),
+            "/large": lambda: HttpAnswer(200, LARGE_ANSWER),
+        }
+        self.responder = HttpResponder(handlers, ConnectionKind.READINESS, SHORT)
+        with socket.socket() as free:
+            free.bind((HOST, 0))
+            self.port = free.getsockname()[1]
+        await self.responder.start(HOST, self.port)
+        self.addCleanup(self.responder.close)
+
+    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection(HOST, self.port, limit=1024)
+        self.addCleanup(writer.transport.abort)
+        return reader, writer
+
+    async def is_answered(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        writer.write(REQUEST)
+        try:
+            return b"ready" in await asyncio.wait_for(reader.readuntil(b"ready\n"), 2.0)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return False
+
+    async def wait_for_count(self, cause: str) -> None:
+        async with asyncio.timeout(4.0):
+            while not self.responder.counters[cause]:
+                await asyncio.sleep(0.02)
+
+    async def test_the_longest_idle_connection_makes_room(self) -> None:
+        held = [await self.open() for _ in range(3)]
+        for ends in held:
+            self.assertTrue(await self.is_answered(*ends))
+        self.assertTrue(await self.is_answered(*held[0]))
+        self.assertTrue(await self.is_answered(*await self.open()))
+        self.assertEqual([await self.is_answered(*ends) for ends in held], [True, False, True])
+        self.assertEqual(self.responder.counters["evicted"], 1)
+
+    async def test_a_half_sent_request_is_given_up_however_slowly_it_goes_on(self) -> None:
+        reader, writer = await self.open()
+        for byte in REQUEST[:4]:
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0.1)
+        await self.wait_for_count("half_sent")
+        with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+            await reader.readexactly(1)
+
+    async def test_a_caller_that_does_not_read_is_given_up(self) -> None:
+        _, writer = await self.open()
+        writer.write(REQUEST.replace(b"ready", b"large"))
+        await self.wait_for_count("unread")
+
+    async def test_requests_of_a_caller_that_does_not_read_are_not_all_answered(self) -> None:
+        _, writer = await self.open()
+        writer.write(1000 * REQUEST.replace(b"ready", b"large"))
+        await self.wait_for_count("flooding")
+
+    async def test_a_slow_reader_gets_its_answer(self) -> None:
+        reader, writer = await self.open()
+        writer.write(REQUEST.replace(b"ready", b"large"))
+        await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(0.1)
+        self.assertEqual(await reader.readexactly(len(LARGE_ANSWER)), LARGE_ANSWER)
+        self.assertTrue(await self.is_answered(reader, writer))
+
+
+BOUND_SECONDS = 3.0
+"""A node's own bound on configurations and drains where its settings hold none."""
+
+
+class SilentStoreTest(TokenNodeCase):
+    """A whole node whose connections to the store fall silent, in each of its states."""
+
+    network = "127.63.0"
+
+    async def change_is_heard(self, version: int) -> None:
+        """Change the configuration, and see to it that the node has it within the bound."""
+        self.configure(version, "tracker")
+
+        def is_in_force() -> bool:
+            versions = (line.get("version") for line in self.lines(1))
+            return version in versions
+
+        await self.wait_until(is_in_force, BOUND_SECONDS, f"no version {version}")
+
+    async def test_changes_are_heard_within_the_bound(self) -> None:
+        self.add_endpoint(1)
+        self.configure(1, "tracker")
+        proxy = await self.put_proxy_before_store()
+        self.start_node(1)
+        await self.wait_until_ready(1)
+        await asyncio.sleep(2.0)
+        version = 1
+        for silence in Silence:
+            for pause_seconds in (0.0, 0.2, 1.2):
+                with self.subTest(silence=silence, pause_seconds=pause_seconds):
+                    version += 1
+                    proxy.silence = silence
+                    proxy.fall_silent()
+                    await asyncio.sleep(pause_seconds)
+                    await self.change_is_heard(version)
+                    proxy.answer_bytes = 100
+                    version += 1
+                    await self.change_is_heard(version)
+        self.assertEqual(await self.readiness(1), 200)
+        _, figures = await self.get(1, METRICS_PORT, "/metrics")
+        self.assertIn("beamloom_silent_connections_total", figures)
--- a/tests/functional/token_node_case.py
+++ b/tests/functional/token_node_case.py
@@ -36,6 +36,7 @@
 from beamloom.standins.token_endpoint import TokenEndpoint
 from beamloom.standins.token_store import TokenStore
 from beamloom.standins.token_store_server import TokenStoreServer
+from tests.functional.silent_proxy import SilentProxy
 
 PACKETS_PORT = 18172
 READINESS_PORT = 18167
@@ -82,11 +83,14 @@
     """Starts a store; `start_node` starts nodes on loopback addresses of this test's own."""
 
     network = "127.61.0"
+    bounds: Mapping[str, int] = {}
+    """Times in the nodes' settings, in ms; their own where they are not given."""
 
     async def asyncSetUp(self) -> None:
         self.store = TokenStoreServer(TokenStore())
         await self.store.start(f"{self.network}.200")
         self.addAsyncCleanup(self.store.close)
+        self.store_port = self.store.port
         self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         self.endpoints: list[EndpointProcess] = []
         self.nodes: dict[str, subprocess.Popen[bytes]] = {}
@@ -97,6 +101,14 @@
         self.addCleanup(self.client_socket.close)
         self.sequence = 0
 
+    async def put_proxy_before_store(self) -> SilentProxy:
+        """Let nodes that start from now on call the store through a proxy; return it."""
+        proxy = SilentProxy((f"{self.network}.200", self.store.port))
+        await proxy.start(f"{self.network}.200")
+        self.addAsyncCleanup(proxy.close)
+        self.store_port = proxy.port
+        return proxy
+
     def add_endpoint(self, number: int, service: str = "tracker") -> EndpointProcess:
         name = f"i-{number:08x}"
         endpoint = EndpointProcess(f"{self.network}.{150 + number}", TokenEndpoint(name, number))
@@ -124,6 +136,7 @@
     def write_settings(self, number: int) -> Path:
         host = f"{self.network}.{number}"
         path = self.folder / f"node-{number}.toml"
+        bounds = "\n".join(f"{name} = {value}" for name, value in self.bounds.items())
         path.write_text(
             f"""
 node-name = "node-{number}"
@@ -136,7 +149,9 @@
 datagram-addr = "{host}:{PACKETS_PORT}"
 readiness = "{host}:{READINESS_PORT}"
 [platform]
-address = "{self.network}.200:{self.store.port}"
+address = "{self.network}.200:{self.store_port}"
+[bounds]
+{bounds}
 """
         )
         return path
--- a/tests/unit/tokens/test_mechanisms.py
+++ b/tests/unit/tokens/test_mechanisms.py
@@ -43,7 +43,7 @@
 
 NOW = 10.0
 SEED_COUNT = 20
-IN_PROCESSES = {"key_from_peers", "waiting_packets", "discard_after_stall"}
+IN_PROCESSES = {"key_from_peers", "waiting_packets", "discard_after_stall", "silence_probes"}
 """Tested with whole nodes, in tests/functional/test_mechanisms.py."""
 
 
