A connection that ends as it is to be watched fails its call alone; tests of a reader after silence

Setting an option on a socket that has just ended raises OSError, which would have ended the reader's task and with it the node. It is told as a broken connection now.

--- a/src/beamloom/runtime/http_client.py
+++ b/src/beamloom/runtime/http_client.py
@@ -218,7 +218,11 @@
     async def _exchange(
         self, protocol: _AnswerProtocol, request: bytes, limits: CallLimits
     ) -> HttpAnswer:
-        answer = protocol.expect_answer(limits)
+        try:
+            answer = protocol.expect_answer(limits)
+        except OSError as error:
+            # The socket refuses the kernel's watch: the connection has just ended.
+            raise CallFailedError(CallFailure.BROKEN, str(error)) from error
         assert protocol.transport is not None
         protocol.transport.write(request)
         try:
--- a/tests/functional/test_silent_connections.py
+++ b/tests/functional/test_silent_connections.py
@@ -3,7 +3,9 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
+from beamloom.runtime import http_client
 from beamloom.runtime.connection_limits import (
     KEEP_ALIVE_SECONDS,
     UNACKNOWLEDGED_SECONDS,
@@ -142,6 +144,16 @@
             protocol.data_received(b"x")
         self.assertEqual((await answer).body, b"xxxxx")
 
+    async def test_a_connection_that_has_just_ended_fails_the_call_alone(self) -> None:
+        refusal = OSError("Bad file descriptor")
+        with (
+            mock.patch.object(http_client, "notice_silence", side_effect=refusal),
+            self.assertRaises(CallFailedError) as caught,
+        ):
+            await self.call()
+        self.assertIs(caught.exception.failure, CallFailure.BROKEN)
+        self.assertEqual((await self.call()).body, BODY)
+
     async def test_without_probes_only_the_deadline_shows_it(self) -> None:
         self.connection = self.connect(notices_silence=False)
         self.connection.on_silence = self.found.append
--- /dev/null
+++ b/tests/unit/views/test_store_reader.py
@@ -0,0 +1,87 @@
+"""What a reader of the store does after a connection that was found silent."""
+
+import asyncio
+import unittest
+from collections.abc import Sequence
+
+from beamloom.replication.object_watch import ChangeBatch, ListPage
+from beamloom.routing.tokens.records import BackendRecord
+from beamloom.runtime.connection_limits import CallLimits
+from beamloom.runtime.http_client import CallFailedError, CallFailure, HttpAnswer, HttpConnection
+from beamloom.runtime.store_reader import KindFormat, StoreReader
+from tests.unit.tokens.builders import new_core
+
+LIST_PATH = "list"
+REVISION = 7
+LONGEST_SECONDS = 5.0
+
+BACKENDS = KindFormat[BackendRecord](
+    "backends",
+    lambda request: LIST_PATH,
+    lambda request, wait_seconds: f"wait {wait_seconds:g}",
+    lambda body: ListPage((), False, REVISION, ""),
+    lambda body: ChangeBatch((), REVISION),
+)
+
+
+class _ScriptedConnection(HttpConnection):
+    """Answers each call with 200, or fails it as the script says; then answers nothing."""
+
+    def __init__(self, script: Sequence[CallFailure | None]) -> None:
+        super().__init__("127.0.0.1", 1, "127.0.0.1")
+        self.paths: list[str] = []
+        self.limits: list[CallLimits] = []
+        self.over = asyncio.Event()
+        self._script = list(script)
+
+    async def call(
+        self, method: str, path: str, limits: CallLimits, body: bytes = b""
+    ) -> HttpAnswer:
+        if not self._script:
+            self.over.set()
+            await asyncio.Event().wait()
+        self.paths.append(path)
+        self.limits.append(limits)
+        failure = self._script.pop(0)
+        if failure is not None:
+            raise CallFailedError(failure, "scripted")
+        return HttpAnswer(200, b"")
+
+
+class StoreReaderTest(unittest.IsolatedAsyncioTestCase):
+    async def read(self, *script: CallFailure | None) -> tuple[_ScriptedConnection, list[str]]:
+        """Play a script to a reader; return the connection, and the failures it told."""
+        core = new_core()
+        core.duty.reading = True
+        connection = _ScriptedConnection(script)
+        reader = StoreReader(core.backend_watch, BACKENDS, connection, core.backend_turn)
+        failures: list[str] = []
+        reader.on_failure = lambda reason, count: failures.append(reason)
+        reader.on_answer = lambda changes: core.duty.note_answer(asyncio.get_running_loop().time())
+        task = asyncio.create_task(reader.run())
+        try:
+            await asyncio.wait_for(connection.over.wait(), LONGEST_SECONDS)
+        finally:
+            task.cancel()
+            await asyncio.wait({task})
+        return connection, failures
+
+    async def test_the_next_call_follows_at_once_and_does_not_wait(self) -> None:
+        script = (None, None, CallFailure.SILENT, None, None)
+        connection, failures = await self.read(*script)
+        self.assertEqual(
+            connection.paths, [LIST_PATH, "wait 1.5", "wait 1.5", "wait 0", "wait 1.5"]
+        )
+        self.assertEqual([limits.waits for limits in connection.limits[2:]], [True, False, True])
+        self.assertEqual(failures, [])
+
+    async def test_a_second_silence_in_a_row_counts_as_a_failure(self) -> None:
+        _, failures = await self.read(None, CallFailure.SILENT, CallFailure.SILENT, None)
+        self.assertEqual(failures, ["silent"])
+
+    async def test_a_list_that_stood_still_gets_more_time(self) -> None:
+        connection, failures = await self.read(CallFailure.STALLED, None)
+        self.assertEqual(failures, ["stalled"])
+        before, after = connection.limits[:2]
+        self.assertEqual(after.deadline_seconds, 2 * before.deadline_seconds)
+        self.assertEqual(after.progress_seconds, 2 * before.progress_seconds)
