Tell peers what a machine can do

Cause: a node knew nothing of the machines of its peers, so that roles went to machines of a twentieth of the processor and link of their neighbours.

A node's digest tells cores, link, memory and descriptors (some 12 bytes, a field with a default), and the ranks of the peers that it names. Limits of the settings that are missing, nought or beyond any machine count as the least and are logged once; what is no number is refused with all faults. What a peer tells absurdly is counted, logged at its first time, and costs nothing else of its digest. Ruled out: taking one core and 1,000 Mbit/s where nothing is told, as until now; a machine that tells nothing would be given roles before the small ones beside it.

--- a/src/beamloom/node/belief_observer.py
+++ b/src/beamloom/node/belief_observer.py
@@ -62,3 +62,7 @@
     @abstractmethod
     def stalled(self, seconds: float) -> None:
         """Hear that the process stood still."""
+
+    @abstractmethod
+    def unusable_capacity(self, host: str, fields: tuple[str, ...]) -> None:
+        """Hear that a peer told absurd figures of its machine; it counts as one of the least."""
--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -26,6 +26,7 @@
 from beamloom.routing.tokens.records import BackendRecord, RoutingConfiguration
 from beamloom.routing.tokens.router import TokenRouter
 from beamloom.routing.tokens.token import TokenCodec
+from beamloom.settings.capacity import LEAST, Capacity
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 from beamloom.settings.token_node import ColdStartLimits
 from beamloom.telemetry.histogram import LatencyHistogram
@@ -46,7 +47,8 @@
     """One node. `configuration_name` is the object that holds the configuration in force.
 
     Evacuations are followed where `evacuation_times` are given; `known_zones` are those of the
-    deployment. Cold backends are limited where `cold_starts` are given.
+    deployment. Cold backends are limited where `cold_starts` are given. `capacity` is what the
+    machine can do, as peers are told.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         evacuation_times: ReadingTimes | None = None,
         known_zones: Collection[str] = (),
         cold_starts: ColdStartLimits | None = None,
+        capacity: Capacity = LEAST,
     ) -> None:
         self._mechanisms = mechanisms
         self._cold_starts = None if cold_starts is None else ColdStartGate(cold_starts)
@@ -107,6 +110,7 @@
         self._observer = observer
         self._chance = chance
         self._zone = zone
+        self._capacity = capacity
         self._now = 0.0
         self._advanced_at = float("inf")
         self._untaken_stall = False
@@ -159,8 +163,9 @@
         ]
         if self.evacuations is not None:
             views.append(self.evacuations.share(self._apply_evacuations))
-        peers = PeerTable(host, seeds, self._chance, self._zone)
+        peers = PeerTable(host, seeds, self._chance, self._zone, self._capacity)
         self.exchange = ViewExchange(views, peers, self.duty, self._chance)
+        self.exchange.on_unusable_capacity = self._observer.unusable_capacity
         self._judge.join(self.exchange)
         if self._cold_starts is not None:
             share = FleetShare(peers, SENDERS_OF_A_BACKEND, self._now)
--- a/src/beamloom/platform/node_settings.py
+++ b/src/beamloom/platform/node_settings.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from beamloom.platform.errors import PlatformSettingsError
+from beamloom.settings.capacity import CheckedCapacity, check_capacity
 from beamloom.settings.document import read_document
 from beamloom.settings.field_reader import (
     FieldReader,
@@ -17,6 +18,7 @@
     to_first_port,
     to_hosts,
     to_names,
+    to_number,
     to_positive,
     to_text,
 )
@@ -48,6 +50,7 @@
 def check_settings(document: Mapping[str, Any], path: str) -> TokenNodeSettings:
     """Translate the fields of a settings file; raises PlatformSettingsError."""
     fields = FieldReader(document)
+    limits = _limits(fields)
     settings = TokenNodeSettings(
         node=fields.read("node-name", to_text, ""),
         host=fields.read("ip", to_text, ""),
@@ -62,9 +65,8 @@
         flow_seconds=fields.read("bounds.flow-max-s", to_positive, 60.0, required=False),
         apply_seconds=fields.read("bounds.config-apply-ms", _milliseconds, 3.0, required=False),
         drain_seconds=fields.read("bounds.drain-ms", _milliseconds, 3.0, required=False),
-        cores=fields.read("limits.cpu-share", to_positive, 1.0, required=False)
-        * fields.read("limits.cores", to_positive, 1.0, required=False),
-        link_megabits=fields.read("limits.link-mbps", to_positive, 1000.0, required=False),
+        capacity=limits.capacity,
+        unusable_limits=limits.unusable,
         contact_seconds=fields.read("bounds.contact-ms", _milliseconds, 4.0, required=False),
         evacuate_seconds=fields.read("bounds.evacuate-ms", _milliseconds, None, required=False),
         zones=fields.read("zones", to_names, (), required=False),
@@ -75,6 +77,23 @@
     return settings
 
 
+def _limits(fields: FieldReader) -> CheckedCapacity:
+    """Return what the machine can do; what is absurd or missing counts as the least.
+
+    The share is of one core, and `cores` tells how many times as fast that core runs.
+    """
+    share = fields.read("limits.cpu-share", to_number, None, required=False)
+    speed = fields.read("limits.cores", to_number, 1.0, required=False)
+    return check_capacity(
+        (
+            None if share is None else share * speed,
+            fields.read("limits.link-mbps", to_number, None, required=False),
+            fields.read("limits.memory-mb", to_number, None, required=False),
+            fields.read("limits.max-fds", to_number, None, required=False),
+        )
+    )
+
+
 def _cold_start_limits(fields: FieldReader) -> ColdStartLimits | None:
     excess = fields.read("bounds.warmup-excess", to_positive, None, required=False)
     slack = fields.read("bounds.warmup-slack", to_positive, 0.0, required=False)
--- a/src/beamloom/protocol/view_messages.py
+++ b/src/beamloom/protocol/view_messages.py
@@ -25,7 +25,9 @@
     store; `peers` holds `[host, milliseconds since it was heard]`. `zone` is the sender's.
     `silent` holds `[backend, reporter, milliseconds since]` of openings that were not answered.
     `stop` is how far the sender's own planned stop is (`StopState`). `failing` holds the same as
-    `silent` of answers that seem to be errors.
+    `silent` of answers that seem to be errors. `capacity` is the sender's own (`to_wire`), some 12
+    bytes, and empty where the sender is of an earlier version; `ranks` holds those of `peers` in
+    their order, -1 where the sender has not heard it.
     """
 
     views: list[list[int]]
@@ -35,6 +37,8 @@
     silent: list[tuple[str, str, int]] = field(default_factory=list)
     stop: int = 0
     failing: list[tuple[str, str, int]] = field(default_factory=list)
+    capacity: list[int] = field(default_factory=list)
+    ranks: list[int] = field(default_factory=list)
 
 
 @register_message(81, Priority.CONFIGURATION)
--- a/src/beamloom/replication/peer_table.py
+++ b/src/beamloom/replication/peer_table.py
@@ -9,10 +9,14 @@
 import random
 from collections.abc import Iterable
 
+from beamloom.settings.capacity import LEAST, LOWEST_RANK, Capacity
+
 PEER_SILENCE_SECONDS = 15.0
 MAXIMUM_PEERS = 2048
 SAMPLE_SIZE = 8
 OWN_ZONE_SHARE = 0.85
+UNKNOWN_RANK = -1
+"""In messages, of a host that has not told what it can do."""
 
 
 class PeerTable:
@@ -22,10 +26,18 @@
     """
 
     def __init__(
-        self, host: str, seeds: Iterable[str], chance: random.Random, zone: str = ""
+        self,
+        host: str,
+        seeds: Iterable[str],
+        chance: random.Random,
+        zone: str = "",
+        capacity: Capacity = LEAST,
     ) -> None:
         self.host = host
         self.zone = zone
+        self.capacity = capacity
+        self._ranks: dict[str, int] = {}
+        self._capacities: dict[str, Capacity] = {}
         self._zones: dict[str, str] = {}
         self._chance = chance
         self._heard: dict[str, float] = {}
@@ -55,12 +67,36 @@
         if host in self._heard and zone:
             self._zones[host] = zone
 
+    def note_capacity(self, host: str, capacity: Capacity) -> None:
+        """Note what a host says it can do."""
+        if host in self._heard:
+            self._capacities[host] = capacity
+            self._ranks[host] = capacity.rank
+
+    def note_rank(self, host: str, rank: int) -> None:
+        """Note the rank that another host tells of this one; its own word goes first."""
+        is_told = host in self._capacities or host not in self._heard
+        if not is_told and isinstance(rank, int) and 0 <= rank <= LOWEST_RANK:
+            self._ranks[host] = rank
+
+    def capacity_of(self, host: str) -> Capacity | None:
+        """Return what a host said it can do; None where it has not said so here."""
+        return self._capacities.get(host)
+
+    def rank_of(self, host: str) -> int | None:
+        """Return the rank of a host; None where nobody has told it."""
+        return self.capacity.rank if host == self.host else self._ranks.get(host)
+
     def forget_silent(self, now: float) -> None:
         """Drop hosts that nobody has heard for long."""
         self._heard = {
             host: at for host, at in self._heard.items() if now - at < PEER_SILENCE_SECONDS
         }
         self._zones = {host: zone for host, zone in self._zones.items() if host in self._heard}
+        self._ranks = {host: rank for host, rank in self._ranks.items() if host in self._heard}
+        self._capacities = {
+            host: told for host, told in self._capacities.items() if host in self._heard
+        }
 
     def choose(self, count: int) -> list[str]:
         """Return up to so many hosts, drawn by chance; all of them where there are no more."""
--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -9,10 +9,10 @@
 
 from __future__ import annotations
 
-import math
 import random
 
 from beamloom.replication.reading_times import ReadingTimes
+from beamloom.settings.capacity import LOWEST_RANK, Capacity
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 
 TARGET_READERS = 2
@@ -32,23 +32,13 @@
 KINDS_READ = 2
 """Kinds of object that each node asks for while the store fails: backends and configurations."""
 
-
-LEAST_CORES = 0.05
-LEAST_LINK_MEGABITS = 5.0
-"""A machine of so little has the lowest rank; chosen as the least that was met."""
-LOWEST_RANK = 9
 RANK_DIGITS = 1
 """Ranks are a decimal digit at the beginning of an id, as ids compare as text."""
 
 
 def reader_id_of(cores: float, link_megabits: float, start: str) -> str:
-    """Return the id of one start of a node: its rank as a reader, then what is its own.
-
-    Each doubling of both processor and link makes the rank one better; 0 is the best.
-    """
-    steps = math.log2(min(cores / LEAST_CORES, link_megabits / LEAST_LINK_MEGABITS))
-    rank = LOWEST_RANK - max(0, min(LOWEST_RANK, int(steps)))
-    return f"{rank}{start}"
+    """Return the id of one start of a node: its rank as a reader, then what is its own."""
+    return f"{Capacity(cores, link_megabits).rank}{start}"
 
 
 class ReaderDuty:
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -10,7 +10,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
 from beamloom.protocol.messages import Message
@@ -22,11 +22,12 @@
     ViewRequest,
 )
 from beamloom.replication.backend_reports import BackendReports
-from beamloom.replication.peer_table import PeerTable
+from beamloom.replication.peer_table import UNKNOWN_RANK, PeerTable
 from beamloom.replication.reader_duty import ReaderDuty
 from beamloom.replication.shared_view import SharedView
 from beamloom.replication.stop_turns import StopState, StopTurns
 from beamloom.replication.view_transfer import Reassembly, split
+from beamloom.settings.capacity import from_wire, to_wire
 from beamloom.telemetry.histogram import LatencyHistogram
 
 DIRECT_PEERS = 12
@@ -75,6 +76,7 @@
         chance: random.Random,
     ) -> None:
         self.counters: Counter[str] = Counter()
+        self.on_unusable_capacity: Callable[[str, tuple[str, ...]], None] = _ignore
         self.catch_up_seconds = LatencyHistogram()
         self.peers = peers
         self.reports = BackendReports(duty.reader_id)
@@ -184,6 +186,7 @@
 
     def _take_digest(self, host: str, digest: ViewDigest, is_new: bool, now: float) -> None:
         self.peers.note_zone(host, digest.zone)
+        self._note_capacities(host, digest)
         if digest.zone == self.peers.zone:
             self._take_stop(host, digest.stop, now)
         self.reports.take_digest(digest, now)
@@ -214,6 +217,21 @@
             count = FORWARD_PEERS if has_readers else FORWARD_PEERS // 2
             self._send_digest(self.peers.choose(count), now)
 
+    def _note_capacities(self, host: str, digest: ViewDigest) -> None:
+        """Take what the sender can do, and what it has heard of others; older nodes tell neither.
+
+        What is absurd counts as the least, and is counted and told once.
+        """
+        if digest.capacity:
+            capacity, unusable = from_wire(digest.capacity)
+            if unusable and self.peers.capacity_of(host) is None:
+                self.on_unusable_capacity(host, unusable)
+            self.counters["unusable_capacities"] += bool(unusable)
+            self.peers.note_capacity(host, capacity)
+        ranks = digest.ranks if isinstance(digest.ranks, list) else []
+        for (peer, _), rank in zip(digest.peers, ranks, strict=False):
+            self.peers.note_rank(peer, rank)
+
     def _take_stop(self, host: str, stop: int, now: float) -> None:
         """Take how far a node of the zone is with its stop; states of tomorrow count as none."""
         try:
@@ -302,6 +320,7 @@
         readers = [(name, _age(at, now)) for name, at in self._duty.foremost(now)]
         sample = self.peers.sample(now) if names_peers else []
         peers = [(host, int(age * MILLISECONDS)) for host, age in sample]
+        ranks = [self.peers.rank_of(host) for host, _ in peers]
         silent, failing = self.reports.told(now)
         return ViewDigest(
             views,
@@ -311,9 +330,15 @@
             silent,
             int(self.stops.state),
             failing,
+            to_wire(self.peers.capacity),
+            [UNKNOWN_RANK if rank is None else rank for rank in ranks],
         )
 
 
+def _ignore(_host: str, _fields: tuple[str, ...]) -> None:
+    """Tell nobody of an unusable capacity; it is counted."""
+
+
 def _age(at: float | None, now: float) -> int:
     if at is None or now - at > OLDEST_AGE_SECONDS:
         return NEVER
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -165,6 +165,10 @@
         """Note that the process stood still."""
         self._log.record("Stalled", {"seconds": round(seconds, 3)})
 
+    def unusable_capacity(self, host: str, fields: tuple[str, ...]) -> None:
+        """Note that a peer told absurd figures of its machine."""
+        self._log.record("UnusableCapacity", {"host": host, "taken_as_least": ", ".join(fields)})
+
     def object_unreadable(self, kind: str, text: str) -> None:
         """Note an object of the store that was left out, as it is not as it should be."""
         self._log.record("ObjectUnreadable", {"kind": kind, "object": text})
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -72,7 +72,8 @@
         self.log = EventLog(settings.node, standard_output())
         self.decisions = DecisionLog(self.log, packet_layout.describe_flow, self._view_age)
         start = os.urandom(READER_ID_BYTES).hex()
-        reader_id = reader_id_of(settings.cores, settings.link_megabits, start)
+        capacity = settings.capacity
+        reader_id = reader_id_of(capacity.cores, capacity.link_megabits, start)
         self.core = TokenCore(
             settings.zone,
             reader_id,
@@ -89,6 +90,7 @@
             evacuation_times=_evacuation_times(settings, mechanisms),
             known_zones=settings.zones,
             cold_starts=settings.cold_starts,
+            capacity=capacity,
         )
         self.core.on_progress = self._note_ready
         self.follower = StoreFollower(settings, self.core, self.decisions, chance, mechanisms)
@@ -152,6 +154,7 @@
         await self._responder.start(*self.settings.readiness.pair)
         await self._start_metrics()
         self.decisions.life("Started", zone=self.settings.zone)
+        self._tell_unusable_limits()
         jobs = (self.follower.run(), self._tick(), self._take_packets_at_last())
         tasks = [asyncio.create_task(job) for job in jobs]
         stop = asyncio.create_task(self._stop.wait())
@@ -163,6 +166,12 @@
         for task in done:
             task.result()
 
+    def _tell_unusable_limits(self) -> None:
+        """Tell which limits of the settings are missing or absurd, if any: they count as least."""
+        if self.settings.unusable_limits:
+            names = ", ".join(self.settings.unusable_limits)
+            self.decisions.life("LimitsUnusable", taken_as_least=names)
+
     async def _start_metrics(self) -> None:
         """Tell figures where the settings say; a node serves without them as well."""
         endpoint = self.settings.metrics
--- a/src/beamloom/settings/field_reader.py
+++ b/src/beamloom/settings/field_reader.py
@@ -82,3 +82,10 @@
     if number <= 0:
         raise ValueError("a positive number is expected")
     return number
+
+
+def to_number(value: Any) -> float:  # noqa: ANN401 - any value of a file
+    """Return a number, of whatever size; raises TypeError where it is none."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError("a number is expected")
+    return float(value)
--- a/src/beamloom/settings/token_node.py
+++ b/src/beamloom/settings/token_node.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from beamloom.settings.capacity import LEAST, Capacity
+
 
 class Endpoint(NamedTuple):
     """An IP address and port."""
@@ -37,8 +39,9 @@
     A configuration must be in force within `apply_seconds`, a leaving backend be rid of new flows
     within `drain_seconds`; both hold for nodes that have had `contact_seconds` of undisturbed
     contact. `metrics` is where figures are told, if anywhere. A flow may be forgotten after
-    `flow_seconds`. After SIGTERM a node has `stop_seconds`. `cores` and `link_megabits` (a second)
-    are what the machine can do. A zone that is evacuated gets no new flows after
+    `flow_seconds`. After SIGTERM a node has `stop_seconds`. `capacity` is what the
+    machine can do, `unusable_limits` names the parts of it that the settings do not tell or tell
+    absurdly. A zone that is evacuated gets no new flows after
     `evacuate_seconds`; None where operators cannot ask for that. `zones` are those of the
     deployment, as far as told. `cold_starts` limits what backends get while they are cold; None
     where the deployment does not.
@@ -58,8 +61,8 @@
     apply_seconds: float = 3.0
     drain_seconds: float = 3.0
     contact_seconds: float = 4.0
-    cores: float = 1.0
-    link_megabits: float = 1000.0
+    capacity: Capacity = LEAST
+    unusable_limits: tuple[str, ...] = ()
     evacuate_seconds: float | None = None
     zones: tuple[str, ...] = ()
     cold_starts: ColdStartLimits | None = None
@@ -79,8 +82,8 @@
         "contact_seconds",
         "evacuate_seconds",
         "cold_starts",
-        "cores",
-        "link_megabits",
+        "capacity",
+        "unusable_limits",
     }
 )
 """Addresses are bound, and names used, once; a change of these waits for the next start."""
--- a/src/beamloom/simulation/tokens/quiet_observer.py
+++ b/src/beamloom/simulation/tokens/quiet_observer.py
@@ -64,3 +64,7 @@
     def stalled(self, seconds: float) -> None:
         """Count a stall."""
         self.counters["stalled"] += 1
+
+    def unusable_capacity(self, host: str, fields: tuple[str, ...]) -> None:
+        """Count a peer that told absurd figures of its machine."""
+        self.counters["unusable_capacities"] += 1
