Ask able peers for what is lacking, and answer within a part of the link

Who starts knows only seeds; each change was told to them first while nodes met; and whoever told of a change was asked, a machine of a twentieth of its neighbour's link as often as that one.

Now the draw whom to ask goes by capacity, own zone first; able machines tell more peers and the least tell three; a node answers with 4% of its link and names others beyond that (AskElsewhere); who does not answer in 0.15 s is replaced. Switch: capacity_roles.

Ruled out: forcing an answer after three hops without a bound (a seed at 97% of its link); a draw by weight alone (the least of the own zone still got a third); asking later, as each change would be in force later. Found by the tests: nodes that answer nothing any more sent peers to each other for ever where they alone knew something; they now answer who found nobody else.

--- a/src/beamloom/node/belief_observer.py
+++ b/src/beamloom/node/belief_observer.py
@@ -66,3 +66,7 @@
     @abstractmethod
     def unusable_capacity(self, host: str, fields: tuple[str, ...]) -> None:
         """Hear that a peer told absurd figures of its machine; it counts as one of the least."""
+
+    @abstractmethod
+    def own_limits(self, state: str, before: str, limit: str, share: float) -> None:
+        """Hear that this node sheds roles near one of its limits, or takes them up again."""
--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -33,7 +33,9 @@
 
 if TYPE_CHECKING:
     from beamloom.protocol.messages import Message
-    from beamloom.replication.view_exchange import SendToHost, ViewExchange
+    from beamloom.replication.fleet_share import FleetShare
+    from beamloom.replication.view_exchange import ViewExchange
+    from beamloom.replication.view_pulls import SendToHost
 
 LONGEST_STALL_SECONDS = 1.0
 """A process that stood still for so long cannot tell how old what it reads now is."""
@@ -42,6 +44,11 @@
 LATE_SECONDS = 0.4
 """`advance` is called four times a second; a node that lags cannot tell who is silent."""
 
+ANSWER_SHARES = {"serving": 1.0, "roles_shed": 0.25, "closed_to_peers": 0.0}
+"""By state of `node/own_limits.py`, which is not imported at a start: the part of the usual answers
+to peers that a node gives.
+"""
+
 
 class TokenCore:
     """One node. `configuration_name` is the object that holds the configuration in force.
@@ -111,6 +118,7 @@
         self._chance = chance
         self._zone = zone
         self._capacity = capacity
+        self._share: FleetShare | None = None
         self._now = 0.0
         self._advanced_at = float("inf")
         self._untaken_stall = False
@@ -164,13 +172,16 @@
         if self.evacuations is not None:
             views.append(self.evacuations.share(self._apply_evacuations))
         peers = PeerTable(host, seeds, self._chance, self._zone, self._capacity)
-        self.exchange = ViewExchange(views, peers, self.duty, self._chance)
+        by_capacity = self._mechanisms.capacity_roles
+        self.exchange = ViewExchange(views, peers, self.duty, self._chance, by_capacity=by_capacity)
         self.exchange.on_unusable_capacity = self._observer.unusable_capacity
         self._judge.join(self.exchange)
         if self._cold_starts is not None:
-            share = FleetShare(peers, SENDERS_OF_A_BACKEND, self._now)
-            self._cold_starts.is_sender = share.holds
-        self.exchange.catch_up_seconds = self.catch_up_seconds
+            self._share = FleetShare(
+                peers, SENDERS_OF_A_BACKEND, self._now, by_capacity=by_capacity
+            )
+            self._cold_starts.is_sender = self._share.holds
+        self.exchange.pulls.catch_up_seconds = self.catch_up_seconds
 
     def has_stalled(self, now: float) -> bool:
         """Whether the process stood still until now: `advance` has not been called for long."""
@@ -217,6 +228,18 @@
         """Return the messages that are to be sent now, once."""
         return [] if self.exchange is None else self.exchange.take_sends()
 
+    def use_limits(self, state: str, before: str, limit: str, share: float) -> None:
+        """Give up roles, or take them up again, as a state of `node/own_limits.py` says."""
+        self._observer.own_limits(state, before, limit, share)
+        if not self._mechanisms.capacity_roles:
+            return
+        answers = ANSWER_SHARES[state]
+        self.duty.sheds = answers < 1.0
+        if self._share is not None:
+            self._share.sheds = answers < 1.0
+        if self.exchange is not None:
+            self.exchange.use_limits(answers)
+
     def ask_to_stop(self, now: float) -> None:
         """Note that this node was asked to stop."""
         if self.exchange is not None:
--- a/src/beamloom/protocol/view_messages.py
+++ b/src/beamloom/protocol/view_messages.py
@@ -47,11 +47,26 @@
     """Ask for the changes of one kind after a revision (NEVER: for everything).
 
     `bases` name what the answer may build on, the best first; what that is depends on the kind.
+    `attempt` is how often the answer was `AskElsewhere` before.
     """
 
     view: int
     since: int
     bases: list[int] = field(default_factory=list)
+    attempt: int = 0
+
+
+@register_message(86, Priority.CONFIGURATION)
+@dataclass(frozen=True, slots=True)
+class AskElsewhere(Message):
+    """A request is not answered, as the node has sent enough of its link; `hosts` may know more.
+
+    Some 60 bytes in place of an answer of thousands. Nodes of an earlier version pass it over and
+    repeat their request, as for one that was lost.
+    """
+
+    view: int
+    hosts: list[str]
 
 
 @register_message(82, Priority.CONFIGURATION)
--- a/src/beamloom/replication/peer_table.py
+++ b/src/beamloom/replication/peer_table.py
@@ -15,6 +15,10 @@
 MAXIMUM_PEERS = 2048
 SAMPLE_SIZE = 8
 OWN_ZONE_SHARE = 0.85
+LEAST_TOLD = 3
+"""Peers that the least machine tells all the same: able ones may be lost, cut or frozen."""
+MOST_TOLD = 24
+"""Peers that the ablest machine tells: some 6 kB of digests for each change."""
 UNKNOWN_RANK = -1
 """In messages, of a host that has not told what it can do."""
 
@@ -87,6 +91,37 @@
         """Return the rank of a host; None where nobody has told it."""
         return self.capacity.rank if host == self.host else self._ranks.get(host)
 
+    def weight_of(self, host: str) -> int:
+        """Return how many times the roles of the least machine a host can bear.
+
+        A host whose rank nobody has told counts as this node itself.
+        """
+        rank = self.capacity.rank if host == self.host else self._rank_of_peer(host)
+        return 1 << (LOWEST_RANK - rank)
+
+    def _rank_of_peer(self, host: str) -> int:
+        return self._ranks.get(host, self.capacity.rank)
+
+    def knows(self, host: str) -> bool:
+        """Return whether a host was heard of lately."""
+        return host in self._heard
+
+    def is_near(self, host: str) -> bool:
+        """Return whether a host is known to be in this node's zone."""
+        return self._zones.get(host) == self.zone
+
+    def fan_out(self, count: int) -> int:
+        """Return to how many peers this node passes on what usually goes to `count`.
+
+        Who is told asks the teller: able machines tell more peers and the least tell few, as many
+        as before in all where the machines are alike.
+        """
+        if not self._heard:
+            return count
+        weights = [self.weight_of(host) for host in self._heard]
+        own = self.capacity.weight * len(weights) / sum(weights)
+        return max(min(count, LEAST_TOLD), min(MOST_TOLD, round(count * own)))
+
     def forget_silent(self, now: float) -> None:
         """Drop hosts that nobody has heard for long."""
         self._heard = {
--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -52,6 +52,7 @@
         mechanisms: Mechanisms = ALL_MECHANISMS,
     ) -> None:
         self.reading = False
+        self.sheds = False
         self._mechanisms = mechanisms
         self.times = times
         self.reader_id = reader_id
@@ -118,11 +119,15 @@
             self.reading = True
         elif self.reading:
             lower = sum(name < self.reader_id for name in self.recent(now))
-            self.reading = lower < TARGET_READERS
+            self.reading = lower < TARGET_READERS and not self._leaves_it_to_others(now)
         else:
             self.reading = self._takes_up(now, joined)
         return self.reading != before
 
+    def _leaves_it_to_others(self, now: float) -> bool:
+        """Whether this node is near its own limits and another one reads."""
+        return self.sheds and len(self.recent(now).keys() - {self.reader_id}) > 0
+
     def _takes_up(self, now: float, joined: bool) -> bool:
         """Whether to become a reader now: too few are heard of, for a moment drawn by chance."""
         if self._began_at is None:
@@ -131,7 +136,8 @@
             self._listens_until = now + LISTENING_SECONDS
         fails = now - self._failed_at < self.times.silence_seconds
         others = self.recent(now).keys() - {self.reader_id}
-        if self._listens_until is None or fails or len(others) >= TARGET_READERS:
+        is_spared = self._leaves_it_to_others(now)
+        if self._listens_until is None or fails or is_spared or len(others) >= TARGET_READERS:
             self._starts_at = None
             return False
         if self._starts_at is None:
--- a/src/beamloom/replication/shared_view.py
+++ b/src/beamloom/replication/shared_view.py
@@ -63,6 +63,11 @@
         self._codec = codec
         self._on_changes = on_changes
 
+    @property
+    def revision(self) -> int:
+        """Up to which revision the view is known; NEVER where nothing is."""
+        return NEVER if self.view.revision is None else self.view.revision
+
     @property
     def bases(self) -> list[int]:
         """What an answer to a request of this node may build on."""
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -11,11 +11,12 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
 from beamloom.protocol.messages import Message
 from beamloom.protocol.view_messages import (
     NEVER,
+    AskElsewhere,
     BackendsDown,
     ViewDigest,
     ViewPart,
@@ -26,9 +27,8 @@
 from beamloom.replication.reader_duty import ReaderDuty
 from beamloom.replication.shared_view import SharedView
 from beamloom.replication.stop_turns import StopState, StopTurns
-from beamloom.replication.view_transfer import Reassembly, split
-from beamloom.settings.capacity import from_wire, to_wire
-from beamloom.telemetry.histogram import LatencyHistogram
+from beamloom.replication.view_pulls import SendToHost, ViewPulls
+from beamloom.settings.capacity import LEAST, from_wire, to_wire
 
 DIRECT_PEERS = 12
 FORWARD_PEERS = 5
@@ -45,28 +45,14 @@
 MEETING_SECONDS = 3.0
 MEETING_PEERS = 32
 """While hosts that were unknown turn up, and few are known, heartbeats follow faster."""
-REQUEST_SECONDS = 0.15
-"""A request that brought nothing by then is repeated, to whoever tells of more."""
-WHOLE_SECONDS = 0.5
-"""The same for a request for everything, which takes longer to answer."""
 ANSWER_SECONDS = 0.2
 """A peer that is behind is told so at most this often."""
 OLDEST_AGE_SECONDS = 60.0
 MILLISECONDS = 1000
 
 
-class SendToHost(NamedTuple):
-    """Send a message to the node at a host."""
-
-    host: str
-    message: Message
-
-
 class ViewExchange:
-    """Digests, requests and parts of one node; `take_sends` hands out what is to be sent.
-
-    `catch_up_seconds` is from hearing that a peer knows more to knowing it.
-    """
+    """Digests of one node; `take_sends` hands out what is to be sent, requests and parts too."""
 
     def __init__(
         self,
@@ -74,26 +60,41 @@
         peers: PeerTable,
         duty: ReaderDuty,
         chance: random.Random,
+        *,
+        by_capacity: bool = True,
     ) -> None:
         self.counters: Counter[str] = Counter()
         self.on_unusable_capacity: Callable[[str, tuple[str, ...]], None] = _ignore
-        self.catch_up_seconds = LatencyHistogram()
         self.peers = peers
         self.reports = BackendReports(duty.reader_id)
         self.stops = StopTurns(peers.host)
         self.views = views
         self._duty = duty
         self._chance = chance
-        self._reassembly = Reassembly()
+        self._by_capacity = by_capacity
+        self._sheds = False
         self._sends: list[SendToHost] = []
+        self.pulls = ViewPulls(
+            views, peers, chance, self._sends, self.counters, by_capacity=by_capacity
+        )
+        self.pulls.on_merged = self._tell_merged
+        self.pulls.on_nobody = self._ask_around
         self._next_heartbeat = float("-inf")
         self._met_at = float("-inf")
         self._answered: dict[str, float] = {}
-        self._transfer = 0
+
+    def use_limits(self, answer_share: float) -> None:
+        """Answer peers with this share (0 to 1) of the usual bytes, and tell less of the machine.
+
+        Peers that hear of the least capacity leave roles to others.
+        """
+        self.pulls.budget.share = answer_share
+        self._sheds = answer_share < 1.0
 
     def take_sends(self) -> list[SendToHost]:
         """Return what is to be sent now, once."""
-        sends, self._sends = self._sends, []
+        sends = self._sends.copy()
+        self._sends.clear()
         return sends
 
     def note_down(self, backend: str, now: float) -> None:
@@ -105,7 +106,7 @@
         names = self.reports.take_down_news(now)
         if names:
             message = BackendsDown(names)
-            hosts = self.peers.choose(FORWARD_PEERS)
+            hosts = self._choose(FORWARD_PEERS)
             self.counters["down_reports"] += len(hosts)
             self._sends.extend(SendToHost(host, message) for host in hosts)
 
@@ -114,6 +115,7 @@
         if self.reports.take_news(now):
             self.announce(now)
         self._spread_down(now)
+        self.pulls.advance(now)
         if self._is_late(now):
             self._send_digest(self.peers.choose(LATE_PEERS), now)
         if now < self._next_heartbeat:
@@ -123,6 +125,7 @@
         period = MEETING_HEARTBEAT_SECONDS if meeting else HEARTBEAT_SECONDS
         self._next_heartbeat = now + period * self._chance.uniform(0.9, 1.1)
         self.peers.forget_silent(now)
+        self.pulls.choice.forget(now)
         hosts = self.peers.choose(1)
         if len(self.peers) < FEW_PEERS:
             hosts = sorted({*hosts, *self.peers.seeds})
@@ -131,6 +134,12 @@
             host: at for host, at in self._answered.items() if now - at < ANSWER_SECONDS
         }
 
+    def _choose(self, count: int) -> list[str]:
+        """Draw the peers that news goes to, more of them the more this node can bear."""
+        if not self._by_capacity or len(self.peers) <= DIRECT_PEERS:
+            return self.peers.choose(count)
+        return self.peers.choose(self.peers.fan_out(count))
+
     def _is_late(self, now: float) -> bool:
         """Whether a confirmation should have come by now: peers that have it answer a digest."""
         for shared in self.views:
@@ -145,11 +154,18 @@
         Who has just started asks the seeds first.
         """
         count = DIRECT_PEERS if len(self.peers) <= DIRECT_PEERS else FORWARD_PEERS
-        hosts = self.peers.choose(count)
-        if now - self._met_at < MEETING_SECONDS:
+        hosts = self._choose(count)
+        if now - self._met_at < MEETING_SECONDS and self._tells_seeds():
             hosts = sorted({*hosts, *self.peers.seeds})
         self._send_digest(hosts, now)
 
+    def _tells_seeds(self) -> bool:
+        """Whether seeds must be told: where many are known they hear it soon from others.
+
+        Else they are the first to know each change, and all that start ask them for it.
+        """
+        return not self._by_capacity or len(self.peers) <= MEETING_PEERS
+
     def ask_to_stop(self, now: float) -> None:
         """Take part in the turns of stops, as this node has been asked to stop."""
         self.stops.ask(now)
@@ -171,9 +187,11 @@
             case ViewDigest():
                 self._take_digest(host, message, is_new, now)
             case ViewRequest():
-                self._answer_request(host, message)
+                self.pulls.answer(host, message, now)
+            case AskElsewhere():
+                self.pulls.take_elsewhere(host, message, now)
             case ViewPart():
-                self._take_part(host, message, now)
+                self.pulls.take_part(host, message, now)
             case BackendsDown():
                 self.reports.take_down(message.names, now)
         self._spread_down(now)
@@ -200,12 +218,13 @@
         for index, (shared, (revision, age)) in enumerate(
             zip(self.views, digest.views, strict=False)
         ):
-            mine = NEVER if shared.view.revision is None else shared.view.revision
+            mine = shared.revision
+            self.pulls.choice.note_told(index, host, revision, now)
             if revision > mine:
                 shared.behind_since = now if shared.behind_since is None else shared.behind_since
                 if age != NEVER:
                     shared.note_ahead(revision, now - age / MILLISECONDS)
-                self._request(host, index, shared, mine, now)
+                self.pulls.request(host, index, revision, now)
             elif revision < mine:
                 behind = True
             elif age != NEVER:
@@ -215,7 +234,7 @@
             self._answer_digest(host, is_new, now)
         if (fresher or has_readers) and len(self.peers) > DIRECT_PEERS:
             count = FORWARD_PEERS if has_readers else FORWARD_PEERS // 2
-            self._send_digest(self.peers.choose(count), now)
+            self._send_digest(self._choose(count), now)
 
     def _note_capacities(self, host: str, digest: ViewDigest) -> None:
         """Take what the sender can do, and what it has heard of others; older nodes tell neither.
@@ -252,54 +271,19 @@
             return False
         return before is None or at - before >= FRESHNESS_STEP_SECONDS
 
-    def _request(
-        self, host: str, index: int, shared: SharedView[Any], mine: int, now: float
-    ) -> None:
-        patience = WHOLE_SECONDS if mine == NEVER else REQUEST_SECONDS
-        if now - shared.requested_at < patience:
-            return
-        shared.requested_at = now
-        self.counters["requests"] += 1
-        self._sends.append(SendToHost(host, ViewRequest(index, mine, shared.bases)))
-
     def _answer_digest(self, host: str, is_new: bool, now: float) -> None:
         if now - self._answered.get(host, float("-inf")) < ANSWER_SECONDS:
             return
         self._answered[host] = now
         self._send_digest([host], now, names_peers=is_new)
 
-    def _answer_request(self, host: str, request: ViewRequest) -> None:
-        if not 0 <= request.view < len(self.views):
-            return
-        data = self.views[request.view].encode_since(request.since, request.bases)
-        if data is None:
-            return
-        self._transfer += 1
-        self.counters["answers"] += 1
-        parts = split(request.view, self._transfer, data)
-        self._sends.extend(SendToHost(host, part) for part in parts)
+    def _tell_merged(self, now: float) -> None:
+        if len(self.peers) > DIRECT_PEERS:
+            self._send_digest(self._choose(MERGED_PEERS), now)
 
-    def _take_part(self, host: str, message: ViewPart, now: float) -> None:
-        if not 0 <= message.view < len(self.views):
-            return
-        shared = self.views[message.view]
-        shared.requested_at = now
-        try:
-            data = self._reassembly.take(host, message, now)
-            if data is None:
-                return
-            merged = shared.merge(data)
-        except ValueError:
-            self.counters["unreadable"] += 1
-            return
-        shared.requested_at = float("-inf")
-        if merged and shared.behind_since is not None:
-            self.catch_up_seconds.observe(now - shared.behind_since)
-            shared.behind_since = None
-        if merged:
-            self.counters["merged"] += 1
-            if len(self.peers) > DIRECT_PEERS:
-                self._send_digest(self.peers.choose(MERGED_PEERS), now)
+    def _ask_around(self, now: float) -> None:
+        """Tell some how far this node is: who knows more says so."""
+        self._send_digest(self.peers.choose(LATE_PEERS), now)
 
     def _send_digest(self, hosts: Sequence[str], now: float, *, names_peers: bool = False) -> None:
         """Send a digest; only heartbeats and answers name peers, to keep the others small."""
@@ -312,7 +296,7 @@
     def _digest(self, now: float, names_peers: bool) -> ViewDigest:
         views = [
             [
-                NEVER if shared.view.revision is None else shared.view.revision,
+                shared.revision,
                 _age(shared.view.confirmed_at, now),
             ]
             for shared in self.views
@@ -330,7 +314,7 @@
             silent,
             int(self.stops.state),
             failing,
-            to_wire(self.peers.capacity),
+            to_wire(LEAST if self._sheds else self.peers.capacity),
             [UNKNOWN_RANK if rank is None else rank for rank in ranks],
         )
 
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -169,6 +169,13 @@
         """Note that a peer told absurd figures of its machine."""
         self._log.record("UnusableCapacity", {"host": host, "taken_as_least": ", ".join(fields)})
 
+    def own_limits(self, state: str, before: str, limit: str, share: float) -> None:
+        """Note that this node sheds roles near one of its limits, or takes them up again."""
+        self._log.record(
+            "OwnLimits",
+            {"state": state, "before": before, "limit": limit, "share": round(share, 3)},
+        )
+
     def object_unreadable(self, kind: str, text: str) -> None:
         """Note an object of the store that was left out, as it is not as it should be."""
         self._log.record("ObjectUnreadable", {"kind": kind, "object": text})
--- a/src/beamloom/runtime/gradual_import.py
+++ b/src/beamloom/runtime/gradual_import.py
@@ -37,6 +37,9 @@
     "beamloom.node.view_codecs",
     "beamloom.replication.peer_table",
     "beamloom.replication.backend_reports",
+    "beamloom.replication.answer_budget",
+    "beamloom.replication.pull_choice",
+    "beamloom.replication.view_pulls",
     "beamloom.replication.view_exchange",
     "beamloom.replication.fleet_share",
 )
--- a/src/beamloom/settings/mechanisms.py
+++ b/src/beamloom/settings/mechanisms.py
@@ -42,6 +42,8 @@
     forwarding_after_stop: a node that is asked to stop ends at once.
     stop_turns: nodes of a zone stop without regard to each other.
     discard_after_stall: opening packets that waited while a process stood still are sent on.
+    capacity_roles: peers tell news, answer each other and open flows at cold backends whatever
+        their machines can do, and a node near its own limits keeps its roles.
     spread_ticks: nodes that start together ask the store in the same moments.
     """
 
@@ -69,6 +71,7 @@
     forwarding_after_stop: bool = True
     stop_turns: bool = True
     discard_after_stall: bool = True
+    capacity_roles: bool = True
     spread_ticks: bool = True
 
 
--- a/src/beamloom/simulation/tokens/quiet_observer.py
+++ b/src/beamloom/simulation/tokens/quiet_observer.py
@@ -68,3 +68,7 @@
     def unusable_capacity(self, host: str, fields: tuple[str, ...]) -> None:
         """Count a peer that told absurd figures of its machine."""
         self.counters["unusable_capacities"] += 1
+
+    def own_limits(self, state: str, before: str, limit: str, share: float) -> None:
+        """Count a change of what this node gives up."""
+        self.counters[f"limits_{state}"] += 1
--- a/tests/unit/tokens/test_mechanisms.py
+++ b/tests/unit/tokens/test_mechanisms.py
@@ -21,6 +21,7 @@
 from beamloom.routing.tokens.records import BackendRecord
 from beamloom.runtime.planned_stop import PlannedStop
 from beamloom.runtime.token_node import first_tick_seconds
+from beamloom.settings.capacity import Capacity, to_wire
 from beamloom.settings.mechanisms import (
     ALL_MECHANISMS,
     MECHANISMS_VARIABLE,
@@ -223,6 +224,18 @@
     return codec.mint(flow_id(1), 7) == codec.mint(flow_id(2), 7)
 
 
+def capacity_roles(mechanisms: Mechanisms) -> object:
+    core = make_core(mechanisms)
+    core.join_peers("10.0.0.1", ())
+    assert core.exchange is not None
+    for number in range(2, 42):
+        digest = ViewDigest([], [], [], ZONE, capacity=to_wire(Capacity(2.0, 200.0, 300.0, 4100.0)))
+        core.handle_message(f"10.0.0.{number}", digest, NOW)
+    core.take_sends()
+    core.exchange.announce(NOW)
+    return len(core.take_sends())
+
+
 def stop_turns(mechanisms: Mechanisms) -> object:
     core = make_core(mechanisms)
     core.join_peers("10.0.0.1", ())
@@ -273,6 +286,7 @@
         configuration_differences,
         flow_bound_tokens,
         stop_turns,
+        capacity_roles,
         forwarding_after_stop,
         spread_ticks,
     )
--- a/tests/unit/views/exchange_network.py
+++ b/tests/unit/views/exchange_network.py
@@ -66,6 +66,8 @@
         self.nodes = {host: Node(host, hosts[:3], self.chance) for host in hosts}
         self._flying: list[tuple[float, int, str, str, Message]] = []
         self.cut: set[str] = set()
+        self.extra_delay: dict[str, float] = {}
+        """Seconds by which what a host sends is late."""
 
     def flush(self, node: Node) -> None:
         for send in node.exchange.take_sends():
@@ -74,7 +76,7 @@
                 self.part_bytes += len(send.message.data)
             if self.chance.random() < self.loss or {node.host, send.host} & self.cut:
                 continue
-            due = self.now + self.delay
+            due = self.now + self.delay + self.extra_delay.get(node.host, 0.0)
             heappush(self._flying, (due, self.sent, node.host, send.host, send.message))
 
     def run(self, seconds: float) -> None:
