Give up roles near a node's own limits, and take them up again

Cause: nothing told a node that its processor, link, memory or descriptors were nearly used up; it read the store, answered peers and opened flows at cold backends as before.

Ten seconds after its start a node begins to compare what it uses with its limits, once a second. Two samples at 0.7 of one: it leaves the store to other readers, opens no flows at cold backends, answers peers with a quarter of the budget and tells the least capacity. Two at 0.9: it answers only peers that found nobody else. Back after five samples well below. One line a change (OwnLimits), the gauge own_limits_state, counters by state and limit, and bytes sent to peers by kind of message. Clients' packets pass in all states. A limit that nobody told sheds nothing; what the kernel does not tell is counted; an error of this part ends the watch and not the node.

`transitions` (3 to 5 ms by -X importtime) is imported only when the watch begins, so that a start pays nothing. Ruled out: sampling from the start on, as a start uses all of a small machine. No figures of a fleet: whether it sheds at the right load was not measured.

--- /dev/null
+++ b/src/beamloom/runtime/own_usage.py
@@ -0,0 +1,96 @@
+"""Measures what this process uses: processor, peers' traffic, memory, descriptors."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections import Counter
+from collections.abc import Callable
+
+from beamloom.node.own_limits import Usage
+from beamloom.settings.capacity import Capacity
+
+STATM_PATH = "/proc/self/statm"
+DESCRIPTORS_PATH = "/proc/self/fd"
+RESIDENT_FIELD = 1
+BYTES_PER_MEGABYTE = 1 << 20
+BYTES_PER_MEGABIT = 125_000
+PEER_LINK_SHARE = 0.1
+"""Of the link, for what nodes tell each other; the rest is for clients' packets."""
+SLOW_SAMPLES = 5
+"""Memory and descriptors, which cost a few system calls, are looked at each fifth time."""
+
+
+class UsageProbe:
+    """Samples usage. `unusable` names limits that nobody told: no share of them is known.
+
+    `traffic` counts peers' `sent_bytes` and `received_bytes`.
+    """
+
+    def __init__(
+        self,
+        capacity: Capacity,
+        unusable: tuple[str, ...],
+        traffic: Callable[[], Counter[str]],
+    ) -> None:
+        self.counters: Counter[str] = Counter()
+        self._capacity = capacity
+        self._unusable = unusable
+        self._traffic = traffic
+        self._sampled_at: float | None = None
+        self._processor_seconds = 0.0
+        self._peer_bytes = 0
+        self._samples = 0
+        self._memory: float | None = None
+        self._descriptors: float | None = None
+
+    def sample(self, now: float) -> Usage:
+        """Return what was used since the sample before; nothing is known at the first one."""
+        processor_seconds = time.process_time()
+        peer_bytes = self._count_peer_bytes()
+        before, self._sampled_at = self._sampled_at, now
+        spent = processor_seconds - self._processor_seconds
+        moved = peer_bytes - self._peer_bytes
+        self._processor_seconds, self._peer_bytes = processor_seconds, peer_bytes
+        if self._samples % SLOW_SAMPLES == 0:
+            self._memory = self._share("memory_megabytes", self._read(_resident_megabytes))
+            self._descriptors = self._share("descriptors", self._read(_open_descriptors))
+        self._samples += 1
+        if before is None or now <= before:
+            return Usage(None, None, self._memory, self._descriptors)
+        seconds = now - before
+        megabits = moved / seconds / BYTES_PER_MEGABIT / PEER_LINK_SHARE
+        return Usage(
+            self._share("cores", spent / seconds),
+            self._share("link_megabits", megabits),
+            self._memory,
+            self._descriptors,
+        )
+
+    def _count_peer_bytes(self) -> int:
+        traffic = self._traffic()
+        return max(traffic["sent_bytes"], traffic["received_bytes"])
+
+    def _share(self, field: str, used: float | None) -> float | None:
+        if used is None or field in self._unusable:
+            return None
+        limit: float = getattr(self._capacity, field)
+        return used / limit
+
+    def _read(self, read: Callable[[], float]) -> float | None:
+        """Return a figure of the kernel's; where it gives none, that is counted."""
+        try:
+            return read()
+        except (OSError, ValueError, IndexError) as error:
+            self.counters[f"unreadable_{type(error).__name__}"] += 1
+            return None
+
+
+def _resident_megabytes() -> float:
+    with open(STATM_PATH) as file:
+        pages = int(file.read().split()[RESIDENT_FIELD])
+    return pages * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MEGABYTE
+
+
+def _open_descriptors() -> float:
+    return float(len(os.listdir(DESCRIPTORS_PATH)))
--- a/src/beamloom/runtime/peer_link.py
+++ b/src/beamloom/runtime/peer_link.py
@@ -35,6 +35,7 @@
         self, host: str, port: int, sender: str, received: Received, received_open: Received
     ) -> None:
         self.counters: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
         self._port = port
         self._sender = NodeId(sender)
         self._keys: KeyRing | None = None
@@ -78,6 +79,7 @@
             return
         self.counters["sent"] += 1
         self.counters["sent_bytes"] += len(data)
+        self.sent_bytes[type(message).__name__] += len(data)
 
     def _take(self, data: bytes, source: SocketAddress) -> None:
         try:
@@ -90,6 +92,7 @@
             self.counters[f"refused_{error.reason}"] += 1
             return
         self.counters["received"] += 1
+        self.counters["received_bytes"] += len(data)
         for message in envelope.messages:
             self._received(source[0], message)
 
--- a/src/beamloom/runtime/token_metrics.py
+++ b/src/beamloom/runtime/token_metrics.py
@@ -22,6 +22,9 @@
     "store_calls_for": "Calls to the store for objects, by what each was for.",
     "peer_messages": "Digests, requests and answers exchanged with other nodes.",
     "peer_datagrams": "Datagrams between nodes, by what became of them.",
+    "peer_sent_bytes": "Bytes sent to other nodes, by kind of message.",
+    "own_limits": "Changes of what this node gives up near a limit, by new state and limit.",
+    "own_limits_state": "0: serves; 1: has given up roles; 2: answers peers nothing either.",
     "log_lines": "Log lines left out, and writes that failed.",
     "open_flows": "Flows that this node has seen and that have not ended.",
     "backends": "Backends that packets may go to, gone ones among them.",
@@ -76,6 +79,8 @@
         "store_calls_for": purposes,
         "peer_messages": Counter() if core.exchange is None else core.exchange.counters,
         "peer_datagrams": Counter() if follower.link is None else follower.link.counters,
+        "peer_sent_bytes": Counter() if follower.link is None else follower.link.sent_bytes,
+        "own_limits": node.limit_watch.counters,
         "log_lines": node.log.counters,
     }
 
@@ -96,5 +101,6 @@
         "evacuations_age_seconds": None if evacuations is None else evacuations.view.age(now),
         "peers": 0 if core.exchange is None else len(core.exchange.peers),
         "reads_store": int(core.duty.reading),
+        "own_limits_state": node.limit_watch.level,
         "ready": int(node.ready),
     }
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import time
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 
@@ -29,6 +30,7 @@
 from beamloom.runtime.decision_log import DecisionLog
 from beamloom.runtime.http_client import HttpAnswer
 from beamloom.runtime.http_responder import HttpResponder
+from beamloom.runtime.limit_watch import LimitWatch
 from beamloom.runtime.packet_socket import PacketSocket
 from beamloom.runtime.planned_stop import PlannedStop
 from beamloom.runtime.store_follower import StoreFollower
@@ -94,6 +96,9 @@
         )
         self.core.on_progress = self._note_ready
         self.follower = StoreFollower(settings, self.core, self.decisions, chance, mechanisms)
+        self.limit_watch = LimitWatch(
+            self.core, settings, self._peer_traffic, self._note_limit_fault
+        )
         self._packets = PacketSocket(
             packets, self.core.router, self._note_fault, self._before_packets, self._judge_later
         )
@@ -155,7 +160,12 @@
         await self._start_metrics()
         self.decisions.life("Started", zone=self.settings.zone)
         self._tell_unusable_limits()
-        jobs = (self.follower.run(), self._tick(), self._take_packets_at_last())
+        jobs = (
+            self.follower.run(),
+            self._tick(),
+            self._take_packets_at_last(),
+            self.limit_watch.run(),
+        )
         tasks = [asyncio.create_task(job) for job in jobs]
         stop = asyncio.create_task(self._stop.wait())
         done, _ = await asyncio.wait({*tasks, stop}, return_when=asyncio.FIRST_COMPLETED)
@@ -166,6 +176,9 @@
         for task in done:
             task.result()
 
+    def _peer_traffic(self) -> Counter[str]:
+        return Counter() if self.follower.link is None else self.follower.link.counters
+
     def _tell_unusable_limits(self) -> None:
         """Tell which limits of the settings are missing or absurd, if any: they count as least."""
         if self.settings.unusable_limits:
@@ -257,6 +270,9 @@
     def _note_fault(self, error: Exception) -> None:
         self.decisions.life("PacketFault", error=repr(error), where=_origin(error))
 
+    def _note_limit_fault(self, error: Exception) -> None:
+        self.decisions.life("LimitWatchFault", error=repr(error), where=_origin(error))
+
     def _view_age(self) -> float | None:
         return self.core.backends.age(asyncio.get_running_loop().time())
 
