--- a/tests/unit/tokens/test_own_limits.py
+++ b/tests/unit/tokens/test_own_limits.py
@@ -1,5 +1,7 @@
 """A node near one of its own limits gives up roles and takes them up again; clients see nothing."""
 
+import asyncio
+import tomllib
 import unittest
 from collections import Counter
 from unittest import mock
@@ -14,14 +16,17 @@
     Usage,
 )
 from beamloom.node.token_core import ANSWER_SHARES
+from beamloom.platform.node_settings import check_settings
 from beamloom.protocol.view_messages import AskElsewhere, ViewDigest, ViewPart, ViewRequest
 from beamloom.replication.answer_budget import MOST_REFERRALS
 from beamloom.replication.fleet_share import DRAWS_TO_CHANGE, FleetShare
 from beamloom.routing.tokens.packets import ForwardPacket
+from beamloom.runtime.limit_watch import LimitWatch
 from beamloom.runtime.own_usage import SLOW_SAMPLES, UsageProbe
 from beamloom.settings.capacity import LEAST, Capacity, to_wire
 from beamloom.settings.mechanisms import ALL_MECHANISMS
 from tests.unit.tokens.builders import backend, make_core, opening, settled_share
+from tests.unit.tokens.test_settings import SETTINGS
 
 NOW = 10.0
 LARGE = Capacity(2.15, 100.0, 300.0, 4100.0)
@@ -132,6 +137,42 @@
         self.assertEqual(probe.counters["unreadable_OSError"], 2)
 
 
+class WatchTest(unittest.IsolatedAsyncioTestCase):
+    """The task that samples a whole node."""
+
+    async def watched(self, traffic: Counter[str] | None) -> tuple[LimitWatch, list[Exception]]:
+        """Return a watch after some samples; traffic that is missing is an error of our own."""
+        core = make_core(ALL_MECHANISMS, backend(1))
+        settings = check_settings(tomllib.loads(SETTINGS), "node.toml")
+        settings = settings._replace(capacity=LARGE, unusable_limits=())
+        faults: list[Exception] = []
+        watch = LimitWatch(core, settings, lambda: traffic, faults.append)  # type: ignore[arg-type, return-value]
+        with (
+            mock.patch("beamloom.runtime.limit_watch.WATCH_AFTER_SECONDS", 0.0),
+            mock.patch("beamloom.node.own_limits.SAMPLE_SECONDS", 0.01),
+        ):
+            task = asyncio.create_task(watch.run())
+            for _ in range(20):
+                await asyncio.sleep(0.01)
+                if traffic is not None:
+                    traffic["sent_bytes"] += 10_000_000
+        self.assertFalse(task.done())
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return watch, faults
+
+    async def test_a_node_whose_peers_take_its_link_sheds(self) -> None:
+        watch, faults = await self.watched(Counter())
+        self.assertEqual(faults, [])
+        self.assertEqual(watch.level, 2)
+        self.assertEqual(watch.counters["roles_shed_peer_link"], 1)
+
+    async def test_an_error_of_our_own_ends_the_watch_and_not_the_node(self) -> None:
+        watch, faults = await self.watched(None)
+        self.assertEqual([type(fault) for fault in faults], [TypeError])
+        self.assertEqual(watch.level, 0)
+
+
 class SendersTest(unittest.TestCase):
     """Who may open flows at a cold backend."""
 
