Ask no peer for what the store has told meanwhile

Cause: a node that heard of more from a peer, and then read it from the store, went on to ask peers for it four times a second for 3 s, as only an answer of a peer ended that. Where all nodes start together and each lists the store, all of them greeted two peers each time; the fleet in memory, whose nodes never read the store, does not show it.

The test fails without the change.

--- a/src/beamloom/replication/pull_choice.py
+++ b/src/beamloom/replication/pull_choice.py
@@ -84,6 +84,13 @@
         hosts = sorted(host for host in hosts if not self._is_avoided(host, now))
         return self._draw(self._able(hosts)) if hosts else ""
 
+    def is_behind(self, view: int, revision: int, now: float) -> bool:
+        """Whether a peer has lately told more than a revision, whether it is avoided or not."""
+        return any(
+            known > revision and self._is_recent(at, now)
+            for known, at in self._told.get(view, {}).values()
+        )
+
     def has_much_abler(self, view: int, revision: int, now: float) -> bool:
         """Whether a much abler peer of the own zone knows a revision."""
         least = MUCH_ABLER * self._peers.capacity.weight
--- a/src/beamloom/replication/view_pulls.py
+++ b/src/beamloom/replication/view_pulls.py
@@ -88,7 +88,8 @@
     def advance(self, now: float) -> None:
         """Ask another peer in place of one that has not answered.
 
-        Where none is known that has what is lacking, `on_nobody` is called.
+        Where those that have what is lacking do not answer, `on_nobody` is called. What the store
+        has told meanwhile is not asked for.
         """
         if not self._by_capacity:
             return
@@ -96,7 +97,9 @@
             since = shared.behind_since
             if since is None or now - since > ASK_OTHERS_SECONDS:
                 continue
-            if now - shared.requested_at >= self._patience_seconds(index):
+            if now - shared.requested_at < self._patience_seconds(index):
+                continue
+            if self.choice.is_behind(index, shared.revision, now):
                 self._ask_another(index, shared, now)
 
     def _ask_another(self, index: int, shared: SharedView[Any], now: float) -> None:
--- a/tests/unit/views/test_pull_choice.py
+++ b/tests/unit/views/test_pull_choice.py
@@ -170,6 +170,19 @@
         self.assertTrue(budget.admits(0, 2.0))
 
 
+class StoreFirstTest(unittest.TestCase):
+    def test_what_the_store_has_told_meanwhile_is_not_asked_for(self) -> None:
+        """Else nodes that start together, and read the store, greet each other for nothing."""
+        node = Node("10.0.0.1", [], random.Random(1))
+        node.exchange.handle("10.0.0.2", ViewDigest([[5, 10]], [], []), 1.0)
+        node.view.replace([], 5)
+        node.exchange.advance(1.0)
+        node.exchange.take_sends()
+        for step in range(1, 4):
+            node.exchange.advance(1.0 + REQUEST_SECONDS + step / 50)
+        self.assertEqual(node.exchange.take_sends(), [])
+
+
 class ReferralTest(unittest.TestCase):
     def test_a_referred_node_gets_what_it_lacks(self) -> None:
         network = Network(9, seed=6)
