--- a/src/beamloom/protocol/view_messages.py
+++ b/src/beamloom/protocol/view_messages.py
@@ -25,7 +25,9 @@
     store; `peers` holds `[host, milliseconds since it was heard]`. `zone` is the sender's.
     `silent` holds `[backend, reporter, milliseconds since]` of openings that were not answered.
     `stop` is how far the sender's own planned stop is (`StopState`). `failing` holds the same as
-    `silent` of answers that seem to be errors.
+    `silent` of answers that seem to be errors. `capacity` is the sender's own (`to_wire`), some 12
+    bytes, and empty where the sender is of an earlier version; `ranks` holds those of `peers` in
+    their order, -1 where the sender has not heard it.
     """
 
     views: list[list[int]]
@@ -35,6 +37,8 @@
     silent: list[tuple[str, str, int]] = field(default_factory=list)
     stop: int = 0
     failing: list[tuple[str, str, int]] = field(default_factory=list)
+    capacity: list[int] = field(default_factory=list)
+    ranks: list[int] = field(default_factory=list)
 
 
 @register_message(81, Priority.CONFIGURATION)
@@ -43,11 +47,26 @@
     """Ask for the changes of one kind after a revision (NEVER: for everything).
 
     `bases` name what the answer may build on, the best first; what that is depends on the kind.
+    `attempt` is how often the answer was `AskElsewhere` before.
     """
 
     view: int
     since: int
     bases: list[int] = field(default_factory=list)
+    attempt: int = 0
+
+
+@register_message(86, Priority.CONFIGURATION)
+@dataclass(frozen=True, slots=True)
+class AskElsewhere(Message):
+    """A request is not answered, as the node has sent enough of its link; `hosts` may know more.
+
+    Some 60 bytes in place of an answer of thousands. Nodes of an earlier version pass it over and
+    repeat their request, as for one that was lost.
+    """
+
+    view: int
+    hosts: list[str]
 
 
 @register_message(82, Priority.CONFIGURATION)
--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -9,10 +9,10 @@
 
 from __future__ import annotations
 
-import math
 import random
 
 from beamloom.replication.reading_times import ReadingTimes
+from beamloom.settings.capacity import LOWEST_RANK, Capacity
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 
 TARGET_READERS = 2
@@ -32,23 +32,13 @@
 KINDS_READ = 2
 """Kinds of object that each node asks for while the store fails: backends and configurations."""
 
-
-LEAST_CORES = 0.05
-LEAST_LINK_MEGABITS = 5.0
-"""A machine of so little has the lowest rank; chosen as the least that was met."""
-LOWEST_RANK = 9
 RANK_DIGITS = 1
 """Ranks are a decimal digit at the beginning of an id, as ids compare as text."""
 
 
 def reader_id_of(cores: float, link_megabits: float, start: str) -> str:
-    """Return the id of one start of a node: its rank as a reader, then what is its own.
-
-    Each doubling of both processor and link makes the rank one better; 0 is the best.
-    """
-    steps = math.log2(min(cores / LEAST_CORES, link_megabits / LEAST_LINK_MEGABITS))
-    rank = LOWEST_RANK - max(0, min(LOWEST_RANK, int(steps)))
-    return f"{rank}{start}"
+    """Return the id of one start of a node: its rank as a reader, then what is its own."""
+    return f"{Capacity(cores, link_megabits).rank}{start}"
 
 
 class ReaderDuty:
@@ -62,6 +52,7 @@
         mechanisms: Mechanisms = ALL_MECHANISMS,
     ) -> None:
         self.reading = False
+        self.sheds = False
         self._mechanisms = mechanisms
         self.times = times
         self.reader_id = reader_id
@@ -128,11 +119,15 @@
             self.reading = True
         elif self.reading:
             lower = sum(name < self.reader_id for name in self.recent(now))
-            self.reading = lower < TARGET_READERS
+            self.reading = lower < TARGET_READERS and not self._leaves_it_to_others(now)
         else:
             self.reading = self._takes_up(now, joined)
         return self.reading != before
 
+    def _leaves_it_to_others(self, now: float) -> bool:
+        """Whether this node is near its own limits and another one reads."""
+        return self.sheds and len(self.recent(now).keys() - {self.reader_id}) > 0
+
     def _takes_up(self, now: float, joined: bool) -> bool:
         """Whether to become a reader now: too few are heard of, for a moment drawn by chance."""
         if self._began_at is None:
@@ -141,7 +136,8 @@
             self._listens_until = now + LISTENING_SECONDS
         fails = now - self._failed_at < self.times.silence_seconds
         others = self.recent(now).keys() - {self.reader_id}
-        if self._listens_until is None or fails or len(others) >= TARGET_READERS:
+        is_spared = self._leaves_it_to_others(now)
+        if self._listens_until is None or fails or is_spared or len(others) >= TARGET_READERS:
             self._starts_at = None
             return False
         if self._starts_at is None:
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import time
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 
@@ -30,6 +31,7 @@
 from beamloom.runtime.decision_log import DecisionLog
 from beamloom.runtime.http_client import HttpAnswer
 from beamloom.runtime.http_responder import HttpResponder
+from beamloom.runtime.limit_watch import LimitWatch
 from beamloom.runtime.packet_socket import PacketSocket
 from beamloom.runtime.planned_stop import PlannedStop
 from beamloom.runtime.store_follower import StoreFollower
@@ -73,7 +75,8 @@
         self.log = EventLog(settings.node, standard_output())
         self.decisions = DecisionLog(self.log, packet_layout.describe_flow, self._view_age)
         start = os.urandom(READER_ID_BYTES).hex()
-        reader_id = reader_id_of(settings.cores, settings.link_megabits, start)
+        capacity = settings.capacity
+        reader_id = reader_id_of(capacity.cores, capacity.link_megabits, start)
         self.core = TokenCore(
             settings.zone,
             reader_id,
@@ -90,9 +93,13 @@
             evacuation_times=_evacuation_times(settings, mechanisms),
             known_zones=settings.zones,
             cold_starts=settings.cold_starts,
+            capacity=capacity,
         )
         self.core.on_progress = self._note_ready
         self.follower = StoreFollower(settings, self.core, self.decisions, chance, mechanisms)
+        self.limit_watch = LimitWatch(
+            self.core, settings, self._peer_traffic, self._note_limit_fault
+        )
         self._packets = PacketSocket(
             packets, self.core.router, self._note_fault, self._before_packets, self._judge_later
         )
@@ -158,7 +165,13 @@
         await self._responder.start(*self.settings.readiness.pair)
         await self._start_metrics()
         self.decisions.life("Started", zone=self.settings.zone)
-        jobs = (self.follower.run(), self._tick(), self._take_packets_at_last())
+        self._tell_unusable_limits()
+        jobs = (
+            self.follower.run(),
+            self._tick(),
+            self._take_packets_at_last(),
+            self.limit_watch.run(),
+        )
         tasks = [asyncio.create_task(job) for job in jobs]
         stop = asyncio.create_task(self._stop.wait())
         done, _ = await asyncio.wait({*tasks, stop}, return_when=asyncio.FIRST_COMPLETED)
@@ -169,6 +182,15 @@
         for task in done:
             task.result()
 
+    def _peer_traffic(self) -> Counter[str]:
+        return Counter() if self.follower.link is None else self.follower.link.counters
+
+    def _tell_unusable_limits(self) -> None:
+        """Tell which limits of the settings are missing or absurd, if any: they count as least."""
+        if self.settings.unusable_limits:
+            names = ", ".join(self.settings.unusable_limits)
+            self.decisions.life("LimitsUnusable", taken_as_least=names)
+
     async def _start_metrics(self) -> None:
         """Tell figures where the settings say; a node serves without them as well."""
         endpoint = self.settings.metrics
@@ -254,6 +276,9 @@
     def _note_fault(self, error: Exception) -> None:
         self.decisions.life("PacketFault", error=repr(error), where=_origin(error))
 
+    def _note_limit_fault(self, error: Exception) -> None:
+        self.decisions.life("LimitWatchFault", error=repr(error), where=_origin(error))
+
     def _view_age(self) -> float | None:
         return self.core.backends.age(asyncio.get_running_loop().time())
 
