Tell the moments of each start in one line and in the figures

Cause: how long a node takes from exec to the first forwarded packet, and what it waits for, could only be pieced together from log lines that are written four times a second. StartTimeline keeps each first moment (interpreter, settings, socket, modules, listening, key, configuration, first and last backends, ready, readiness asked and answered, first packet read and forwarded) with the processor time used; it is told once, at the first forwarded packet, at a stop, or after 10 s. The packet path pays until the first forwarded packet only. Ruled out: /proc/self/stat for the moment of exec (ticks of 10 ms, one more file); a moment per batch of 64 packets (half a batch of error on a small machine). Not told: what the interpreter waited for a processor before the first own line.

--- a/src/beamloom/cli/trace.py
+++ b/src/beamloom/cli/trace.py
@@ -23,12 +23,16 @@
         "DependencyRegained",
         "Ready",
         "SettingsRefused",
+        "StartTimeline",
         "Stalled",
         "Started",
         "StopRequested",
         "Stopped",
     }
 )
+START_EVENT = "StartTimeline"
+END_OF_MOMENTS = "_ms"
+MILLISECONDS = 1000
 AROUND_SECONDS = 5.0
 """How long before and after a flow's lines those on its backends and nodes are shown."""
 HIDDEN_FIELDS = ("time", "node", "event")
@@ -97,7 +101,9 @@
     first, last = own[0].time - AROUND_SECONDS, own[-1].time + AROUND_SECONDS
     for line in lines:
         if _is_about(line, flow) or (
-            first <= line.time <= last and _is_context(line, backends | services, nodes)
+            first <= line.time
+            and _began(line) <= last
+            and _is_context(line, backends | services, nodes)
         ):
             yield line
 
@@ -131,6 +137,18 @@
     return known == flow or known.startswith(f"{flow}>")
 
 
+def _began(line: LogLine) -> float:
+    """Return when what a line tells began: a start's line comes up to ten seconds after it."""
+    if line.event != START_EVENT:
+        return line.time
+    spans = [
+        value
+        for name, value in line.fields.items()
+        if name.endswith(END_OF_MOMENTS) and isinstance(value, int | float)
+    ]
+    return line.time - max(spans, default=0.0) / MILLISECONDS
+
+
 def _is_context(line: LogLine, names: set[str], nodes: set[str]) -> bool:
     """Whether a line is on one of the nodes, or there on one of the backends or services."""
     if line.node not in nodes:
--- a/src/beamloom/replication/object_watch.py
+++ b/src/beamloom/replication/object_watch.py
@@ -115,6 +115,11 @@
             return WatchRequest(revision)
         return ListRequest(self._listing.after, self._may_be_stale)
 
+    @property
+    def records_read(self) -> int:
+        """How many objects are known, or stand on the pages read so far of a first list."""
+        return len(self.view) or len(self._listing.records)
+
     @property
     def must_list(self) -> bool:
         """Whether only a list can help: nothing is known, or the history is lost."""
--- a/src/beamloom/runtime/packet_socket.py
+++ b/src/beamloom/runtime/packet_socket.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from beamloom.platform import packet_layout
 from beamloom.routing.tokens.packets import (
@@ -17,6 +18,9 @@
 )
 from beamloom.routing.tokens.router import TokenRouter
 
+if TYPE_CHECKING:
+    from beamloom.runtime.start_timeline import Moment
+
 BATCH_SIZE = 64
 LARGEST_DATAGRAM = 2048
 RESETS_AT_ONCE = 100
@@ -28,7 +32,8 @@
 
     `datagrams` is bound and does not block; clients take resets at the same port number.
     `on_fault` hears of errors of our own; each costs the one packet that met it. `before_batch` is
-    called with the time before each batch of packets, `after_batch` after it.
+    called with the time before each batch of packets, `after_batch` after it. `on_first` hears of
+    the first packet that was judged and the first that was forwarded; after that it costs nothing.
     """
 
     def __init__(
@@ -38,7 +43,11 @@
         on_fault: Callable[[Exception], None],
         before_batch: Callable[[float], None],
         after_batch: Callable[[], None],
+        *,
+        on_first: Callable[[Moment], None] = lambda moment: None,
     ) -> None:
+        self._on_first = on_first
+        self._carry_out: Callable[[RouterCommand], None] = self._execute_until_forwarded
         self._after_batch = after_batch
         self._before_batch = before_batch
         self._client_port = datagrams.getsockname()[1]
@@ -102,7 +111,14 @@
         if self._discarding and packet.kind is PacketKind.OPEN:
             self._router.counters[f"dropped_{DropReason.LATE_OPENING.value}"] += 1
             return
-        self._execute(self._router.handle(packet, now))
+        self._carry_out(self._router.handle(packet, now))
+
+    def _execute_until_forwarded(self, command: RouterCommand) -> None:
+        self._on_first("packet_read")
+        self._execute(command)
+        if isinstance(command, ForwardPacket):
+            self._on_first("packet_forwarded")
+            self._carry_out = self._execute
 
     def _execute(self, command: RouterCommand) -> None:
         if isinstance(command, ForwardPacket):
--- /dev/null
+++ b/src/beamloom/runtime/start_timeline.py
@@ -0,0 +1,153 @@
+"""The moments of one start, from the beginning of the process to the first packet sent on.
+
+A start is told once, in one line and in the figures: when the first packet has been forwarded, when
+a stop comes first, or after LONGEST_START_SECONDS.
+"""
+
+from __future__ import annotations
+
+import time
+
+from beamloom.telemetry.histogram import LatencyHistogram
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Literal
+
+    from beamloom.node.token_core import TokenCore
+    from beamloom.telemetry.event_log import FieldValue
+
+    Moment = Literal[
+        "interpreter",
+        "settings",
+        "socket",
+        "modules",
+        "listening",
+        "key",
+        "configuration",
+        "first_backends",
+        "last_backends",
+        "readiness_asked",
+        "ready",
+        "readiness_answered",
+        "packet_read",
+        "packet_forwarded",
+    ]
+    Outcome = Literal["forwarded", "no_packet", "not_ready", "stopped"]
+
+LONGEST_START_SECONDS = 10.0
+"""A start that takes longer is told as it stands. Ten times what one takes on the smallest machine
+(a tenth of a core) with a store that answers; by choice.
+"""
+MILLISECONDS = 1000
+
+
+class StartTimeline:
+    """What has happened so far, each moment once and in order; without I/O.
+
+    `began_at` is when the process began, in seconds of the steady clock. It is known as the moment
+    of the first own code less the processor time used until then, so that time for which the
+    interpreter waited for a processor is missing.
+    """
+
+    def __init__(self, began_at: float) -> None:
+        self.began_at = began_at
+        self.seconds: dict[Moment, float] = {}
+        self.processor_seconds: dict[Moment, float] = {}
+        self.outcome: Outcome | None = None
+        self.ready_seconds = LatencyHistogram()
+        self.forwarded_seconds = LatencyHistogram()
+        self.forwarded_processor_seconds = LatencyHistogram()
+
+    def note(self, moment: Moment, now: float, processor_seconds: float) -> None:
+        """Note that something has happened for the first time; repetitions change nothing."""
+        if moment not in self.seconds:
+            self.seconds[moment] = now - self.began_at
+            self.processor_seconds[moment] = processor_seconds
+
+    def is_overdue(self, now: float) -> bool:
+        """Whether the start is to be told though no packet was forwarded."""
+        return now - self.began_at >= LONGEST_START_SECONDS
+
+    def end(self, *, stopped: bool = False) -> dict[str, FieldValue] | None:
+        """End the start and count it; return the fields of its line, None where it had ended."""
+        if self.outcome is not None:
+            return None
+        self.outcome = self._judge(stopped=stopped)
+        for moment, histogram in (
+            ("ready", self.ready_seconds),
+            ("packet_forwarded", self.forwarded_seconds),
+        ):
+            if moment in self.seconds:
+                histogram.observe(self.seconds[moment])
+        if "packet_forwarded" in self.seconds:
+            self.forwarded_processor_seconds.observe(self.processor_seconds["packet_forwarded"])
+        return self._fields()
+
+    def _judge(self, *, stopped: bool) -> Outcome:
+        if "packet_forwarded" in self.seconds:
+            return "forwarded"
+        if stopped:
+            return "stopped"
+        return "no_packet" if "ready" in self.seconds else "not_ready"
+
+    def _fields(self) -> dict[str, FieldValue]:
+        fields: dict[str, FieldValue] = {"outcome": self.outcome}
+        for moment, seconds in self.seconds.items():
+            fields[f"{moment}_ms"] = _milliseconds(seconds)
+        for moment in ("modules", "ready", "packet_forwarded"):
+            if moment in self.processor_seconds:
+                used = _milliseconds(self.processor_seconds[moment])
+                fields[f"{moment}_processor_ms"] = used
+        return fields
+
+
+class StartLog:
+    """Notes moments by the process's clocks; `tell` gets the line's event and fields."""
+
+    def __init__(self, timeline: StartTimeline, tell: Callable[..., None]) -> None:
+        self.timeline = timeline
+        self._tell = tell
+
+    def note(self, moment: Moment) -> None:
+        """Note that something has happened; with the first packet forwarded the start is over."""
+        note_now(self.timeline, moment)
+        if moment == "packet_forwarded":
+            self._end()
+
+    def note_progress(self, core: TokenCore) -> None:
+        """Note which of the things that a node waits for it has now."""
+        if "ready" in self.timeline.seconds:
+            return
+        if core.router.codec is not None:
+            self.note("key")
+        if core.router.routes.version >= 0:
+            self.note("configuration")
+        if core.backend_watch.records_read:
+            self.note("first_backends")
+        if core.backends.revision is not None:
+            self.note("last_backends")
+
+    def advance(self, now: float) -> None:
+        """Tell a start that takes long; to be called a few times a second."""
+        if self.timeline.outcome is None and self.timeline.is_overdue(now):
+            self._end()
+
+    def stop(self) -> None:
+        """Tell the start if that was not done yet: the node stops."""
+        self._end(stopped=True)
+
+    def _end(self, *, stopped: bool = False) -> None:
+        fields = self.timeline.end(stopped=stopped)
+        if fields is not None:
+            self._tell("StartTimeline", **fields)
+
+
+def note_now(timeline: StartTimeline, moment: Moment) -> None:
+    """Note a moment by the clocks of this process."""
+    timeline.note(moment, time.monotonic(), time.process_time())
+
+
+def _milliseconds(seconds: float) -> float:
+    return round(MILLISECONDS * seconds, 1)
--- a/src/beamloom/runtime/token_metrics.py
+++ b/src/beamloom/runtime/token_metrics.py
@@ -39,6 +39,11 @@
     "answer_seconds": "From a client's data to the first sign that it got an answer.",
     "loop_lag_seconds": "How late the event loop ran a timer.",
     "catch_up_seconds": "From hearing that a peer knows more to knowing it.",
+    "start_seconds": "From the beginning of the process to each moment of its start.",
+    "starts": "Starts told, by how they ended: at most one for each process.",
+    "start_ready_seconds": "From the beginning of the process to its readiness.",
+    "start_forwarded_seconds": "From the beginning of the process to the first packet forwarded.",
+    "start_processor_seconds": "Processor time used when the first packet was forwarded.",
     "list_seconds": "Lists of backends, from question to answer.",
 }
 
@@ -47,6 +52,10 @@
     """Yield the figures of a node as they are now."""
     for name, counts in _counters(node).items():
         yield labelled(name, MetricKind.COUNTER, HELP_TEXTS[name], "event", counts)
+    moments: dict[str, float] = {str(name): at for name, at in node.start.timeline.seconds.items()}
+    yield labelled(
+        "start_seconds", MetricKind.GAUGE, HELP_TEXTS["start_seconds"], "moment", moments
+    )
     for name, value in _gauges(node).items():
         if value is not None:
             yield gauge(name, HELP_TEXTS[name], value)
@@ -57,6 +66,9 @@
         ("loop_lag_seconds", node.loop_lag),
         ("catch_up_seconds", core.catch_up_seconds),
         ("list_seconds", follower.readers[0].list_seconds),
+        ("start_ready_seconds", node.start.timeline.ready_seconds),
+        ("start_forwarded_seconds", node.start.timeline.forwarded_seconds),
+        ("start_processor_seconds", node.start.timeline.forwarded_processor_seconds),
     ):
         yield histogram(name, HELP_TEXTS[name], latencies)
 
@@ -77,6 +89,7 @@
         "peer_messages": Counter() if core.exchange is None else core.exchange.counters,
         "peer_datagrams": Counter() if follower.link is None else follower.link.counters,
         "log_lines": node.log.counters,
+        "starts": Counter([outcome] if (outcome := node.start.timeline.outcome) else ()),
     }
 
 
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -31,6 +31,7 @@
 from beamloom.runtime.http_responder import HttpResponder
 from beamloom.runtime.packet_socket import PacketSocket
 from beamloom.runtime.planned_stop import PlannedStop
+from beamloom.runtime.start_timeline import StartLog, StartTimeline
 from beamloom.runtime.store_follower import StoreFollower
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 from beamloom.settings.token_node import FIELDS_OF_A_START, TokenNodeSettings, changed_fields
@@ -55,7 +56,7 @@
     """One node; `run` returns when it has stopped as planned.
 
     `read_settings` is called at each reload and raises ValueError. `packets` is the bound socket of
-    clients' packets.
+    clients' packets. `timeline` has what happened of the start so far.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         read_settings: Callable[[], TokenNodeSettings],
         packets: socket.socket,
         mechanisms: Mechanisms = ALL_MECHANISMS,
+        timeline: StartTimeline | None = None,
     ) -> None:
         self.settings = settings
         self._mechanisms = mechanisms
@@ -71,6 +73,7 @@
         chance = self._chance = random.Random()
         self.log = EventLog(settings.node, standard_output())
         self.decisions = DecisionLog(self.log, packet_layout.describe_flow, self._view_age)
+        self.start = StartLog(timeline or StartTimeline(time.monotonic()), self.decisions.life)
         start = os.urandom(READER_ID_BYTES).hex()
         reader_id = reader_id_of(settings.cores, settings.link_megabits, start)
         self.core = TokenCore(
@@ -93,7 +96,12 @@
         self.core.on_progress = self._note_ready
         self.follower = StoreFollower(settings, self.core, self.decisions, chance, mechanisms)
         self._packets = PacketSocket(
-            packets, self.core.router, self._note_fault, self._before_packets, self._judge_later
+            packets,
+            self.core.router,
+            self._note_fault,
+            self._before_packets,
+            self._judge_later,
+            on_first=self.start.note,
         )
         self._checker = BackendChecker(self.core.checks, settings.host, self._send_all)
         self._judgement: asyncio.TimerHandle | None = None
@@ -117,6 +125,7 @@
     def request_stop(self) -> None:
         """Ask for a planned stop."""
         self.decisions.life("StopRequested", flows=len(self.core.router.flows))
+        self.start.stop()
         self._stop.ask()
         self.core.ask_to_stop(time.monotonic())
         self.follower.send()
@@ -150,6 +159,7 @@
         """Serve until a stop is asked for, then until it is complete."""
         self._handle_signals()
         await self._responder.start(*self.settings.readiness.pair)
+        self.start.note("listening")
         await self._start_metrics()
         self.decisions.life("Started", zone=self.settings.zone)
         jobs = (self.follower.run(), self._tick(), self._take_packets_at_last())
@@ -190,6 +200,7 @@
             self.core.advance(now)
             self.follower.advance(now)
             self._packets.send_resets()
+            self.start.advance(now)
             self.log.flush()
 
     def _send_all(self) -> None:
@@ -230,9 +241,11 @@
         self.log.flush()
 
     def _note_ready(self) -> None:
-        """Tell once that the node has become ready."""
+        """Tell once that the node has become ready, and how it came to be so."""
+        self.start.note_progress(self.core)
         if self.ready and not self._was_ready:
             self._was_ready = True
+            self.start.note("ready")
             if time.monotonic() - self._began_at > LONGEST_OPENING_WAIT_SECONDS:
                 self._packets.start_without_waiting_openings()
             else:
@@ -258,7 +271,9 @@
         return HttpAnswer(200, render(make_registry(partial(read_metrics, self))))
 
     def _answer_readiness(self) -> HttpAnswer:
+        self.start.note("readiness_asked")
         if self.ready:
+            self.start.note("readiness_answered")
             return HttpAnswer(200, b"ready\n")
         self._stop.note_miss(asyncio.get_running_loop().time())
         return HttpAnswer(503, b"not ready\n")
--- a/src/beamloom/runtime/token_node_main.py
+++ b/src/beamloom/runtime/token_node_main.py
@@ -12,8 +12,10 @@
 
 from beamloom.platform.errors import PlatformSettingsError
 from beamloom.platform.node_settings import read_settings, settings_path
+from beamloom.runtime import IMPORTED_AT_PROCESSOR_SECONDS, IMPORTED_AT_SECONDS
 from beamloom.runtime.bound_socket import bind_datagrams
 from beamloom.runtime.deferred_modules import deferred
+from beamloom.runtime.start_timeline import StartTimeline, note_now
 from beamloom.settings.mechanisms import UnknownMechanismError, read_mechanisms
 
 if TYPE_CHECKING:
@@ -28,20 +30,25 @@
     The packets' socket is bound before most modules are imported: what arrives meanwhile waits
     there and is answered as soon as the node is ready.
     """
+    timeline = StartTimeline(IMPORTED_AT_SECONDS - IMPORTED_AT_PROCESSOR_SECONDS)
+    timeline.note("interpreter", IMPORTED_AT_SECONDS, IMPORTED_AT_PROCESSOR_SECONDS)
     read = functools.partial(read_settings, settings_path())
     try:
         mechanisms = read_mechanisms(os.environ)
         settings = read()
+        note_now(timeline, "settings")
         packets = bind_datagrams(settings.packets)
+        note_now(timeline, "socket")
     except (PlatformSettingsError, UnknownMechanismError, OSError) as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     with _no_collections():
         token_node = load_node()
+    note_now(timeline, "modules")
     import asyncio
 
     async def run() -> None:
-        await token_node(settings, read, packets, mechanisms).run()
+        await token_node(settings, read, packets, mechanisms, timeline).run()
 
     asyncio.run(run())
     return 0
--- a/src/beamloom/standins/token_store_server.py
+++ b/src/beamloom/standins/token_store_server.py
@@ -30,7 +30,8 @@
 
     `unavailable` answers 503; `silent` takes calls and never answers; `throttled` answers 429;
     `delay_seconds` comes before each answer; `refused_hosts` get 503 while others are served;
-    `lost_writes` does the next writes and drops the connection.
+    `lost_writes` does the next writes and drops the connection; `failing_kinds` get 503 where other
+    kinds are served.
     """
 
     unavailable: bool = False
@@ -39,6 +40,7 @@
     delay_seconds: float = 0.0
     refused_hosts: set[str] = field(default_factory=set)
     lost_writes: int = 0
+    failing_kinds: set[str] = field(default_factory=set)
 
 
 class TokenStoreServer:
@@ -80,6 +82,8 @@
         call = store_encoding.parse_call(request.path_qs)
         if call is None:
             return web.Response(status=404)
+        if call.kind in self.faults.failing_kinds:
+            return web.Response(status=503)
         try:
             status, body = await self._answer(request, call)
         except NoSuchObjectError:
--- a/tests/functional/test_packet_socket.py
+++ b/tests/functional/test_packet_socket.py
@@ -35,6 +35,7 @@
         self.address = bound.getsockname()
         self.router = FakeRouter()
         self.faults: list[Exception] = []
+        self.firsts: list[str] = []
         self.stalled = False
         self.packets = PacketSocket(
             bound,
@@ -42,6 +43,7 @@
             self.faults.append,
             self.before_batch,
             lambda: None,
+            on_first=self.firsts.append,
         )
         self.addCleanup(self.packets.close)
         self.sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -74,6 +76,11 @@
         await self.send(FLAG_SYN)
         self.assertEqual(self.router.handled, [PacketKind.DATA, PacketKind.OPEN])
 
+    async def test_the_first_packet_read_is_told_and_no_drop_counts_as_forwarded(self) -> None:
+        self.packets.start()
+        await self.send(FLAG_SYN, FLAG_ACK)
+        self.assertEqual(set(self.firsts), {"packet_read"})
+
     async def test_a_start_with_nothing_waiting_drops_nothing_later(self) -> None:
         self.packets.start_without_waiting_openings()
         await self.send(FLAG_SYN)
--- a/tests/unit/test_token_commands.py
+++ b/tests/unit/test_token_commands.py
@@ -101,6 +101,17 @@
             ["BackendChanged", "FlowPlaced", "BackendChanged", "DependencyLost", "RequestStalled"],
         )
 
+    def test_a_start_that_met_the_flow_is_shown_though_it_is_told_later(self) -> None:
+        told = [(9.5, "n1", 8000.0), (11.0, "n1", 500.0), (9.0, "n2", 8000.0)]
+        lines = [
+            json.dumps({"time": at, "node": node, "event": "StartTimeline", "modules_ms": length})
+            for at, node, length in told
+        ]
+        path = self.write("starts.log", "\n".join(lines))
+        status, output = call("trace", "100.64.0.7:40001", self.log, path)
+        self.assertEqual((status, output.count("StartTimeline")), (0, 1))
+        self.assertIn("modules_ms=8000.0", output)
+
     def test_an_unknown_flow_is_told_with_the_remedy(self) -> None:
         status, output = call("trace", "1.2.3.4:5", self.log)
         self.assertEqual(status, 1)
