Leave out processor times where the process clock does not start with the process

Such a clock is recognised by more than 2 s before the first own line. Ruled out: guessing the interpreter's part there; it is missing and said to be.

--- a/src/beamloom/runtime/start_timeline.py
+++ b/src/beamloom/runtime/start_timeline.py
@@ -40,6 +40,10 @@
 """A start that takes longer is told as it stands. Ten times what one takes on the smallest machine
 (a tenth of a core) with a store that answers; by choice.
 """
+LONGEST_INTERPRETER_SECONDS = 2.0
+"""More processor time cannot have gone by before the first own line: the process clock of such a
+host counts something else, and tells nothing here. A hundred times what it takes; by choice.
+"""
 MILLISECONDS = 1000
 
 
@@ -48,11 +52,13 @@
 
     `began_at` is when the process began, in seconds of the steady clock. It is known as the moment
     of the first own code less the processor time used until then, so that time for which the
-    interpreter waited for a processor is missing.
+    interpreter waited for a processor is missing. Without `knows_processor_time` such times are
+    neither told nor counted.
     """
 
-    def __init__(self, began_at: float) -> None:
+    def __init__(self, began_at: float, *, knows_processor_time: bool = True) -> None:
         self.began_at = began_at
+        self._knows_processor_time = knows_processor_time
         self.seconds: dict[Moment, float] = {}
         self.processor_seconds: dict[Moment, float] = {}
         self.outcome: Outcome | None = None
@@ -64,7 +70,8 @@
         """Note that something has happened for the first time; repetitions change nothing."""
         if moment not in self.seconds:
             self.seconds[moment] = now - self.began_at
-            self.processor_seconds[moment] = processor_seconds
+            if self._knows_processor_time:
+                self.processor_seconds[moment] = processor_seconds
 
     def is_overdue(self, now: float) -> bool:
         """Whether the start is to be told though no packet was forwarded."""
@@ -81,7 +88,7 @@
         ):
             if moment in self.seconds:
                 histogram.observe(self.seconds[moment])
-        if "packet_forwarded" in self.seconds:
+        if "packet_forwarded" in self.processor_seconds:
             self.forwarded_processor_seconds.observe(self.processor_seconds["packet_forwarded"])
         return self._fields()
 
@@ -144,6 +151,15 @@
             self._tell("StartTimeline", **fields)
 
 
+def begin_timeline(first_at: float, processor_seconds: float) -> StartTimeline:
+    """Begin with the first own code: when it ran, and the processor time used by then."""
+    known = 0.0 < processor_seconds <= LONGEST_INTERPRETER_SECONDS
+    began_at = first_at - processor_seconds if known else first_at
+    timeline = StartTimeline(began_at, knows_processor_time=known)
+    timeline.note("interpreter", first_at, processor_seconds)
+    return timeline
+
+
 def note_now(timeline: StartTimeline, moment: Moment) -> None:
     """Note a moment by the clocks of this process."""
     timeline.note(moment, time.monotonic(), time.process_time())
--- a/src/beamloom/runtime/token_node_main.py
+++ b/src/beamloom/runtime/token_node_main.py
@@ -15,7 +15,7 @@
 from beamloom.runtime import IMPORTED_AT_PROCESSOR_SECONDS, IMPORTED_AT_SECONDS
 from beamloom.runtime.bound_socket import bind_datagrams
 from beamloom.runtime.deferred_modules import deferred
-from beamloom.runtime.start_timeline import StartTimeline, note_now
+from beamloom.runtime.start_timeline import begin_timeline, note_now
 from beamloom.settings.mechanisms import UnknownMechanismError, read_mechanisms
 
 if TYPE_CHECKING:
@@ -30,8 +30,7 @@
     The packets' socket is bound before most modules are imported: what arrives meanwhile waits
     there and is answered as soon as the node is ready.
     """
-    timeline = StartTimeline(IMPORTED_AT_SECONDS - IMPORTED_AT_PROCESSOR_SECONDS)
-    timeline.note("interpreter", IMPORTED_AT_SECONDS, IMPORTED_AT_PROCESSOR_SECONDS)
+    timeline = begin_timeline(IMPORTED_AT_SECONDS, IMPORTED_AT_PROCESSOR_SECONDS)
     read = functools.partial(read_settings, settings_path())
     try:
         mechanisms = read_mechanisms(os.environ)
--- a/tests/unit/test_start_timeline.py
+++ b/tests/unit/test_start_timeline.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from beamloom.runtime.start_timeline import LONGEST_START_SECONDS, StartLog, StartTimeline
+from beamloom.runtime.start_timeline import (
+    LONGEST_INTERPRETER_SECONDS,
+    LONGEST_START_SECONDS,
+    StartLog,
+    StartTimeline,
+    begin_timeline,
+)
 
 BEGAN = 100.0
 
@@ -50,6 +56,30 @@
         self.assertEqual(ready.outcome, "no_packet")
 
 
+class BeginTest(unittest.TestCase):
+    def test_a_start_begins_with_the_interpreter(self) -> None:
+        timeline = begin_timeline(BEGAN, 0.01)
+        timeline.note("packet_forwarded", BEGAN + 0.1, 0.05)
+        fields = timeline.end()
+        assert fields is not None
+        self.assertEqual((fields["interpreter_ms"], fields["packet_forwarded_ms"]), (10.0, 110.0))
+        self.assertEqual(fields["packet_forwarded_processor_ms"], 50.0)
+
+    def test_a_process_clock_that_counts_something_else_is_left_out(self) -> None:
+        """Found where the process clock went on with the host's: starts took hours."""
+        for clock in (0.0, LONGEST_INTERPRETER_SECONDS + 1, 50_000.0):
+            with self.subTest(clock=clock):
+                timeline = begin_timeline(BEGAN, clock)
+                timeline.note("packet_forwarded", BEGAN + 0.1, clock + 0.1)
+                self.assertFalse(timeline.is_overdue(BEGAN + 0.2))
+                fields = timeline.end()
+                assert fields is not None
+                self.assertEqual(fields["interpreter_ms"], 0.0)
+                self.assertEqual(fields["packet_forwarded_ms"], 100.0)
+                self.assertNotIn("packet_forwarded_processor_ms", fields)
+                self.assertEqual(len(timeline.forwarded_processor_seconds), 0)
+
+
 class StartLogTest(unittest.TestCase):
     def test_a_start_that_comes_to_nothing_is_told_within_its_bound(self) -> None:
         told: list[dict[str, object]] = []
