Start nodes from one file of modules, run as a file

A bundle of another interpreter or one that is not whole is told and passed over. Modules beside it are found wherever the folder lies. Ruled out: code without docstrings (no gain). Not measured: a zip file.

--- /dev/null
+++ b/tests/functional/test_start_bundle.py
@@ -0,0 +1,109 @@
+"""Nodes that start from one file of modules: they serve and meet, also where it is of no use."""
+
+import asyncio
+import os
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import beamloom
+from beamloom.routing.tokens.records import BackendState
+from beamloom.runtime.start import BUNDLE
+from beamloom.standins.token_client import FlowState
+from tests.functional.test_token_node import LONGEST_HEARING_SECONDS, READERS_SETTLE_SECONDS
+from tests.functional.token_node_case import TokenNodeCase
+
+NOT_IN_A_START = {"argparse", "json", "logging", "re", "runpy", "socket", "threading", "typing"}
+LIST_MODULES = "from beamloom.runtime.start import load; load()\nimport sys; print(*sys.modules)"
+
+
+def path_with(folder: Path) -> dict[str, str]:
+    """Return an environment in which modules come from a folder first."""
+    found = os.pathsep.join([str(folder), *filter(None, sys.path)])
+    return {**os.environ, "PYTHONPATH": found}
+
+
+class StartBundleTest(TokenNodeCase):
+    network = "127.61.8"
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.installed = self.folder / "installed"
+        package = Path(beamloom.__file__).parent
+        shutil.copytree(package, self.installed / "beamloom")
+        self.bundle = self.installed / BUNDLE
+        await self.run_python("-m", "beamloom.runtime.bundle_writer", str(self.bundle))
+        self.program = ("-S", str(self.installed / "beamloom" / "runtime" / "start.py"))
+        self.add_endpoint(1)
+        self.configure(1, "tracker")
+
+    async def run_python(self, *arguments: str) -> str:
+        run = await asyncio.to_thread(
+            subprocess.run,
+            [sys.executable, "-S", *arguments],
+            env=path_with(self.installed),
+            capture_output=True,
+            text=True,
+            timeout=20,
+            check=True,
+        )
+        return run.stdout
+
+    def start(self, number: int) -> None:
+        self.start_node(number, path_with(self.installed))
+
+    async def serve(self, number: int, port: int) -> None:
+        flows = [self.new_flow(port + offset) for offset in range(4)]
+        await self.play(number, flows)
+        self.assertEqual({flow.state for flow in flows}, {FlowState.DONE})
+
+    async def test_two_nodes_serve_and_hear_each_other(self) -> None:
+        leaving = self.add_endpoint(2)
+        for number in (1, 2):
+            self.start(number)
+            await self.wait_until_ready(number)
+        await self.serve(1, 2000)
+        await asyncio.sleep(READERS_SETTLE_SECONDS)
+        self.store.faults.refused_hosts = {f"{self.network}.1"}
+        self.announce(leaving, "tracker", BackendState.DRAINING)
+
+        def has_heard() -> bool:
+            told = [line for line in self.lines(1) if line.get("source") == "peer"]
+            return "draining" in [line.get("state") for line in told]
+
+        await self.wait_until(has_heard, LONGEST_HEARING_SECONDS)
+        await self.serve(2, 2100)
+        self.assertNotIn("is not used", self.logs())
+
+    async def test_a_bundle_is_used_where_it_was_moved_to(self) -> None:
+        """Modules that are not in it are found beside it, not where it was made."""
+        moved = self.folder / "moved"
+        self.installed.rename(moved)
+        self.installed = moved
+        self.program = ("-S", str(moved / "beamloom" / "runtime" / "start.py"))
+        self.start(1)
+        await self.wait_until_ready(1)
+        await self.serve(1, 2000)
+
+    async def test_a_bundle_that_is_of_no_use_is_told_and_passed_over(self) -> None:
+        whole = self.bundle.read_bytes()
+        other = whole.replace(sys.version.encode(), b"x" * len(sys.version), 1)
+        for number, (content, reason) in enumerate(
+            ((whole[:-1], "bytes of"), (other, "made by Python xxx"), (b"", ""), (None, "No such"))
+        ):
+            with self.subTest(reason=reason):
+                self.bundle.unlink()
+                if content is not None:
+                    self.bundle.write_bytes(content)
+                self.start(number + 1)
+                await self.wait_until_ready(number + 1)
+                log = (self.folder / f"node-{number + 1}.log").read_text()
+                self.assertIn(f"{BUNDLE} is not used: ", log)
+                self.assertIn(reason, log)
+                self.assertIn("deploy/build.sh", log)
+                self.bundle.write_bytes(whole)
+
+    async def test_a_start_imports_no_module_that_it_can_do_without(self) -> None:
+        loaded = set((await self.run_python("-c", LIST_MODULES)).split())
+        self.assertEqual(loaded & NOT_IN_A_START, set())
--- a/tests/functional/token_node_case.py
+++ b/tests/functional/token_node_case.py
@@ -82,6 +82,7 @@
     """Starts a store; `start_node` starts nodes on loopback addresses of this test's own."""
 
     network = "127.61.0"
+    program: tuple[str, ...] = ("-m", "beamloom.runtime.token_node_main")
 
     async def asyncSetUp(self) -> None:
         self.store = TokenStoreServer(TokenStore())
@@ -148,7 +149,7 @@
         log = (self.folder / f"node-{number}.log").open("wb")
         self.addCleanup(log.close)
         node = subprocess.Popen(
-            [sys.executable, "-m", "beamloom.runtime.token_node_main"],
+            [sys.executable, *self.program],
             env={
                 **os.environ,
                 "BEAMLOOM_CONFIG": str(path),
--- a/tools/start_cost.py
+++ b/tools/start_cost.py
@@ -6,6 +6,8 @@
 reads from the store are not among them.
 
     sh deploy/build.sh && python3 tools/start_cost.py
+
+With `--against FOLDER`, the `target/deps` of another tree, its node is loaded in turns with them.
 """
 
 from __future__ import annotations
@@ -20,58 +22,81 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 INSTALLED = ROOT / "target" / "deps"
-MAIN = "import beamloom.runtime.token_node_main as main"
 MILLISECONDS = 1000
+BUNDLE = """
+import gc, os
+gc.disable()
+from beamloom.runtime.start_bundle import drop_bundle, use_bundle
+bundle = use_bundle(os.environ["PYTHONPATH"] + "/start.bundle")
+"""
+PLACEHOLDERS = f"{BUNDLE}from beamloom.runtime.deferred_modules import deferred\n"
+MAIN = f"{PLACEHOLDERS}with deferred():\n    import beamloom.runtime.token_node_main as main\n"
+LOOP = f"{MAIN}with deferred(), main._no_collections(), main._missing('ssl'):\n    import asyncio\n"
+NODE = f"{MAIN}with main._no_collections():\n    main.load_node()\ndrop_bundle(bundle)\n"
+NODE_BY_MODULES = """
+import runpy  # as `python3 -m` does
+import beamloom.runtime.token_node_main as main
+with main._no_collections():
+    main.load_node()
+"""
+"""The start of trees that have no bundle yet."""
+PEERS = (
+    f"{NODE}import asyncio\n"
+    "from beamloom.runtime.gradual_import import import_gradually\n"
+    "asyncio.run(import_gradually())"
+)
 
 
 class Stage(NamedTuple):
-    """A part of a start, and a program that ends with it."""
+    """A part of a start, a program that ends with it, and where its modules are installed."""
 
     name: str
     program: str
+    installed: Path = INSTALLED
 
 
 STAGES = (
     Stage("interpreter", "pass"),
+    Stage("file of all modules", BUNDLE),
+    Stage("placeholders", PLACEHOLDERS),
     Stage("first module: settings, packets' socket", MAIN),
-    Stage(
-        "event loop",
-        f"{MAIN}\nwith main._no_collections(), main._missing('ssl'), main.deferred():\n"
-        "    import asyncio",
-    ),
-    Stage("node", f"{MAIN}\nwith main._no_collections():\n    main.load_node()"),
-    Stage(
-        "peers' exchange, after the node is ready",
-        f"{MAIN}\nwith main._no_collections():\n    main.load_node()\n"
-        "import asyncio\n"
-        "from beamloom.runtime.gradual_import import import_gradually\n"
-        "asyncio.run(import_gradually())",
-    ),
+    Stage("event loop", LOOP),
+    Stage("node", NODE),
+    Stage("peers' exchange, after the node is ready", PEERS),
 )
 
 
+def node_of(folder: Path) -> Stage:
+    """Return the stage in which the node of another tree has been loaded."""
+    has_bundle = (folder / "start.bundle").exists()
+    return Stage(f"(node of {folder})", NODE if has_bundle else NODE_BY_MODULES, folder)
+
+
 def main() -> None:
     """Measure and print."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--runs", type=int, default=40)
-    runs = parser.parse_args().runs
-    rounds = [[processor_seconds(stage.program) for stage in STAGES] for _ in range(runs)]
+    parser.add_argument("--against", type=Path, action="append", default=[])
+    options = parser.parse_args()
+    stages = (*STAGES, *(node_of(folder.resolve()) for folder in options.against))
+    rounds = [[processor_seconds(stage) for stage in stages] for _ in range(options.runs)]
     print("| part | its own, ms | sum, ms | least sum, ms |")
     print("| --- | --- | --- | --- |")
     before = 0.0
-    for stage, sums in zip(STAGES, zip(*rounds, strict=True), strict=True):
+    for stage, sums in zip(stages, zip(*rounds, strict=True), strict=True):
         total = MILLISECONDS * statistics.median(sums)
         least = MILLISECONDS * min(sums)
-        print(f"| {stage.name} | {total - before:.0f} | {total:.0f} | {least:.0f} |")
+        own = f"{total - before:.0f}" if stage in STAGES else ""
+        print(f"| {stage.name} | {own} | {total:.0f} | {least:.0f} |")
         before = total
 
 
-def processor_seconds(program: str) -> float:
-    """Return the processor time of one run of a program, in seconds."""
+def processor_seconds(stage: Stage) -> float:
+    """Return the processor time of one run of a stage's program, in seconds."""
     began = _children_seconds()
     subprocess.run(
-        ["python3", "-S", "-c", program],
-        env={**os.environ, "PYTHONPATH": str(INSTALLED)},
+        ["python3", "-S", "-c", stage.program],
+        env={**os.environ, "PYTHONPATH": str(stage.installed)},
         check=True,
     )
     return _children_seconds() - began
