--- a/src/beamloom/runtime/bundle_writer.py
+++ b/src/beamloom/runtime/bundle_writer.py
@@ -44,14 +44,16 @@
     code = b""
     for name in modules_of_a_start():
         spec = None if name == "__main__" else importlib.import_module(name).__spec__
-        if spec is None or spec.origin is None or not spec.origin.endswith(".py"):
-            continue  # built in, frozen or in C: its own way is the shortest
+        if spec is None or spec.origin is None or not spec.has_location:
+            continue  # built in or frozen: its own way is the shortest
         file = Path(spec.origin)
         root = folder if file.is_relative_to(folder) else library
         if not file.is_relative_to(root):
             continue
-        source = file.read_bytes()
-        compiled = marshal.dumps(compile(source, spec.origin, "exec", dont_inherit=True))
+        compiled = b""
+        if file.suffix == ".py":
+            source = file.read_bytes()
+            compiled = marshal.dumps(compile(source, spec.origin, "exec", dont_inherit=True))
         is_package = spec.submodule_search_locations is not None
         below = str(file.relative_to(root))
         index[name] = (len(code), len(compiled), below, root is library, is_package)
--- a/src/beamloom/runtime/start_bundle.py
+++ b/src/beamloom/runtime/start_bundle.py
@@ -5,14 +5,15 @@
 interpreter, or a file that is not whole, is told and passed over: modules then come from where they
 were installed. Submodules that are not in the bundle are found there in any case, so the bundle
 lies in the folder that the installed modules lie in, wherever that is when a node starts.
-"""
 
-from __future__ import annotations
+This module is read from a file of its own, and imports as little as it can.
+"""
 
 import marshal
 import os
 import sys
 from _frozen_importlib import ModuleSpec
+from _frozen_importlib_external import ExtensionFileLoader, spec_from_file_location
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -28,24 +29,31 @@
     """Finds modules in a bundle.
 
     `index` has offset and length of each one's code, its file below the folder of the standard
-    library or of the bundle, whether it is of the library, and whether it is a package.
+    library or of the bundle, whether it is of the library, and whether it is a package. Of a module
+    in C it has the file alone, so that no folder is looked through for it.
     """
 
-    def __init__(self, index: Index, code: memoryview, folder: str) -> None:
+    def __init__(self, index: "Index", code: memoryview, folder: str) -> None:
         self._index = index
         self._code = code
         self._folder = folder
         self._library = library_folder()
 
     def find_spec(
-        self, name: str, _path: Sequence[str] | None = None, _target: ModuleType | None = None
+        self,
+        name: str,
+        _path: "Sequence[str] | None" = None,
+        _target: "ModuleType | None" = None,
     ) -> ModuleSpec | None:
         """Return the specification of a module that the bundle holds."""
         entry = self._index.get(name)
         if entry is None:
             return None
-        _, _, file, of_library, is_package = entry
+        _, length, file, of_library, is_package = entry
         origin = f"{self._library if of_library else self._folder}/{file}"
+        if not length:
+            loader = ExtensionFileLoader(name, origin)
+            return spec_from_file_location(name, origin, loader=loader)
         spec = ModuleSpec(name, self, origin=origin, is_package=is_package)  # type: ignore[arg-type]
         spec.has_location = True
         if spec.submodule_search_locations is not None:
@@ -60,7 +68,7 @@
     def create_module(self, _spec: ModuleSpec) -> None:
         """Let the import system make the module."""
 
-    def exec_module(self, module: ModuleType) -> None:
+    def exec_module(self, module: "ModuleType") -> None:
         """Run a module's code."""
         offset, length, *_ = self._index[module.__name__]
         exec(marshal.loads(self._code[offset : offset + length]), module.__dict__)
