--- a/tests/functional/test_start_bundle.py
+++ b/tests/functional/test_start_bundle.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -11,8 +12,12 @@
 from beamloom.routing.tokens.records import BackendState
 from beamloom.runtime.start import BUNDLE
 from beamloom.standins.token_client import FlowState
-from tests.functional.test_token_node import LONGEST_HEARING_SECONDS, READERS_SETTLE_SECONDS
-from tests.functional.token_node_case import TokenNodeCase
+from tests.functional.test_token_node import (
+    LONGEST_HEARING_SECONDS,
+    LONGEST_STOP_SECONDS,
+    READERS_SETTLE_SECONDS,
+)
+from tests.functional.token_node_case import METRICS_PORT, TokenNodeCase
 
 FORGET = """
 import sys
@@ -96,6 +101,24 @@
         await self.serve(2, 2100)
         self.assertNotIn("is not used", self.logs())
 
+    async def test_figures_a_reload_and_a_stop_with_what_is_imported_late(self) -> None:
+        self.start(1)
+        await self.wait_until_ready(1)
+        await self.serve(1, 2000)
+        status, text = await self.get(1, METRICS_PORT, "/metrics")
+        self.assertEqual(status, 200)
+        self.assertIn('beamloom_starts_total{event="forwarded"} 1.0', text)
+        node, path = self.nodes["node-1"], self.write_settings(1)
+        path.write_text(path.read_text() + "\n[bounds]\ndrain-ms = 9000\n")
+        node.send_signal(signal.SIGHUP)
+        await self.wait_for_line(1, "SettingsReloaded")
+        path.write_text("{nonsense")
+        node.send_signal(signal.SIGHUP)
+        await self.wait_for_line(1, "SettingsRefused")
+        self.stop(node)
+        self.assertEqual(await asyncio.to_thread(node.wait, LONGEST_STOP_SECONDS), 0)
+        self.assertNotIn("Traceback", self.logs())
+
     async def test_a_bundle_is_used_where_it_was_moved_to(self) -> None:
         """Modules that are not in it are found beside it, not where it was made."""
         moved = self.folder / "moved"
