--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -34,6 +34,7 @@
 from beamloom.runtime.limit_watch import LimitWatch
 from beamloom.runtime.packet_socket import PacketSocket
 from beamloom.runtime.planned_stop import PlannedStop
+from beamloom.runtime.start_timeline import StartLog, StartTimeline
 from beamloom.runtime.store_follower import StoreFollower
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 from beamloom.settings.token_node import FIELDS_OF_A_START, TokenNodeSettings, changed_fields
@@ -58,7 +59,7 @@
     """One node; `run` returns when it has stopped as planned.
 
     `read_settings` is called at each reload and raises ValueError. `packets` is the bound socket of
-    clients' packets.
+    clients' packets. `timeline` has what happened of the start so far.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         read_settings: Callable[[], TokenNodeSettings],
         packets: socket.socket,
         mechanisms: Mechanisms = ALL_MECHANISMS,
+        timeline: StartTimeline | None = None,
     ) -> None:
         self.settings = settings
         self._mechanisms = mechanisms
@@ -74,6 +76,7 @@
         chance = self._chance = random.Random()
         self.log = EventLog(settings.node, standard_output())
         self.decisions = DecisionLog(self.log, packet_layout.describe_flow, self._view_age)
+        self.start = StartLog(timeline or StartTimeline(time.monotonic()), self.decisions.life)
         start = os.urandom(READER_ID_BYTES).hex()
         capacity = settings.capacity
         reader_id = reader_id_of(capacity.cores, capacity.link_megabits, start)
@@ -101,7 +104,12 @@
             self.core, settings, self._peer_traffic, self._note_limit_fault
         )
         self._packets = PacketSocket(
-            packets, self.core.router, self._note_fault, self._before_packets, self._judge_later
+            packets,
+            self.core.router,
+            self._note_fault,
+            self._before_packets,
+            self._judge_later,
+            on_first=self.start.note,
         )
         self._checker = BackendChecker(self.core.checks, settings.host, self._send_all)
         self._judgement: asyncio.TimerHandle | None = None
@@ -130,6 +138,7 @@
     def request_stop(self) -> None:
         """Ask for a planned stop."""
         self.decisions.life("StopRequested", flows=len(self.core.router.flows))
+        self.start.stop()
         self._stop.ask()
         self.core.ask_to_stop(time.monotonic())
         self.follower.send()
@@ -163,6 +172,7 @@
         """Serve until a stop is asked for, then until it is complete."""
         self._handle_signals()
         await self._responder.start(*self.settings.readiness.pair)
+        self.start.note("listening")
         await self._start_metrics()
         self.decisions.life("Started", zone=self.settings.zone)
         self._tell_unusable_limits()
@@ -218,6 +228,7 @@
             self.core.advance(now)
             self.follower.advance(now)
             self._packets.send_resets()
+            self.start.advance(now)
             self.log.flush()
 
     def _send_all(self) -> None:
@@ -258,9 +269,11 @@
         self.log.flush()
 
     def _note_ready(self) -> None:
-        """Tell once that the node has become ready."""
+        """Tell once that the node has become ready, and how it came to be so."""
+        self.start.note_progress(self.core)
         if self.ready and not self._was_ready:
             self._was_ready = True
+            self.start.note("ready")
             if time.monotonic() - self._began_at > LONGEST_OPENING_WAIT_SECONDS:
                 self._packets.start_without_waiting_openings()
             else:
@@ -289,7 +302,9 @@
         return HttpAnswer(200, render(make_registry(partial(read_metrics, self))))
 
     def _answer_readiness(self) -> HttpAnswer:
+        self.start.note("readiness_asked")
         if self.ready:
+            self.start.note("readiness_answered")
             return HttpAnswer(200, b"ready\n")
         self._stop.note_miss(asyncio.get_running_loop().time())
         return HttpAnswer(503, b"not ready\n")
--- a/src/beamloom/runtime/token_node_main.py
+++ b/src/beamloom/runtime/token_node_main.py
@@ -1,4 +1,7 @@
-"""The program that the platform starts: `python3 -m beamloom.runtime.token_node_main`."""
+"""The program of a token node: `python3 -m beamloom.runtime.token_node_main`.
+
+The platform starts it by way of start.py, which takes less time.
+"""
 
 from __future__ import annotations
 
@@ -6,14 +9,16 @@
 import gc
 import os
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from beamloom.platform.errors import PlatformSettingsError
 from beamloom.platform.node_settings import read_settings, settings_path
+from beamloom.runtime import IMPORTED_AT_PROCESSOR_SECONDS, IMPORTED_AT_SECONDS
 from beamloom.runtime.bound_socket import bind_datagrams
 from beamloom.runtime.deferred_modules import deferred
+from beamloom.runtime.start_timeline import begin_timeline, note_now
 from beamloom.settings.mechanisms import UnknownMechanismError, read_mechanisms
 
 if TYPE_CHECKING:
@@ -22,26 +27,31 @@
 EXIT_SETTINGS = 2
 
 
-def main() -> int:
-    """Run one node; return the exit status.
+def main(on_loaded: Callable[[], None] = lambda: None) -> int:
+    """Run one node; return the exit status. `on_loaded` is called when all is imported.
 
     The packets' socket is bound before most modules are imported: what arrives meanwhile waits
     there and is answered as soon as the node is ready.
     """
+    timeline = begin_timeline(IMPORTED_AT_SECONDS, IMPORTED_AT_PROCESSOR_SECONDS)
     read = functools.partial(read_settings, settings_path())
     try:
         mechanisms = read_mechanisms(os.environ)
         settings = read()
+        note_now(timeline, "settings")
         packets = bind_datagrams(settings.packets)
+        note_now(timeline, "socket")
     except (PlatformSettingsError, UnknownMechanismError, OSError) as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     with _no_collections():
         token_node = load_node()
+        on_loaded()
+    note_now(timeline, "modules")
     import asyncio
 
     async def run() -> None:
-        await token_node(settings, read, packets, mechanisms).run()
+        await token_node(settings, read, packets, mechanisms, timeline).run()
 
     asyncio.run(run())
     return 0
@@ -49,10 +59,11 @@
 
 def load_node() -> type[TokenNode]:
     """Import all that a node needs before it is ready, and nothing else."""
-    with _missing("ssl"), deferred():
-        import asyncio  # noqa: F401
+    with deferred():
+        with _missing("ssl"):
+            import asyncio  # noqa: F401
 
-    from beamloom.runtime.token_node import TokenNode
+        from beamloom.runtime.token_node import TokenNode
 
     return TokenNode
 
--- a/tests/functional/token_node_case.py
+++ b/tests/functional/token_node_case.py
@@ -83,6 +83,7 @@
     """Starts a store; `start_node` starts nodes on loopback addresses of this test's own."""
 
     network = "127.61.0"
+    program: tuple[str, ...] = ("-m", "beamloom.runtime.token_node_main")
     bounds: Mapping[str, int] = {}
     """Times in the nodes' settings, in ms; their own where they are not given."""
 
@@ -163,7 +164,7 @@
         log = (self.folder / f"node-{number}.log").open("wb")
         self.addCleanup(log.close)
         node = subprocess.Popen(
-            [sys.executable, "-m", "beamloom.runtime.token_node_main"],
+            [sys.executable, *self.program],
             env={
                 **os.environ,
                 "BEAMLOOM_CONFIG": str(path),
