Let the soak silence connections, turn nodes away, roll stops and warm endpoints up

Cause: the soak of real processes knew none of the newer promises: connections that fall silent for good, a store that serves only some nodes, machines of different capacity, cold backends.

- silence, silence_all: the connections to the store that are open now pass nothing any more, both ways, without a reset; new ones work.
The node counts as disturbed in that moment only, so all bounds hold 4 s later.
The proxies call the store from the node's own address, so that it can tell nodes apart.
A node that runs on 6 s after SIGTERM is reported (`stop`), which nothing checked so far.
Endpoints count flows opened at cold ones (`cold`): never more in any second than rate x excess + slack.

A refusal is not held against a node where all endpoints that it may use are cold: the product then refuses the last copy by design. The addresses of endpoints no longer run out after 254 of them.

Ruled out: judging the limit of cold endpoints for nodes in touch only; it holds always, so it is judged always.

--- a/src/beamloom/platform/store_encoding.py
+++ b/src/beamloom/platform/store_encoding.py
@@ -109,6 +109,10 @@
     evacuate = ""
     if settings.evacuate_seconds is not None:
         evacuate = f"evacuate-ms = {settings.evacuate_seconds * MILLISECONDS}"
+    warm_up = ""
+    if settings.cold_starts is not None:
+        excess, slack = settings.cold_starts
+        warm_up = f"warmup-excess = {excess}\nwarmup-slack = {slack}"
     return f"""
 node-name = "{settings.node}"
 role = "balancer"
@@ -126,6 +130,10 @@
 drain-ms = {settings.drain_seconds * MILLISECONDS}
 contact-ms = {settings.contact_seconds * MILLISECONDS}
 {evacuate}
+{warm_up}
+[limits]
+cpu-share = {settings.cores}
+link-mbps = {settings.link_megabits}
 [zones]
 {zones}
 [platform]
--- a/src/beamloom/simulation/tokens/deployment.py
+++ b/src/beamloom/simulation/tokens/deployment.py
@@ -12,6 +12,7 @@
     RoutePart,
     RouteRecord,
     RoutingConfiguration,
+    ServiceWarmUp,
 )
 from beamloom.standins.flow_packets import FlowEnd
 
@@ -43,13 +44,15 @@
     return {destination(1): frozenset({SERVICES[0]}), destination(2): frozenset({SERVICES[1]})}
 
 
-def configuration_of(version: int, routes: Routes) -> RoutingConfiguration:
+def configuration_of(
+    version: int, routes: Routes, warm_ups: tuple[ServiceWarmUp, ...] = ()
+) -> RoutingConfiguration:
     """Return a version of the configuration; a route's services have equal weights."""
     records = tuple(
         RouteRecord(f"r-{key.hex()}", key, tuple(RoutePart(name, 1.0) for name in sorted(services)))
         for key, services in routes.items()
     )
-    return RoutingConfiguration(version, records)
+    return RoutingConfiguration(version, records, warm_ups=warm_ups)
 
 
 def endpoint_record(identity: int, service: str, address: tuple[str, int]) -> BackendRecord:
--- a/src/beamloom/simulation/tokens/oracle.py
+++ b/src/beamloom/simulation/tokens/oracle.py
@@ -103,7 +103,7 @@
         Where all of them are evacuated, or were until lately, nothing can be served.
         """
         self.counters["refusals"] += 1
-        if zones and all(self._may_be_evacuated(zone, at) for zone in zones):
+        if zones and all(self.may_be_evacuated(zone, at) for zone in zones):
             return
         history = self.allowed.get(destination, [])
         recent = [services for since, services in history if since > at - APPLY_SECONDS]
@@ -112,7 +112,8 @@
         if always and self.in_touch(node, at):
             self.report("configuration", at, f"{node} refused a flow that has a route")
 
-    def _may_be_evacuated(self, zone: str, at: float) -> bool:
+    def may_be_evacuated(self, zone: str, at: float) -> bool:
+        """Whether nodes may hold a zone for evacuated, as they heard of it up to 5 s later."""
         taken_back_at = self.taken_back_at.get(zone, float("-inf"))
         return zone in self.evacuated_at or at < taken_back_at + EVACUATE_SECONDS
 
--- /dev/null
+++ b/src/beamloom/soak/cold_openings.py
@@ -0,0 +1,70 @@
+"""What cold endpoints get from all nodes together, judged by what arrives at them.
+
+Each node limits only itself, so nothing inside the fleet sees this sum; the endpoints do.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+
+from beamloom.routing.tokens.records import BackendRecord, ServiceWarmUp
+from beamloom.settings.token_node import ColdStartLimits
+from beamloom.simulation.tokens.deployment import SERVICES
+from beamloom.simulation.tokens.oracle import APPLY_SECONDS, TokenOracle
+from beamloom.standins.flow_packets import FlowEnd
+
+WARM_UP_SECONDS = 4.0
+"""Long enough for some windows of the limit, short enough that most flows are served."""
+REQUESTS_PER_SECOND = 4.0
+LIMITS = ColdStartLimits(excess_factor=1.5, slack_requests=2.0)
+"""With the rate, 8 openings in any second: 2 from each of the nodes that may send, by the product's
+own division, so that a node that ignores the limit stands out.
+"""
+WINDOW_SECONDS = 1.0
+
+WARM_UPS = tuple(
+    ServiceWarmUp(service, WARM_UP_SECONDS, REQUESTS_PER_SECOND) for service in SERVICES
+)
+MOST_OPENINGS = REQUESTS_PER_SECOND * LIMITS.excess_factor + LIMITS.slack_requests
+
+
+class ColdOpenings:
+    """Counts flows that are opened at cold endpoints and reports a second with too many.
+
+    A copy of a flow's opening packet at the same endpoint is no further opening.
+    """
+
+    def __init__(self, oracle: TokenOracle) -> None:
+        self._oracle = oracle
+        self._cold_until: dict[str, float] = {}
+        self._flows: set[tuple[str, FlowEnd]] = set()
+        self._arrivals: dict[str, deque[float]] = {}
+
+    def note_cold(self, endpoint: str, now: float) -> None:
+        """Note that an endpoint is cold from now on."""
+        self._cold_until[endpoint] = now + WARM_UP_SECONDS
+
+    def is_cold(self, endpoint: str, now: float) -> bool:
+        """Whether an endpoint is cold at a moment."""
+        return now < self._cold_until.get(endpoint, float("-inf"))
+
+    def may_all_seem_cold(self, endpoints: Iterable[str], now: float) -> bool:
+        """Whether nodes may take each of these for cold, as they heard of it up to 3 s later."""
+        names = list(endpoints)
+        return bool(names) and all(self.is_cold(name, now - APPLY_SECONDS) for name in names)
+
+    def judge(self, endpoint: BackendRecord, client: FlowEnd, now: float) -> None:
+        """Judge the opening packet of a client's flow that reached an endpoint."""
+        name = endpoint.name
+        if not self.is_cold(name, now) or (name, client) in self._flows:
+            return
+        self._flows.add((name, client))
+        self._oracle.counters["cold_openings"] += 1
+        arrivals = self._arrivals.setdefault(name, deque())
+        arrivals.append(now)
+        while arrivals[0] <= now - WINDOW_SECONDS:
+            arrivals.popleft()
+        if len(arrivals) > MOST_OPENINGS:
+            detail = f"{name} is cold and got {len(arrivals)} openings in {WINDOW_SECONDS:g} s"
+            self._oracle.report("cold", now, detail)
--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -10,16 +10,16 @@
 import random
 import signal
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from pathlib import Path
 
 from beamloom.platform.packet_layout import FLAG_RST, FLAG_SYN
 from beamloom.runtime.bound_socket import bind_datagrams
-from beamloom.settings.token_node import Endpoint, TokenNodeSettings
+from beamloom.settings.token_node import Endpoint
 from beamloom.simulation.tokens.changes import zones_of
-from beamloom.simulation.tokens.deployment import ZONES, key_of, service_end, stable_hash
-from beamloom.simulation.tokens.oracle import EVACUATE_SECONDS, TokenOracle
-from beamloom.soak.nodes import NodeProcess
+from beamloom.simulation.tokens.deployment import key_of, service_end, stable_hash
+from beamloom.simulation.tokens.oracle import TokenOracle
+from beamloom.soak.nodes import PACKETS_PORT, STOP_SECONDS, NodeProcess, node_settings
 from beamloom.soak.platform_side import (
     SoakEndpoint,
     SoakPlatform,
@@ -30,13 +30,12 @@
 
 FIRST_NETWORK = 64
 NETWORKS = 128
-PACKETS_PORT = 19172
-READINESS_PORT = 19167
-PEER_PORT = 19720
 STEP_SECONDS = 0.01
 READINESS_PERIOD_SECONDS = 0.5
 RESTART_SECONDS = 0.5
 START_ALLOWANCE_SECONDS = 2.0
+STOPPED_AGAIN_SECONDS = 4.0
+"""How long a node that is stopped as planned stays away at least."""
 LARGEST_DATAGRAM = 4096
 
 
@@ -56,6 +55,7 @@
         self._network = network
         self._client_host = f"{network}.2.1"
         self.platform = SoakPlatform(network, self.oracle, lambda: self.now, self.later)
+        self._paused_until: dict[str, float] = {}
         self._folder = folder
         self._node_count = nodes
         self._chance = random.Random(seed)
@@ -117,13 +117,30 @@
 
     def stop(self, name: str) -> None:
         """Stop a node as planned; it starts again."""
-        self.note_disturbed(name, 6.0 + START_ALLOWANCE_SECONDS)
+        self.note_disturbed(name, STOP_SECONDS + START_ALLOWANCE_SECONDS)
         self.nodes[name].send(signal.SIGTERM)
-        self.later(4.0, self.nodes[name].start)
+        self.spawn(self._start_again(self.nodes[name]))
+
+    async def _start_again(self, node: NodeProcess) -> None:
+        """Start a node that was stopped, as soon as it has ended; it has a bound for that.
+
+        It may have been killed and started anew meanwhile, or stand still.
+        """
+        starts, stopped_at = node.starts, self.now
+        await asyncio.sleep(STOPPED_AGAIN_SECONDS)
+        while node.running and node.starts == starts:
+            began_at = max(stopped_at, self._paused_until.get(node.name, 0.0))
+            if self.now > began_at + STOP_SECONDS + READINESS_PERIOD_SECONDS:
+                detail = f"{node.name} runs {STOP_SECONDS:g} s after SIGTERM"
+                self.oracle.report("stop", self.now, detail)
+                return
+            await asyncio.sleep(STEP_SECONDS)
+        node.start()
 
     def pause(self, name: str, seconds: float) -> None:
         """Let a node stand still."""
         self.note_disturbed(name, seconds)
+        self._paused_until[name] = max(self._paused_until.get(name, 0.0), self.now + seconds)
         self.nodes[name].send(signal.SIGSTOP)
         self.later(seconds, lambda: self.nodes[name].send(signal.SIGCONT))
 
@@ -136,6 +153,17 @@
             proxy.reset_connections()
         self.later(seconds, lambda: setattr(proxy, "fault", ProxyFault.NONE))
 
+    def silence(self, name: str) -> None:
+        """Let a node's connections to the store of this moment be silent for good."""
+        self.note_disturbed(name, 0.0)
+        self.proxies[name].silence_connections()
+
+    def turn_away(self, names: Collection[str], fault: str, seconds: float) -> None:
+        """Let the store treat some nodes badly (a fault's set of hosts) and serve the others."""
+        for name in names:
+            self.note_disturbed(name, seconds)
+        self.platform.disturb_hosts(fault, [self.proxies[name].host for name in names], seconds)
+
     def open_flow(self, plan: FlowPlan) -> None:
         """Let a client open a flow to one of the addresses."""
         self._next_port = 20_000 + (self._next_port - 19_999) % 40_000
@@ -145,24 +173,12 @@
         self.flows[source] = TokenClientFlow(source, service, plan, self.now)
 
     async def _add_node(self, number: int) -> None:
-        name, host = f"node-{number}", f"{self._network}.0.{number}"
+        name = f"node-{number}"
         proxy = self.proxies[name] = StoreProxy(
             (self.platform.store_host, self.platform.server.port)
         )
         await proxy.start(f"{self._network}.3.{number}")
-        settings = TokenNodeSettings(
-            node=name,
-            host=host,
-            zone=ZONES[number % len(ZONES)],
-            packets=Endpoint(host, PACKETS_PORT),
-            readiness=Endpoint(host, READINESS_PORT),
-            store=Endpoint(f"{self._network}.3.{number}", proxy.port),
-            peer_port=PEER_PORT,
-            metrics=None,
-            seeds=tuple(f"{self._network}.0.{seed}" for seed in (1, 2, 3)),
-            evacuate_seconds=EVACUATE_SECONDS,
-            zones=ZONES,
-        )
+        settings = node_settings(self._network, number, proxy.port)
         self.nodes[name] = NodeProcess(settings, self._folder)
         self.nodes[name].start()
         self.note_disturbed(name, START_ALLOWANCE_SECONDS)
@@ -213,6 +229,7 @@
             key = key_of(packet.destination)
             node = self._node_at(host)
             self.oracle.judge_opening(node, endpoint.record, key, self.now)
+            self.platform.cold.judge(endpoint.record, packet.source, self.now)
 
     def _receive_at_clients(self) -> None:
         for data, host in _drain_socket(self._clients):
@@ -234,6 +251,8 @@
     def _judge_reset(self, flow: TokenClientFlow, node: str) -> None:
         if flow.state is FlowState.OPENING:
             destination = key_of(flow.service)
+            if self.platform.serves_nobody(destination):
+                return
             zones = zones_of(self.platform, destination)
             self.oracle.judge_refusal(node, destination, self.now, zones)
         elif any(held.alive and held.model.holds(flow.source) for held in self.platform.endpoints):
--- a/src/beamloom/soak/nodes.py
+++ b/src/beamloom/soak/nodes.py
@@ -13,9 +13,47 @@
 from beamloom.platform.node_settings import SETTINGS_VARIABLE
 from beamloom.platform.store_encoding import encode_settings
 from beamloom.platform.store_objects import READINESS_PATH
-from beamloom.settings.token_node import TokenNodeSettings
+from beamloom.settings.token_node import Endpoint, TokenNodeSettings
+from beamloom.simulation.tokens.deployment import ZONES
+from beamloom.simulation.tokens.oracle import EVACUATE_SECONDS
+from beamloom.soak.cold_openings import LIMITS
 
 READINESS_SECONDS = 0.4
+PACKETS_PORT = 19172
+READINESS_PORT = 19167
+PEER_PORT = 19720
+STOP_SECONDS = 6.0
+SMALL_MACHINE = (0.12, 5.0)
+LARGE_MACHINE = (2.0, 200.0)
+"""Cores and megabits a second, as told to the nodes: the smallest and largest that are deployed."""
+
+
+def is_large(name: str) -> bool:
+    """Whether a node is told that its machine can do much; about half of them are."""
+    return int(name.rpartition("-")[2]) % 2 == 0
+
+
+def node_settings(network: str, number: int, store_port: int) -> TokenNodeSettings:
+    """Return the settings of a node in the soak's loopback network."""
+    name, host = f"node-{number}", f"{network}.0.{number}"
+    cores, link_megabits = LARGE_MACHINE if is_large(name) else SMALL_MACHINE
+    return TokenNodeSettings(
+        node=name,
+        host=host,
+        zone=ZONES[number % len(ZONES)],
+        packets=Endpoint(host, PACKETS_PORT),
+        readiness=Endpoint(host, READINESS_PORT),
+        store=Endpoint(f"{network}.3.{number}", store_port),
+        peer_port=PEER_PORT,
+        metrics=None,
+        seeds=tuple(f"{network}.0.{seed}" for seed in (1, 2, 3)),
+        stop_seconds=STOP_SECONDS,
+        evacuate_seconds=EVACUATE_SECONDS,
+        zones=ZONES,
+        cores=cores,
+        link_megabits=link_megabits,
+        cold_starts=LIMITS,
+    )
 
 
 class NodeProcess:
@@ -25,6 +63,7 @@
         self.name = settings.node
         self.host = settings.host
         self.misses = 2
+        self.starts = 0
         self._readiness = settings.readiness
         self._settings = folder / f"{settings.node}.toml"
         self._log_path = folder / f"{settings.node}.log"
@@ -45,6 +84,7 @@
         """Start the process, unless it runs."""
         if self.running:
             return
+        self.starts += 1
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "beamloom.runtime.token_node_main"],
--- a/src/beamloom/soak/platform_side.py
+++ b/src/beamloom/soak/platform_side.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from functools import partial
 
 from beamloom.platform import store_encoding
 from beamloom.platform.store_objects import (
@@ -23,12 +24,15 @@
     first_routes,
 )
 from beamloom.simulation.tokens.oracle import TokenOracle
+from beamloom.soak.cold_openings import WARM_UP_SECONDS, WARM_UPS, ColdOpenings
 from beamloom.standins.listener import Listener
 from beamloom.standins.token_endpoint import TokenEndpoint
 from beamloom.standins.token_store import TokenStore
 from beamloom.standins.token_store_server import TokenStoreFaults, TokenStoreServer
 
 ENDPOINT_PORT = 19080
+FIRST_ENDPOINT_NETWORK = 16
+HOSTS_OF_A_NETWORK = 250
 FIRST_ENDPOINTS = 8
 SERVE_ON_SECONDS = 8.0
 """Long enough to see a node that goes on sending new flows, which it may for 3 s."""
@@ -81,7 +85,9 @@
         self._oracle = oracle
         self._now = now
         self._later = later
+        self.cold = ColdOpenings(oracle)
         self._strokes: Counter[str] = Counter()
+        self._host_strokes: Counter[tuple[str, str]] = Counter()
         self._version = 0
         self._sequence = 0
         self._next_identity = 0x1000
@@ -90,7 +96,7 @@
         """Start the store and the first endpoints, and write a configuration."""
         await self.server.start(self.store_host)
         for number in range(FIRST_ENDPOINTS):
-            self.add_endpoint(SERVICES[0] if number % 4 else SERVICES[1])
+            self.add_endpoint(SERVICES[0] if number % 4 else SERVICES[1], cold=False)
         self.set_routes(first_routes())
 
     async def close(self) -> None:
@@ -111,13 +117,54 @@
         if not self._strokes[fault]:
             setattr(self.server.faults, fault, getattr(TokenStoreFaults(), fault))
 
-    def add_endpoint(self, service: str, address: tuple[str, int] | None = None) -> None:
-        """Start an endpoint and announce it."""
+    def disturb_hosts(self, fault: str, hosts: Iterable[str], seconds: float) -> None:
+        """Let the store treat some hosts badly for a while, and serve the others.
+
+        `fault` names one of the sets of hosts of its faults.
+        """
+        treated: set[str] = getattr(self.server.faults, fault)
+        for host in hosts:
+            self._host_strokes[fault, host] += 1
+            treated.add(host)
+            self._later(seconds, partial(self._end_host_stroke, fault, host))
+
+    def _end_host_stroke(self, fault: str, host: str) -> None:
+        self._host_strokes[fault, host] -= 1
+        if not self._host_strokes[fault, host]:
+            getattr(self.server.faults, fault).discard(host)
+
+    def add_endpoint(
+        self, service: str, address: tuple[str, int] | None = None, *, cold: bool | None = None
+    ) -> None:
+        """Start an endpoint and announce it; unless told, every other one starts cold."""
         self._next_identity += 1
         identity = self._next_identity
-        host, port = address or (f"{self._network}.1.{len(self.endpoints) + 1}", ENDPOINT_PORT)
-        record = endpoint_record(identity, service, (host, port))
-        self.endpoints.append(SoakEndpoint(TokenEndpoint(record.name, identity), record))
+        record = endpoint_record(identity, service, address or self._free_address())
+        endpoint = SoakEndpoint(TokenEndpoint(record.name, identity), record)
+        self.endpoints.append(endpoint)
+        if identity % 2 == 0 if cold is None else cold:
+            self._turn_cold(endpoint)
+        else:
+            self._announce(record)
+
+    def _free_address(self) -> tuple[str, int]:
+        network, host = divmod(len(self.endpoints), HOSTS_OF_A_NETWORK)
+        return (f"{self._network}.{FIRST_ENDPOINT_NETWORK + network}.{host + 1}", ENDPOINT_PORT)
+
+    def _turn_cold(self, endpoint: SoakEndpoint) -> None:
+        """Let an endpoint be cold from now on and say so, and say later that it is not."""
+        self.cold.note_cold(endpoint.record.name, self._now())
+        self._change_record(endpoint, endpoint.record._replace(warm_up_seconds=WARM_UP_SECONDS))
+        self._later(WARM_UP_SECONDS, lambda: self._warm_up(endpoint))
+
+    def _warm_up(self, endpoint: SoakEndpoint) -> None:
+        leaves = not endpoint.alive or endpoint.model.draining
+        if leaves or self.cold.is_cold(endpoint.record.name, self._now()):
+            return
+        self._change_record(endpoint, endpoint.record._replace(warm_up_seconds=0.0))
+
+    def _change_record(self, endpoint: SoakEndpoint, record: BackendRecord) -> None:
+        endpoint.record = record
         self._announce(record)
 
     def running_endpoints(self, service: str) -> list[SoakEndpoint]:
@@ -131,10 +178,16 @@
     def drain_endpoint(self, endpoint: SoakEndpoint) -> None:
         """Let an endpoint leave: it says so, serves on and ends."""
         endpoint.model.draining = True
-        self._announce(endpoint.record._replace(state=BackendState.DRAINING))
+        self._change_record(endpoint, endpoint.record._replace(state=BackendState.DRAINING))
         self._oracle.note_left(endpoint.record.name, self._now())
         self._later(SERVE_ON_SECONDS, lambda: self._end_endpoint(endpoint))
 
+    def release(self, service: str) -> None:
+        """Replace all endpoints of a service at once by ones that start cold."""
+        for endpoint in self.running_endpoints(service):
+            self.add_endpoint(service, cold=True)
+            self.drain_endpoint(endpoint)
+
     def crash_endpoint(self, endpoint: SoakEndpoint) -> None:
         """Let an endpoint die without a word."""
         endpoint.end()
@@ -151,14 +204,17 @@
         """Write a configuration."""
         self._version += 1
         self.routes = dict(routes)
-        configuration = configuration_of(self._version, routes)
+        configuration = configuration_of(self._version, routes, WARM_UPS)
         content = store_encoding.encode_configuration(configuration)
         self.server.store.put(CONFIGURATION_KIND, CONFIGURATION_NAME, content)
         self.server.note_change()
         self._oracle.note_routes(self.routes, self._now())
 
     def evacuate_zone(self, zone: str, seconds: float) -> None:
-        """Ask that a zone gets no new flows, unless that is asked already; take it back later."""
+        """Ask that a zone gets no new flows, unless that is asked already; take it back later.
+
+        Its endpoints are cold then.
+        """
         if zone in self._oracle.evacuated_at:
             return
         self.server.store.put(EVACUATIONS_KIND, zone, {})
@@ -167,10 +223,27 @@
         self._later(seconds, lambda: self._take_back(zone))
 
     def _take_back(self, zone: str) -> None:
+        for endpoint in self.endpoints:
+            if endpoint.alive and not endpoint.model.draining and endpoint.record.zone == zone:
+                self._turn_cold(endpoint)
         self.server.store.remove(EVACUATIONS_KIND, zone)
         self.server.note_change()
         self._oracle.note_taken_back(zone, self._now())
 
+    def serves_nobody(self, destination: bytes) -> bool:
+        """Whether nodes may know no endpoint that could take a destination's new flows now.
+
+        Each is in a zone that may be held for evacuated, or may be held for cold.
+        """
+        now = self._now()
+        usable = [
+            endpoint.record
+            for service in self.routes.get(destination, ())
+            for endpoint in self.running_endpoints(service)
+            if not self._oracle.may_be_evacuated(endpoint.record.zone, now)
+        ]
+        return self.cold.may_all_seem_cold((record.name for record in usable), now)
+
     def _announce(self, record: BackendRecord) -> None:
         self._sequence += 1
         content = store_encoding.encode_backend(record, self._sequence)
--- a/src/beamloom/soak/proxy.py
+++ b/src/beamloom/soak/proxy.py
@@ -7,6 +7,8 @@
 from enum import Enum
 
 CHUNK_BYTES = 65_536
+LONGEST_END_SECONDS = 0.5
+"""For how long an end is waited for: all connections have been reset by then."""
 
 
 class ProxyFault(Enum):
@@ -23,8 +25,25 @@
     """Answers come late."""
 
 
+class _Connection:
+    """Both ends of one forwarded connection; a `silent` one passes nothing any more."""
+
+    def __init__(self, node: asyncio.StreamWriter, store: asyncio.StreamWriter) -> None:
+        self.silent = False
+        self._ends = (node, store)
+
+    def abort(self) -> None:
+        """Reset both ends."""
+        for end in self._ends:
+            end.transport.abort()
+
+
 class StoreProxy:
-    """Forwards connections to the store; `fault` applies to old and new ones."""
+    """Forwards connections to the store; `fault` applies to old and new ones.
+
+    The store sees them come from the address that the node calls, so that it may treat each node
+    in its own way.
+    """
 
     def __init__(self, target: tuple[str, int]) -> None:
         self.fault = ProxyFault.NONE
@@ -32,10 +51,13 @@
         self.port = 0
         self._target = target
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self.host = ""
+        self._connections: set[_Connection] = set()
+        self._serving: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str) -> None:
         """Listen on a free port; raises OSError."""
+        self.host = host
         self._server = await asyncio.start_server(self._serve, host, 0)
         self.port = int(self._server.sockets[0].getsockname()[1])
 
@@ -44,41 +66,63 @@
         if self._server is not None:
             self._server.close()
         self.reset_connections()
+        if self._serving:
+            await asyncio.wait(self._serving, timeout=LONGEST_END_SECONDS)
 
     def reset_connections(self) -> None:
         """Reset every connection there is."""
-        for writer in list(self._writers):
-            writer.transport.abort()
+        for connection in list(self._connections):
+            connection.abort()
+
+    def silence_connections(self) -> None:
+        """Let the connections of this moment be silent for good, both ways, without a reset."""
+        for connection in self._connections:
+            connection.silent = True
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+        await self._forward(reader, writer)
+
+    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.fault is ProxyFault.REFUSE:
             writer.transport.abort()
             return
         try:
-            store_reader, store_writer = await asyncio.open_connection(*self._target)
+            store_reader, store_writer = await asyncio.open_connection(
+                *self._target, local_addr=(self.host, 0)
+            )
         except OSError:
             writer.transport.abort()
             return
-        ends = {writer, store_writer}
-        self._writers |= ends
-        calls = asyncio.create_task(self._pump(reader, store_writer, answers=False))
-        answers = asyncio.create_task(self._pump(store_reader, writer, answers=True))
+        connection = _Connection(writer, store_writer)
+        self._connections.add(connection)
+        calls = asyncio.create_task(self._pump(connection, reader, store_writer, answers=False))
+        answers = asyncio.create_task(self._pump(connection, store_reader, writer, answers=True))
         await asyncio.wait({calls, answers}, return_when=asyncio.FIRST_COMPLETED)
+        if connection.silent:
+            await calls
         for task in (calls, answers):
             task.cancel()
         await asyncio.gather(calls, answers, return_exceptions=True)
-        for end in ends:
-            end.transport.abort()
-        self._writers -= ends
+        connection.abort()
+        self._connections.discard(connection)
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, answers: bool
+        self,
+        connection: _Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        answers: bool,
     ) -> None:
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(CHUNK_BYTES):
                 if answers and self.fault is ProxyFault.DELAY:
                     await asyncio.sleep(self.delay_seconds)
-                if self._swallows(answers):
+                if connection.silent or self._swallows(answers):
                     continue
                 writer.write(data)
                 await writer.drain()
--- a/src/beamloom/standins/token_store_server.py
+++ b/src/beamloom/standins/token_store_server.py
@@ -22,6 +22,7 @@
 
 LONGEST_SILENCE_SECONDS = 60.0
 STATUS_TOO_MANY = 429
+STATUS_UNAVAILABLE = 503
 
 
 @dataclass(slots=True)
@@ -29,8 +30,9 @@
     """What the server does to calls.
 
     `unavailable` answers 503; `silent` takes calls and never answers; `throttled` answers 429;
-    `delay_seconds` comes before each answer; `refused_hosts` get 503 while others are served;
-    `lost_writes` does the next writes and drops the connection.
+    `delay_seconds` comes before each answer; `refused_hosts` get 503, `throttled_hosts` 429 and
+    `silent_hosts` nothing while others are served; `lost_writes` does the next writes and drops
+    the connection.
     """
 
     unavailable: bool = False
@@ -38,6 +40,8 @@
     throttled: bool = False
     delay_seconds: float = 0.0
     refused_hosts: set[str] = field(default_factory=set)
+    throttled_hosts: set[str] = field(default_factory=set)
+    silent_hosts: set[str] = field(default_factory=set)
     lost_writes: int = 0
 
 
@@ -88,8 +92,9 @@
             status, body = 409, {"error": "the object is there"}
         except HistoryGoneError:
             status, body = 410, {"error": "history is gone"}
-        if self._refuses(request):
-            status, body = 503, {"error": "this host is refused"}
+        refusal = await self._host_refusal(request)
+        if refusal is not None:
+            status, body = refusal, {"error": "this host is refused"}
         self.calls[f"{request.method} {status}"] += 1
         return web.json_response(body, status=status)
 
@@ -101,10 +106,15 @@
             await asyncio.sleep(faults.delay_seconds)
         if faults.throttled:
             return STATUS_TOO_MANY
-        return 503 if self._refuses(request) else None
+        return await self._host_refusal(request)
 
-    def _refuses(self, request: web.Request) -> bool:
-        return self.faults.unavailable or request.remote in self.faults.refused_hosts
+    async def _host_refusal(self, request: web.Request) -> int | None:
+        faults = self.faults
+        if request.remote in faults.silent_hosts:
+            await asyncio.sleep(LONGEST_SILENCE_SECONDS)
+        if faults.unavailable or request.remote in faults.refused_hosts:
+            return STATUS_UNAVAILABLE
+        return STATUS_TOO_MANY if request.remote in faults.throttled_hosts else None
 
     async def _answer(self, request: web.Request, call: StoreCall) -> tuple[int, Any]:
         if request.method == "POST":
--- a/tests/unit/test_soak_platform.py
+++ b/tests/unit/test_soak_platform.py
@@ -1,24 +1,162 @@
-"""The platform's side of a soak: faults that overlap end with the last of them."""
+"""What surrounds the nodes of a soak: faults that overlap, proxies, and the check of cold ones."""
 
+import asyncio
 import unittest
 from collections.abc import Callable
 
+from beamloom.simulation.tokens.deployment import SERVICES, destination, endpoint_record
 from beamloom.simulation.tokens.oracle import TokenOracle
+from beamloom.soak.cold_openings import MOST_OPENINGS, WARM_UP_SECONDS, ColdOpenings
 from beamloom.soak.platform_side import SoakPlatform
+from beamloom.soak.proxy import StoreProxy
+from beamloom.standins.flow_packets import FlowEnd
+
+NETWORK = "127.64"
+STORE_HOST = f"{NETWORK}.4.9"
+NODE_HOST = f"{NETWORK}.3.9"
+SILENCE_SECONDS = 0.2
+COLD = endpoint_record(7, SERVICES[0], (f"{NETWORK}.16.1", 1))
+
+
+def client(number: int) -> FlowEnd:
+    """Return the end of one of the clients."""
+    return FlowEnd(bytes((127, 64, 2, 1)), 20_000 + number)
 
 
 class OverlappingFaultsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.waiting: list[tuple[float, Callable[[], object]]] = []
+        self.platform = SoakPlatform(NETWORK, TokenOracle(), lambda: 0.0, self._later)
+
+    def _later(self, seconds: float, act: Callable[[], object]) -> None:
+        self.waiting.append((seconds, act))
+
     def test_a_fault_that_strikes_twice_ends_with_the_last_stroke(self) -> None:
         """Soak seed 3764041940: after two strokes the store stayed unavailable."""
-        waiting: list[tuple[float, Callable[[], object]]] = []
-
-        def later(seconds: float, act: Callable[[], object]) -> None:
-            waiting.append((seconds, act))
-
-        platform = SoakPlatform("127.64", TokenOracle(), lambda: 0.0, later)
-        platform.disturb_store("unavailable", True, 4.0)
-        platform.disturb_store("unavailable", True, 4.0)
-        waiting[0][1]()
-        self.assertTrue(platform.server.faults.unavailable)
-        waiting[1][1]()
-        self.assertFalse(platform.server.faults.unavailable)
+        self.platform.disturb_store("unavailable", True, 4.0)
+        self.platform.disturb_store("unavailable", True, 4.0)
+        self.waiting[0][1]()
+        self.assertTrue(self.platform.server.faults.unavailable)
+        self.waiting[1][1]()
+        self.assertFalse(self.platform.server.faults.unavailable)
+
+    def test_a_host_that_is_turned_away_twice_is_served_after_the_last_stroke(self) -> None:
+        hosts = self.platform.server.faults.silent_hosts
+        self.platform.disturb_hosts("silent_hosts", ["a", "b"], 4.0)
+        self.platform.disturb_hosts("silent_hosts", ["b"], 4.0)
+        for expected, (_, act) in zip(({"b"}, {"b"}, set()), self.waiting, strict=True):
+            act()
+            self.assertEqual(hosts, expected)
+
+
+class StoreProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.callers: list[str] = []
+        self.answering: list[asyncio.StreamWriter] = []
+        self.store = await asyncio.start_server(self._echo, STORE_HOST, 0)
+        self.proxy = StoreProxy((STORE_HOST, self.store.sockets[0].getsockname()[1]))
+        await self.proxy.start(NODE_HOST)
+
+    async def asyncTearDown(self) -> None:
+        await self.proxy.close()
+        self.store.close()
+
+    async def _echo(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.callers.append(writer.get_extra_info("peername")[0])
+        self.answering.append(writer)
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    async def _ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bytes:
+        writer.write(b"call")
+        async with asyncio.timeout(SILENCE_SECONDS):
+            return await reader.read(100)
+
+    async def test_open_connections_fall_silent_and_new_ones_work(self) -> None:
+        old = await asyncio.open_connection(NODE_HOST, self.proxy.port)
+        self.assertEqual(await self._ask(*old), b"call")
+        self.proxy.silence_connections()
+        new = await asyncio.open_connection(NODE_HOST, self.proxy.port)
+        for _ in range(2):
+            with self.assertRaises(TimeoutError):
+                await self._ask(*old)
+            self.assertEqual(await self._ask(*new), b"call")
+        for _, writer in (old, new):
+            writer.close()
+
+    async def test_a_silent_connection_is_not_told_that_the_store_has_closed_it(self) -> None:
+        old = await asyncio.open_connection(NODE_HOST, self.proxy.port)
+        await self._ask(*old)
+        self.proxy.silence_connections()
+        for writer in self.answering:
+            writer.close()
+        with self.assertRaises(TimeoutError):
+            await self._ask(*old)
+        old[1].close()
+
+    async def test_a_reset_after_silence_ends_the_connection(self) -> None:
+        reader, writer = await asyncio.open_connection(NODE_HOST, self.proxy.port)
+        await self._ask(reader, writer)
+        self.proxy.silence_connections()
+        self.proxy.reset_connections()
+        with self.assertRaises(ConnectionResetError):
+            await self._ask(reader, writer)
+        writer.close()
+
+    async def test_the_store_sees_which_node_calls(self) -> None:
+        reader, writer = await asyncio.open_connection(NODE_HOST, self.proxy.port)
+        await self._ask(reader, writer)
+        self.assertEqual(self.callers, [NODE_HOST])
+        writer.close()
+
+
+class ColdOpeningsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.oracle = TokenOracle()
+        self.cold = ColdOpenings(self.oracle)
+        self.cold.note_cold(COLD.name, 10.0)
+
+    def _open(self, flows: range, now: float) -> None:
+        for number in flows:
+            self.cold.judge(COLD, client(number), now)
+
+    def test_a_second_with_too_many_flows_is_reported(self) -> None:
+        most = int(MOST_OPENINGS)
+        self._open(range(most), 11.0)
+        self.assertEqual(self.oracle.violations, [])
+        self._open(range(most, most + 1), 11.9)
+        self.assertEqual([violation.rule for violation in self.oracle.violations], ["cold"])
+
+    def test_copies_other_seconds_and_warm_ones_do_not_count(self) -> None:
+        most = int(MOST_OPENINGS)
+        self._open(range(most), 11.0)
+        self._open(range(most), 11.5)
+        self._open(range(most, 2 * most), 12.0)
+        self._open(range(2 * most, 9 * most), 10.0 + WARM_UP_SECONDS)
+        self.assertEqual(self.oracle.violations, [])
+
+    def test_nodes_may_refuse_only_while_each_endpoint_may_seem_cold(self) -> None:
+        warm_again = 10.0 + WARM_UP_SECONDS
+        self.assertTrue(self.cold.may_all_seem_cold([COLD.name], warm_again + 2.9))
+        self.assertFalse(self.cold.may_all_seem_cold([COLD.name], warm_again + 3.1))
+        self.assertFalse(self.cold.may_all_seem_cold([COLD.name, "warm"], 11.0))
+        self.assertFalse(self.cold.may_all_seem_cold([], 11.0))
+
+
+class ReleaseTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_release_leaves_a_service_with_cold_endpoints_only(self) -> None:
+        oracle = TokenOracle()
+        platform = SoakPlatform("127.63", oracle, lambda: 20.0, lambda seconds, act: None)
+        await platform.start()
+        self.addAsyncCleanup(platform.close)
+        self.assertFalse(platform.serves_nobody(destination(1)))
+        before = len(platform.running_endpoints(SERVICES[0]))
+        platform.release(SERVICES[0])
+        self.assertEqual(len(platform.running_endpoints(SERVICES[0])), before)
+        self.assertTrue(platform.serves_nobody(destination(1)))
+        self.assertFalse(platform.serves_nobody(destination(2)))
+
+
+if __name__ == "__main__":
+    unittest.main()
