Break a promise of each newer fault on purpose; choose faults of a soak

Cause: a check that never fails shows nothing. tools/soak_broken_builds.py gets a build for each of the newer faults, and takes names.

Ruled out: calls to the store without a deadline as the broken build for silent connections. A build that was meant to ignore SIGTERM by the loop's handlers was missed too: nodes obey signals in another way; it now ignores the signal itself.

--- a/src/beamloom/cli/soak.py
+++ b/src/beamloom/cli/soak.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import tempfile
+from collections import Counter
 from pathlib import Path
 from typing import Annotated
 
@@ -31,6 +32,7 @@
     duration: Annotated[float, Parameter(validator=Number(gt=20, lte=MAXIMUM_SECONDS))] = 60.0,
     nodes: Annotated[int, Parameter(validator=Number(gte=1, lte=MAXIMUM_NODES))] = 5,
     folder: Path | None = None,
+    only: tuple[str, ...] = (),
 ) -> ExitStatus:
     """Run token nodes as processes, let faults strike, and check promises from outside.
 
@@ -48,19 +50,24 @@
         How many nodes run.
     folder
         Where settings and logs are kept; left out, a temporary folder that stays on failure.
+    only
+        Names of faults: no others strike, beside planned changes.
 
     """
     seed = random.SystemRandom().getrandbits(32) if seed is None else seed
     place = Path(tempfile.mkdtemp(prefix="beamloom-soak-")) if folder is None else folder
     place.mkdir(parents=True, exist_ok=True)
-    result = asyncio.run(run_soak(SoakOptions(seed, duration, nodes, place)))
+    options = SoakOptions(seed, duration, nodes, place, frozenset(only))
+    result = asyncio.run(run_soak(options))
     _write(seed, place, result)
     return ExitStatus.FAILED if result.violations else ExitStatus.GOOD
 
 
 def _write(seed: int, folder: Path, result: SoakResult) -> None:
-    flows = ", ".join(f"{name} {count}" for name, count in sorted(result.flows.items()))
-    write_line(f"seed {seed}: {len(result.faults)} faults; flows: {flows}")
+    write_line(f"seed {seed}: {len(result.faults)} faults; flows: {_counts(result.flows)}")
+    kinds = Counter(fault.split()[1] for fault in result.faults)
+    write_line(f"kinds: {_counts(kinds)}")
+    write_line(f"judged: {_counts(result.counters)}")
     if not result.violations:
         write_line("no promise was broken")
         return
@@ -68,3 +75,7 @@
     for violation in result.violations[:SHOWN_VIOLATIONS]:
         write_line(f"{violation.rule}: {violation.detail}")
     write_line(f"{len(result.violations)} broken in all; logs are in {folder}")
+
+
+def _counts(counter: Counter[str]) -> str:
+    return ", ".join(f"{name} {count}" for name, count in sorted(counter.items()))
--- a/src/beamloom/soak/faults.py
+++ b/src/beamloom/soak/faults.py
@@ -29,6 +29,14 @@
 """
 
 
+class UnknownFaultError(ValueError):
+    """There is no fault of a name."""
+
+    def __init__(self, names: Iterable[str], known: Iterable[str]) -> None:
+        asked, there = ", ".join(sorted(names)), ", ".join(sorted(known))
+        super().__init__(f"no such fault: {asked}; name some of {there}")
+
+
 class SoakFaults:
     """The faults by name; each acts on a harness."""
 
@@ -70,6 +78,9 @@
             "release": self._release,
             **DeploymentChanges(harness.platform, chance).kinds,
         }
+        unknown = set(kinds) - self._kinds.keys()
+        if unknown:
+            raise UnknownFaultError(unknown, self._kinds)
         self._drawn = sorted(kinds or self._kinds)
 
     def strike(self) -> None:
--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -252,6 +252,7 @@
         if flow.state is FlowState.OPENING:
             destination = key_of(flow.service)
             if self.platform.serves_nobody(destination):
+                self.oracle.counters["refusals_for_cold"] += 1
                 return
             zones = zones_of(self.platform, destination)
             self.oracle.judge_refusal(node, destination, self.now, zones)
--- a/tests/unit/test_soak_platform.py
+++ b/tests/unit/test_soak_platform.py
@@ -1,12 +1,16 @@
 """What surrounds the nodes of a soak: faults that overlap, proxies, and the check of cold ones."""
 
 import asyncio
+import random
 import unittest
 from collections.abc import Callable
+from unittest.mock import Mock
 
 from beamloom.simulation.tokens.deployment import SERVICES, destination, endpoint_record
 from beamloom.simulation.tokens.oracle import TokenOracle
 from beamloom.soak.cold_openings import MOST_OPENINGS, WARM_UP_SECONDS, ColdOpenings
+from beamloom.soak.faults import SoakFaults, UnknownFaultError
+from beamloom.soak.harness import SoakHarness
 from beamloom.soak.platform_side import SoakPlatform
 from beamloom.soak.proxy import StoreProxy
 from beamloom.standins.flow_packets import FlowEnd
@@ -144,6 +148,14 @@
         self.assertFalse(self.cold.may_all_seem_cold([], 11.0))
 
 
+class FaultNamesTest(unittest.TestCase):
+    def test_an_unknown_fault_is_refused_with_the_known_ones(self) -> None:
+        harness = Mock(spec=SoakHarness, nodes={}, platform=Mock(), now=0.0)
+        SoakFaults(harness, random.Random(1), ["silence"])
+        with self.assertRaisesRegex(UnknownFaultError, "no such fault: sillence; .*silence_all"):
+            SoakFaults(harness, random.Random(1), ["silence", "sillence"])
+
+
 class ReleaseTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_release_leaves_a_service_with_cold_endpoints_only(self) -> None:
         oracle = TokenOracle()
--- a/tools/soak_broken_builds.py
+++ b/tools/soak_broken_builds.py
@@ -3,7 +3,7 @@
 A `sitecustomize` module in a temporary folder patches the nodes' processes; nothing of it reaches
 the product. Exit status 1 where a broken build was not noticed.
 
-    .venv/bin/python tools/soak_broken_builds.py
+    .venv/bin/python tools/soak_broken_builds.py [NAME...]
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import NamedTuple
 
 from beamloom.soak.run import SoakOptions, run_soak
 
@@ -38,8 +39,61 @@
             return spec
     sys.meta_path.insert(0, Finder())
 """
+
+
+class BrokenBuild(NamedTuple):
+    """A patch of the nodes and the rules of which one must be seen to break.
+
+    Only faults of `kinds` strike, beside planned changes; all kinds where none is named.
+    """
+
+    rules: frozenset[str]
+    patch: str
+    kinds: frozenset[str] = frozenset()
+
+
+TIMELY = frozenset({"drain", "evacuation", "configuration"})
+"""What nodes in touch owe within a bound; which of them shows is a matter of chance."""
+PATIENT_CALLS = """
+def change(module):
+    call = module.HttpConnection.call
+    def patient(connection, method, path, deadline_seconds, *rest, **named):
+        return call(connection, method, path, 3600.0, *rest, **named)
+    module.HttpConnection.call = patient
+patch("beamloom.runtime.http_client", change)
+"""
+NEVER_STALE = """
+def trust(module):
+    module.ReadingTurn._is_stale = lambda *_: False
+patch("beamloom.replication.reading_turn", trust)
+"""
+FIRST_READERS_ONLY = """
+def change(module):
+    advance = module.ReaderDuty.advance
+    def fixed(duty, now, *, joined=True):
+        if now - duty.__dict__.setdefault("first_at", now) > 4.0:
+            return False
+        return advance(duty, now, joined=joined)
+    module.ReaderDuty.advance = fixed
+patch("beamloom.replication.reader_duty", change)
+"""
+LARGE_READERS_ONLY = """
+def change(module):
+    advance = module.ReaderDuty.advance
+    def ranked(duty, now, *, joined=True):
+        return duty.reader_id < "6" and advance(duty, now, joined=joined)
+    module.ReaderDuty.advance = ranked
+patch("beamloom.replication.reader_duty", change)
+"""
+DEAF_TO_STOPS = """
+import signal
+take = signal.signal
+signal.signal = lambda number, act: take(number, signal.SIG_IGN if number == 15 else act)
+"""
 BROKEN_BUILDS = {
-    "drain": """
+    "drain": BrokenBuild(
+        frozenset({"drain"}),
+        """
 def change(module):
     update = module.BackendTable.update
     def deaf(table, record, revision, now):
@@ -48,18 +102,27 @@
     module.BackendTable.remove = lambda *_: None
 patch("beamloom.routing.tokens.backend_table", change)
 """,
-    "evacuation": """
+    ),
+    "evacuation": BrokenBuild(
+        frozenset({"evacuation"}),
+        """
 def change(module):
     module.BackendTable.evacuate = lambda *_: None
 patch("beamloom.routing.tokens.backend_table", change)
 """,
-    "configuration": """
+    ),
+    "configuration": BrokenBuild(
+        frozenset({"configuration"}),
+        """
 def change(module):
     put = module.RouteTable.put_in_force
     module.RouteTable.put_in_force = lambda table, new: table.version < 0 and put(table, new)
 patch("beamloom.routing.tokens.route_table", change)
 """,
-    "flow": """
+    ),
+    "flow": BrokenBuild(
+        frozenset({"flow"}),
+        """
 def change(module):
     handle = module.TokenRouter.handle
     def reset(router, packet, now):
@@ -71,7 +134,10 @@
     module.TokenRouter.handle = reset
 patch("beamloom.routing.tokens.router", change)
 """,
-    "unasked": """
+    ),
+    "unasked": BrokenBuild(
+        frozenset({"unasked"}),
+        """
 def change(module):
     encode = module.encode_forward
     def alter(command):
@@ -80,27 +146,56 @@
     module.encode_forward = alter
 patch("beamloom.platform.packet_layout", change)
 """,
-    "process": """
+    ),
+    "process": BrokenBuild(
+        frozenset({"process"}),
+        """
 import os, threading
 threading.Timer(20.0, lambda: os._exit(9)).start()
 """,
+    ),
+    "silence": BrokenBuild(TIMELY, NEVER_STALE + PATIENT_CALLS, frozenset({"silence_all"})),
+    "turned_away": BrokenBuild(
+        TIMELY,
+        NEVER_STALE + FIRST_READERS_ONLY,
+        frozenset({"some_refused", "some_throttled", "some_unanswered"}),
+    ),
+    "capacities": BrokenBuild(
+        TIMELY, NEVER_STALE + LARGE_READERS_ONLY, frozenset({"large_refused"})
+    ),
+    "roll": BrokenBuild(frozenset({"stop"}), DEAF_TO_STOPS, frozenset({"roll"})),
+    "cold": BrokenBuild(
+        frozenset({"cold"}),
+        """
+def change(module):
+    module.ColdStartGate.allows = lambda *_: True
+patch("beamloom.routing.tokens.cold_starts", change)
+""",
+        frozenset({"release"}),
+    ),
 }
 
 
-def main() -> int:
-    """Run one soak for each broken build; print what was noticed."""
+def main(names: list[str]) -> int:
+    """Run one soak for each broken build, or each named one; print what was noticed."""
     missed = 0
-    for rule, text in BROKEN_BUILDS.items():
-        with tempfile.TemporaryDirectory(prefix="broken-soak-") as folder:
-            (Path(folder) / "sitecustomize.py").write_text(HEAD + text)
-            os.environ["PYTHONPATH"] = os.pathsep.join((folder, SOURCES))
-            result = asyncio.run(run_soak(SoakOptions(SEED, SECONDS, NODES, Path(folder))))
-        seen = {violation.rule for violation in result.violations}
-        noticed = rule in seen
+    for name in names or BROKEN_BUILDS:
+        build = BROKEN_BUILDS[name]
+        seen = _rules_broken(build)
+        noticed = bool(build.rules & seen)
         missed += not noticed
-        print(f"{rule:14} {'noticed' if noticed else 'MISSED'}  {sorted(seen)}", flush=True)
+        print(f"{name:14} {'noticed' if noticed else 'MISSED'}  {sorted(seen)}", flush=True)
     return 1 if missed else 0
 
 
+def _rules_broken(build: BrokenBuild) -> set[str]:
+    with tempfile.TemporaryDirectory(prefix="broken-soak-") as folder:
+        (Path(folder) / "sitecustomize.py").write_text(HEAD + build.patch)
+        os.environ["PYTHONPATH"] = os.pathsep.join((folder, SOURCES))
+        options = SoakOptions(SEED, SECONDS, NODES, Path(folder), build.kinds)
+        result = asyncio.run(run_soak(options))
+    return {violation.rule for violation in result.violations}
+
+
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
