--- a/tests/unit/test_day_bound.py
+++ b/tests/unit/test_day_bound.py
@@ -33,6 +33,15 @@
 name = "dark"
 closing = { kind = "power_off_all", down_s = 1.4 }
 [[day]]
+name = "all"
+closing = { kind = "power_off_all", down_s = 1.4, how = "all" }
+[[day]]
+name = "killed"
+closing = { kind = "kill_all", down_s = 1.4 }
+[[day]]
+name = "wiped"
+closing = { kind = "wipe_after_ack", down_s = 1.4 }
+[[day]]
 name = "light"
 """
 REPORT = {
@@ -140,8 +149,18 @@
         day = read_day(self.site, "dark", self.report, {"feed": 426})
         self.assertEqual([known.objective_seconds for known in day.classes], [0.426])
 
+    def test_the_variant_of_the_closing_fault_is_named(self) -> None:
+        text = describe(read_day(self.site, "all", self.report, {}), 0.0)
+        self.assertIn("power_off_all all at 10.000 s", text)
+
+    def test_more_than_the_bound_shows_that_an_assumption_does_not_hold(self) -> None:
+        day = read_day(self.site, "dark", self.report, {})
+        better = day._replace(windows=(Window(8, 10, 1.0), Window(10, 12, 0.5)))
+        self.assertNotIn("does not hold", describe(day, 0.0))
+        self.assertIn("does not hold", describe(better, 0.0))
+
     def test_other_days_have_no_bound(self) -> None:
-        for day in ("light", "absent"):
+        for day in ("light", "killed", "wiped", "absent"):
             with self.assertRaises(UnboundedDayError):
                 read_day(self.site, day, self.report, {})
 
--- a/tools/day_bound.py
+++ b/tools/day_bound.py
@@ -3,7 +3,7 @@
     python3 tools/day_bound.py SITE DAY REPORT [--spread SECONDS] [--objective CLASS=MS]...
 
 REPORT is what the run of the day wrote. Two figures are printed beside what was seen: the bound, to
-which callers are reached in the very moment in which power may be back and answers take no time;
+which callers are reached in the very moment in which machines may be back and answers take no time;
 and an estimate, with machines that return spread over some time, the routers' probes, and the
 median latency of each class. `dark_bound.py` states the assumptions. The second one depends on the
 spread that is told, as no report has it.
@@ -28,6 +28,8 @@
 
 SPREAD_SECONDS = 0.3
 """Within so long machines return, as far as told; by choice in the middle of some tenths."""
+ROUNDING = 0.001
+"""Of the shares in reports."""
 UNKNOWN = """\
 not in the report, so not exact: the mix of each window (that of the day is used), arrivals within a
 window (taken as even), when each machine had power, the phase of the routers' probes; shares are
@@ -51,7 +53,7 @@
     wait = soonest_reach_seconds(day.machines_of_a_zone, spread_seconds)
     estimate = Darkness(day.began_at, back_at + wait)
     lines = [
-        f"power off at {day.began_at:.3f} s for {day.down_seconds:g} s; estimate: reached again "
+        f"{day.kind} at {day.began_at:.3f} s for {day.down_seconds:g} s; estimate: reached again "
         f"{wait:.2f} s later ({day.machines_of_a_zone} machines a zone, back within "
         f"{spread_seconds:g} s)",
         f"{'window':>8} {'seen':>7} {'bound':>7} {'estimate':>9}",
@@ -74,6 +76,8 @@
         _describe_reach(day),
         UNKNOWN,
     ]
+    if seen > highest + ROUNDING:
+        lines.append("seen is above the bound: an assumption does not hold for this day")
     return "\n".join(lines)
 
 
@@ -95,7 +99,7 @@
         return "what was seen is worse than darkness to the end of the day: something else cost it"
     after = reached_at - back_at
     return (
-        f"seen is as if all callers were reached again {after:+.2f} s from the end of the power cut"
+        f"seen is as if all callers were reached again {after:+.2f} s from the end of the dark time"
     )
 
 
--- a/tools/day_report.py
+++ b/tools/day_report.py
@@ -14,6 +14,9 @@
 
 MILLISECONDS = 1000
 POWER_OFF = "power_off_all"
+"""Only here no machine answers for `down_s`: where all processes were killed, more was earned than
+that would leave possible.
+"""
 
 
 class UnboundedDayError(Exception):
@@ -21,11 +24,14 @@
 
 
 class ClosingDay(NamedTuple):
-    """A played day that ends with power off everywhere; times are in seconds of the day.
+    """A played day that ends with no machine answering; times are in seconds of the day.
 
-    `classes` have the latency that the median request of the class had over the day.
+    `kind` is the closing fault with its variant. A variant may take more than the machines (the
+    bound is then only higher than what is possible). `classes` have the latency that the median
+    request of the class had over the day.
     """
 
+    kind: str
     began_at: float
     down_seconds: float
     machines_of_a_zone: int
@@ -44,10 +50,11 @@
         raise UnboundedDayError(f"{site.name} has no day {day!r}; name one of its [[day]] tables")
     seen = json.loads(report.read_text(encoding="utf-8"))
     closing = written.get("closing", {})
-    event = next((event for event in seen["events"] if _is_closing(event["kind"])), None)
+    event = next((event for event in seen["events"] if event["kind"].startswith("closing")), None)
     if closing.get("kind") != POWER_OFF or event is None:
         raise UnboundedDayError(f"{day} does not close with {POWER_OFF}; choose a day that does")
     return ClosingDay(
+        kind=" ".join(filter(None, (closing["kind"], closing.get("how")))),
         began_at=float(event["at_s"]),
         down_seconds=float(closing["down_s"]),
         machines_of_a_zone=max(1, seen["machines"] // len(seen["zones"])),
@@ -56,10 +63,6 @@
     )
 
 
-def _is_closing(kind: str) -> bool:
-    return kind.replace(" ", "") == f"closing({POWER_OFF})"
-
-
 def _windows(rows: list[dict[str, Any]]) -> tuple[Window, ...]:
     starts = [float(row["name"]) for row in rows]
     width = statistics.median(after - before for before, after in pairwise(starts))
