--- a/src/beamloom/platform/store_encoding.py
+++ b/src/beamloom/platform/store_encoding.py
@@ -120,6 +120,10 @@
     evacuate = ""
     if settings.evacuate_seconds is not None:
         evacuate = f"evacuate-ms = {settings.evacuate_seconds * MILLISECONDS}"
+    warm_up = ""
+    if settings.cold_starts is not None:
+        excess, slack = settings.cold_starts
+        warm_up = f"warmup-excess = {excess}\nwarmup-slack = {slack}"
     return f"""
 node-name = "{settings.node}"
 role = "balancer"
@@ -137,6 +141,12 @@
 drain-ms = {settings.drain_seconds * MILLISECONDS}
 contact-ms = {settings.contact_seconds * MILLISECONDS}
 {evacuate}
+{warm_up}
+[limits]
+cpu-share = {settings.capacity.cores}
+link-mbps = {settings.capacity.link_megabits}
+memory-mb = {settings.capacity.memory_megabytes}
+max-fds = {settings.capacity.descriptors}
 [zones]
 {zones}
 [platform]
