Refuse to write a bundle apart from the modules; compare paths as given

Cause: where the folder of a build is reached by a symbolic link, the resolved path of the bundle and the unresolved ones of the modules differ, and a bundle without any of ours would have been written: right, but as slow as none. Both are compared as given now, and a bundle without the program is an error of the build. Ruled out: resolving all paths (distributions link files of the library).

--- a/src/beamloom/runtime/bundle_writer.py
+++ b/src/beamloom/runtime/bundle_writer.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from beamloom.runtime.start_bundle import Index
 
+PROGRAM = "beamloom.runtime.token_node_main"
 LIST_MODULES = """
 import sys
 import beamloom.runtime.start_bundle  # what is loaded before the bundle is no use in it
@@ -38,8 +39,8 @@
 
 
 def write_bundle(path: Path) -> None:
-    """Write the bundle for this interpreter; raises OSError or subprocess.CalledProcessError."""
-    folder, library = path.resolve().parent, Path(library_folder())
+    """Write the bundle for this interpreter; raises OSError, ValueError or CalledProcessError."""
+    folder, library = path.absolute().parent, Path(library_folder())
     index: Index = {}
     code = b""
     for name in modules_of_a_start():
@@ -58,6 +59,8 @@
         below = str(file.relative_to(root))
         index[name] = (len(code), len(compiled), below, root is library, is_package)
         code += compiled
+    if PROGRAM not in index:
+        raise ValueError(f"{PROGRAM} is not in {folder}; write the bundle where it lies")
     head = marshal.dumps((sys.version, len(code), index))
     path.write_bytes(len(head).to_bytes(LENGTH_BYTES, "little") + head + code)
 
--- a/tests/functional/test_start_bundle.py
+++ b/tests/functional/test_start_bundle.py
@@ -129,6 +129,14 @@
         await self.wait_until_ready(1)
         await self.serve(1, 2000)
 
+    async def test_a_bundle_apart_from_the_modules_is_not_written(self) -> None:
+        apart = self.folder / "apart" / BUNDLE
+        apart.parent.mkdir()
+        with self.assertRaises(subprocess.CalledProcessError) as caught:
+            await self.run_python("-m", "beamloom.runtime.bundle_writer", str(apart))
+        self.assertIn("write the bundle where it lies", caught.exception.stderr)
+        self.assertFalse(apart.exists())
+
     async def test_a_bundle_that_is_of_no_use_is_told_and_passed_over(self) -> None:
         whole = self.bundle.read_bytes()
         other = whole.replace(sys.version.encode(), b"x" * len(sys.version), 1)
