--- a/src/beamloom/standins/token_store_server.py
+++ b/src/beamloom/standins/token_store_server.py
@@ -30,18 +30,18 @@
     """What the server does to calls.
 
     `unavailable` answers 503; `silent` takes calls and never answers; `throttled` answers 429;
-    `delay_seconds` comes before each answer; `refused_hosts` get 503, `throttled_hosts` 429 and
-    `silent_hosts` nothing while others are served; `lost_writes` does the next writes and drops
-    the connection.
+    `silent_hosts` and `throttled_hosts` get the same while others are served;
+    `delay_seconds` comes before each answer; `refused_hosts` get 503 while others are served;
+    `lost_writes` does the next writes and drops the connection.
     """
 
     unavailable: bool = False
     silent: bool = False
     throttled: bool = False
+    silent_hosts: set[str] = field(default_factory=set)
+    throttled_hosts: set[str] = field(default_factory=set)
     delay_seconds: float = 0.0
     refused_hosts: set[str] = field(default_factory=set)
-    throttled_hosts: set[str] = field(default_factory=set)
-    silent_hosts: set[str] = field(default_factory=set)
     lost_writes: int = 0
 
 
