--- a/src/beamloom/platform/node_settings.py
+++ b/src/beamloom/platform/node_settings.py
@@ -20,6 +20,7 @@
     to_names,
     to_number,
     to_positive,
+    to_seconds,
     to_text,
 )
 from beamloom.settings.token_node import ColdStartLimits, Endpoint, TokenNodeSettings
@@ -30,7 +31,6 @@
 DEFAULT_SETTINGS_PATH = "/etc/beamloom/node.toml"
 MARK_OF_SETTINGS = "bind-addrs"
 """A table that only this file has."""
-MILLISECONDS = 1000
 
 
 def settings_path() -> str:
@@ -63,12 +63,12 @@
         seeds=fields.read("seeds", to_hosts, (), required=False),
         stop_seconds=fields.read("bounds.grace-s", to_positive, 6.0, required=False),
         flow_seconds=fields.read("bounds.flow-max-s", to_positive, 60.0, required=False),
-        apply_seconds=fields.read("bounds.config-apply-ms", _milliseconds, 3.0, required=False),
-        drain_seconds=fields.read("bounds.drain-ms", _milliseconds, 3.0, required=False),
+        apply_seconds=fields.read("bounds.config-apply-ms", to_seconds, 3.0, required=False),
+        drain_seconds=fields.read("bounds.drain-ms", to_seconds, 3.0, required=False),
         capacity=limits.capacity,
         unusable_limits=limits.unusable,
-        contact_seconds=fields.read("bounds.contact-ms", _milliseconds, 4.0, required=False),
-        evacuate_seconds=fields.read("bounds.evacuate-ms", _milliseconds, None, required=False),
+        contact_seconds=fields.read("bounds.contact-ms", to_seconds, 4.0, required=False),
+        evacuate_seconds=fields.read("bounds.evacuate-ms", to_seconds, None, required=False),
         zones=fields.read("zones", to_names, (), required=False),
         cold_starts=_cold_start_limits(fields),
     )
@@ -82,16 +82,11 @@
 
     The share is of one core, and `cores` tells how many times as fast that core runs.
     """
-    share = fields.read("limits.cpu-share", to_number, None, required=False)
+    names = ("cpu-share", "link-mbps", "memory-mb", "max-fds")
+    told = [fields.read(f"limits.{name}", to_number, None, required=False) for name in names]
     speed = fields.read("limits.cores", to_number, 1.0, required=False)
-    return check_capacity(
-        (
-            None if share is None else share * speed,
-            fields.read("limits.link-mbps", to_number, None, required=False),
-            fields.read("limits.memory-mb", to_number, None, required=False),
-            fields.read("limits.max-fds", to_number, None, required=False),
-        )
-    )
+    cores = None if told[0] is None else told[0] * speed
+    return check_capacity((cores, *told[1:]))
 
 
 def _cold_start_limits(fields: FieldReader) -> ColdStartLimits | None:
@@ -103,10 +98,6 @@
 _NOWHERE = Endpoint("", 0)
 
 
-def _milliseconds(value: Any) -> float:  # noqa: ANN401 - any TOML value
-    return to_positive(value) / MILLISECONDS
-
-
 def _metrics_endpoint(document: Mapping[str, Any]) -> Endpoint | None:
     port = os.environ.get(METRICS_VARIABLE, "")
     return Endpoint(str(document.get("ip", "")), int(port)) if port.isdecimal() else None
--- a/src/beamloom/platform/packet_layout.py
+++ b/src/beamloom/platform/packet_layout.py
@@ -27,6 +27,8 @@
 FLAG_ACK = 32
 _ENDING = FLAG_FIN | FLAG_RST
 _PADDING = bytes(3)
+_NOTHING_MORE = (0, 0, 0, 0)
+"""ack, len, echo and sum of a reset."""
 
 
 def parse_packet(data: bytes) -> ClientPacket | None:
@@ -70,19 +72,8 @@
 def encode_reset(command: ResetFlow) -> bytes:
     """Return the packet that resets a client's flow."""
     destination, client_port, client, service_port = _FLOW_FIELDS.unpack(command.flow)
-    return HEAD.pack(
-        client,
-        service_port,
-        destination,
-        client_port,
-        command.sequence,
-        0,
-        0,
-        0,
-        0,
-        FLAG_RST,
-        _PADDING,
-    )
+    ends = (client, service_port, destination, client_port)
+    return HEAD.pack(*ends, command.sequence, *_NOTHING_MORE, FLAG_RST, _PADDING)
 
 
 def client_host(flow: bytes) -> str:
--- a/src/beamloom/platform/store_encoding.py
+++ b/src/beamloom/platform/store_encoding.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from beamloom.platform.store_objects import MILLISECONDS, OBJECTS_PATH, TERM_KEYS
@@ -12,8 +11,7 @@
 from beamloom.settings.token_node import TokenNodeSettings
 
 
-@dataclass(frozen=True, slots=True)
-class StoreCall:
+class StoreCall(NamedTuple):
     """A call to the store. `watch` is the revision to watch from; `wait_seconds` goes with it.
 
     `stale` asks for an answer that may be old.
--- a/src/beamloom/settings/field_reader.py
+++ b/src/beamloom/settings/field_reader.py
@@ -7,6 +7,8 @@
 
 from beamloom.settings.token_node import Endpoint
 
+MILLISECONDS = 1000
+
 Value = TypeVar("Value")
 Fallback = TypeVar("Fallback")
 
@@ -89,3 +91,8 @@
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError("a number is expected")
     return float(value)
+
+
+def to_seconds(value: Any) -> float:  # noqa: ANN401 - any value of a file
+    """Return seconds, above 0, for a number of milliseconds; raises TypeError or ValueError."""
+    return to_positive(value) / MILLISECONDS
