--- a/src/beamloom/cli/trace.py
+++ b/src/beamloom/cli/trace.py
@@ -14,6 +14,7 @@
 from beamloom.cli.errors import UsageError
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.output import write_line
+from beamloom.units import MILLISECONDS
 
 BACKEND_EVENTS = frozenset({"BackendChanged", "BackendGone", "OpeningUnanswered"})
 NODE_EVENTS = frozenset(
@@ -32,7 +33,6 @@
 )
 START_EVENT = "StartTimeline"
 END_OF_MOMENTS = "_ms"
-MILLISECONDS = 1000
 AROUND_SECONDS = 5.0
 """How long before and after a flow's lines those on its backends and nodes are shown."""
 HIDDEN_FIELDS = ("time", "node", "event")
--- a/src/beamloom/node/control_channel.py
+++ b/src/beamloom/node/control_channel.py
@@ -12,8 +12,7 @@
 from beamloom.protocol.errors import ProtocolError
 from beamloom.protocol.replay import ReplayGuard
 from beamloom.replication.budget import BudgetSnapshot, ControlBudget, Destination
-
-MILLISECONDS = 1000
+from beamloom.units import MILLISECONDS
 
 AddressOf = Callable[[NodeId], SocketAddress | None]
 
--- a/src/beamloom/node/own_limits.py
+++ b/src/beamloom/node/own_limits.py
@@ -22,12 +22,15 @@
 """From the least load to the most; the index is the value of the gauge."""
 
 SAMPLE_SECONDS = 1.0
+"""Between two samples: a heartbeat of nodes, as roles move no faster than these. By choice."""
 SHED_SHARE = 0.7
 """Of a limit; what is left bears the burst until roles have moved. By choice."""
 CLOSE_SHARE = 0.9
+"""Of a limit; what is left is for clients' packets alone. By choice."""
 BACK_MARGIN = 0.2
 """Below the share at which a state was entered by so much, it is left."""
 SAMPLES_TO_SHED = 2
+"""In a row: a burst of one second, such as a list of all backends, sheds nothing."""
 SAMPLES_TO_RETURN = 5
 """Roles come back after 5 s of less load: longer than peers take to find others (4 s), so that a
 role does not go to and fro.
--- a/src/beamloom/node/view_codecs.py
+++ b/src/beamloom/node/view_codecs.py
@@ -32,13 +32,16 @@
     ServiceWarmUp,
     ZoneEvacuation,
 )
+from beamloom.units import MILLISECONDS
 
 Record = TypeVar("Record")
 
 LENGTH_WITH_DIFFERENCE = 4
+"""Fields of a change that carries a difference in place of a record."""
 PLAIN_ROUTE_LENGTH = 3
+"""Fields of a route whose terms are all defaults; they follow where they are not."""
 READABLE_TERMS_LENGTH = 4
-MILLISECONDS = 1000
+"""Fields of terms that could all be read; the names of the others follow."""
 REQUEST_KINDS = (RequestKind.UNSAFE, RequestKind.SAFE, RequestKind.DOWNLOAD)
 """By the number that stands for each between nodes; new ones are added at the end."""
 BASES_NAMED = 8
--- a/src/beamloom/platform/store_encoding.py
+++ b/src/beamloom/platform/store_encoding.py
@@ -6,9 +6,10 @@
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from beamloom.platform.store_objects import MILLISECONDS, OBJECTS_PATH, TERM_KEYS
+from beamloom.platform.store_objects import OBJECTS_PATH, TERM_KEYS
 from beamloom.routing.tokens.records import BackendRecord, RoutingConfiguration, plain_terms
 from beamloom.settings.token_node import TokenNodeSettings
+from beamloom.units import MILLISECONDS
 
 
 class StoreCall(NamedTuple):
@@ -110,8 +111,7 @@
         evacuate = f"evacuate-ms = {settings.evacuate_seconds * MILLISECONDS}"
     warm_up = ""
     if settings.cold_starts is not None:
-        excess, slack = settings.cold_starts
-        warm_up = f"warmup-excess = {excess}\nwarmup-slack = {slack}"
+        warm_up = "warmup-excess = {}\nwarmup-slack = {}".format(*settings.cold_starts)
     return f"""
 node-name = "{settings.node}"
 role = "balancer"
--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -21,6 +21,7 @@
     ZoneEvacuation,
     read_terms,
 )
+from beamloom.units import MILLISECONDS
 
 READINESS_PATH = "/beamloom/readiness"
 OBJECTS_PATH = "/beamloom/objects/"
@@ -32,7 +33,6 @@
 TOKEN_SECRET_NAME = "routing-token"
 
 STALE_QUERY = "stale=1"
-MILLISECONDS = 1000
 
 TERM_KEYS = {
     "kind": "type",
--- a/src/beamloom/replication/answer_budget.py
+++ b/src/beamloom/replication/answer_budget.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from beamloom.settings.capacity import Capacity
+from beamloom.units import BYTES_PER_MEGABIT
 
 ANSWER_SHARE = 0.04
 """Of the link; with digests and clients' packets a node is to stay under a tenth of it."""
@@ -23,7 +24,6 @@
 """
 LEAST_SHARE = 0.05
 """Of the rate, also in a node that answers nothing else, for peers that found nobody else."""
-BYTES_PER_MEGABIT = 125_000
 
 
 class AnswerBudget:
--- a/src/beamloom/replication/backend_reports.py
+++ b/src/beamloom/replication/backend_reports.py
@@ -12,10 +12,10 @@
 from beamloom.protocol.view_messages import ViewDigest
 from beamloom.replication.down_reports import DownReports
 from beamloom.replication.silence_reports import SilenceReport, SilenceReports
+from beamloom.units import MILLISECONDS
 
 TELLING_SECONDS = 0.5
 """Reports are told this often at most; hundreds come where much fails."""
-MILLISECONDS = 1000
 
 Told = list[tuple[str, str, int]]
 """Reports as a digest holds them: backend, reporter, milliseconds since."""
--- a/src/beamloom/replication/fleet_share.py
+++ b/src/beamloom/replication/fleet_share.py
@@ -18,6 +18,7 @@
 KEPT_SECONDS = 1.0
 """For how long an answer is kept; hosts come and go more seldom."""
 MOST_KEPT = 4096
+"""Answers; as many as a service of the design target has backends. By choice."""
 DRAWS_TO_CHANGE = 2
 """So many draws in a row, KEPT_SECONDS apart, must differ before a key changes hands: a peer that
 is unheard for a moment moves nothing. It is below the shortest contact bound (4 s).
@@ -25,7 +26,9 @@
 _DIGEST_BYTES = 8
 _KEY_BYTES = 8
 _FRACTION_BITS = 52
+"""Of a hash, as many as a float holds exactly (IEEE 754)."""
 _SPARE_BITS = 8 * _DIGEST_BYTES - _FRACTION_BITS
+"""Those of the hash that are left over."""
 
 
 class FleetShare:
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -29,6 +29,7 @@
 from beamloom.replication.stop_turns import StopState, StopTurns
 from beamloom.replication.view_pulls import SendToHost, ViewPulls
 from beamloom.settings.capacity import LEAST, from_wire, to_wire
+from beamloom.units import MILLISECONDS
 
 DIRECT_PEERS = 12
 FORWARD_PEERS = 5
@@ -48,7 +49,6 @@
 ANSWER_SECONDS = 0.2
 """A peer that is behind is told so at most this often."""
 OLDEST_AGE_SECONDS = 60.0
-MILLISECONDS = 1000
 
 
 class ViewExchange:
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -28,6 +28,7 @@
 
 
 HIGHEST_PRIORITY = 0
+"""Of a route; higher numbers are less urgent (the platform's protocol)."""
 RESERVED_SLOTS = 1
 """Of each backend that has more: a burst of other requests finds the rest, then each other backend,
 and only then these.
--- a/src/beamloom/routing/tokens/records.py
+++ b/src/beamloom/routing/tokens/records.py
@@ -5,8 +5,9 @@
 from enum import Enum
 from typing import Any, NamedTuple
 
+from beamloom.units import MILLISECONDS
+
 DEFAULT_IDLE_SECONDS = 15.0
-MILLISECONDS = 1000
 
 
 class BackendState(Enum):
--- a/src/beamloom/runtime/connection_limits.py
+++ b/src/beamloom/runtime/connection_limits.py
@@ -11,8 +11,7 @@
 from typing import NamedTuple
 
 from beamloom.replication.reading_times import CALL_PATIENCE_SECONDS
-
-MILLISECONDS = 1000
+from beamloom.units import MILLISECONDS
 
 CONNECT_SECONDS = 0.7
 """Connecting anew beats waiting: a lost opening packet is repeated only after a second or more."""
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -20,8 +20,7 @@
 from beamloom.routing.tokens.liveness import CheckOutcome
 from beamloom.routing.tokens.records import BackendRecord
 from beamloom.telemetry.event_log import EventLog, FieldValue
-
-MILLISECONDS = 1000
+from beamloom.units import MILLISECONDS
 
 Age = Callable[[], float | None]
 
--- a/src/beamloom/runtime/node_process.py
+++ b/src/beamloom/runtime/node_process.py
@@ -42,10 +42,10 @@
     read_secrets,
 )
 from beamloom.settings.node_file import NodeSettings
+from beamloom.units import MILLISECONDS
 
 STOP_MARGIN_SECONDS = 5.0
 LEAVE_REPORT_SECONDS = 2.0
-MILLISECONDS = 1000
 
 
 def new_node_id(configured: str, start_milliseconds: int) -> NodeId:
--- a/src/beamloom/runtime/own_usage.py
+++ b/src/beamloom/runtime/own_usage.py
@@ -9,12 +9,12 @@
 
 from beamloom.node.own_limits import Usage
 from beamloom.settings.capacity import Capacity
+from beamloom.units import BYTES_PER_MEGABIT, BYTES_PER_MEGABYTE
 
 STATM_PATH = "/proc/self/statm"
 DESCRIPTORS_PATH = "/proc/self/fd"
 RESIDENT_FIELD = 1
-BYTES_PER_MEGABYTE = 1 << 20
-BYTES_PER_MEGABIT = 125_000
+"""Of statm: the pages that are in memory (proc(5))."""
 PEER_LINK_SHARE = 0.1
 """Of the link, for what nodes tell each other; the rest is for clients' packets."""
 SLOW_SAMPLES = 5
--- a/src/beamloom/runtime/peer_link.py
+++ b/src/beamloom/runtime/peer_link.py
@@ -18,8 +18,8 @@
 from beamloom.protocol.replay import ReplayGuard
 from beamloom.protocol.secret_messages import OPEN_KEY, SecretAnswer, SecretRequest
 from beamloom.runtime.datagrams import DatagramSocket
+from beamloom.units import MILLISECONDS
 
-MILLISECONDS = 1000
 OPEN_KEYS = KeyRing((OPEN_KEY,))
 
 Received = Callable[[str, Message], None]
--- a/src/beamloom/runtime/start_bundle.py
+++ b/src/beamloom/runtime/start_bundle.py
@@ -23,6 +23,7 @@
     Index = dict[str, tuple[int, int, str, bool, bool]]
 
 LENGTH_BYTES = 8
+"""At the beginning of the file: the length of the head that follows."""
 
 
 class BundleFinder:
--- a/src/beamloom/runtime/start_timeline.py
+++ b/src/beamloom/runtime/start_timeline.py
@@ -9,6 +9,7 @@
 import time
 
 from beamloom.telemetry.histogram import LatencyHistogram
+from beamloom.units import MILLISECONDS
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -44,7 +45,6 @@
 """More processor time cannot have gone by before the first own line: the process clock of such a
 host counts something else, and tells nothing here. A hundred times what it takes; by choice.
 """
-MILLISECONDS = 1000
 
 
 class StartTimeline:
--- a/src/beamloom/settings/capacity.py
+++ b/src/beamloom/settings/capacity.py
@@ -46,6 +46,7 @@
 MOST = Capacity(4096.0, 1e7, 1e9, 1e8)
 """Beyond these no machine is; what is told beyond them is a mistake."""
 LOWEST_RANK = 9
+"""Ranks are one decimal digit: nine doublings from the least machine to 0."""
 
 UNITS_ON_THE_WIRE = Capacity(1000.0, 10.0, 1.0, 1.0)
 """Messages tell whole thousandths of a core, tenths of a megabit, megabytes, descriptors."""
--- a/src/beamloom/settings/field_reader.py
+++ b/src/beamloom/settings/field_reader.py
@@ -6,8 +6,7 @@
 from typing import Any, TypeVar
 
 from beamloom.settings.token_node import Endpoint
-
-MILLISECONDS = 1000
+from beamloom.units import MILLISECONDS
 
 Value = TypeVar("Value")
 Fallback = TypeVar("Fallback")
