Let every node tell as many peers of a change as before, able ones more

With the least machines telling three peers, a change that came alone missed some nodes, which heard of it by the next heartbeat: 1.0 s until the last of 150 nodes knew, 0.05 s without roles by capacity (trial in memory, six changes). Each digest also weighed all peers anew. Ruled out: losses on the way (none in that trial).

--- a/src/beamloom/replication/peer_table.py
+++ b/src/beamloom/replication/peer_table.py
@@ -15,8 +15,6 @@
 MAXIMUM_PEERS = 2048
 SAMPLE_SIZE = 8
 OWN_ZONE_SHARE = 0.85
-LEAST_TOLD = 3
-"""Peers that the least machine tells all the same: able ones may be lost, cut or frozen."""
 MOST_TOLD = 24
 """Peers that the ablest machine tells: some 6 kB of digests for each change."""
 UNKNOWN_RANK = -1
@@ -40,6 +38,7 @@
         self.host = host
         self.zone = zone
         self.capacity = capacity
+        self._ableness = 1.0
         self._ranks: dict[str, int] = {}
         self._capacities: dict[str, Capacity] = {}
         self._zones: dict[str, str] = {}
@@ -113,14 +112,10 @@
     def fan_out(self, count: int) -> int:
         """Return to how many peers this node passes on what usually goes to `count`.
 
-        Who is told asks the teller: able machines tell more peers and the least tell few, as many
-        as before in all where the machines are alike.
+        Able machines tell more. None tells fewer: with three peers told by each of the least, a
+        change took 1 s to reach the last of 150 nodes, and 0.05 s with five to seven (in memory).
         """
-        if not self._heard:
-            return count
-        weights = [self.weight_of(host) for host in self._heard]
-        own = self.capacity.weight * len(weights) / sum(weights)
-        return max(min(count, LEAST_TOLD), min(MOST_TOLD, round(count * own)))
+        return max(count, min(MOST_TOLD, round(count * self._ableness)))
 
     def forget_silent(self, now: float) -> None:
         """Drop hosts that nobody has heard for long."""
@@ -132,6 +127,12 @@
         self._capacities = {
             host: told for host, told in self._capacities.items() if host in self._heard
         }
+        self._compare_with_peers()
+
+    def _compare_with_peers(self) -> None:
+        """Take how much more than its peers, on average, this node can bear."""
+        weights = [self.weight_of(host) for host in self._heard]
+        self._ableness = self.capacity.weight * len(weights) / sum(weights) if weights else 1.0
 
     def choose(self, count: int) -> list[str]:
         """Return up to so many hosts, drawn by chance; all of them where there are no more."""
