Block signals until a node can obey them, and again while it ends

What operators saw: a node that got SIGHUP right after a planned restart was gone (exit status -1), and one that had stopped as planned seemed killed.

Cause: handlers were installed by the first coroutine, after all imports; the interpreter sets them back while it shuts down. Around that the default action ends a process. Ruled out: a fault in the handler (SigCgt shows none there yet).

Change: the first own line blocks SIGTERM, SIGINT and SIGHUP, the handlers unblock them, the end of service blocks them again; the kernel keeps one of each. A node that was never ready ends at once (2.5 s before). `beamloom run balancer` does the same. The soak installs and starts nodes as deployed, and tells the last signal of a node that is gone.

Conclusion: what is left is the interpreter's own start, which no program can guard; whoever starts a node may block the signals for it.

--- a/src/beamloom/cli/main.py
+++ b/src/beamloom/cli/main.py
@@ -3,6 +3,12 @@
 from __future__ import annotations
 
 import sys
+
+from beamloom.runtime.signal_mask import block_signals
+
+if sys.argv[1:3] == ["run", "balancer"]:
+    block_signals()  # before what takes the most time of a start
+
 from collections.abc import Sequence
 from importlib.metadata import version
 
--- a/src/beamloom/runtime/node_process.py
+++ b/src/beamloom/runtime/node_process.py
@@ -41,6 +41,7 @@
     read_fleet_keys,
     read_secrets,
 )
+from beamloom.runtime.signal_mask import block_signals, unblock_signals
 from beamloom.settings.node_file import NodeSettings
 from beamloom.units import MILLISECONDS
 
@@ -267,7 +268,7 @@
 
 
 def handle_signals(process: NodeProcess) -> Callable[[], None]:
-    """Route this process's signals to a node; returns what takes that back."""
+    """Route this process's signals to a node; returns what takes that back at its end."""
     loop = asyncio.get_running_loop()
     handlers = {
         signal.SIGTERM: process.request_stop,
@@ -276,8 +277,10 @@
     }
     for number, handler in handlers.items():
         loop.add_signal_handler(number, handler)
+    unblock_signals()
 
     def restore() -> None:
+        block_signals()
         for number in handlers:
             loop.remove_signal_handler(number)
 
--- a/src/beamloom/runtime/planned_stop.py
+++ b/src/beamloom/runtime/planned_stop.py
@@ -3,7 +3,8 @@
 Routers ask a node whether it is ready and turn away after MISSES_NEEDED answers that it is not. The
 node answers them itself, so it knows when they have; forwarding longer only means that it is still
 away when the next node of its zone is stopped. Before it says that it is not ready it waits for its
-turn (`replication/stop_turns.py`), as far as the time that it has allows.
+turn (`replication/stop_turns.py`), as far as the time that it has allows. A node that was never
+ready holds no flow, and no router has turned to it: it waits for nobody.
 """
 
 from __future__ import annotations
@@ -53,8 +54,11 @@
         self._misses = 0
         self._missed_at = float("-inf")
 
-    def ask(self) -> None:
-        """Note that the node was asked to stop."""
+    def ask(self, *, in_use: bool = True) -> None:
+        """Note that the node was asked to stop; one that is not `in_use` was never ready."""
+        if not in_use:
+            self._forwards = False
+            self._turn_seconds = 0.0
         self._asked.set()
 
     def note_miss(self, now: float) -> None:
--- a/src/beamloom/runtime/start.py
+++ b/src/beamloom/runtime/start.py
@@ -24,9 +24,12 @@
 
 def main() -> int:
     """Run one node from the installed files; return the exit status."""
-    gc.disable()
     folder = os.path.abspath(__file__).rsplit("/", LEVELS_UP)[0]
     sys.path[0] = folder  # not this file's own, which would hide modules of the same names
+    from beamloom.runtime.signal_mask import block_signals
+
+    block_signals()
+    gc.disable()
     from beamloom.runtime.start_bundle import drop_bundle, use_bundle
 
     bundle = use_bundle(f"{folder}/{BUNDLE}")
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -2,7 +2,7 @@
 
 Ready means: a whole list of backends, a configuration and the fleet's key have been read since the
 start, and no stop was asked for. After SIGTERM the node is unready at once and forwards on until
-the routers have turned to others.
+the routers have turned to others; one that was never ready has nothing to forward and ends at once.
 """
 
 from __future__ import annotations
@@ -34,6 +34,7 @@
 from beamloom.runtime.limit_watch import LimitWatch
 from beamloom.runtime.packet_socket import PacketSocket
 from beamloom.runtime.planned_stop import PlannedStop
+from beamloom.runtime.signal_mask import block_signals, unblock_signals
 from beamloom.runtime.start_timeline import StartLog, StartTimeline
 from beamloom.runtime.store_follower import StoreFollower
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
@@ -140,7 +141,7 @@
         """Ask for a planned stop."""
         self.decisions.life("StopRequested", flows=len(self.core.router.flows))
         self.start.stop()
-        self._stop.ask()
+        self._stop.ask(in_use=self._was_ready)
         self.core.ask_to_stop(time.monotonic())
         self.follower.send()
 
@@ -170,8 +171,14 @@
         )
 
     async def run(self) -> None:
-        """Serve until a stop is asked for, then until it is complete."""
+        """Serve until a stop is asked for, then until it is complete; obey signals meanwhile."""
         self._handle_signals()
+        try:
+            await self._serve()
+        finally:
+            block_signals()
+
+    async def _serve(self) -> None:
         await self._responder.start(*self.settings.readiness.pair)
         self.start.note("listening")
         await self._start_metrics()
@@ -257,6 +264,7 @@
             (signal.SIGHUP, self.reload),
         ):
             signal.signal(number, partial(_call_in_loop, loop, obey))
+        unblock_signals()
 
     def _close(self) -> None:
         if self._judgement is not None:
--- a/src/beamloom/runtime/token_node_main.py
+++ b/src/beamloom/runtime/token_node_main.py
@@ -5,6 +5,11 @@
 
 from __future__ import annotations
 
+from beamloom.runtime.signal_mask import block_signals
+
+if __name__ == "__main__":
+    block_signals()  # before what takes the most time of a start
+
 import functools
 import gc
 import os
--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -22,6 +22,7 @@
 from beamloom.soak.endpoint import SoakEndpoint
 from beamloom.soak.nodes import PACKETS_PORT, STOP_SECONDS, NodeProcess, node_settings
 from beamloom.soak.platform_side import SoakPlatform
+from beamloom.soak.program import install_program
 from beamloom.soak.proxy import ProxyFault, StoreProxy
 from beamloom.standins.flow_packets import FlowEnd, FlowPacket, decode_forwarded, decode_packet
 from beamloom.standins.token_client import FlowPlan, FlowState, TokenClientFlow
@@ -68,6 +69,7 @@
 
     async def start(self) -> None:
         """Start store, endpoints and nodes; return when all nodes are ready."""
+        self._program = await asyncio.to_thread(install_program, self._folder)
         await self.platform.start()
         for number in range(1, self._node_count + 1):
             await self._add_node(number)
@@ -183,7 +185,7 @@
         )
         await proxy.start(f"{self._network}.3.{number}")
         settings = node_settings(self._network, number, proxy.port)
-        self.nodes[name] = NodeProcess(settings, self._folder)
+        self.nodes[name] = NodeProcess(settings, self._folder, self._program)
         self.nodes[name].start()
         self.note_disturbed(name, START_ALLOWANCE_SECONDS)
 
--- a/src/beamloom/soak/nodes.py
+++ b/src/beamloom/soak/nodes.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import os
 import signal
 import subprocess
-import sys
+import time
 import urllib.error
 import urllib.request
 from pathlib import Path
@@ -18,6 +17,8 @@
 from beamloom.simulation.tokens.deployment import ZONES
 from beamloom.simulation.tokens.oracle import EVACUATE_SECONDS
 from beamloom.soak.cold_openings import LIMITS
+from beamloom.soak.program import NodeProgram
+from beamloom.units import MILLISECONDS
 
 READINESS_SECONDS = 0.4
 PACKETS_PORT = 19172
@@ -58,15 +59,18 @@
 class NodeProcess:
     """One node's process; its log is kept in the soak's folder over all of its starts."""
 
-    def __init__(self, settings: TokenNodeSettings, folder: Path) -> None:
+    def __init__(self, settings: TokenNodeSettings, folder: Path, program: NodeProgram) -> None:
         self.name = settings.node
         self.host = settings.host
         self.misses = 2
         self.starts = 0
+        self.last_signal = "none"
         self._readiness = settings.readiness
         self._settings = folder / f"{settings.node}.toml"
         self._log_path = folder / f"{settings.node}.log"
+        self._program = program
         self._process: subprocess.Popen[bytes] | None = None
+        self._started_at = 0.0
         self._settings.write_text(encode_settings(settings), encoding="utf-8")
 
     @property
@@ -86,15 +90,19 @@
         self.starts += 1
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "beamloom.runtime.token_node_main"],
-                env={**os.environ, SETTINGS_VARIABLE: str(self._settings)},
+                self._program.command,
+                env={**self._program.environment, SETTINGS_VARIABLE: str(self._settings)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
+        self._started_at = time.monotonic()
+        self.last_signal = "none"
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         if self._process is not None and self.running:
+            age = MILLISECONDS * (time.monotonic() - self._started_at)
+            self.last_signal = f"{number.name} {age:.0f} ms after its start"
             self._process.send_signal(number)
 
     def end(self) -> None:
--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -110,7 +110,7 @@
     for node in harness.nodes.values():
         status = node.exit_status
         if status is not None:
-            detail = f"{node.name} does not run: exit status {status}"
+            detail = f"{node.name} does not run: exit status {status}; last {node.last_signal}"
             harness.oracle.report("process", harness.now, detail)
         elif node.misses:
             detail = f"{node.name} is not ready {QUIET_END_SECONDS:g} s after the last fault"
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -1,6 +1,12 @@
 """A short soak with a fixed seed; longer ones with fresh seeds are started by hand.
 
 Its module runs after all others: what it judges are times of real processes.
+
+Once a node was gone at its end (exit status -1): its platform had told it, right after a planned
+restart, that its settings have changed. Its handlers were installed only when all of its modules
+had been imported, which beside other work took 0.2 s; tests/functional/test_signals.py tells how
+that was found, and sends signals at every moment of a node's life. What ends a node now tells which
+signal it got last and how long after its start.
 """
 
 import asyncio
