Take a former owner of an address up again at the revision of its own entry

Cause: a view holds on to what it knows to be newer than the copy, and believes the store once the writers have had their time. What it took up then it told at the revision of the whole view. The entry of the address's former owner, written as number 10, came as 13 and so after the living one's 11: the living one counted as ended. It takes a node that started when the former owner had gone and before it knew any service, as only then that one is not marked as ended.

Change: `StoreView.settle` tells each word at its own revision.

--- a/src/beamloom/replication/store_view.py
+++ b/src/beamloom/replication/store_view.py
@@ -158,7 +158,9 @@
             named = self._present.get(name)
             told = None if named is None else named.record
             if told != kept[name]:
-                changes.append(ObjectChange(name, self.revision, told))
+                # At its own revision: the view's would make it later than what came after it.
+                at = self.revision if named is None else named.revision
+                changes.append(ObjectChange(name, at, told))
         return tuple(changes)
 
     def apply(
--- a/tests/unit/simulation/test_store_restored.py
+++ b/tests/unit/simulation/test_store_restored.py
@@ -84,7 +84,11 @@
         self.assert_no_rule_breaks(UNTOLD_SEEDS, tells_era=False)
 
     def test_nor_where_nodes_start_before_others_have_noticed_an_untold_restore(self) -> None:
-        """A node that starts counts in no era, as do those that missed the restore."""
+        """What was taken for two orders of revisions was one entry, told at a wrong revision.
+
+        A node reset two flows of a living backend when it believed the entry of the former owner of
+        its address again; tests/unit/tokens/test_backend_lives.py tells how.
+        """
         options = TokenRunOptions(4023, faults=18, steady=False, restores=5, tells_era=False)
         self.assertEqual(run_tokens(options).violations, [])
 
--- a/tests/unit/tokens/test_backend_lives.py
+++ b/tests/unit/tokens/test_backend_lives.py
@@ -4,6 +4,7 @@
 
 from beamloom.model.store_revision import revision_in_era
 from beamloom.node.backend_judge import BackendJudge
+from beamloom.node.record_orders import BackendOrder
 from beamloom.node.token_core import TokenCore
 from beamloom.replication.store_view import NamedRecord, ObjectChange
 from beamloom.routing.tokens.backend_table import BackendTable
@@ -200,6 +201,55 @@
         self.assertEqual((found.ended, former.ended), (False, True))
 
 
+class FormerOwnerTest(unittest.TestCase):
+    """A restored store lists who had an address before, beside the one that has it now.
+
+    What users saw: flows of a living backend were reset. Its address had belonged to another, which
+    had drained and gone; the copy held that one's entry again. Nodes did not believe it for as long
+    as its writer could have repeated it. Then they took it up at the revision of their whole view
+    in place of its own, by which it came later to the address than the one that lives. It struck
+    nodes that had started when the former owner was gone already and no service was known yet.
+
+    The evidence, from seed 4023 of the simulation: the former owner's entry was written as number
+    10 and taken up as 13 at 35.82 s; the living one's was 11; both of its flows ended as
+    `backend_ended` at that moment. Whether the store tells its era makes no difference.
+    """
+
+    def test_it_does_not_end_the_one_that_lives_when_it_is_believed_again(self) -> None:
+        former = backend(1, port=8001)._replace(state=BackendState.DRAINING, sequence=9)
+        living = backend(2, port=8001)
+        core = new_core()
+        core.router.backends.use_services(frozenset(), NOW)
+        self.list(core, revision_in_era(1, 30), self.named(1, 10, former))
+        self.apply(core, 1, 31, living)
+        self.remove(core, 1, 32, former)
+        core.router.backends.use_services(frozenset({"tracker"}), NOW)
+        self.list(core, revision_in_era(2, 20), self.named(2, 10, former))
+        self.apply(core, 2, 21, living)
+        self.apply(core, 2, 22, backend(3))
+        core.advance(NOW)
+        core.advance(NOW + BackendOrder().settle_seconds + 0.25)
+        self.assertFalse(core.backends.keeps_words)
+        found = core.router.backends.find(living.name)
+        assert found is not None
+        self.assertFalse(found.ended)
+        self.assertTrue(found.takes_flows)
+
+    def list(self, core: TokenCore, revision: int, named: NamedRecord[BackendRecord]) -> None:
+        core.take_backends(core.backends.replace([named], revision), NOW)
+
+    def named(self, era: int, number: int, record: BackendRecord) -> NamedRecord[BackendRecord]:
+        return NamedRecord(record.name, revision_in_era(era, number), record)
+
+    def apply(self, core: TokenCore, era: int, number: int, record: BackendRecord) -> None:
+        change = ObjectChange(record.name, revision_in_era(era, number), record)
+        core.take_backends(core.backends.apply([change], change.revision), NOW)
+
+    def remove(self, core: TokenCore, era: int, number: int, record: BackendRecord) -> None:
+        change = ObjectChange[BackendRecord](record.name, revision_in_era(era, number), None)
+        core.take_backends(core.backends.apply([change], change.revision), NOW)
+
+
 class UnheardStartTest(unittest.TestCase):
     """A backend whose process was gone and that can be reached again has started anew."""
 
