Believe a backend that says after its zone's return that it is warm

Change: a return is told with the revision at which the zone was taken back (where only a list told, the list's, which is later); an entry of a higher revision of the same era that tells no warm-up ends the presumption, in whichever order the two are heard. Another era's ends nothing. A presumption for a process that was gone is kept apart and stays as it was.

--- a/src/beamloom/node/evacuation_follower.py
+++ b/src/beamloom/node/evacuation_follower.py
@@ -8,7 +8,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import TYPE_CHECKING, Any
 
 from beamloom.node.record_orders import EvacuationOrder
@@ -34,9 +34,11 @@
     """The evacuations of one node.
 
     `since` tells when this node heard of each, in seconds of the steady clock. `on_zones` is called
-    with all evacuated zones where they change, `on_change` with each zone, whether it is evacuated
-    now, and the revision. What names none of `known_zones` is counted and changes nothing; without
-    any, all are taken. While calls of `leader`, which reads another kind, fail, only readers ask.
+    where they change, with all evacuated zones, and with the revision at which each that is so no
+    longer was taken back (a later one where a list told). `on_change` is called with each zone,
+    whether it is evacuated now, and the revision. What names none of `known_zones` is counted and
+    changes nothing; without any, all are taken. While calls of `leader`, which reads another kind,
+    fail, only readers ask.
     """
 
     def __init__(
@@ -62,7 +64,9 @@
         )
         self.since: dict[str, float] = {}
         self.counters: Counter[str] = Counter()
-        self.on_zones: Callable[[frozenset[str], float], None] = lambda zones, now: None
+        self.on_zones: Callable[[frozenset[str], float, Mapping[str, int]], None] = (
+            lambda zones, now, returns: None
+        )
         self.on_change: Callable[[str, bool, int], None] = lambda zone, evacuated, revision: None
         self.on_unknown: Callable[[str], None] = lambda zone: None
         self._kept = KeptWords(self.view, self.apply)
@@ -93,7 +97,9 @@
         for change in changes:
             self._apply_one(change, now)
         if self.since.keys() != before:
-            self.on_zones(frozenset(self.since), now)
+            gone = (change for change in changes if change.record is None)
+            returns = {change.name: change.revision for change in gone}
+            self.on_zones(frozenset(self.since), now, returns)
 
     def _apply_one(self, change: ObjectChange[ZoneEvacuation], now: float) -> None:
         zone = change.name
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from beamloom.model.store_revision import era_of
 from beamloom.routing.tokens.answer_pace import AnswerPace
@@ -20,6 +20,7 @@
 """The others must bear what these would get; by choice."""
 GONE_BACKEND_SECONDS = 75.0
 """Longer than a flow is kept (60 s)."""
+NO_RETURNS: Mapping[str, int] = {}
 
 
 class Backend:
@@ -33,7 +34,8 @@
     that a check found it dead; `failing_until`, that it fails requests, for the
     `failing_spells`-th time after another such spell; `doubted_until`, that requests which may not
     run twice are better kept from it. It may be cold, as after a start, until `cold_until`:
-    `told_cold_until` by its own word, `presumed_cold_until` where nobody tells.
+    `told_cold_until` by its own word, `presumed_cold_until` where nobody tells, and
+    `returned_cold_until` since its zone was taken back, at the revision `zone_returned_at`.
     `revision` is that of the store's last word on it. `answered_at` is when it last answered an
     opening, `alive_at` when anything last came of it, `pace` how long its answers take. It is not
     checked before `check_from`; so many checks (`same_outcomes`) in a row told the same. With
@@ -60,12 +62,14 @@
         "pending",
         "presumed_cold_until",
         "record",
+        "returned_cold_until",
         "revision",
         "same_outcomes",
         "stalled",
         "suspect_until",
         "told_cold_until",
         "was_refused",
+        "zone_returned_at",
     )
 
     def __init__(
@@ -78,6 +82,8 @@
         self.evacuated = False
         self.told_cold_until = float("-inf")
         self.presumed_cold_until = float("-inf")
+        self.returned_cold_until = float("-inf")
+        self.zone_returned_at: int | None = None
         self.gone_at: float | None = None
         self.forgotten = False
         self.pending = 0
@@ -109,10 +115,27 @@
         is_cold = record.warm_up_seconds > 0
         self.told_cold_until = now + record.warm_up_seconds if is_cold else float("-inf")
 
+    def note_zone_returned(self, revision: int | None, cold_until: float) -> None:
+        """Take it for cold, as its zone was taken back, unless it has said since that it is not."""
+        self.zone_returned_at = revision
+        self.returned_cold_until = max(self.returned_cold_until, cold_until)
+        self.note_word_since_return(self.record)
+
+    def note_word_since_return(self, record: BackendRecord) -> None:
+        """Believe an entry that was written after the zone's return and tells no warm-up.
+
+        Revisions of two eras tell nothing of it: what a restored store holds may be older.
+        """
+        returned_at = self.zone_returned_at
+        if returned_at is None or record.warm_up_seconds > 0:
+            return
+        if self.revision > returned_at and era_of(self.revision) == era_of(returned_at):
+            self.returned_cold_until = float("-inf")
+
     @property
     def cold_until(self) -> float:
         """Until when it may be cold, as it says itself or as this node must presume."""
-        return max(self.told_cold_until, self.presumed_cold_until)
+        return max(self.told_cold_until, self.presumed_cold_until, self.returned_cold_until)
 
     @property
     def takes_flows(self) -> bool:
@@ -207,17 +230,21 @@
         """Take how long backends of each service may be cold."""
         self._warm_up_seconds = {warm_up.service: warm_up.seconds for warm_up in warm_ups}
 
-    def evacuate(self, zones: frozenset[str], now: float) -> None:
+    def evacuate(
+        self, zones: frozenset[str], now: float, returns: Mapping[str, int] = NO_RETURNS
+    ) -> None:
         """Let backends of these zones, and of no others, get no new flows.
 
-        Those of a zone that is taken back may have turned cold unheard.
+        Those of a zone that is taken back may have turned cold unheard; `returns` tells at which
+        revision of the store each was, where that is known.
         """
         self._evacuated_zones = zones
         for backend in self._by_name.values():
             evacuated = backend.record.zone in zones
             if backend.evacuated and not evacuated:
                 seconds = self._warm_up_seconds.get(backend.record.service, 0.0)
-                backend.presumed_cold_until = max(backend.presumed_cold_until, now + seconds)
+                revision = returns.get(backend.record.zone)
+                backend.note_zone_returned(revision, now + seconds)
             backend.evacuated = evacuated
 
     def update(self, record: BackendRecord, revision: int, now: float) -> bool:
@@ -228,6 +255,7 @@
             self._add(record, revision, now)
             return True
         known.revision = revision
+        known.note_word_since_return(record)
         came_back = known.gone_at is not None
         known.gone_at = None
         if _is_another(known.record, record):
--- a/tests/unit/tokens/test_backend_lives.py
+++ b/tests/unit/tokens/test_backend_lives.py
@@ -309,6 +309,44 @@
         self.table.update(backend(1, slots=3), 3, NOW + 2.5)
         self.assertEqual(self.cold_until(), NOW + 6.0)
 
+    def return_zone(self, revision: int) -> None:
+        self.table.evacuate(frozenset({ZONE}), NOW + 1.0)
+        self.table.evacuate(frozenset(), NOW + 2.0, {ZONE: revision})
+
+    def test_one_that_says_after_its_zones_return_that_it_is_warm_is(self) -> None:
+        """Told on a page, on no list: nodes held warm backends for cold for 4 s on that word.
+
+        The store counts the changes of all kinds in one order, so that the entry's revision and the
+        return's tell which was written first.
+        """
+        self.table.update(backend(1), 2, NOW + 0.8)
+        self.return_zone(7)
+        self.assertEqual(self.cold_until(), NOW + 6.0)
+        self.table.update(backend(1, slots=3), 8, NOW + 2.5)
+        self.assertLess(self.cold_until(), NOW)
+
+    def test_also_where_its_word_is_heard_before_the_return(self) -> None:
+        self.table.update(backend(1), 8, NOW + 0.8)
+        self.return_zone(7)
+        self.assertLess(self.cold_until(), NOW)
+
+    def test_an_entry_that_was_written_before_the_return_says_nothing(self) -> None:
+        self.return_zone(7)
+        self.table.update(backend(1, slots=3), 6, NOW + 2.5)
+        self.assertEqual(self.cold_until(), NOW + 6.0)
+
+    def test_nor_does_one_of_another_era(self) -> None:
+        self.table.update(backend(1), 2, NOW + 0.8)
+        self.return_zone(revision_in_era(1, 7))
+        self.table.update(backend(1, slots=3), revision_in_era(2, 8), NOW + 2.5)
+        self.assertEqual(self.cold_until(), NOW + 6.0)
+
+    def test_one_that_says_then_that_it_is_cold_is(self) -> None:
+        self.table.update(backend(1), 2, NOW + 0.8)
+        self.return_zone(7)
+        self.table.update(backend(1, warm_up=4.0), 8, NOW + 3.0)
+        self.assertEqual(self.cold_until(), NOW + 7.0)
+
     def test_one_that_says_again_that_it_is_cold_may_have_turned_cold_anew(self) -> None:
         """Found by soak seed 102: the same words, 3 s later, were no news and it got too much."""
         self.table.update(backend(1, warm_up=4.0)._replace(sequence=2), 2, NOW + 3.0)
