Make no second secret of a fleet that has started before

Reproduced in a test of real nodes: the only neighbour stands still for the first second; another secret is in the store then. Change: settings tell whether the whole fleet starts for the first time (`bootstrap`). Where it does not, the secret has been lost by the store, and a node waits 1.5 s in place of 0.15 for neighbours to tell it or to put it back. Where settings do not say so, as before. Before: the new test fails (another key in the store); after: passes, the secret is the former one. Conclusion: a fleet that lost power as a whole while the store lost its secret starts 1.35 s later.

--- a/src/beamloom/platform/node_settings.py
+++ b/src/beamloom/platform/node_settings.py
@@ -72,6 +72,7 @@
         evacuate_seconds=fields.read("bounds.evacuate-ms", to_seconds, None, required=False),
         zones=fields.read("zones", to_names, (), required=False),
         cold_starts=_cold_start_limits(fields),
+        first_start=fields.read("bootstrap", bool, True, required=False),
     )
     if fields.faults:
         raise PlatformSettingsError(path, "; ".join(fields.faults))
--- a/src/beamloom/replication/shared_secret.py
+++ b/src/beamloom/replication/shared_secret.py
@@ -27,6 +27,10 @@
 """Before a node makes a secret, neighbours that have one, which the store has lost, may tell it:
 many times a datagram's way there and back, and little of a start; by choice.
 """
+MAKE_LATER_SECONDS = 1.5
+"""The same where the fleet has started before: its store has lost the secret, and by then each node
+that is in touch has noticed and put it back. Two secrets would split the fleet meanwhile.
+"""
 
 
 class SharedSecret:
--- a/src/beamloom/runtime/fleet_secret.py
+++ b/src/beamloom/runtime/fleet_secret.py
@@ -17,7 +17,12 @@
 
 from beamloom.platform import store_objects
 from beamloom.replication.reader_duty import ReaderDuty
-from beamloom.replication.shared_secret import SecretStep, SharedSecret
+from beamloom.replication.shared_secret import (
+    MAKE_AFTER_SECONDS,
+    MAKE_LATER_SECONDS,
+    SecretStep,
+    SharedSecret,
+)
 from beamloom.routing.tokens.token import KEY_BYTES
 from beamloom.runtime.decision_log import DecisionLog
 from beamloom.runtime.http_client import HttpConnection
@@ -91,7 +96,10 @@
     async def fetch(self) -> bool:
         """Get the secret from the store or from a neighbour; return whether the store told it."""
         steps = SharedSecret(self._chance)
-        store = asyncio.create_task(fetch_shared_secret(steps, self._connection, _FORMAT))
+        make_after = MAKE_AFTER_SECONDS if self.settings.first_start else MAKE_LATER_SECONDS
+        store = asyncio.create_task(
+            fetch_shared_secret(steps, self._connection, _FORMAT, make_after_seconds=make_after)
+        )
         peers = asyncio.create_task(self._ask_peers(steps))
         try:
             done, _ = await asyncio.wait({store, peers}, return_when=asyncio.FIRST_COMPLETED)
--- a/src/beamloom/runtime/shared_secret.py
+++ b/src/beamloom/runtime/shared_secret.py
@@ -37,18 +37,20 @@
     form: SecretFormat,
     *,
     offered: bytes | None = None,
+    make_after_seconds: float = MAKE_AFTER_SECONDS,
     pause: Callable[[], float] = no_pause,
 ) -> bytes:
     """Read the secret, making it where there is none; tries until it has one.
 
-    What is made is the `offered` one, or a new one after neighbours had time to tell theirs.
+    What is made is the `offered` one, or after `make_after_seconds`, in which neighbours may tell
+    theirs, a new one.
     `pause` returns how many seconds at least are to pass after a failure.
     """
     while secret.value is None:
         try:
             if secret.step is SecretStep.CREATE:
                 if offered is None:
-                    await asyncio.sleep(MAKE_AFTER_SECONDS)
+                    await asyncio.sleep(make_after_seconds)
                 made = os.urandom(KEY_BYTES) if offered is None else offered
                 done = await _create(secret, connection, form, made)
             else:
--- a/src/beamloom/settings/token_node.py
+++ b/src/beamloom/settings/token_node.py
@@ -48,6 +48,7 @@
     `evacuate_seconds`; None where operators cannot ask for that. `zones` are those of the
     deployment, as far as told. `cold_starts` limits what backends get while they are cold; None
     where the deployment does not. Backends write to the store each `heartbeat_seconds`.
+    `first_start` tells that the whole fleet starts for the first time, or that nothing says so.
     """
 
     node: str
@@ -70,6 +71,7 @@
     zones: tuple[str, ...] = ()
     cold_starts: ColdStartLimits | None = None
     heartbeat_seconds: float = DEFAULT_HEARTBEAT_SECONDS
+    first_start: bool = True
 
 
 FIELDS_OF_A_START = frozenset(
@@ -86,6 +88,7 @@
         "drain_seconds",
         "contact_seconds",
         "evacuate_seconds",
+        "first_start",
         "cold_starts",
         "capacity",
         "unusable_limits",
--- a/tests/functional/test_restored_store.py
+++ b/tests/functional/test_restored_store.py
@@ -1,6 +1,8 @@
 """Real nodes and a store that comes back from an older copy: what they wrote, and hear."""
 
 import asyncio
+import signal
+from pathlib import Path
 
 from beamloom.platform.store_objects import (
     BACKENDS_KIND,
@@ -14,10 +16,13 @@
 
 LONG = FlowPlan(requests=6, rest_seconds=0.5)
 OTHER_SECRET = {"key": "0f" * 16}
+LATE_NEIGHBOUR_SECONDS = 1.0
+"""Of a start of some 0.3 s: longer than a node waits that may be the first of all."""
 
 
 class RestoredStoreTest(TokenNodeCase):
     network = "127.61.40"
+    has_started_before = False
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -26,6 +31,12 @@
         self.configure(3, "tracker")
         self.before = self.store.store.copy()
 
+    def write_settings(self, number: int) -> Path:
+        path = super().write_settings(number)
+        if self.has_started_before:
+            path.write_text(f"bootstrap = false\n{path.read_text()}")
+        return path
+
     async def start_two(self) -> None:
         for number in (1, 2):
             self.start_node(number)
@@ -88,6 +99,29 @@
         sources = [line["source"] for line in self.lines(2) if line["event"] == "SecretKnown"]
         self.assertEqual(sources[-1], "peer")
 
+    async def test_who_starts_then_and_hears_its_neighbours_late_makes_no_other(self) -> None:
+        """Told on a page, on no list: two secrets for about a second, and packets dropped.
+
+        A node made another secret where no neighbour had answered within 0.15 s of a start, though
+        its settings tell that the fleet has started before, and so had one.
+        """
+        await self.start_two()
+        held = self.secret()
+        first, second = self.nodes["node-1"], self.nodes["node-2"]
+        second.kill()
+        second.wait()
+        first.send_signal(signal.SIGSTOP)
+        self.has_started_before = True
+        await self.restore()
+        self.start_node(2)
+        await asyncio.sleep(LATE_NEIGHBOUR_SECONDS)
+        first.send_signal(signal.SIGCONT)
+        await self.wait_until_ready(2)
+        await self.wait_for_line(2, "SecretKnown")
+        await self.wait_until(lambda: self.secret() is not None, 6.0, "there is no secret")
+        self.assertEqual(self.secret(), held)
+        self.assertNotIn("SecretChanged", self.logs())
+
     async def test_another_secret_that_is_there_first_holds_and_open_flows_go_on(self) -> None:
         await self.start_two()
         flows = [self.new_flow(2000 + number, LONG) for number in range(4)]
