Let seeds list evacuations when they start

All nodes were killed while a zone was evacuated, and the store fell silent 0.2 s after they had read the rest; the zone's return was heard by nobody as one, and a cold backend got 10 openings in a second, 8 allowed.

Cause: who starts leaves the first list of evacuations to peers; after a start of all nodes none knows any until readers are elected. Change: seeds, whom those who start ask first, list them at once, and afresh, as peers are told of whole lists only. Ruled out: a list by each node, 1.16 calls a node at a start of 195 in the simulation, 0.4 allowed.

--- a/src/beamloom/node/evacuation_follower.py
+++ b/src/beamloom/node/evacuation_follower.py
@@ -39,6 +39,10 @@
     whether it is evacuated now, and the revision. What names none of `known_zones` is counted and
     changes nothing; without any, all are taken. While calls of `leader`, which reads another kind,
     fail, only readers ask.
+
+    A node that `is_seed` lists them itself when it starts, and not by a stale answer, of which
+    peers are not told: those who start ask the seeds first, and after a start of all nodes nobody
+    else would know of an evacuation before readers are elected.
     """
 
     def __init__(
@@ -49,17 +53,18 @@
         known_zones: Collection[str] = (),
         *,
         leader: ObjectWatch[Any] | None = None,
+        is_seed: bool = False,
         mechanisms: Mechanisms = ALL_MECHANISMS,
     ) -> None:
         self.view: StoreView[ZoneEvacuation] = StoreView(EvacuationOrder())
-        self.watch = ObjectWatch(self.view, chance, stale_start=True, may_be_empty=True)
+        self.watch = ObjectWatch(self.view, chance, stale_start=not is_seed, may_be_empty=True)
         self.turn = ReadingTurn(
             self.watch,
             duty,
             chance,
             KIND,
             times=times,
-            begins_with_peers=mechanisms.evacuations_from_peers,
+            begins_with_peers=mechanisms.evacuations_from_peers and not is_seed,
             leader=leader,
         )
         self.since: dict[str, float] = {}
--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -59,7 +59,8 @@
 
     Evacuations are followed where `evacuation_times` are given; `known_zones` are those of the
     deployment. Cold backends are limited where `cold_starts` are given. `capacity` is what the
-    machine can do, as peers are told. Backends write to the store each `heartbeat_seconds`.
+    machine can do, as peers are told. Backends write to the store each `heartbeat_seconds`. A node
+    that `is_seed` is asked first by those who start.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         cold_starts: ColdStartLimits | None = None,
         capacity: Capacity = LEAST,
         heartbeat_seconds: float = DEFAULT_HEARTBEAT_SECONDS,
+        is_seed: bool = False,
     ) -> None:
         self._mechanisms = mechanisms
         self._cold_starts = None if cold_starts is None else ColdStartGate(cold_starts)
@@ -111,6 +113,7 @@
                 evacuation_times,
                 known_zones,
                 leader=self.backend_watch,
+                is_seed=is_seed,
                 mechanisms=mechanisms,
             )
             self.evacuations.on_zones = self.router.backends.evacuate
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -99,6 +99,7 @@
             cold_starts=settings.cold_starts,
             capacity=capacity,
             heartbeat_seconds=settings.heartbeat_seconds,
+            is_seed=settings.host in settings.seeds,
         )
         self.core.on_progress = self._note_ready
         self.follower = StoreFollower(settings, self.core, self.decisions, chance, mechanisms)
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -155,6 +155,7 @@
             times=reading_times(),
             evacuation_times=evacuation_reading_times(EVACUATE_SECONDS),
             mechanisms=mechanisms,
+            is_seed=host in seeds,
         )
         self._frozen_until = 0.0
         self._waiting: list[Callable[[], None]] = []
--- a/tests/unit/tokens/test_evacuation.py
+++ b/tests/unit/tokens/test_evacuation.py
@@ -143,6 +143,12 @@
         off = mechanisms_without("evacuations_from_peers")
         self.assertTrue(make_follower(mechanisms=off).turn.must_ask(START))
 
+    def test_a_seed_lists_at_once_and_afresh(self) -> None:
+        """Peers are told of a whole list only, and those who start ask the seeds first."""
+        seed = make_follower(is_seed=True)
+        self.assertTrue(seed.turn.must_ask(START))
+        self.assertEqual(seed.watch.next_request(), ListRequest("", stale=False))
+
     def test_a_lost_history_is_listed_at_once(self) -> None:
         follower = make_follower()
         follower.watch.take_page(ListPage((), False, 9, ""), asked_at=START)
