Soak: claim a loopback network that no other soak has

Cause: the network was the process's number modulo 128, which two processes may share. Change: the clients' socket, bound first, claims the network; one that is taken is passed over. The new test makes two in one process, whose numbers are the same: fails before, passes after.

--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import random
 import signal
@@ -29,6 +30,8 @@
 
 FIRST_NETWORK = 64
 NETWORKS = 128
+CLIENTS = ".2.1"
+"""The clients' host in a soak's network."""
 STEP_SECONDS = 0.01
 READINESS_PERIOD_SECONDS = 0.5
 RESTART_SECONDS = 0.5
@@ -41,7 +44,8 @@
 class SoakHarness:
     """One deployment of real nodes. `start` and `close` surround everything else.
 
-    Each process of the soak has a loopback network of its own, so that several may run at once.
+    Each soak has a loopback network of its own, so that several may run at once. Raises OSError
+    where none is free.
     """
 
     def __init__(self, folder: Path, nodes: int, seed: int) -> None:
@@ -50,16 +54,15 @@
         self.proxies: dict[str, StoreProxy] = {}
         self.flows: dict[FlowEnd, TokenClientFlow] = {}
         self.finished: list[TokenClientFlow] = []
-        network = f"127.{FIRST_NETWORK + os.getpid() % NETWORKS}"
+        network, self._clients = _claim_network()
         self._network = network
-        self._client_host = f"{network}.2.1"
+        self._client_host = f"{network}{CLIENTS}"
         self.platform = SoakPlatform(network, self.oracle, lambda: self.now, self.later)
         self._paused_until: dict[str, float] = {}
         self._folder = folder
         self._node_count = nodes
         self._chance = random.Random(seed)
         self._next_port = 20_000
-        self._clients = bind_datagrams(Endpoint(self._client_host, PACKETS_PORT))
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -279,6 +282,19 @@
         return next((node.name for node in self.nodes.values() if node.host == host), "")
 
 
+def _claim_network() -> tuple[str, socket.socket]:
+    """Return a loopback network that no other soak has, and the clients' socket in it."""
+    first = os.getpid() % NETWORKS
+    for number in (*range(first, NETWORKS), *range(first)):
+        network = f"127.{FIRST_NETWORK + number}"
+        try:
+            return network, bind_datagrams(Endpoint(f"{network}{CLIENTS}", PACKETS_PORT))
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+    raise OSError(errno.EADDRINUSE, f"all {NETWORKS} networks are taken: end some soaks")
+
+
 def _drain_socket(bound: socket.socket) -> list[tuple[bytes, str]]:
     datagrams: list[tuple[bytes, str]] = []
     while True:
--- a/tests/unit/test_soak_platform.py
+++ b/tests/unit/test_soak_platform.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import random
+import tempfile
 import unittest
 from collections.abc import Callable
+from pathlib import Path
 from unittest.mock import Mock
 
 from beamloom.simulation.tokens.deployment import SERVICES, destination, endpoint_record
@@ -148,6 +150,16 @@
         self.assertFalse(self.cold.may_all_seem_cold([], 11.0))
 
 
+class NetworkTest(unittest.IsolatedAsyncioTestCase):
+    async def test_two_soaks_of_the_same_process_number_do_not_meet(self) -> None:
+        """Seen once: `Address already in use` at the start of a soak beside four others."""
+        with tempfile.TemporaryDirectory() as folder:
+            harnesses = [SoakHarness(Path(folder), 1, seed) for seed in range(2)]
+        for harness in harnesses:
+            self.addAsyncCleanup(harness.close)
+        self.assertEqual(len({harness.platform.store_host for harness in harnesses}), 2)
+
+
 class FaultNamesTest(unittest.TestCase):
     def test_an_unknown_fault_is_refused_with_the_known_ones(self) -> None:
         harness = Mock(spec=SoakHarness, nodes={}, platform=Mock(), now=0.0)
