--- a/src/beamloom/replication/record_order.py
+++ b/src/beamloom/replication/record_order.py
@@ -14,6 +14,7 @@
 Record = TypeVar("Record")
 
 UNMARKED = -1
+"""In place of a mark, and below all of them."""
 
 
 class RecordOrder(ABC, Generic[Record]):
@@ -37,10 +38,7 @@
         return told == known
 
     def mark(self, _record: Record) -> int:
-        """Return how far a record's own marks tell that it is, where they always decide.
-
-        UNMARKED, below all marks, where they do not.
-        """
+        """Return how far a record is by its own marks; UNMARKED where these do not decide."""
         return UNMARKED
 
     def is_new_life(self, _told: Record, _ended: Record) -> bool:
--- a/src/beamloom/replication/store_view.py
+++ b/src/beamloom/replication/store_view.py
@@ -77,9 +77,9 @@
     @property
     def mark(self) -> int:
         """The highest mark of what is known; UNMARKED where there is none."""
-        marks = (self.order.mark(named.record) for named in self._present.values())
         if self.order.settle_seconds is not None:
             return UNMARKED
+        marks = (self.order.mark(named.record) for named in self._present.values())
         return max(marks, default=UNMARKED)
 
     def age(self, now: float) -> float | None:
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -21,6 +21,7 @@
 GONE_BACKEND_SECONDS = 75.0
 """Longer than a flow is kept (60 s)."""
 NO_RETURNS: Mapping[str, int] = {}
+"""No zone was taken back, or nothing tells at which revision."""
 
 
 class Backend:
