--- a/src/beamloom/node/backend_judge.py
+++ b/src/beamloom/node/backend_judge.py
@@ -21,7 +21,7 @@
 SUSPECT_BY_PEERS_SECONDS = 2.0
 """How long a backend is passed over that other nodes have found silent."""
 AVOID_FAILING_SECONDS = 2.0
-"""How long after the last report a backend is passed over that answers with errors; by choice."""
+"""How long after the last report a backend is passed over that answers with errors."""
 
 
 RELAPSE_SECONDS = 4.0
@@ -29,8 +29,8 @@
 MOST_FAILING_DOUBLINGS = 2
 """Each relapse doubles the time; 8 s at most, so that one that has recovered serves again soon."""
 DOUBT_SECONDS = 3.0
-"""How long requests that may not run twice keep away after a sign seen here; by choice: a sign may
-be chance, and other backends take them.
+"""How long requests that may not run twice keep away after a sign seen here: it may be chance, and
+other backends take them.
 """
 DOUBT_CONFIRMED_SECONDS = 8.0
 """The same after several nodes saw signs. Requests that may run twice try the backend sooner."""
--- a/src/beamloom/node/own_limits.py
+++ b/src/beamloom/node/own_limits.py
@@ -22,11 +22,11 @@
 """From the least load to the most; the index is the value of the gauge."""
 
 SAMPLE_SECONDS = 1.0
-"""Between two samples: a heartbeat of nodes, as roles move no faster than these. By choice."""
+"""Between two samples: a heartbeat of nodes, as roles move no faster than these."""
 SHED_SHARE = 0.7
-"""Of a limit; what is left bears the burst until roles have moved. By choice."""
+"""Of a limit; what is left bears the burst until roles have moved."""
 CLOSE_SHARE = 0.9
-"""Of a limit; what is left is for clients' packets alone. By choice."""
+"""Of a limit; what is left is for clients' packets alone."""
 BACK_MARGIN = 0.2
 """Below the share at which a state was entered by so much, it is left."""
 SAMPLES_TO_SHED = 2
--- a/src/beamloom/node/record_orders.py
+++ b/src/beamloom/node/record_orders.py
@@ -14,7 +14,7 @@
 HEARTBEATS_MISSED = 3
 """An entry that its backend has not repeated for so long goes (the platform's protocol)."""
 NOTICE_SECONDS = 0.5
-"""A node may hear a little sooner than others, or the store, that the era has changed; by choice.
+"""A node may hear a little sooner than others, or the store, that the era has changed.
 """
 OPERATOR_SECONDS = 2.5
 """By then operators have written again, as backends have (2 s, the platform's protocol), and a zone
--- a/src/beamloom/replication/answer_budget.py
+++ b/src/beamloom/replication/answer_budget.py
@@ -13,7 +13,7 @@
 ANSWER_SHARE = 0.04
 """Of the link; with digests and clients' packets a node is to stay under a tenth of it."""
 MOST_BYTES_PER_SECOND = 125_000.0
-"""However wide the link: some third of what the busiest of 300 nodes sent, by choice."""
+"""However wide the link: some third of what the busiest of 300 nodes sent."""
 BURST_SECONDS = 0.5
 """What is saved up while nobody asks; changes come in bursts."""
 MOST_REFERRALS = 3
--- a/src/beamloom/replication/fleet_share.py
+++ b/src/beamloom/replication/fleet_share.py
@@ -18,7 +18,7 @@
 KEPT_SECONDS = 1.0
 """For how long an answer is kept; hosts come and go more seldom."""
 MOST_KEPT = 4096
-"""Answers; as many as a service of the design target has backends. By choice."""
+"""Answers; as many as a service of the design target has backends."""
 DRAWS_TO_CHANGE = 2
 """So many draws in a row, KEPT_SECONDS apart, must differ before a key changes hands: a peer that
 is unheard for a moment moves nothing. It is below the shortest contact bound (4 s).
--- a/src/beamloom/replication/pull_choice.py
+++ b/src/beamloom/replication/pull_choice.py
@@ -13,7 +13,7 @@
 from beamloom.replication.peer_table import PeerTable
 
 TOLD_SECONDS = 3.0
-"""For how long a peer counts as one that knows what it told, by choice: some heartbeats."""
+"""For how long a peer counts as one that knows what it told: some heartbeats."""
 SILENT_SECONDS = 3.0
 """For how long a peer is passed over that did not answer; below the shortest contact bound (4 s),
 and long enough that a slow peer is not asked by turns.
--- a/src/beamloom/replication/reader_duty.py
+++ b/src/beamloom/replication/reader_duty.py
@@ -18,7 +18,7 @@
 TARGET_READERS = 2
 """One that is lost is noticed while the other still reads; more would only cost calls."""
 LONGEST_HESITATION_SECONDS = 0.8
-"""Half of it by rank, half by chance; by choice, well below the shortest staleness (2 s)."""
+"""Half of it by rank, half by chance, well below the shortest staleness (2 s)."""
 LISTENING_SECONDS = 0.3
 """A node that has just met its peers hears of their readers before it may become one: a heartbeat
 of nodes that meet (MEETING_HEARTBEAT_SECONDS).
@@ -26,7 +26,7 @@
 LONGEST_JOIN_SECONDS = 3.0
 """A node that has met no peers by then does without them; joining takes a second on slow ones."""
 OUTAGE_CALLS_PER_SECOND = 20.0
-"""About so often a fleet asks a store that answers none of its nodes: by choice, a twentieth of a
+"""About so often a fleet asks a store that answers none of its nodes: a twentieth of a
 second is soon enough to notice its return, and what one node notices it tells the others.
 """
 KINDS_READ = 2
--- a/src/beamloom/replication/reading_times.py
+++ b/src/beamloom/replication/reading_times.py
@@ -16,7 +16,7 @@
 STALE_SPREAD_SECONDS = 0.3
 """Nodes whose views become stale together do not all ask at once: the first one tells the rest."""
 LONGEST_STALE_SECONDS = 3.0
-"""Where the bound leaves more, nobody is to hear so late all the same; by choice."""
+"""Where the bound leaves more, nobody is to hear so late all the same."""
 LONGEST_WAIT_SECONDS = 2.2
 """Three quarters of the longest staleness, rounded down: see WAIT_SHARE_OF_STALE."""
 LONGEST_EVACUATION_STALE_SECONDS = 4.0
@@ -25,11 +25,11 @@
 """After a common start a reader is heard of by then (0.7 to 1.4 s: join, listening, hesitation)."""
 LONGEST_GATHER_SECONDS = 0.6
 GATHER_SHARE_OF_WAIT = 0.25
-"""Both by choice; what is gathered is heard by that much later (DECIDING.md, `gathering`)."""
+"""What is gathered is heard by that much later."""
 WAIT_SHARE_OF_STALE = 0.75
 """The rest is the time in which a late confirmation may come from peers or the other reader."""
 SHORTEST_SECONDS = 0.1
-"""No time becomes shorter, whatever the bounds say; by choice."""
+"""No time becomes shorter, whatever the bounds say."""
 LATE_SHARE = 0.2
 OVERDUE_SHARE = 0.6
 """How far between a watch's wait and staleness a node asks its peers, and a reader of other kinds
--- a/src/beamloom/replication/shared_secret.py
+++ b/src/beamloom/replication/shared_secret.py
@@ -25,7 +25,7 @@
 
 MAKE_AFTER_SECONDS = 0.15
 """Before a node makes a secret, neighbours that have one, which the store has lost, may tell it:
-many times a datagram's way there and back, and little of a start; by choice.
+many times a datagram's way there and back, and little of a start.
 """
 MAKE_LATER_SECONDS = 1.5
 """The same where the fleet has started before: its store has lost the secret, and by then each node
--- a/src/beamloom/routing/tokens/answer_sizes.py
+++ b/src/beamloom/routing/tokens/answer_sizes.py
@@ -11,13 +11,11 @@
 ANSWERS_KEPT = 64
 ANSWERS_NEEDED = 32
 RENEWED_EACH = 16
-"""Answers after which the measure is taken anew; by choice, as sorting costs processor time."""
+"""Answers after which the measure is taken anew, as sorting costs processor time."""
 LOW_QUANTILE = 0.2
 """Where more of the answers are errors, being short says nothing of a single backend."""
 SHORT_SHARE = 0.5
-"""An answer shorter than this part of the quantile is unusual. Measured on the users' bench: errors
-take 210 bytes, the shortest twentieth of other answers begins at 560 to 830 bytes.
-"""
+"""An answer shorter than this part of the quantile is unusual: errors have hardly any body."""
 MOST_DESTINATIONS = 1024
 
 
--- a/src/beamloom/routing/tokens/backend_fields.py
+++ b/src/beamloom/routing/tokens/backend_fields.py
@@ -21,9 +21,9 @@
 OCTET_LIMIT = 1 << 8
 """An octet has 8 bits."""
 MOST_SLOTS = 1 << 16
-"""More requests at once than any backend runs; by choice."""
+"""More requests at once than any backend runs."""
 LONGEST_WARM_UP_MILLISECONDS = 3_600_000
-"""An hour, by choice: what says more is not believed to be a backend's own word."""
+"""An hour: what says more is not believed to be a backend's own word."""
 TIME_LIMIT = 1 << 53
 """Whole numbers up to here are the same to all who write JSON (RFC 8259, 6)."""
 
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -17,7 +17,7 @@
 SWEEP_SECONDS = 1.0
 MOST_SUSPECTED = 1 / 3
 MOST_FAILING = 1 / 5
-"""The others must bear what these would get; by choice."""
+"""The others must bear what these would get."""
 GONE_BACKEND_SECONDS = 75.0
 """Longer than a flow is kept (60 s)."""
 NO_RETURNS: Mapping[str, int] = {}
--- a/src/beamloom/routing/tokens/liveness.py
+++ b/src/beamloom/routing/tokens/liveness.py
@@ -14,13 +14,13 @@
 from beamloom.routing.tokens.backend_table import Backend
 
 CHECKS_AT_ONCE = 8
-"""Each takes a descriptor and some processor time; by choice."""
+"""Each takes a descriptor and some processor time."""
 MOST_WAITING = 256
-"""More than two zones of the largest deployments that are played have backends; by choice."""
+"""More than two zones of the largest deployments that are played have backends."""
 RECHECK_SECONDS = 0.5
 """How soon a backend is checked again; doubled with each check that tells the same."""
 LONGEST_RECHECK_SECONDS = 2.0
-"""A backend that can be reached again is to take flows again soon; by choice."""
+"""A backend that can be reached again is to take flows again soon."""
 ZONE_SECONDS = 1.0
 ZONE_DOWN_BACKENDS = 3
 """Where so many backends of a zone are found down within ZONE_SECONDS, all of them are checked."""
--- a/src/beamloom/routing/tokens/records.py
+++ b/src/beamloom/routing/tokens/records.py
@@ -68,7 +68,7 @@
 
 
 ORDINARY_PRIORITY = 2
-"""That of a route which names none: no room is reserved for it. Most routes have it (by choice)."""
+"""That of a route which names none: no room is reserved for it. Most routes have it."""
 
 
 class RouteTerms(NamedTuple):
--- a/src/beamloom/runtime/connection_limits.py
+++ b/src/beamloom/runtime/connection_limits.py
@@ -16,11 +16,11 @@
 CONNECT_SECONDS = 0.7
 """Connecting anew beats waiting: a lost opening packet is repeated only after a second or more."""
 LIST_SECONDS = 2.0
-"""A list of 500 objects takes a tenth of that on a store at ease; by choice."""
+"""A list of 500 objects takes a tenth of that on a store at ease."""
 LONGEST_LIST_SECONDS = 8.0
 """Where a whole large fleet starts at once, the store's link is full; giving up would only add."""
 SECRET_SECONDS = 1.5
-"""A read of one object, by a node of which nothing else depends on it yet; by choice."""
+"""A read of one object, by a node of which nothing else depends on it yet."""
 PROGRESS_SHARE = 0.5
 """A list whose next bytes take longer than this share of its deadline will not be whole by then."""
 
@@ -36,7 +36,7 @@
 CHECK_ATTEMPTS = 2
 """One lost packet must not count as silence."""
 CHECK_ATTEMPT_SECONDS = 0.1
-"""More than ten times the longest way to a backend and back; by choice."""
+"""More than ten times the longest way to a backend and back."""
 
 MAXIMUM_CONNECTIONS = 64
 """Of one responder: a dozen callers, and several connections of each that fell silent."""
@@ -45,7 +45,7 @@
 REQUEST_SECONDS = 2.0
 """A request is one packet; repeated three times it is there by then."""
 UNREAD_SECONDS = 5.0
-"""How long an answer may wait for a caller that does not read; by choice."""
+"""How long an answer may wait for a caller that does not read."""
 
 
 class ConnectionKind(Enum):
--- a/src/beamloom/runtime/fleet_secret.py
+++ b/src/beamloom/runtime/fleet_secret.py
@@ -37,18 +37,18 @@
 ASK_PEERS_AFTER_SECONDS = 0.9
 """A store that has not answered by then may never do so."""
 ASK_PEERS_EACH_SECONDS = 0.3
-"""A neighbour answers within a fraction of that, unless its answer was lost; by choice."""
+"""A neighbour answers within a fraction of that, unless its answer was lost."""
 NOTICE_SECONDS = 0.02
-"""How soon it is noticed that the store holds no secret; by choice, a part of MAKE_AFTER_SECONDS.
+"""How soon it is noticed that the store holds no secret: a part of MAKE_AFTER_SECONDS.
 """
 CHECK_SPREAD_SECONDS = 1.0
 """Not all nodes look in the same moment after a restore; readers, who notice it first, do at once.
-A node that starts meanwhile asks its neighbours. By choice.
+A node that starts meanwhile asks its neighbours.
 """
 FIRST_ERA = 1
 """A stale answer of a later one may be of what the store has lost since; in the first it cannot."""
 MOST_SECRETS = 3
-"""The one that holds, and those before it while flows of theirs may be open; by choice."""
+"""The one that holds, and those before it while flows of theirs may be open."""
 
 _FORMAT = SecretFormat(
     store_objects.secret_path(stale=False),
--- a/src/beamloom/runtime/packet_socket.py
+++ b/src/beamloom/runtime/packet_socket.py
@@ -24,7 +24,7 @@
 BATCH_SIZE = 64
 LARGEST_DATAGRAM = 2048
 RESETS_AT_ONCE = 100
-"""About 10 ms of a small machine; what is left goes with the next tick. By choice."""
+"""About 10 ms of a small machine; what is left goes with the next tick."""
 
 
 class PacketSocket:
--- a/src/beamloom/runtime/planned_stop.py
+++ b/src/beamloom/runtime/planned_stop.py
@@ -22,7 +22,7 @@
 SHARE_FOR_TURN = 0.4
 SHARE_FOR_FORWARDING = 0.5
 """How much of the time until the node is killed may go by waiting and by forwarding. Routers must
-have turned away within two thirds of it (found with the users' bench, see docs/QUESTIONS.md).
+have turned away within two thirds of it (docs/QUESTIONS.md).
 """
 POLL_SECONDS = 0.02
 
--- a/src/beamloom/runtime/start_timeline.py
+++ b/src/beamloom/runtime/start_timeline.py
@@ -39,11 +39,11 @@
 
 LONGEST_START_SECONDS = 10.0
 """A start that takes longer is told as it stands. Ten times what one takes on the smallest machine
-(a tenth of a core) with a store that answers; by choice.
+(a tenth of a core) with a store that answers.
 """
 LONGEST_INTERPRETER_SECONDS = 2.0
 """More processor time cannot have gone by before the first own line: the process clock of such a
-host counts something else, and tells nothing here. A hundred times what it takes; by choice.
+host counts something else, and tells nothing here. A hundred times what it takes.
 """
 
 
--- a/src/beamloom/runtime/store_follower.py
+++ b/src/beamloom/runtime/store_follower.py
@@ -37,7 +37,7 @@
 Record = TypeVar("Record")
 
 JOIN_PEERS_AFTER_SECONDS = 0.3
-"""A node that has just become ready first takes the packets that waited; by choice."""
+"""A node that has just become ready first takes the packets that waited."""
 PEER_KEY_PERSON = b"beamloom-peers"
 
 
--- a/src/beamloom/simulation/tokens/client_side.py
+++ b/src/beamloom/simulation/tokens/client_side.py
@@ -21,7 +21,7 @@
 """A node that has missed so many of these is sent nothing (the users' platform)."""
 FIRST_CLIENT_PORT = 1024
 CLIENT_HOSTS = 200
-"""Flows come from so many addresses in turn; by choice."""
+"""Flows come from so many addresses in turn."""
 
 
 class ClientSide:
--- a/src/beamloom/telemetry/event_log.py
+++ b/src/beamloom/telemetry/event_log.py
@@ -19,7 +19,7 @@
 DEFAULT_LINES_PER_SECOND = 40.0
 BURST_SECONDS = 5.0
 UNWRITTEN_BYTES = 128 << 10
-"""Kept for a reader that is slow: two starts' lines of a fleet with 150 backends, by choice."""
+"""Kept for a reader that is slow: two starts' lines of a fleet with 150 backends."""
 
 FieldValue = str | int | float | bool | None
 Write = Callable[[bytes], int]
