Soak: judge a refusal by every configuration that may be in force

The trace: both endpoints of a service had started anew at 5.0 s and were cold; a route was changed at 8.1 s to a service with warm ones; the node refused a client's last copy at 8.26 s by version 1, all of whose endpoints were cold, as it may, and put version 2 in force at 8.36 s (bound 3 s). The judge looked at the newest routes only. Change: nodes may know nobody by any configuration of the last 3 s or the one before; a test of both sides of that time. Beyond it a refusal is reported as before.

--- a/src/beamloom/soak/platform_side.py
+++ b/src/beamloom/soak/platform_side.py
@@ -254,13 +254,18 @@
     def serves_nobody(self, destination: bytes) -> bool:
         """Whether nodes may know no endpoint that could take a destination's new flows now.
 
-        Each is in a zone that may be held for evacuated, or may be held for cold, or not be heard
-        of yet, as it has just started, or started anew.
+        They may yet go by the configuration before a change. Each endpoint is in a zone that may be
+        held for evacuated, or may be held for cold, or not be heard of yet, as it has just started,
+        or started anew.
         """
+        may_be_in_force = self._oracle.may_be_in_force(destination, self._now())
+        return any(self._may_know_none(services) for services in may_be_in_force)
+
+    def _may_know_none(self, services: Iterable[str]) -> bool:
         now = self._now()
         usable = [
             endpoint.record
-            for service in self.routes.get(destination, ())
+            for service in services
             for endpoint in self.running_endpoints(service)
             if not self._oracle.may_be_evacuated(endpoint.record.zone, now)
         ]
--- a/tests/unit/test_soak_platform.py
+++ b/tests/unit/test_soak_platform.py
@@ -9,7 +9,7 @@
 from unittest.mock import Mock
 
 from beamloom.simulation.tokens.deployment import SERVICES, destination, endpoint_record
-from beamloom.simulation.tokens.oracle import TokenOracle
+from beamloom.simulation.tokens.oracle import APPLY_SECONDS, TokenOracle
 from beamloom.soak.cold_openings import MOST_OPENINGS, WARM_UP_SECONDS, ColdOpenings
 from beamloom.soak.faults import SoakFaults, UnknownFaultError
 from beamloom.soak.harness import SoakHarness
@@ -181,6 +181,24 @@
         self.assertTrue(platform.serves_nobody(destination(1)))
         self.assertFalse(platform.serves_nobody(destination(2)))
 
+    async def test_nodes_may_go_by_the_route_before_for_as_long_as_a_change_may_take(self) -> None:
+        """Soak seed 408: a refusal by the former route, 0.2 s after the change, was reported.
+
+        Its service had cold endpoints only (both had just started anew), that of the new route had
+        warm ones; the node heard of the new route 0.1 s later.
+        """
+        now = [20.0]
+        platform = SoakPlatform("127.63", TokenOracle(), lambda: now[0], lambda seconds, act: None)
+        await platform.start()
+        self.addAsyncCleanup(platform.close)
+        platform.release(SERVICES[0])
+        first, second = destination(1), destination(2)
+        platform.set_routes({first: platform.routes[second], second: platform.routes[first]})
+        now[0] += 0.2
+        self.assertTrue(platform.serves_nobody(first))
+        now[0] += APPLY_SECONDS
+        self.assertFalse(platform.serves_nobody(first))
+
 
 if __name__ == "__main__":
     unittest.main()
