Count a restored store's era as a sign that the secret was lost

Trace: the node started at 831.380, its neighbour told the secret at 831.603, and its own creation had left at about 831.55, 0.15 s after the store had told that there is none (SecretKnown by peer, SecretChanged at 832.149). The decision stands in SharedSecret, with its test.

--- a/src/beamloom/platform/store_encoding.py
+++ b/src/beamloom/platform/store_encoding.py
@@ -95,11 +95,9 @@
     """Return the settings file of a node, as far as a stand-in gives it."""
     seeds = ", ".join(f'"{seed}:1"' for seed in settings.seeds)
     zones = "\n".join(f'"{zone}" = "region"' for zone in settings.zones)
-    evacuate = warm_up = ""
-    if settings.evacuate_seconds is not None:
-        evacuate = f"evacuate-ms = {settings.evacuate_seconds * MILLISECONDS}"
-    if settings.cold_starts is not None:
-        warm_up = "warmup-excess = {}\nwarmup-slack = {}".format(*settings.cold_starts)
+    seconds, limits = settings.evacuate_seconds, settings.cold_starts
+    evacuate = "" if seconds is None else f"evacuate-ms = {seconds * MILLISECONDS}"
+    warm_up = "" if limits is None else "warmup-excess = {}\nwarmup-slack = {}".format(*limits)
     return f"""
 node-name = "{settings.node}"
 role = "balancer"
--- a/src/beamloom/replication/shared_secret.py
+++ b/src/beamloom/replication/shared_secret.py
@@ -28,11 +28,15 @@
 many times a datagram's way there and back, and little of a start.
 """
 MAKE_LATER_SECONDS = 1.5
-"""The same where the fleet has started before: its store has lost the secret, and by then each node
-that is in touch has noticed and put it back. Two secrets would split the fleet meanwhile.
+"""The same where the fleet has started before, or its store was restored: the secret is lost, and
+by then each node that is in touch has noticed and put it back. Two would split the fleet meanwhile.
 """
 
 
+FIRST_ERA = 1
+"""Of a store that was never restored from an older copy of itself."""
+
+
 class SharedSecret:
     """The steps to the secret; `value` is None until it has been read.
 
@@ -54,6 +58,16 @@
         """How many calls in a row had no usable answer."""
         return self._pauses.failures
 
+    @property
+    def is_of_restored_store(self) -> bool:
+        """Whether the store has come back from an older copy at some time, as far as it tells."""
+        return self.era is not None and self.era > FIRST_ERA
+
+    def make_after_seconds(self, *, first_start: bool) -> float:
+        """Return how long neighbours have to tell their secret before a new one is made."""
+        is_lost = self.is_of_restored_store or not first_start
+        return MAKE_LATER_SECONDS if is_lost else MAKE_AFTER_SECONDS
+
     def take_secret(self, value: bytes) -> None:
         """Take what was read."""
         self.value = value
--- a/src/beamloom/runtime/fleet_secret.py
+++ b/src/beamloom/runtime/fleet_secret.py
@@ -17,12 +17,7 @@
 
 from beamloom.platform import store_objects
 from beamloom.replication.reader_duty import ReaderDuty
-from beamloom.replication.shared_secret import (
-    MAKE_AFTER_SECONDS,
-    MAKE_LATER_SECONDS,
-    SecretStep,
-    SharedSecret,
-)
+from beamloom.replication.shared_secret import SecretStep, SharedSecret
 from beamloom.routing.tokens.token import KEY_BYTES
 from beamloom.runtime.decision_log import DecisionLog
 from beamloom.runtime.http_client import HttpConnection
@@ -45,8 +40,6 @@
 """Not all nodes look in the same moment after a restore; readers, who notice it first, do at once.
 A node that starts meanwhile asks its neighbours.
 """
-FIRST_ERA = 1
-"""A stale answer of a later one may be of what the store has lost since; in the first it cannot."""
 MOST_SECRETS = 3
 """The one that holds, and those before it while flows of theirs may be open."""
 
@@ -96,9 +89,9 @@
     async def fetch(self) -> bool:
         """Get the secret from the store or from a neighbour; return whether the store told it."""
         steps = SharedSecret(self._chance)
-        make_after = MAKE_AFTER_SECONDS if self.settings.first_start else MAKE_LATER_SECONDS
+        first_start = self.settings.first_start
         store = asyncio.create_task(
-            fetch_shared_secret(steps, self._connection, _FORMAT, make_after_seconds=make_after)
+            fetch_shared_secret(steps, self._connection, _FORMAT, first_start=first_start)
         )
         peers = asyncio.create_task(self._ask_peers(steps))
         try:
@@ -115,7 +108,8 @@
 
     def _note_read(self, steps: SharedSecret, *, from_peer: bool) -> None:
         """Look again where the store may not hold what was read, or what a neighbour told."""
-        is_old = steps.step is SecretStep.READ_STALE and (steps.era or FIRST_ERA) > FIRST_ERA
+        # A stale answer of a later era may be of what the store has lost since.
+        is_old = steps.step is SecretStep.READ_STALE and steps.is_of_restored_store
         if is_old or (from_peer and steps.found_none):
             self._must_look.set()
         if steps.era is not None:
--- a/src/beamloom/runtime/shared_secret.py
+++ b/src/beamloom/runtime/shared_secret.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from beamloom.replication.shared_secret import MAKE_AFTER_SECONDS, SecretStep, SharedSecret
+from beamloom.replication.shared_secret import SecretStep, SharedSecret
 from beamloom.routing.tokens.token import KEY_BYTES
 from beamloom.runtime.connection_limits import SECRET_LIMITS
 from beamloom.runtime.http_client import CallFailedError, HttpConnection
@@ -37,20 +37,20 @@
     form: SecretFormat,
     *,
     offered: bytes | None = None,
-    make_after_seconds: float = MAKE_AFTER_SECONDS,
+    first_start: bool = True,
     pause: Callable[[], float] = no_pause,
 ) -> bytes:
     """Read the secret, making it where there is none; tries until it has one.
 
-    What is made is the `offered` one, or after `make_after_seconds`, in which neighbours may tell
-    theirs, a new one.
-    `pause` returns how many seconds at least are to pass after a failure.
+    What is made is the `offered` one, or a new one after neighbours had time to tell theirs, which
+    is longer where this is no `first_start` of the fleet. `pause` returns how many seconds at least
+    are to pass after a failure.
     """
     while secret.value is None:
         try:
             if secret.step is SecretStep.CREATE:
                 if offered is None:
-                    await asyncio.sleep(make_after_seconds)
+                    await asyncio.sleep(secret.make_after_seconds(first_start=first_start))
                 made = os.urandom(KEY_BYTES) if offered is None else offered
                 done = await _create(secret, connection, form, made)
             else:
--- a/tests/unit/views/test_shared_secret.py
+++ b/tests/unit/views/test_shared_secret.py
@@ -3,7 +3,12 @@
 import random
 import unittest
 
-from beamloom.replication.shared_secret import SecretStep, SharedSecret
+from beamloom.replication.shared_secret import (
+    MAKE_AFTER_SECONDS,
+    MAKE_LATER_SECONDS,
+    SecretStep,
+    SharedSecret,
+)
 
 
 class SharedSecretTest(unittest.TestCase):
@@ -26,6 +31,14 @@
         self.secret.take_secret(b"key")
         self.assertEqual(self.secret.value, b"key")
 
+    def test_neighbours_have_longer_to_tell_one_that_must_have_been_lost(self) -> None:
+        self.assertEqual(self.secret.make_after_seconds(first_start=True), MAKE_AFTER_SECONDS)
+        self.assertEqual(self.secret.make_after_seconds(first_start=False), MAKE_LATER_SECONDS)
+        self.secret.era = 1
+        self.assertEqual(self.secret.make_after_seconds(first_start=True), MAKE_AFTER_SECONDS)
+        self.secret.era = 2
+        self.assertEqual(self.secret.make_after_seconds(first_start=True), MAKE_LATER_SECONDS)
+
     def test_a_creation_without_an_answer_is_read_back(self) -> None:
         self.secret.take_absent()
         self.secret.take_absent()
