--- a/tests/functional/token_node_case.py
+++ b/tests/functional/token_node_case.py
@@ -184,8 +184,13 @@
         node.wait()
 
     def lines(self, number: int) -> list[dict[str, object]]:
+        """Return what a node has written; the last line counts once it is whole.
+
+        The kernel shows a long write page by page, so that a reader may meet half a line.
+        """
         text = (self.folder / f"node-{number}.log").read_text()
-        return [json.loads(line) for line in text.splitlines()]
+        whole, _, _ = text.rpartition("\n")
+        return [json.loads(line) for line in whole.splitlines()]
 
     async def get(self, number: int, port: int, path: str) -> tuple[int, str]:
         url = f"http://{self.network}.{number}:{port}{path}"
