Broken builds: patch the program that the soak installs

The soak starts nodes as they are deployed, without `site`, so that a patch by `sitecustomize` no longer reached them. It stands before the first line of the installed start.py now, whose bundle is removed. The patch of `silence` named a parameter that has become a tuple of limits: its nodes ended at their start, and the soak waited for them for good (run by run: no verdict).

--- a/tools/soak_broken_builds.py
+++ b/tools/soak_broken_builds.py
@@ -1,7 +1,8 @@
 """Show that the soak fails: run it against nodes that break one promise each, on purpose.
 
-A `sitecustomize` module in a temporary folder patches the nodes' processes; nothing of it reaches
-the product. Exit status 1 where a broken build was not noticed.
+The program that a soak installs in its temporary folder is patched there, and its modules come from
+files of their own; nothing of it reaches the product. Exit status 1 where a broken build was not
+noticed.
 
     .venv/bin/python tools/soak_broken_builds.py [NAME...]
 """
@@ -9,18 +10,20 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
 import tempfile
+from functools import partial
 from pathlib import Path
 from typing import NamedTuple
+from unittest import mock
 
+from beamloom.runtime.start import BUNDLE
+from beamloom.soak.program import NodeProgram, install_program
 from beamloom.soak.run import SoakOptions, run_soak
 
 SECONDS = 75.0
 NODES = 5
 SEED = 3
-SOURCES = str(Path(__file__).resolve().parents[1] / "src")
 HEAD = """
 import importlib.abc, importlib.util, sys
 
@@ -57,8 +60,9 @@
 PATIENT_CALLS = """
 def change(module):
     call = module.HttpConnection.call
-    def patient(connection, method, path, deadline_seconds, *rest, **named):
-        return call(connection, method, path, 3600.0, *rest, **named)
+    def patient(connection, method, path, limits, *rest, **named):
+        limits = limits._replace(deadline_seconds=3600.0, progress_seconds=3600.0)
+        return call(connection, method, path, limits, *rest, **named)
     module.HttpConnection.call = patient
 patch("beamloom.runtime.http_client", change)
 """
@@ -190,12 +194,21 @@
 
 def _rules_broken(build: BrokenBuild) -> set[str]:
     with tempfile.TemporaryDirectory(prefix="broken-soak-") as folder:
-        (Path(folder) / "sitecustomize.py").write_text(HEAD + build.patch)
-        os.environ["PYTHONPATH"] = os.pathsep.join((folder, SOURCES))
         options = SoakOptions(SEED, SECONDS, NODES, Path(folder), build.kinds)
-        result = asyncio.run(run_soak(options))
+        install = partial(_install_broken, build.patch)
+        with mock.patch("beamloom.soak.harness.install_program", install):
+            result = asyncio.run(run_soak(options))
     return {violation.rule for violation in result.violations}
 
 
+def _install_broken(patch: str, folder: Path) -> NodeProgram:
+    """Install the program, with a patch before its first line."""
+    program = install_program(folder)
+    start = Path(program.command[-1])
+    start.write_text(HEAD + patch + start.read_text())
+    (folder / "installed" / BUNDLE).unlink()  # its finder would be asked before the patch's
+    return program
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
