Soak: no count of signals that nobody reads

Cause: the bursts of reloads counted what they sent, and nothing told it. Ruled out: a use in results or tests. Change: the count goes; behaviour stays as it was.

--- a/src/beamloom/soak/signal_bursts.py
+++ b/src/beamloom/soak/signal_bursts.py
@@ -21,10 +21,9 @@
 
 
 class SignalBursts:
-    """Bursts on a harness; `sent` counts the signals."""
+    """Bursts on a harness, drawn by chance."""
 
     def __init__(self, harness: SoakHarness, chance: random.Random) -> None:
-        self.sent = 0
         self._harness = harness
         self._chance = chance
 
@@ -46,5 +45,4 @@
         while self._harness.now < end_at:
             if node.holds(signal.SIGHUP):
                 node.send(signal.SIGHUP)
-                self.sent += 1
             await asyncio.sleep(GAP_SECONDS)
