Checks of backends: compare a silent one with references, and log its evidence

BackendDown named an outcome, but neither why the backend was checked, nor how old the last sign of life was, nor whether anybody answered this node at that moment. Hypotheses 1 (the node's own link) and 2 (the backend's queue) could not be told apart. Change: after a silent check the node connects to up to two other backends. Its link delivers in order, so their answers show that the backend's own is not waiting there. Outcome unconfirmed: they did not answer either; it still counts as death. BackendDown has reason, check_seconds and alive_age. The simulation can congest a node's link. The bound on a late event loop goes: an answer that waits for the loop is read before that of a later reference. Conclusion: a false silent check is told from a dead backend by its outcome.

--- a/src/beamloom/node/backend_failure_handler.py
+++ b/src/beamloom/node/backend_failure_handler.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from beamloom.node.node_observer import NodeObserver
+from beamloom.node.node_observer import DownEvidence, NodeObserver
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.liveness import CheckOutcome, LivenessChecks, Suspicion
 from beamloom.routing.tokens.packets import RefusalReason
@@ -30,6 +30,8 @@
 """How long non-repeatable requests prefer other backends after one node saw a sign of failure."""
 CONFIRMED_UNSAFE_AVOIDANCE_SECONDS = 8.0
 """The same after several nodes saw signs of failure."""
+REFERENCES_PER_CHECK = 2
+"""More than one, as a reference may have died as well."""
 
 
 class BackendFailureHandler:
@@ -50,6 +52,7 @@
             router.flows.on_short_answer = self._report_failure
         if mechanisms.liveness_checks:
             router.flows.on_suspicion = self.checks.suspect
+            self.checks.find_references = self._find_references
             self.checks.on_down = self._note_down
             self.checks.on_up = self._note_up
 
@@ -146,12 +149,33 @@
     def _note_down(self, backend: Backend, outcome: CheckOutcome, now: float) -> None:
         """Reset the open flows of a backend that a check found dead, and report it to peers."""
         flows = self._router.end_flows(backend, RefusalReason.BACKEND_DOWN)
-        self._observer.backend_down(backend.record, outcome, flows)
+        self._observer.backend_down(backend.record, _evidence(backend, outcome, now), flows)
         if self._exchange is not None:
             self._exchange.note_down(backend.record.name, now)
         service = self._router.backends.of_service(backend.record.service)
         self.checks.check_zone(service, backend.record.zone, now)
 
+    def _find_references(self, suspect: Backend) -> list[Backend]:
+        """Return the listed backends with the latest signs of life, of one zone each.
+
+        Those in the zone of the suspect come last, as their zone may be down.
+        """
+        candidates = [
+            backend
+            for backend in self._router.backends.all()
+            if backend is not suspect and backend.takes_flows and backend.down_since is None
+        ]
+        candidates.sort(
+            key=lambda backend: (
+                backend.record.zone == suspect.record.zone,
+                -backend.last_alive_at,
+            )
+        )
+        by_zone: dict[str, Backend] = {}
+        for backend in candidates:
+            by_zone.setdefault(backend.record.zone, backend)
+        return list(by_zone.values())[:REFERENCES_PER_CHECK]
+
     def _note_up(self, backend: Backend, now: float) -> None:
         if backend.was_refused:
             self._router.backends.presume_cold(backend, now)
@@ -166,3 +190,8 @@
             self.checks.suspect(backend, Suspicion.REPORTED, now)
         else:
             self._router.backends.suspect(name, now, now + PEER_SUSPICION_SECONDS)
+
+
+def _evidence(backend: Backend, outcome: CheckOutcome, now: float) -> DownEvidence:
+    alive_age = now - backend.last_alive_at if backend.last_alive_at > float("-inf") else None
+    return DownEvidence(outcome, backend.check_reason, now - backend.check_began_at, alive_age)
--- a/src/beamloom/node/node_observer.py
+++ b/src/beamloom/node/node_observer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from typing import NamedTuple
 
 from beamloom.routing.tokens.decisions import Decision
 from beamloom.routing.tokens.liveness import CheckOutcome
@@ -12,6 +13,19 @@
 FROM_PEER = "peer"
 
 
+class DownEvidence(NamedTuple):
+    """Why a backend was found dead; times in seconds.
+
+    `reason` is the value of the `Suspicion` that caused the check. `alive_age` is None if this node
+    has seen no sign of life.
+    """
+
+    outcome: CheckOutcome
+    reason: str
+    check_seconds: float
+    alive_age: float | None
+
+
 class NodeObserver(ABC):
     """Records decisions and state changes of a node; `source` is FROM_STORE or FROM_PEER."""
 
@@ -48,7 +62,7 @@
         """Record that several nodes found a backend silent, the last one `age` seconds ago."""
 
     @abstractmethod
-    def backend_down(self, record: BackendRecord, outcome: CheckOutcome, flows: int) -> None:
+    def backend_down(self, record: BackendRecord, evidence: DownEvidence, flows: int) -> None:
         """Record that a check found a backend dead, and how many of its flows were reset."""
 
     @abstractmethod
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -38,7 +38,8 @@
     Liveness: `answered_at` is when it last answered an opening, `last_alive_at` when it last showed
     any sign of life. A check found it dead at `down_since`; with `was_refused`, a connection was
     refused since then. It is not checked before `next_check_at`, after `repeated_outcomes` checks
-    in a row with the same result.
+    in a row with the same result. The last check began at `check_began_at` because of
+    `check_reason`.
 
     Record: `revision` is that of its last store record. `gone_at` is when the store stopped listing
     it. With `ended`, a later incarnation has its address; with `removed`, it was removed from the
@@ -53,6 +54,8 @@
     __slots__ = (
         "answered_at",
         "busy",
+        "check_began_at",
+        "check_reason",
         "doubted_until",
         "down_since",
         "ended",
@@ -108,6 +111,8 @@
         self.doubted_until = float("-inf")
         self.down_since: float | None = None
         self.next_check_at = float("-inf")
+        self.check_began_at = float("-inf")
+        self.check_reason = ""
         self.repeated_outcomes = 0
         self.was_refused = False
 
--- a/src/beamloom/routing/tokens/liveness.py
+++ b/src/beamloom/routing/tokens/liveness.py
@@ -29,13 +29,15 @@
 class CheckOutcome(Enum):
     """Outcome of a check; the values are counter labels.
 
-    REFUSED: the connection was refused. SILENT: there was no answer. UNCLEAR: the check could not
-    be made, this node was too slow, or the backend showed a sign of life during a silent check.
+    REFUSED: the connection was refused. SILENT: there was no answer, although a reference answered
+    later. UNCONFIRMED: no reference answered either, so that the fault may be on this node's side.
+    UNCLEAR: the check could not be made, or the backend showed a sign of life during a silent one.
     """
 
     ALIVE = "alive"
     REFUSED = "refused"
     SILENT = "silent"
+    UNCONFIRMED = "unconfirmed"
     UNCLEAR = "unclear"
 
 
@@ -55,15 +57,18 @@
     """The checks of one node.
 
     `on_down` is called for each backend that is found dead, `on_up` when a dead one is alive again.
+    `find_references` returns backends that probably answer, to be connected to if a check is
+    silent.
     """
 
     def __init__(self) -> None:
         self.counters: Counter[str] = Counter()
         self.start_check: Callable[[Backend], None] = lambda backend: None
+        self.find_references: Callable[[Backend], list[Backend]] = lambda backend: []
         self.on_down: Callable[[Backend, CheckOutcome, float], None] = lambda *_: None
         self.on_up: Callable[[Backend, float], None] = lambda *_: None
         self._running: dict[str, float] = {}
-        self._queued: dict[str, Backend] = {}
+        self._queued: dict[str, tuple[Backend, Suspicion]] = {}
         self._watched: dict[str, Backend] = {}
         self._down_in_zone: dict[str, list[float]] = {}
 
@@ -77,9 +82,9 @@
         if backend.gone_at is not None:
             self._watched[name] = backend
         if len(self._running) < MAXIMUM_CONCURRENT_CHECKS:
-            self._start(backend, now)
+            self._start(backend, suspicion, now)
         elif len(self._queued) < MAXIMUM_QUEUED_CHECKS:
-            self._queued[name] = backend
+            self._queued[name] = (backend, suspicion)
 
     def watch(self, backend: Backend, now: float) -> None:
         """Check a backend now, and repeatedly while the outcome may affect flows."""
@@ -93,7 +98,8 @@
         self._start_next(now)
         if backend.removed or backend.ended:
             return
-        if outcome is CheckOutcome.SILENT and backend.last_alive_at >= began_at:
+        is_silent = outcome in (CheckOutcome.SILENT, CheckOutcome.UNCONFIRMED)
+        if is_silent and backend.last_alive_at >= began_at:
             outcome = CheckOutcome.UNCLEAR
         self.counters[outcome.value] += 1
         if outcome is CheckOutcome.UNCLEAR:
@@ -122,15 +128,17 @@
             if backend.down_since is None and backend.takes_flows:
                 self.suspect(backend, Suspicion.ZONE, now)
 
-    def _start(self, backend: Backend, now: float) -> None:
+    def _start(self, backend: Backend, suspicion: Suspicion, now: float) -> None:
         self._running[backend.record.name] = now
+        backend.check_began_at = now
+        backend.check_reason = suspicion.value
         self.start_check(backend)
 
     def _start_next(self, now: float) -> None:
         while self._queued and len(self._running) < MAXIMUM_CONCURRENT_CHECKS:
-            backend = self._queued.pop(next(iter(self._queued)))
+            backend, suspicion = self._queued.pop(next(iter(self._queued)))
             if not backend.removed and not backend.ended:
-                self._start(backend, now)
+                self._start(backend, suspicion, now)
 
     def _note_alive(self, backend: Backend, now: float) -> None:
         if backend.down_since is not None:
--- a/src/beamloom/runtime/backend_check.py
+++ b/src/beamloom/runtime/backend_check.py
@@ -2,20 +2,29 @@
 
 The check only opens and closes a connection: a health request would occupy a slot of the backend,
 and its answer says little about the backend's flows.
+
+An answer may be late because this node's link is congested. After a silent check the node therefore
+connects to other backends, the references. A link delivers in order, so the answer of a reference
+that was asked later shows that the backend's answer is not waiting in the link of this node.
 """
 
 from __future__ import annotations
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.liveness import CheckOutcome, LivenessChecks
-from beamloom.runtime.connection_limits import CHECK_ATTEMPT_SECONDS, CHECK_ATTEMPTS
+from beamloom.runtime.connection_limits import (
+    CHECK_ATTEMPT_SECONDS,
+    CHECK_ATTEMPTS,
+    REFERENCE_SECONDS,
+)
 
-MAXIMUM_LOOP_DELAY_SECONDS = 0.03
-"""If the event loop ran later than this, an answer may have arrived in time but not been read."""
+Address = tuple[str, int]
+ANSWERS = (CheckOutcome.ALIVE, CheckOutcome.REFUSED)
+"""Outcomes that show that a connection attempt was answered."""
 
 
 class BackendChecker:
@@ -41,31 +50,74 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _check(self, backend: Backend) -> None:
-        outcome = CheckOutcome.UNCLEAR
-        for _ in range(CHECK_ATTEMPTS):
-            outcome = await _connect(backend.record.address, self._local_host)
-            if outcome is not CheckOutcome.SILENT:
-                break
+        attempts = _Attempts(self._local_host)
+        try:
+            outcome = await attempts.check(
+                backend.record.address,
+                lambda: [one.record.address for one in self._checks.find_references(backend)],
+            )
+        finally:
+            attempts.cancel()
         self._checks.apply_outcome(backend, outcome, asyncio.get_running_loop().time())
         self._on_done()
 
 
-async def _connect(address: tuple[str, int], local_host: str) -> CheckOutcome:
-    """Attempt a connection once; return what that shows of the backend."""
-    loop = asyncio.get_running_loop()
-    due = loop.time() + CHECK_ATTEMPT_SECONDS
+class _Attempts:
+    """The connection attempts of one check; each goes on until it is answered or cancelled."""
+
+    def __init__(self, local_host: str) -> None:
+        self._local_host = local_host
+        self._target: set[asyncio.Task[CheckOutcome]] = set()
+        self._references: set[asyncio.Task[CheckOutcome]] = set()
+
+    def cancel(self) -> None:
+        """Cancel the attempts that have not ended."""
+        for task in self._target | self._references:
+            task.cancel()
+
+    async def check(
+        self, address: Address, find_references: Callable[[], Iterable[Address]]
+    ) -> CheckOutcome:
+        """Return what connection attempts to an address show of the backend there."""
+        for _ in range(CHECK_ATTEMPTS):
+            self._target.add(self._connect(address))
+            await asyncio.wait(
+                self._target, timeout=CHECK_ATTEMPT_SECONDS, return_when=asyncio.FIRST_COMPLETED
+            )
+            if answer := _first_result(self._target):
+                return answer
+        self._references = {self._connect(reference) for reference in find_references()}
+        return await self._compare_with_references()
+
+    async def _compare_with_references(self) -> CheckOutcome:
+        loop = asyncio.get_running_loop()
+        due = loop.time() + REFERENCE_SECONDS
+        while (seconds := due - loop.time()) > 0:
+            pending = {task for task in self._target | self._references if not task.done()}
+            if not pending:
+                break
+            await asyncio.wait(pending, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+            if answer := _first_result(self._target):
+                return answer
+            if any(task.done() and task.result() in ANSWERS for task in self._references):
+                return CheckOutcome.SILENT
+        return CheckOutcome.UNCONFIRMED
+
+    def _connect(self, address: Address) -> asyncio.Task[CheckOutcome]:
+        return asyncio.get_running_loop().create_task(_connect(address, self._local_host))
+
+
+def _first_result(tasks: Iterable[asyncio.Task[CheckOutcome]]) -> CheckOutcome | None:
+    return next((task.result() for task in tasks if task.done()), None)
+
+
+async def _connect(address: Address, local_host: str) -> CheckOutcome:
+    """Attempt a connection until it is answered; return what the answer shows of the backend."""
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         connection.setblocking(False)
         connection.bind((local_host, 0))
-        async with asyncio.timeout_at(due):
-            await loop.sock_connect(connection, address)
-    except TimeoutError:
-        return (
-            CheckOutcome.SILENT
-            if loop.time() - due < MAXIMUM_LOOP_DELAY_SECONDS
-            else CheckOutcome.UNCLEAR
-        )
+        await asyncio.get_running_loop().sock_connect(connection, address)
     except (ConnectionRefusedError, ConnectionResetError):
         return CheckOutcome.REFUSED
     except OSError:
--- a/src/beamloom/runtime/connection_limits.py
+++ b/src/beamloom/runtime/connection_limits.py
@@ -39,6 +39,8 @@
 """More than one, so that one lost packet does not count as silence."""
 CHECK_ATTEMPT_SECONDS = 0.1
 """More than ten times the longest round trip to a backend."""
+REFERENCE_SECONDS = 0.2
+"""How long a silent check waits for the answer of a reference."""
 
 MAXIMUM_CONNECTIONS = 64
 """Limit per responder: enough for a dozen callers with several silent connections each."""
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from beamloom.model.store_revision import number_of
-from beamloom.node.node_observer import NodeObserver
+from beamloom.node.node_observer import DownEvidence, NodeObserver
 from beamloom.routing.tokens.decisions import (
     Decision,
     FlowPlaced,
@@ -19,7 +19,6 @@
     PacketDropped,
     RequestStalled,
 )
-from beamloom.routing.tokens.liveness import CheckOutcome
 from beamloom.routing.tokens.records import BackendRecord
 from beamloom.telemetry.event_log import EventLog, FieldValue
 from beamloom.units import MILLISECONDS
@@ -145,15 +144,19 @@
         }
         self._log.record("BackendSuspected", fields)
 
-    def backend_down(self, record: BackendRecord, outcome: CheckOutcome, flows: int) -> None:
+    def backend_down(self, record: BackendRecord, evidence: DownEvidence, flows: int) -> None:
         """Record that a check found a backend dead, and how many of its flows were reset."""
+        alive_age = evidence.alive_age
         self._log.record(
             "BackendDown",
             {
                 "backend": record.name,
                 "service": record.service,
                 "zone": record.zone,
-                "outcome": outcome.value,
+                "outcome": evidence.outcome.value,
+                "reason": evidence.reason,
+                "check_seconds": round(evidence.check_seconds, 3),
+                "alive_age": None if alive_age is None else round(alive_age, 3),
                 "flows_ended": flows,
             },
         )
--- a/src/beamloom/simulation/tokens/client_side.py
+++ b/src/beamloom/simulation/tokens/client_side.py
@@ -111,7 +111,7 @@
             node = self._pick_node(packet.source)
             if node is not None and not self.loses_packet():
                 self._fleet.clock.call_later(
-                    ONE_WAY_DELAY_SECONDS, node.receive_datagram, packet.encode()
+                    self._fleet.inbound_delay(node.host), node.receive_datagram, packet.encode()
                 )
 
     def _pick_node(self, source: FlowEnd) -> SimulatedTokenNode | None:
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -55,6 +55,8 @@
 """Fraction of endpoint crashes in which the host fails too."""
 CHECK_TIMEOUT_SECONDS = 0.2
 """Timeout of a node's connection attempts to endpoints."""
+REFERENCE_SECONDS = 0.2
+"""How long a silent check waits for the answer of a reference."""
 DRAIN_DURATION_SECONDS = 4.0
 """How long a draining endpoint continues to serve."""
 
@@ -102,6 +104,7 @@
         self.endpoints: dict[tuple[str, int], Endpoint] = {}
         self.all_endpoints: list[Endpoint] = []
         self.partitioned_hosts: set[str] = set()
+        self._inbound_delays: dict[str, float] = {}
         self.evacuated: set[str] = set()
         self._join_seconds = join_seconds
         self.clients = ClientSide(self, loss=loss, steady=steady)
@@ -167,6 +170,19 @@
         self.partitioned_hosts.add(host)
         self.clock.call_later(seconds, self.partitioned_hosts.discard, host)
 
+    def congest_node(self, name: str, delay: float, seconds: float) -> None:
+        """Delay by `delay` what a node receives from clients, peers and endpoints.
+
+        The node stays in contact: a full link is no fault that lifts a rule.
+        """
+        host = self.nodes[name].host
+        self._inbound_delays[host] = delay
+        self.clock.call_later(seconds, self._inbound_delays.pop, host, None)
+
+    def inbound_delay(self, host: str) -> float:
+        """Return the seconds until a node at a host receives a packet that is sent now."""
+        return ONE_WAY_DELAY_SECONDS + self._inbound_delays.get(host, 0.0)
+
     def inject_store_fault(self, fault: StoreFault, seconds: float) -> None:
         """Refuse or drop all calls to the store for `seconds`."""
         self.link.fault = fault
@@ -301,22 +317,48 @@
             return
         node = self._nodes_by_host.get(host)
         if node is not None and node.alive:
-            self.clock.call_later(ONE_WAY_DELAY_SECONDS, node.receive_message, source, message)
+            self.clock.call_later(self.inbound_delay(host), node.receive_message, source, message)
 
     def _check_backend(
-        self, host: str, address: tuple[str, int], on_outcome: Callable[[CheckOutcome], None]
+        self,
+        host: str,
+        address: tuple[str, int],
+        find_references: Callable[[], list[tuple[str, int]]],
+        on_outcome: Callable[[CheckOutcome], None],
     ) -> None:
         """Report the outcome of a node's connection attempt to an address.
 
         A host refuses the connection if only the process has ended.
         """
+        answer = self._connect(address)
+        answer_seconds = ONE_WAY_DELAY_SECONDS + self.inbound_delay(host)
+        if answer is not None and answer_seconds <= CHECK_TIMEOUT_SECONDS:
+            self.clock.call_later(answer_seconds, on_outcome, answer)
+            return
+
+        def compare_with_references() -> None:
+            reference_seconds = ONE_WAY_DELAY_SECONDS + self.inbound_delay(host)
+            if all(self._connect(reference) is None for reference in find_references()):
+                reference_seconds = float("inf")
+            remaining = answer_seconds - CHECK_TIMEOUT_SECONDS
+            waits = min(reference_seconds, REFERENCE_SECONDS)
+            if answer is not None and remaining <= waits:
+                self.clock.call_later(remaining, on_outcome, answer)
+            elif reference_seconds <= REFERENCE_SECONDS:
+                self.clock.call_later(reference_seconds, on_outcome, CheckOutcome.SILENT)
+            else:
+                self.clock.call_later(REFERENCE_SECONDS, on_outcome, CheckOutcome.UNCONFIRMED)
+
+        self.clock.call_later(CHECK_TIMEOUT_SECONDS, compare_with_references)
+
+    def _connect(self, address: tuple[str, int]) -> CheckOutcome | None:
+        """Return the answer to a connection attempt, or None if there is none."""
         endpoint = self.endpoints.get(address)
-        if endpoint is not None and endpoint.alive:
-            self.clock.call_later(2 * ONE_WAY_DELAY_SECONDS, on_outcome, CheckOutcome.ALIVE)
-        elif endpoint is not None and not endpoint.dark:
-            self.clock.call_later(2 * ONE_WAY_DELAY_SECONDS, on_outcome, CheckOutcome.REFUSED)
-        else:
-            self.clock.call_later(CHECK_TIMEOUT_SECONDS, on_outcome, CheckOutcome.SILENT)
+        if endpoint is None:
+            return None
+        if endpoint.alive:
+            return CheckOutcome.ALIVE
+        return None if endpoint.dark else CheckOutcome.REFUSED
 
     def _send(self, node: str, data: bytes, address: tuple[str, int]) -> None:
         if self.clients.loses_packet():
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -35,8 +35,14 @@
 
 Forward = Callable[[bytes, tuple[str, int]], None]
 SendMessage = Callable[[str, str, Message], None]
-CheckBackend = Callable[[str, tuple[str, int], Callable[[CheckOutcome], None]], None]
-"""Checks an address on behalf of the node at a host; the callback receives the outcome."""
+Address = tuple[str, int]
+CheckBackend = Callable[
+    [str, Address, Callable[[], list[Address]], Callable[[CheckOutcome], None]], None
+]
+"""Checks an address on behalf of the node at a host; the callback receives the outcome.
+
+The third argument returns the references of a silent check.
+"""
 
 
 class _Reader:
@@ -278,7 +284,10 @@
         def on_outcome(outcome: CheckOutcome) -> None:
             self.call_when_running(lambda: self._apply_check_outcome(backend, outcome))
 
-        self._check_backend(self.host, backend.record.address, on_outcome)
+        def find_references() -> list[Address]:
+            return [one.record.address for one in self.core.checks.find_references(backend)]
+
+        self._check_backend(self.host, backend.record.address, find_references, on_outcome)
 
     def _apply_check_outcome(self, backend: Backend, outcome: CheckOutcome) -> None:
         self.core.checks.apply_outcome(backend, outcome, self.clock.now)
--- a/src/beamloom/simulation/tokens/quiet_observer.py
+++ b/src/beamloom/simulation/tokens/quiet_observer.py
@@ -4,9 +4,8 @@
 
 from collections import Counter
 
-from beamloom.node.node_observer import NodeObserver
+from beamloom.node.node_observer import DownEvidence, NodeObserver
 from beamloom.routing.tokens.decisions import Decision
-from beamloom.routing.tokens.liveness import CheckOutcome
 from beamloom.routing.tokens.records import BackendRecord
 
 
@@ -48,9 +47,9 @@
         """Count a backend that several nodes found silent."""
         self.counters["suspected"] += 1
 
-    def backend_down(self, record: BackendRecord, outcome: CheckOutcome, flows: int) -> None:
+    def backend_down(self, record: BackendRecord, evidence: DownEvidence, flows: int) -> None:
         """Count a backend that a check found dead, and its flows that were reset."""
-        self.counters[f"down_{outcome.value}"] += 1
+        self.counters[f"down_{evidence.outcome.value}"] += 1
         self.counters["flows_ended"] += flows
 
     def backend_failing(self, record: BackendRecord) -> None:
