--- a/tests/unit/tokens/test_liveness.py
+++ b/tests/unit/tokens/test_liveness.py
@@ -307,3 +307,16 @@
         fleet.run(10.0)
         self.assertEqual(fleet.oracle.violations, [])
         self.assertEqual([f for f in fleet.clients.finished if f.state is FlowState.RESET], [])
+
+    def test_a_congested_node_resets_no_flow_of_a_living_backend(self) -> None:
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                fleet = TokenFleet(seed, nodes=7)
+                fleet.run(6.0)
+                for _ in range(100):
+                    fleet.clients.open_flow(1, FlowPlan(requests=20, pause_seconds=0.3))
+                    fleet.run(0.02)
+                for name in list(fleet.nodes)[:3]:
+                    fleet.congest_node(name, delay=0.8, seconds=2.0)
+                fleet.run(6.0)
+                self.assertEqual(fleet.oracle.violations, [])
