Flows are reset for silence only if the silent check was confirmed

Cause: a check took no answer within 0.2 s for the backend's death. On a link that a large configuration fills, each answer waits longer than that, so that a node took its own congestion for the death of every backend that it checked. Change: a silent check whose references do not answer either is inconclusive. It ends no flow, excludes nobody, and is repeated while flows are open there. Clients of a dead zone are still told within 1.5 s (test unchanged).

--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -39,7 +39,7 @@
     any sign of life. A check found it dead at `down_since`; with `was_refused`, a connection was
     refused since then. It is not checked before `next_check_at`, after `repeated_outcomes` checks
     in a row with the same result. The last check began at `check_began_at` because of
-    `check_reason`.
+    `check_reason`; with `is_check_inconclusive`, it did not show whether the backend is dead.
 
     Record: `revision` is that of its last store record. `gone_at` is when the store stopped listing
     it. With `ended`, a later incarnation has its address; with `removed`, it was removed from the
@@ -64,6 +64,7 @@
         "failing_until",
         "failures",
         "gone_at",
+        "is_check_inconclusive",
         "known_since",
         "last_alive_at",
         "next_check_at",
@@ -113,6 +114,7 @@
         self.next_check_at = float("-inf")
         self.check_began_at = float("-inf")
         self.check_reason = ""
+        self.is_check_inconclusive = False
         self.repeated_outcomes = 0
         self.was_refused = False
 
--- a/src/beamloom/routing/tokens/liveness.py
+++ b/src/beamloom/routing/tokens/liveness.py
@@ -41,6 +41,10 @@
     UNCLEAR = "unclear"
 
 
+INCONCLUSIVE = (CheckOutcome.UNCONFIRMED, CheckOutcome.UNCLEAR)
+"""Outcomes that do not show whether the backend is dead; the check is repeated."""
+
+
 class Suspicion(Enum):
     """Reason for a check; the values are counter labels."""
 
@@ -102,7 +106,8 @@
         if is_silent and backend.last_alive_at >= began_at:
             outcome = CheckOutcome.UNCLEAR
         self.counters[outcome.value] += 1
-        if outcome is CheckOutcome.UNCLEAR:
+        backend.is_check_inconclusive = outcome in INCONCLUSIVE
+        if outcome in INCONCLUSIVE:
             self._watched[backend.record.name] = backend
         elif outcome is CheckOutcome.ALIVE:
             self._note_alive(backend, now)
@@ -110,7 +115,11 @@
             self._note_dead(backend, outcome, now)
 
     def advance(self, now: float) -> None:
-        """Repeat due checks of listed backends that are down, and of gone ones with open flows."""
+        """Repeat due checks.
+
+        They are repeated for listed backends that are down, and for backends with open flows that
+        the store no longer lists or whose last check was inconclusive.
+        """
         for name, backend in list(self._watched.items()):
             if not _needs_recheck(backend):
                 del self._watched[name]
@@ -171,6 +180,8 @@
     """Whether another check may affect flows."""
     if backend.removed or backend.ended:
         return False
+    if backend.is_check_inconclusive and backend.open > 0:
+        return True
     if backend.gone_at is not None:
         return backend.down_since is None and backend.open > 0
     return backend.down_since is not None
--- a/tests/unit/tokens/test_liveness.py
+++ b/tests/unit/tokens/test_liveness.py
@@ -84,6 +84,16 @@
         self.checks.advance(START + 0.4)
         self.assertEqual(len(self.begun), 1)
 
+    def test_unconfirmed_silence_ends_no_flow_and_is_checked_again(self) -> None:
+        self.backend.open = 1
+        self.checks.suspect(self.backend, Suspicion.QUIET_REQUEST, START)
+        self.checks.apply_outcome(self.backend, CheckOutcome.UNCONFIRMED, START + 0.4)
+        self.assertEqual((self.down, self.backend.down_since), ([], None))
+        self.checks.advance(START + RECHECK_SECONDS)
+        self.assertEqual(len(self.begun), 2)
+        self.checks.apply_outcome(self.backend, CheckOutcome.SILENT, START + 0.9)
+        self.assertEqual(self.down, [(1, CheckOutcome.SILENT)])
+
     def test_a_listed_backend_is_checked_until_it_is_up_again(self) -> None:
         self.checks.suspect(self.backend, Suspicion.REPEATED_REQUEST, START)
         self.checks.apply_outcome(self.backend, CheckOutcome.SILENT, START + 0.3)
@@ -250,6 +260,22 @@
         self.assertEqual([held.record.identity for held in begun], [1])
 
 
+class ReferencesTest(unittest.TestCase):
+    def test_references_were_alive_last_and_are_in_other_zones_if_possible(self) -> None:
+        records = [backend(number, zone=zone) for number, zone in enumerate("aabbcc", 1)]
+        core = make_core(ALL_MECHANISMS, *records, backend(7, zone="d"))
+        held = {one.record.identity: one for one in core.router.backends.all()}
+        for identity, alive_at in ((1, 9.0), (2, 8.0), (3, 5.0), (4, 6.0), (5, 4.0), (6, 7.0)):
+            held[identity].last_alive_at = alive_at
+        held[7].down_since = START
+        found = core.checks.find_references(held[1])
+        self.assertEqual([one.record.identity for one in found], [6, 4])
+        for identity in (3, 4, 5, 6):
+            held[identity].down_since = START
+        found = core.checks.find_references(held[1])
+        self.assertEqual([one.record.identity for one in found], [2])
+
+
 def make_core_with_flow() -> TokenCore:
     """Return a core with one open flow, at backend 1."""
     core = make_core(ALL_MECHANISMS, backend(1))
