A refused check counts only if the backend has shown no sign of life since

What callers saw: flows that a restarted backend had just opened could be reset. Cause: a refusal that a check met while the process was away was applied although an answer of its successor had been seen in the meantime; silence had this guard, a refusal had not. Change: any outcome but alive is inconclusive if the backend showed a sign of life since the check began. Evidence: test_a_refused_check_of_a_backend_that_answered_since_is_unclear fails before (the backend is down) and passes now.

--- a/src/beamloom/routing/tokens/liveness.py
+++ b/src/beamloom/routing/tokens/liveness.py
@@ -31,7 +31,7 @@
 
     REFUSED: the connection was refused. SILENT: there was no answer, although a reference answered
     later. UNCONFIRMED: no reference answered either, so that the fault may be on this node's side.
-    UNCLEAR: the check could not be made, or the backend showed a sign of life during a silent one.
+    UNCLEAR: the check could not be made, or the backend showed a sign of life since it began.
     """
 
     ALIVE = "alive"
@@ -102,8 +102,7 @@
         self._start_next(now)
         if backend.removed or backend.ended:
             return
-        is_silent = outcome in (CheckOutcome.SILENT, CheckOutcome.UNCONFIRMED)
-        if is_silent and backend.last_alive_at >= began_at:
+        if outcome is not CheckOutcome.ALIVE and backend.last_alive_at >= began_at:
             outcome = CheckOutcome.UNCLEAR
         self.counters[outcome.value] += 1
         backend.is_check_inconclusive = outcome in INCONCLUSIVE
--- a/tests/unit/tokens/test_liveness.py
+++ b/tests/unit/tokens/test_liveness.py
@@ -76,6 +76,13 @@
         self.checks.apply_outcome(self.backend, CheckOutcome.SILENT, START + 0.3)
         self.assertEqual((self.down, self.backend.down_since), ([], None))
 
+    def test_a_refused_check_of_a_backend_that_answered_since_is_unclear(self) -> None:
+        """The check met the former process, and its successor has opened flows since."""
+        self.checks.suspect(self.backend, Suspicion.REPEATED_REQUEST, START)
+        self.backend.last_alive_at = START + 0.1
+        self.checks.apply_outcome(self.backend, CheckOutcome.REFUSED, START + 0.2)
+        self.assertEqual((self.down, self.backend.down_since), ([], None))
+
     def test_an_unclear_check_is_made_again(self) -> None:
         self.checks.suspect(self.backend, Suspicion.REPEATED_REQUEST, START)
         self.checks.apply_outcome(self.backend, CheckOutcome.UNCLEAR, START + 0.3)
