A check ends only the flows that were open when it began

Cause: the outcome of a check was kept and applied to every later packet for that backend, up to 2 s where it is listed, and for 75 s where it is not, as it is then never checked again. Flows opened since, here or through other nodes, were reset. Change: flows that were open when the check began are ended. A packet of any other flow is forwarded and starts a check, whose outcome decides. Flows that were opened through another node are no sign of life. Backends that are not listed are checked again while flows are open there. Conclusion: an outcome is evidence about the past of a flow only.

--- a/src/beamloom/node/backend_failure_handler.py
+++ b/src/beamloom/node/backend_failure_handler.py
@@ -54,6 +54,7 @@
             router.flows.on_suspicion = self.checks.suspect
             self.checks.find_references = self._find_references
             self.checks.on_down = self._note_down
+            self.checks.on_still_down = self._end_flows
             self.checks.on_up = self._note_up
 
     def join(self, exchange: ViewExchange) -> None:
@@ -148,13 +149,16 @@
 
     def _note_down(self, backend: Backend, outcome: CheckOutcome, now: float) -> None:
         """Reset the open flows of a backend that a check found dead, and report it to peers."""
-        flows = self._router.end_flows(backend, RefusalReason.BACKEND_DOWN)
+        flows = self._end_flows(backend, now)
         self._observer.backend_down(backend.record, _evidence(backend, outcome, now), flows)
         if self._exchange is not None:
             self._exchange.note_down(backend.record.name, now)
         service = self._router.backends.of_service(backend.record.service)
         self.checks.check_zone(service, backend.record.zone, now)
 
+    def _end_flows(self, backend: Backend, _now: float) -> int:
+        return self._router.end_flows(backend, RefusalReason.BACKEND_DOWN, backend.flows_lost_until)
+
     def _find_references(self, suspect: Backend) -> list[Backend]:
         """Return the listed backends with the latest signs of life, of one zone each.
 
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -37,9 +37,11 @@
 
     Liveness: `answered_at` is when it last answered an opening, `last_alive_at` when it last showed
     any sign of life. A check found it dead at `down_since`; with `was_refused`, a connection was
-    refused since then. It is not checked before `next_check_at`, after `repeated_outcomes` checks
-    in a row with the same result. The last check began at `check_began_at` because of
-    `check_reason`; with `is_check_inconclusive`, it did not show whether the backend is dead.
+    refused since then. Flows that were open there at `flows_lost_until`, when the last check
+    that found it dead began, are lost. It is not checked before `next_check_at`, after
+    `repeated_outcomes` checks in a row with the same result. The last check began at
+    `check_began_at` because of `check_reason`; with `is_check_inconclusive`, it did not show
+    whether the backend is dead.
 
     Record: `revision` is that of its last store record. `gone_at` is when the store stopped listing
     it. With `ended`, a later incarnation has its address; with `removed`, it was removed from the
@@ -63,6 +65,7 @@
         "failing_relapses",
         "failing_until",
         "failures",
+        "flows_lost_until",
         "gone_at",
         "is_check_inconclusive",
         "known_since",
@@ -111,6 +114,7 @@
         self.failing_relapses = 0
         self.doubted_until = float("-inf")
         self.down_since: float | None = None
+        self.flows_lost_until = float("-inf")
         self.next_check_at = float("-inf")
         self.check_began_at = float("-inf")
         self.check_reason = ""
--- a/src/beamloom/routing/tokens/flow_observer.py
+++ b/src/beamloom/routing/tokens/flow_observer.py
@@ -61,7 +61,8 @@
 
     `token` is that of its last packet. `sequence` is that of the last request, which was sent at
     `requested_at` and then repeated `repeats` times; its answer is overdue at `due_at`, which is
-    None if the route has no objective. `placed_at` is when `backend` was last chosen.
+    None if the route has no objective. `placed_at` is when `backend` was last chosen, `opened_at`
+    when this node first saw that the flow is open there.
     """
 
     __slots__ = (
@@ -70,6 +71,7 @@
         "busy",
         "due_at",
         "last_packet",
+        "opened_at",
         "opening_at",
         "phase",
         "placed_at",
@@ -93,6 +95,7 @@
         self.repeats = 0
         self.opening_at: float | None = None
         self.placed_at = now
+        self.opened_at = float("inf")
         self.last_packet = now
 
     @property
@@ -143,12 +146,15 @@
         """Remove a flow whose backend is no longer known."""
         self._release_load(self._flows.pop(key))
 
-    def take_open_flows_of(self, backend: Backend) -> list[tuple[bytes, int]]:
-        """Remove the open flows of a backend; return their keys and acknowledgement numbers."""
+    def take_open_flows_of(self, backend: Backend, opened_until: float) -> list[tuple[bytes, int]]:
+        """Remove the flows of a backend that were open there at a time.
+
+        Returns their keys and acknowledgement numbers.
+        """
         ended = [
             (key, flow)
             for key, flow in self._flows.items()
-            if flow.backend is backend and flow.opened
+            if flow.backend is backend and flow.opened and flow.opened_at <= opened_until
         ]
         for key, flow in ended:
             del self._flows[key]
@@ -258,7 +264,11 @@
         elif flow.opening_at is not None:
             self._extend_opening_timeout(now - flow.placed_at)
         flow.phase = FlowPhase.OPEN
+        flow.opened_at = now
         backend.open += 1
+        if flow.opening_at is None:
+            # The flow was opened through another node, so this is no sign of life.
+            return
         backend.failures = 0
         backend.suspect_until = 0.0
         backend.answered_at = backend.last_alive_at = now
--- a/src/beamloom/routing/tokens/liveness.py
+++ b/src/beamloom/routing/tokens/liveness.py
@@ -21,6 +21,10 @@
 """Initial time until a backend is checked again; doubled by each check with the same result."""
 MAXIMUM_RECHECK_SECONDS = 2.0
 """Bounds the time until a backend that can be reached again gets new flows."""
+PACKET_RECHECK_SECONDS = 0.1
+"""The same after a packet of a flow that may have been opened since: shorter than the time after
+which clients repeat a packet.
+"""
 ZONE_WINDOW_SECONDS = 1.0
 ZONE_DOWN_BACKENDS = 3
 """If so many backends of a zone are found down within the window, the others are checked."""
@@ -55,12 +59,14 @@
     REPORTED = "reported"
     ZONE = "zone"
     RECHECK = "recheck"
+    PACKET = "packet"
 
 
 class LivenessChecks:
     """The checks of one node.
 
-    `on_down` is called for each backend that is found dead, `on_up` when a dead one is alive again.
+    `on_down` is called for each backend that is found dead, `on_still_down` if another check finds
+    it dead again, and `on_up` when a dead one is alive again.
     `find_references` returns backends that probably answer, to be connected to if a check is
     silent.
     """
@@ -70,6 +76,7 @@
         self.start_check: Callable[[Backend], None] = lambda backend: None
         self.find_references: Callable[[Backend], list[Backend]] = lambda backend: []
         self.on_down: Callable[[Backend, CheckOutcome, float], None] = lambda *_: None
+        self.on_still_down: Callable[[Backend, float], object] = lambda *_: None
         self.on_up: Callable[[Backend, float], None] = lambda *_: None
         self._running: dict[str, float] = {}
         self._queued: dict[str, tuple[Backend, Suspicion]] = {}
@@ -79,7 +86,10 @@
     def suspect(self, backend: Backend, suspicion: Suspicion, now: float) -> None:
         """Request a check of a backend, unless one is running or was made too recently."""
         name = backend.record.name
-        if backend.removed or backend.ended or name in self._running or now < backend.next_check_at:
+        not_before = backend.next_check_at
+        if suspicion is Suspicion.PACKET:
+            not_before = min(not_before, backend.check_began_at + PACKET_RECHECK_SECONDS)
+        if backend.removed or backend.ended or name in self._running or now < not_before:
             return
         self.counters[f"suspected_{suspicion.value}"] += 1
         backend.next_check_at = now + RECHECK_SECONDS
@@ -111,7 +121,7 @@
         elif outcome is CheckOutcome.ALIVE:
             self._note_alive(backend, now)
         else:
-            self._note_dead(backend, outcome, now)
+            self._note_dead(backend, outcome, began_at, now)
 
     def advance(self, now: float) -> None:
         """Repeat due checks.
@@ -156,11 +166,15 @@
             backend.was_refused = False
         self._schedule_recheck(backend, now)
 
-    def _note_dead(self, backend: Backend, outcome: CheckOutcome, now: float) -> None:
+    def _note_dead(
+        self, backend: Backend, outcome: CheckOutcome, began_at: float, now: float
+    ) -> None:
         self._watched[backend.record.name] = backend
         backend.was_refused |= outcome is CheckOutcome.REFUSED
+        backend.flows_lost_until = began_at
         if backend.down_since is not None:
             self._schedule_recheck(backend, now)
+            self.on_still_down(backend, now)
             return
         backend.down_since = now
         backend.repeated_outcomes = 0
@@ -182,5 +196,5 @@
     if backend.is_check_inconclusive and backend.open > 0:
         return True
     if backend.gone_at is not None:
-        return backend.down_since is None and backend.open > 0
+        return backend.open > 0
     return backend.down_since is not None
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -3,7 +3,8 @@
 An opening packet gets a backend and a token. Any other packet is forwarded to the backend that its
 token names, if the token was minted for its flow; without a valid token it is dropped, as the flow
 may be open. If a later incarnation has the backend's address, or a check found the backend dead,
-the flow is over and its client gets a reset.
+the flow is over and its client gets a reset. A flow that may have been opened since the check is
+forwarded, and the backend checked again.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
     PacketDropped,
 )
 from beamloom.routing.tokens.flow_observer import FlowObserver, ObservedFlow
+from beamloom.routing.tokens.liveness import Suspicion
 from beamloom.routing.tokens.packets import (
     ClientPacket,
     DropPacket,
@@ -232,20 +234,24 @@
         if backend.ended:
             return self._end_flow(packet, RefusalReason.BACKEND_ENDED, now)
         if backend.down_since is not None:
-            return self._end_flow(packet, RefusalReason.BACKEND_DOWN, now)
+            if flow is not None and _is_lost(flow, backend):
+                return self._end_flow(packet, RefusalReason.BACKEND_DOWN, now)
+            self.flows.on_suspicion(backend, Suspicion.PACKET, now)
         if packet.kind is PacketKind.END:
             self.flows.note_end(packet, now)
         elif flow is None or not _opened_at_earlier_incarnation(flow, backend):
             self.flows.note_packet(packet, backend, now)
         return self._forward(packet, backend, NO_TOKEN)
 
-    def end_flows(self, backend: Backend, reason: RefusalReason) -> int:
+    def end_flows(
+        self, backend: Backend, reason: RefusalReason, opened_until: float = float("inf")
+    ) -> int:
         """Reset the open flows of a backend that no longer holds them; return their number.
 
-        A client that waits for an answer need not wait for its deadline, and an idle one opens a
-        new flow for its next request.
+        Those that opened after `opened_until` remain. A client that waits for an answer need
+        not wait for its deadline, and an idle one opens a new flow for its next request.
         """
-        ended = self.flows.take_open_flows_of(backend)
+        ended = self.flows.take_open_flows_of(backend, opened_until)
         for flow, acknowledged in ended:
             self.counters[f"refused_{reason.value}"] += 1
             self.resets.append(ResetFlow(flow, reason, acknowledged))
@@ -318,6 +324,12 @@
         return DropPacket(packet, reason)
 
 
+def _is_lost(flow: ObservedFlow, backend: Backend) -> bool:
+    """Return whether a flow was open at a backend before the check that found it dead."""
+    is_open = flow.opened and flow.backend is backend
+    return is_open and flow.opened_at <= backend.flows_lost_until
+
+
 def _opened_at_earlier_incarnation(flow: ObservedFlow, backend: Backend) -> bool:
     """Return whether a flow was opened at an earlier incarnation of the backend of that name.
 
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -41,6 +41,7 @@
 from beamloom.standins.flow_packets import FlowPacket, decode_forwarded
 from beamloom.standins.token_endpoint import TokenEndpoint
 from beamloom.standins.token_store import TokenStore
+from beamloom.units import MILLISECONDS
 
 SECRET = bytes(16)
 STEP_SECONDS = 0.02
@@ -260,6 +261,18 @@
         endpoint.dark = self.rng.random() < HOST_FAILURE_FRACTION
         self.clock.call_later(HEARTBEAT_TIMEOUT_SECONDS, self._remove_entry, endpoint)
 
+    def restart_endpoint(self, endpoint: Endpoint, down_seconds: float) -> None:
+        """Stop an endpoint and start it again under its name, without its former flows."""
+        endpoint.alive = False
+        self.clock.call_later(down_seconds, self._start_again, endpoint.record)
+
+    def _start_again(self, former: BackendRecord) -> None:
+        record = former._replace(born_at=int(self.clock.now * MILLISECONDS))
+        endpoint = Endpoint(TokenEndpoint(record.name, record.identity), record)
+        self.endpoints[record.address] = endpoint
+        self.all_endpoints.append(endpoint)
+        self.store.put(BACKENDS, record.name, record)
+
     def reuse_address(self, endpoint: Endpoint, service: str) -> None:
         """Drain an endpoint and later start one of another service at its address."""
         self.drain_endpoint(endpoint)
