A silent check needs two references, and another attempt beside them

Cause: answers may be lost instead of delayed. Congestion that ended between the last attempt and the reference left the backend without an attempt that could be answered, while the reference answered. One reference may also be lucky, and a refusal comes from the host of a backend that is just restarting. Conclusion: silence counts only beside answers that took the same way later.

--- a/src/beamloom/node/backend_failure_handler.py
+++ b/src/beamloom/node/backend_failure_handler.py
@@ -30,8 +30,8 @@
 """How long non-repeatable requests prefer other backends after one node saw a sign of failure."""
 CONFIRMED_UNSAFE_AVOIDANCE_SECONDS = 8.0
 """The same after several nodes saw signs of failure."""
-REFERENCES_PER_CHECK = 2
-"""More than one, as a reference may have died as well."""
+REFERENCES_PER_CHECK = 3
+"""One more than must answer, as a reference may have died as well."""
 
 
 class BackendFailureHandler:
--- a/src/beamloom/routing/tokens/liveness.py
+++ b/src/beamloom/routing/tokens/liveness.py
@@ -33,8 +33,9 @@
 class CheckOutcome(Enum):
     """Outcome of a check; the values are counter labels.
 
-    REFUSED: the connection was refused. SILENT: there was no answer, although a reference answered
-    later. UNCONFIRMED: no reference answered either, so that the fault may be on this node's side.
+    REFUSED: the connection was refused. SILENT: there was no answer, although references that were
+    asked later answered. UNCONFIRMED: too few references answered, so that the fault may be on this
+    node's side.
     UNCLEAR: the check could not be made, or the backend showed a sign of life since it began.
     """
 
--- a/src/beamloom/runtime/backend_check.py
+++ b/src/beamloom/runtime/backend_check.py
@@ -3,9 +3,9 @@
 The check only opens and closes a connection: a health request would occupy a slot of the backend,
 and its answer says little about the backend's flows.
 
-An answer may be late because this node's link is congested. After a silent check the node therefore
-connects to other backends, the references. A link delivers in order, so the answer of a reference
-that was asked later shows that the backend's answer is not waiting in the link of this node.
+An answer may be late or lost because this node's link is congested. After silent attempts the node
+therefore makes another one, and right after it connects to other backends, the references. A link
+delivers in order, so the answers of references show that the backend's is not waiting in the link.
 """
 
 from __future__ import annotations
@@ -19,12 +19,12 @@
 from beamloom.runtime.connection_limits import (
     CHECK_ATTEMPT_SECONDS,
     CHECK_ATTEMPTS,
+    REFERENCE_MARGIN_SECONDS,
     REFERENCE_SECONDS,
+    REFERENCES_REQUIRED,
 )
 
 Address = tuple[str, int]
-ANSWERS = (CheckOutcome.ALIVE, CheckOutcome.REFUSED)
-"""Outcomes that show that a connection attempt was answered."""
 
 
 class BackendChecker:
@@ -86,22 +86,32 @@
             )
             if answer := _first_result(self._target):
                 return answer
+        self._target.add(self._connect(address))
         self._references = {self._connect(reference) for reference in find_references()}
         return await self._compare_with_references()
 
     async def _compare_with_references(self) -> CheckOutcome:
         loop = asyncio.get_running_loop()
         due = loop.time() + REFERENCE_SECONDS
-        while (seconds := due - loop.time()) > 0:
+        while not self._references_answered and (seconds := due - loop.time()) > 0:
             pending = {task for task in self._target | self._references if not task.done()}
-            if not pending:
-                break
             await asyncio.wait(pending, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
             if answer := _first_result(self._target):
                 return answer
-            if any(task.done() and task.result() in ANSWERS for task in self._references):
-                return CheckOutcome.SILENT
-        return CheckOutcome.UNCONFIRMED
+        if not self._references_answered:
+            return CheckOutcome.UNCONFIRMED
+        await asyncio.wait(
+            self._target, timeout=REFERENCE_MARGIN_SECONDS, return_when=asyncio.FIRST_COMPLETED
+        )
+        return _first_result(self._target) or CheckOutcome.SILENT
+
+    @property
+    def _references_answered(self) -> bool:
+        """Whether enough references have accepted; a single one may have been lucky."""
+        accepted = sum(
+            task.done() and task.result() is CheckOutcome.ALIVE for task in self._references
+        )
+        return accepted >= min(REFERENCES_REQUIRED, len(self._references)) > 0
 
     def _connect(self, address: Address) -> asyncio.Task[CheckOutcome]:
         return asyncio.get_running_loop().create_task(_connect(address, self._local_host))
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -10,6 +10,11 @@
 from beamloom.protocol.messages import Message
 from beamloom.routing.tokens.liveness import CheckOutcome
 from beamloom.routing.tokens.records import BackendRecord, BackendState, ZoneEvacuation
+from beamloom.runtime.connection_limits import (
+    REFERENCE_MARGIN_SECONDS,
+    REFERENCE_SECONDS,
+    REFERENCES_REQUIRED,
+)
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 from beamloom.simulation.clock import VirtualClock
 from beamloom.simulation.tokens.client_side import ONE_WAY_DELAY_SECONDS, ClientSide
@@ -56,8 +61,6 @@
 """Fraction of endpoint crashes in which the host fails too."""
 CHECK_TIMEOUT_SECONDS = 0.2
 """Timeout of a node's connection attempts to endpoints."""
-REFERENCE_SECONDS = 0.2
-"""How long a silent check waits for the answer of a reference."""
 DRAIN_DURATION_SECONDS = 4.0
 """How long a draining endpoint continues to serve."""
 
@@ -350,15 +353,18 @@
             return
 
         def compare_with_references() -> None:
-            reference_seconds = ONE_WAY_DELAY_SECONDS + self.inbound_delay(host)
-            if all(self._connect(reference) is None for reference in find_references()):
-                reference_seconds = float("inf")
-            remaining = answer_seconds - CHECK_TIMEOUT_SECONDS
-            waits = min(reference_seconds, REFERENCE_SECONDS)
-            if answer is not None and remaining <= waits:
-                self.clock.call_later(remaining, on_outcome, answer)
-            elif reference_seconds <= REFERENCE_SECONDS:
-                self.clock.call_later(reference_seconds, on_outcome, CheckOutcome.SILENT)
+            repeated = self._connect(address)
+            seconds = ONE_WAY_DELAY_SECONDS + self.inbound_delay(host)
+            references = [self._connect(reference) for reference in find_references()]
+            accepted = references.count(CheckOutcome.ALIVE)
+            is_confirmed = accepted >= min(REFERENCES_REQUIRED, len(references)) > 0
+            if seconds > REFERENCE_SECONDS:
+                self.clock.call_later(REFERENCE_SECONDS, on_outcome, CheckOutcome.UNCONFIRMED)
+            elif repeated is not None:
+                self.clock.call_later(seconds, on_outcome, repeated)
+            elif is_confirmed:
+                seconds += REFERENCE_MARGIN_SECONDS
+                self.clock.call_later(seconds, on_outcome, CheckOutcome.SILENT)
             else:
                 self.clock.call_later(REFERENCE_SECONDS, on_outcome, CheckOutcome.UNCONFIRMED)
 
--- a/tests/functional/test_backend_check.py
+++ b/tests/functional/test_backend_check.py
@@ -74,7 +74,8 @@
 
     async def test_silence_is_unconfirmed_if_no_reference_answers(self) -> None:
         port = self.listen_silently().getsockname()[1]
-        for references in ((), (self.listen_silently().getsockname()[1],)):
+        silent = self.listen_silently().getsockname()[1]
+        for references in ((), (silent,), (silent, self.listen(8).getsockname()[1])):
             with self.subTest(references=references):
                 outcome, seconds = await self.check(port, *references)
                 self.assertEqual(outcome, "unconfirmed")
--- a/tests/unit/tokens/test_liveness.py
+++ b/tests/unit/tokens/test_liveness.py
@@ -309,7 +309,7 @@
             held[identity].last_alive_at = alive_at
         held[7].down_since = START
         found = core.checks.find_references(held[1])
-        self.assertEqual([one.record.identity for one in found], [6, 4])
+        self.assertEqual([one.record.identity for one in found], [6, 4, 2])
         for identity in (3, 4, 5, 6):
             held[identity].down_since = START
         found = core.checks.find_references(held[1])
