--- a/src/beamloom/cli/soak.py
+++ b/src/beamloom/cli/soak.py
@@ -33,6 +33,8 @@
     nodes: Annotated[int, Parameter(validator=Number(gte=1, lte=MAXIMUM_NODES))] = 5,
     folder: Path | None = None,
     only: tuple[str, ...] = (),
+    congest: bool = False,
+    former: Path | None = None,
 ) -> ExitStatus:
     """Run token nodes as processes, inject faults, and check the invariants from outside.
 
@@ -53,12 +55,26 @@
         Folder for settings and logs; by default a new temporary folder.
     only
         Kinds of faults to inject; planned changes are made as well.
+    congest
+        Delay the endpoints' answers and leave checks unanswered, again and again.
+    former
+        Source folder of an older version, which contains the package `beamloom`. Nodes run it at
+        first and are replaced by this version one after the other.
 
     """
     seed = random.SystemRandom().getrandbits(32) if seed is None else seed
     run_folder = Path(tempfile.mkdtemp(prefix="beamloom-soak-")) if folder is None else folder
     run_folder.mkdir(parents=True, exist_ok=True)
-    options = SoakOptions(seed, duration, nodes, run_folder, frozenset(only))
+    package = None if former is None else former / "beamloom"
+    options = SoakOptions(
+        seed,
+        duration,
+        nodes,
+        run_folder,
+        frozenset(only),
+        congests=congest,
+        former_package=package,
+    )
     result = asyncio.run(run_soak(options))
     _write(seed, run_folder, result)
     return ExitStatus.FAILED if result.violations else ExitStatus.SUCCESS
--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -39,16 +39,20 @@
 MINIMUM_STOPPED_SECONDS = 4.0
 """Minimum time between a planned stop and the start that follows it."""
 MAXIMUM_DATAGRAM_BYTES = 4096
+FORMER_FOLDER = "former"
 
 
 class SoakHarness:
     """One deployment of real nodes; `start` is called first and `close` last.
 
-    Each soak has a loopback network of its own, so that several can run at once. Raises OSError if
-    none is free.
+    Each soak has a loopback network of its own, so that several can run at once. With
+    `former_package`, the package of an older version, nodes run that version until `upgrade`.
+    Raises OSError if no network is free.
     """
 
-    def __init__(self, folder: Path, nodes: int, seed: int) -> None:
+    def __init__(
+        self, folder: Path, nodes: int, seed: int, former_package: Path | None = None
+    ) -> None:
         self.oracle = TokenOracle()
         self.nodes: dict[str, NodeProcess] = {}
         self.proxies: dict[str, StoreProxy] = {}
@@ -59,7 +63,10 @@
         self._client_host = f"{network}{CLIENT_HOST_SUFFIX}"
         self.platform = SoakPlatform(network, self.oracle, lambda: self.now, self.call_later)
         self._paused_until: dict[str, float] = {}
+        self._is_congested = False
+        self._delayed_answers: list[bytes] = []
         self._folder = folder
+        self._former_package = former_package
         self._node_count = nodes
         self._rng = random.Random(seed)
         self._next_port = 20_000
@@ -73,6 +80,11 @@
     async def start(self) -> None:
         """Start the store, endpoints and nodes; return when all nodes are ready."""
         self._program = await asyncio.to_thread(install_program, self._folder)
+        self._first_program = self._program
+        if self._former_package is not None:
+            self._first_program = await asyncio.to_thread(
+                install_program, self._folder / FORMER_FOLDER, self._former_package
+            )
         await self.platform.start()
         for number in range(1, self._node_count + 1):
             await self._add_node(number)
@@ -130,6 +142,23 @@
         self.nodes[name].send(signal.SIGTERM)
         self.spawn(self._restart_after_stop(self.nodes[name]))
 
+    def upgrade(self, name: str) -> None:
+        """Stop a node as planned and start it with the present version."""
+        self.nodes[name].program = self._program
+        self.stop(name)
+
+    async def congest(self, seconds: float) -> None:
+        """Delay all answers of the endpoints, and leave attempts to connect to them unanswered.
+
+        All packets of clients still arrive in time, so no rule is lifted.
+        """
+        self._is_congested = True
+        await asyncio.sleep(seconds)
+        self._is_congested = False
+        for data in self._delayed_answers:
+            self._client_socket.sendto(data, (self._client_host, PACKETS_PORT))
+        self._delayed_answers.clear()
+
     async def _restart_after_stop(self, node: NodeProcess) -> None:
         """Start a stopped node once it has ended; report it if it does not end in time.
 
@@ -192,7 +221,7 @@
         )
         await proxy.start(f"{self._network}.3.{number}")
         settings = node_settings(self._network, number, proxy.port)
-        self.nodes[name] = NodeProcess(settings, self._folder, self._program)
+        self.nodes[name] = NodeProcess(settings, self._folder, self._first_program)
         self.nodes[name].start()
         self.note_fault(name, START_ALLOWANCE_SECONDS)
 
@@ -218,6 +247,7 @@
             await asyncio.sleep(STEP_SECONDS)
 
     def _serve(self, endpoint: SoakEndpoint, now: float) -> None:
+        endpoint.listener.silence(self._is_congested)
         endpoint.listener.accept()
         packets = endpoint.model.advance(now)
         for data, host in _drain_socket(endpoint.socket):
@@ -232,7 +262,10 @@
             packets += endpoint.model.handle(identity, packet, now)
         for packet in packets:
             data = packet.encode(signed=not packet.flags & FLAG_RST)
-            endpoint.socket.sendto(data, (self._client_host, PACKETS_PORT))
+            if self._is_congested:
+                self._delayed_answers.append(data)
+            else:
+                endpoint.socket.sendto(data, (self._client_host, PACKETS_PORT))
 
     def _check_arrival(
         self, endpoint: SoakEndpoint, host: str, identity: int, packet: FlowPacket
--- a/src/beamloom/soak/nodes.py
+++ b/src/beamloom/soak/nodes.py
@@ -57,7 +57,10 @@
 
 
 class NodeProcess:
-    """The process of one node; all of its starts append to one log in the soak's folder."""
+    """The process of one node; all of its starts append to one log in the soak's folder.
+
+    Each start runs the `program` of that time.
+    """
 
     def __init__(self, settings: TokenNodeSettings, folder: Path, program: NodeProgram) -> None:
         self.name = settings.node
@@ -68,7 +71,7 @@
         self._readiness = settings.readiness
         self._settings_path = folder / f"{settings.node}.toml"
         self._log_path = folder / f"{settings.node}.log"
-        self._program = program
+        self.program = program
         self._process: subprocess.Popen[bytes] | None = None
         self._started_at = 0.0
         self._settings_path.write_text(encode_settings(settings), encoding="utf-8")
@@ -90,8 +93,8 @@
         self.starts += 1
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                self._program.command,
-                env={**self._program.environment, SETTINGS_VARIABLE: str(self._settings_path)},
+                self.program.command,
+                env={**self.program.environment, SETTINGS_VARIABLE: str(self._settings_path)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
--- a/src/beamloom/soak/program.py
+++ b/src/beamloom/soak/program.py
@@ -21,13 +21,14 @@
     environment: Mapping[str, str]
 
 
-def install_program(folder: Path) -> NodeProgram:
-    """Install the sources and the start bundle below a folder.
+def install_program(folder: Path, package: Path | None = None) -> NodeProgram:
+    """Install a version's package and its start bundle below a folder, by default this version's.
 
     Libraries are imported from this process's `sys.path`. Raises OSError or CalledProcessError.
     """
     installed = folder / "installed"
-    shutil.copytree(Path(beamloom.__file__).parent, installed / "beamloom", dirs_exist_ok=True)
+    package = package or Path(beamloom.__file__).parent
+    shutil.copytree(package, installed / "beamloom", dirs_exist_ok=True)
     module_path = os.pathsep.join([str(installed), *filter(None, sys.path)])
     environment = {**os.environ, "PYTHONPATH": module_path}
     python = (sys.executable, "-S")
--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -26,6 +26,11 @@
 """
 SIGNALS_SEED_OFFSET = 3
 """Added to the soak's seed; 1 and 2 are added for the platform's faults."""
+CONGESTION_SEED_OFFSET = 4
+UPGRADE_SEED_OFFSET = 5
+CONGESTION_PAUSE_SECONDS = (1.0, 6.0)
+CONGESTION_SECONDS = (0.3, 1.2)
+"""Shortest and longest congestion; clients repeat an opening for 1.4 s before they give up."""
 LONG_FLOWS = 6
 LONG_FLOW_REQUESTS = 40
 MAXIMUM_REQUEST_PAUSE_SECONDS = 0.8
@@ -37,7 +42,9 @@
     """Options of one soak; `folder` takes the nodes' settings and logs.
 
     With `kinds`, only faults of these names are injected, besides planned changes. Without `kinds`,
-    `injects_platform_faults` adds faults of the platform, and bursts of signals.
+    `injects_platform_faults` adds faults of the platform, and bursts of signals; `congests` adds
+    congestion. With `former_package`, the package of an older version, nodes run that version first
+    and are replaced one after the other.
     """
 
     seed: int
@@ -46,6 +53,8 @@
     folder: Path
     kinds: frozenset[str] = frozenset()
     injects_platform_faults: bool = True
+    congests: bool = False
+    former_package: Path | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +76,7 @@
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     rng = random.Random(options.seed)
-    harness = SoakHarness(options.folder, options.nodes, options.seed)
+    harness = SoakHarness(options.folder, options.nodes, options.seed, options.former_package)
     try:
         await harness.start()
         faults = SoakFaults(harness, rng, options.kinds, seed=options.seed)
@@ -75,6 +84,10 @@
             harness.spawn(_inject_platform_faults(harness, faults, options))
             bursts = SignalBursts(harness, random.Random(options.seed + SIGNALS_SEED_OFFSET))
             harness.spawn(bursts.run(harness.now + options.duration - QUIET_END_SECONDS))
+        if options.congests:
+            harness.spawn(_congest(harness, options))
+        if options.former_package is not None:
+            harness.spawn(_upgrade_nodes(harness, options))
         await _run_traffic(harness, faults, rng, options.duration)
         return _collect_result(harness, faults)
     finally:
@@ -113,6 +126,27 @@
         await asyncio.sleep(rng.uniform(1.0, MAXIMUM_PLATFORM_INTERVAL_SECONDS))
 
 
+async def _congest(harness: SoakHarness, options: SoakOptions) -> None:
+    """Congest the endpoints' answers again and again until shortly before the end."""
+    rng = random.Random(options.seed + CONGESTION_SEED_OFFSET)
+    last = harness.now + options.duration - QUIET_END_SECONDS
+    while harness.now < last:
+        await asyncio.sleep(rng.uniform(*CONGESTION_PAUSE_SECONDS))
+        await harness.congest(rng.uniform(*CONGESTION_SECONDS))
+
+
+async def _upgrade_nodes(harness: SoakHarness, options: SoakOptions) -> None:
+    """Replace the nodes in a random order; both versions run for most of the soak."""
+    rng = random.Random(options.seed + UPGRADE_SEED_OFFSET)
+    names = sorted(harness.nodes)
+    rng.shuffle(names)
+    interval = (options.duration - SETTLE_SECONDS - QUIET_END_SECONDS) / len(names)
+    await asyncio.sleep(SETTLE_SECONDS)
+    for name in names:
+        await asyncio.sleep(rng.uniform(0.0, interval))
+        harness.upgrade(name)
+
+
 def _collect_result(harness: SoakHarness, faults: SoakFaults) -> SoakResult:
     flows = Counter(flow.state.value for flow in harness.finished)
     flows["answers"] = sum(len(flow.answers) for flow in harness.finished)
