--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -145,6 +145,7 @@
     def upgrade(self, name: str) -> None:
         """Stop a node as planned and start it with the present version."""
         self.nodes[name].program = self._program
+        self.oracle.counters["upgrades"] += 1
         self.stop(name)
 
     async def congest(self, seconds: float) -> None:
--- a/tests/soak/test_short_soak.py
+++ b/tests/soak/test_short_soak.py
@@ -4,12 +4,8 @@
 against nodes that a signal ends early in their start; see tests/functional/test_signals.py.
 """
 
-import asyncio
-import tempfile
-import unittest
-from pathlib import Path
-
-from beamloom.soak.run import SoakOptions, SoakResult, run_soak
+from beamloom.soak.run import SoakResult
+from tests.soak.kept_soak import KeptSoakCase
 
 SECONDS = 45.0
 NODES = 4
@@ -17,12 +13,9 @@
 PLATFORM_FAULTS = {"store_restored", "endpoint_reborn", "service_reborn", "foreign_entries"}
 
 
-class ShortSoakTest(unittest.TestCase):
+class ShortSoakTest(KeptSoakCase):
     def test_no_promise_is_broken(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            result = asyncio.run(run_soak(SoakOptions(SEED, SECONDS, NODES, Path(folder))))
-        self.assertEqual(result.violations, [], result.faults)
-        self.assert_faults_and_flows(result)
+        self.assert_faults_and_flows(self.run_soak(SEED, SECONDS, NODES))
 
     def assert_faults_and_flows(self, result: SoakResult) -> None:
         """Check that both kinds of faults were injected and that flows were served."""
