Inconclusive checks are repeated less and less often

Cause: read in the change itself. While all backends are out of reach, each check with open flows was repeated each 0.5 s, with up to six connection attempts; and each silent check sorted all backends, 4,400 at the design size. Change: the pause doubles up to 2 s as for other outcomes; the latest backend of each zone is found in one pass.

--- a/src/beamloom/node/backend_failure_handler.py
+++ b/src/beamloom/node/backend_failure_handler.py
@@ -164,21 +164,18 @@
 
         Those in the zone of the suspect come last, as their zone may be down.
         """
-        candidates = [
-            backend
-            for backend in self._router.backends.all()
-            if backend is not suspect and backend.takes_flows and backend.down_since is None
-        ]
-        candidates.sort(
-            key=lambda backend: (
-                backend.record.zone == suspect.record.zone,
-                -backend.last_alive_at,
-            )
-        )
-        by_zone: dict[str, Backend] = {}
-        for backend in candidates:
-            by_zone.setdefault(backend.record.zone, backend)
-        return list(by_zone.values())[:REFERENCES_PER_CHECK]
+        latest: dict[str, Backend] = {}
+        for backend in self._router.backends.all():
+            if backend is suspect or backend.down_since is not None or not backend.takes_flows:
+                continue
+            known = latest.get(backend.record.zone)
+            if known is None or backend.last_alive_at > known.last_alive_at:
+                latest[backend.record.zone] = backend
+        own = latest.pop(suspect.record.zone, None)
+        references = sorted(latest.values(), key=lambda backend: -backend.last_alive_at)
+        if own is not None:
+            references.append(own)
+        return references[:REFERENCES_PER_CHECK]
 
     def _note_up(self, backend: Backend, now: float) -> None:
         if backend.was_refused:
--- a/src/beamloom/routing/tokens/liveness.py
+++ b/src/beamloom/routing/tokens/liveness.py
@@ -67,9 +67,8 @@
     """The checks of one node.
 
     `on_down` is called for each backend that is found dead, `on_still_down` if another check finds
-    it dead again, and `on_up` when a dead one is alive again.
-    `find_references` returns backends that probably answer, to be connected to if a check is
-    silent.
+    it dead again, and `on_up` when a dead one is alive again. `find_references` returns backends
+    that probably answer, to be connected to if a check is silent.
     """
 
     def __init__(self) -> None:
@@ -119,6 +118,7 @@
         backend.is_check_inconclusive = outcome in INCONCLUSIVE
         if outcome in INCONCLUSIVE:
             self._watched[backend.record.name] = backend
+            self._schedule_recheck(backend, now)
         elif outcome is CheckOutcome.ALIVE:
             self._note_alive(backend, now)
         else:
