Soak: print the log lines of a violation's flows and their backends

Cause: a reported violation was a name and a port; the lines had to be collected by hand, and tests had code of their own for it.

--- a/src/beamloom/cli/soak.py
+++ b/src/beamloom/cli/soak.py
@@ -6,6 +6,7 @@
 import random
 import tempfile
 from collections import Counter
+from itertools import islice
 from pathlib import Path
 from typing import Annotated
 
@@ -15,10 +16,12 @@
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.output import write_line
 from beamloom.soak.run import SoakOptions, SoakResult, run_soak
+from beamloom.soak.violation_logs import lines_of_violations
 
 MAXIMUM_NODES = 60
 MAXIMUM_SECONDS = 3600.0
 SHOWN_VIOLATIONS = 10
+SHOWN_LINES = 40
 
 
 def register(app: App) -> None:
@@ -91,6 +94,8 @@
     write_line(f"faults: {', '.join(result.faults)}")
     for violation in result.violations[:SHOWN_VIOLATIONS]:
         write_line(f"{violation.at:.1f} {violation.rule}: {violation.detail}")
+    for line in islice(lines_of_violations(result.violations, folder), SHOWN_LINES):
+        write_line(line)
     write_line(f"{len(result.violations)} violations in total; logs are in {folder}")
 
 
