Simulation and soak: checks and congestion in modules of their own

Change: simulation/tokens/connection_checks.py and soak/congestion.py; no behaviour changed. A line of a docstring is wrapped where it belongs.

--- a/src/beamloom/routing/tokens/liveness.py
+++ b/src/beamloom/routing/tokens/liveness.py
@@ -35,8 +35,8 @@
 
     REFUSED: the connection was refused. SILENT: there was no answer, although references that were
     asked later answered. UNCONFIRMED: too few references answered, so that the fault may be on this
-    node's side.
-    UNCLEAR: the check could not be made, or the backend showed a sign of life since it began.
+    node's side. UNCLEAR: the check could not be made, or the backend showed a sign of life since it
+    began.
     """
 
     ALIVE = "alive"
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -3,21 +3,17 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from functools import partial
 
 from beamloom.platform.packet_layout import FLAG_RST, FLAG_SYN
 from beamloom.protocol.messages import Message
 from beamloom.routing.tokens.liveness import CheckOutcome
 from beamloom.routing.tokens.records import BackendRecord, BackendState, ZoneEvacuation
-from beamloom.runtime.connection_limits import (
-    REFERENCE_MARGIN_SECONDS,
-    REFERENCE_SECONDS,
-    REFERENCES_REQUIRED,
-)
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 from beamloom.simulation.clock import VirtualClock
 from beamloom.simulation.tokens.client_side import ONE_WAY_DELAY_SECONDS, ClientSide
+from beamloom.simulation.tokens.connection_checks import ConnectionChecks
 from beamloom.simulation.tokens.deployment import (
     SERVICES,
     ZONES,
@@ -59,8 +55,6 @@
 """Number of revisions by which stale reads of the store lag."""
 HOST_FAILURE_FRACTION = 0.5
 """Fraction of endpoint crashes in which the host fails too."""
-CHECK_TIMEOUT_SECONDS = 0.2
-"""Timeout of a node's connection attempts to endpoints."""
 DRAIN_DURATION_SECONDS = 4.0
 """How long a draining endpoint continues to serve."""
 
@@ -109,6 +103,9 @@
         self.all_endpoints: list[Endpoint] = []
         self.partitioned_hosts: set[str] = set()
         self._inbound_delays: dict[str, float] = {}
+        self._checks = ConnectionChecks(
+            self.clock, self._connect, lambda host: ONE_WAY_DELAY_SECONDS + self.inbound_delay(host)
+        )
         self.evacuated: set[str] = set()
         self._join_seconds = join_seconds
         self.clients = ClientSide(self, loss=loss, steady=steady)
@@ -320,7 +317,7 @@
             secret=SECRET,
             forward=lambda data, address: self._send(name, data, address),
             send_message=self._send_message,
-            check_backend=self._check_backend,
+            check_backend=self._checks.check,
             join_seconds=self._join_seconds * self.rng.uniform(1.0, MAXIMUM_JOIN_FACTOR)
             if self._join_seconds
             else 0.0,
@@ -335,43 +332,11 @@
         if node is not None and node.alive:
             self.clock.call_later(self.inbound_delay(host), node.receive_message, source, message)
 
-    def _check_backend(
-        self,
-        host: str,
-        address: tuple[str, int],
-        find_references: Callable[[], list[tuple[str, int]]],
-        on_outcome: Callable[[CheckOutcome], None],
-    ) -> None:
-        """Report the outcome of a node's connection attempt to an address.
+    def _connect(self, address: tuple[str, int]) -> CheckOutcome | None:
+        """Return the answer to a connection attempt, or None if there is none.
 
         A host refuses the connection if only the process has ended.
         """
-        answer = self._connect(address)
-        answer_seconds = ONE_WAY_DELAY_SECONDS + self.inbound_delay(host)
-        if answer is not None and answer_seconds <= CHECK_TIMEOUT_SECONDS:
-            self.clock.call_later(answer_seconds, on_outcome, answer)
-            return
-
-        def compare_with_references() -> None:
-            repeated = self._connect(address)
-            seconds = ONE_WAY_DELAY_SECONDS + self.inbound_delay(host)
-            references = [self._connect(reference) for reference in find_references()]
-            accepted = references.count(CheckOutcome.ALIVE)
-            is_confirmed = accepted >= min(REFERENCES_REQUIRED, len(references)) > 0
-            if seconds > REFERENCE_SECONDS:
-                self.clock.call_later(REFERENCE_SECONDS, on_outcome, CheckOutcome.UNCONFIRMED)
-            elif repeated is not None:
-                self.clock.call_later(seconds, on_outcome, repeated)
-            elif is_confirmed:
-                seconds += REFERENCE_MARGIN_SECONDS
-                self.clock.call_later(seconds, on_outcome, CheckOutcome.SILENT)
-            else:
-                self.clock.call_later(REFERENCE_SECONDS, on_outcome, CheckOutcome.UNCONFIRMED)
-
-        self.clock.call_later(CHECK_TIMEOUT_SECONDS, compare_with_references)
-
-    def _connect(self, address: tuple[str, int]) -> CheckOutcome | None:
-        """Return the answer to a connection attempt, or None if there is none."""
         endpoint = self.endpoints.get(address)
         if endpoint is None:
             return None
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -23,6 +23,7 @@
 from beamloom.routing.tokens.packets import DropPacket, ForwardPacket, PacketKind
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 from beamloom.simulation.clock import VirtualClock
+from beamloom.simulation.tokens.connection_checks import Address, FindReferences, OnOutcome
 from beamloom.simulation.tokens.oracle import EVACUATE_SECONDS
 from beamloom.simulation.tokens.quiet_observer import QuietObserver
 from beamloom.simulation.tokens.store_link import StoreAnswer, StoreLink
@@ -35,14 +36,8 @@
 
 Forward = Callable[[bytes, tuple[str, int]], None]
 SendMessage = Callable[[str, str, Message], None]
-Address = tuple[str, int]
-CheckBackend = Callable[
-    [str, Address, Callable[[], list[Address]], Callable[[CheckOutcome], None]], None
-]
-"""Checks an address on behalf of the node at a host; the callback receives the outcome.
-
-The third argument returns the references of a silent check.
-"""
+CheckBackend = Callable[[str, Address, FindReferences, OnOutcome], None]
+"""Checks an address on behalf of the node at a host."""
 
 
 class _Reader:
--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -20,6 +20,7 @@
 from beamloom.simulation.tokens.changes import zones_of
 from beamloom.simulation.tokens.deployment import key_of, service_end, stable_hash
 from beamloom.simulation.tokens.oracle import TokenOracle
+from beamloom.soak.congestion import Congestion
 from beamloom.soak.endpoint import SoakEndpoint
 from beamloom.soak.nodes import PACKETS_PORT, STOP_SECONDS, NodeProcess, node_settings
 from beamloom.soak.platform_side import SoakPlatform
@@ -61,10 +62,9 @@
         network, self._client_socket = _claim_network()
         self._network = network
         self._client_host = f"{network}{CLIENT_HOST_SUFFIX}"
+        self.congestion = Congestion(self._client_socket, (self._client_host, PACKETS_PORT))
         self.platform = SoakPlatform(network, self.oracle, lambda: self.now, self.call_later)
         self._paused_until: dict[str, float] = {}
-        self._is_congested = False
-        self._delayed_answers: list[bytes] = []
         self._folder = folder
         self._former_package = former_package
         self._node_count = nodes
@@ -148,18 +148,6 @@
         self.oracle.counters["upgrades"] += 1
         self.stop(name)
 
-    async def congest(self, seconds: float) -> None:
-        """Delay all answers of the endpoints, and leave attempts to connect to them unanswered.
-
-        All packets of clients still arrive in time, so no rule is lifted.
-        """
-        self._is_congested = True
-        await asyncio.sleep(seconds)
-        self._is_congested = False
-        for data in self._delayed_answers:
-            self._client_socket.sendto(data, (self._client_host, PACKETS_PORT))
-        self._delayed_answers.clear()
-
     async def _restart_after_stop(self, node: NodeProcess) -> None:
         """Start a stopped node once it has ended; report it if it does not end in time.
 
@@ -248,7 +236,7 @@
             await asyncio.sleep(STEP_SECONDS)
 
     def _serve(self, endpoint: SoakEndpoint, now: float) -> None:
-        endpoint.listener.silence(self._is_congested)
+        self.congestion.apply_to(endpoint)
         endpoint.listener.accept()
         packets = endpoint.model.advance(now)
         for data, host in _drain_socket(endpoint.socket):
@@ -262,11 +250,7 @@
             self._check_arrival(endpoint, host, identity, packet)
             packets += endpoint.model.handle(identity, packet, now)
         for packet in packets:
-            data = packet.encode(signed=not packet.flags & FLAG_RST)
-            if self._is_congested:
-                self._delayed_answers.append(data)
-            else:
-                endpoint.socket.sendto(data, (self._client_host, PACKETS_PORT))
+            self.congestion.send(endpoint, packet.encode(signed=not packet.flags & FLAG_RST))
 
     def _check_arrival(
         self, endpoint: SoakEndpoint, host: str, identity: int, packet: FlowPacket
--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -28,9 +28,6 @@
 """Added to the soak's seed; 1 and 2 are added for the platform's faults."""
 CONGESTION_SEED_OFFSET = 4
 UPGRADE_SEED_OFFSET = 5
-CONGESTION_PAUSE_SECONDS = (1.0, 6.0)
-CONGESTION_SECONDS = (0.3, 1.2)
-"""Shortest and longest congestion; clients repeat an opening for 1.4 s before they give up."""
 LONG_FLOWS = 6
 LONG_FLOW_REQUESTS = 40
 MAXIMUM_REQUEST_PAUSE_SECONDS = 0.8
@@ -85,7 +82,9 @@
             bursts = SignalBursts(harness, random.Random(options.seed + SIGNALS_SEED_OFFSET))
             harness.spawn(bursts.run(harness.now + options.duration - QUIET_END_SECONDS))
         if options.congests:
-            harness.spawn(_congest(harness, options))
+            rng_of_congestion = random.Random(options.seed + CONGESTION_SEED_OFFSET)
+            seconds = options.duration - QUIET_END_SECONDS
+            harness.spawn(harness.congestion.run(rng_of_congestion, seconds))
         if options.former_package is not None:
             harness.spawn(_upgrade_nodes(harness, options))
         await _run_traffic(harness, faults, rng, options.duration)
@@ -126,15 +125,6 @@
         await asyncio.sleep(rng.uniform(1.0, MAXIMUM_PLATFORM_INTERVAL_SECONDS))
 
 
-async def _congest(harness: SoakHarness, options: SoakOptions) -> None:
-    """Congest the endpoints' answers again and again until shortly before the end."""
-    rng = random.Random(options.seed + CONGESTION_SEED_OFFSET)
-    last = harness.now + options.duration - QUIET_END_SECONDS
-    while harness.now < last:
-        await asyncio.sleep(rng.uniform(*CONGESTION_PAUSE_SECONDS))
-        await harness.congest(rng.uniform(*CONGESTION_SECONDS))
-
-
 async def _upgrade_nodes(harness: SoakHarness, options: SoakOptions) -> None:
     """Replace the nodes in a random order; both versions run for most of the soak."""
     rng = random.Random(options.seed + UPGRADE_SEED_OFFSET)
