--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -82,9 +82,9 @@
             bursts = SignalBursts(harness, random.Random(options.seed + SIGNALS_SEED_OFFSET))
             harness.spawn(bursts.run(harness.now + options.duration - QUIET_END_SECONDS))
         if options.congests:
-            rng_of_congestion = random.Random(options.seed + CONGESTION_SEED_OFFSET)
+            congestion_rng = random.Random(options.seed + CONGESTION_SEED_OFFSET)
             seconds = options.duration - QUIET_END_SECONDS
-            harness.spawn(harness.congestion.run(rng_of_congestion, seconds))
+            harness.spawn(harness.congestion.run(congestion_rng, seconds))
         if options.former_package is not None:
             harness.spawn(_upgrade_nodes(harness, options))
         await _run_traffic(harness, faults, rng, options.duration)
