Soak: log lines are read by the code that trace uses

Cause: soak/violation_logs.py read and matched log lines anew, as cli/trace.py did; layers keep the soak from importing the command. Change: LogLine, read_lines and the match of a flow moved from cli/trace.py to telemetry/log_lines.py; both use them. What either prints stays as it is.

--- a/src/beamloom/cli/trace.py
+++ b/src/beamloom/cli/trace.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import json
 import sys
-from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 from cyclopts import App, Parameter
 
 from beamloom.cli.errors import UsageError
 from beamloom.cli.exit_status import ExitStatus
 from beamloom.cli.output import write_line
+from beamloom.telemetry.log_lines import LogLine, read_lines
 from beamloom.units import MILLISECONDS
 
 BACKEND_EVENTS = frozenset({"BackendChanged", "BackendGone", "OpeningUnanswered"})
@@ -35,24 +34,6 @@
 MILLISECONDS_SUFFIX = "_ms"
 CONTEXT_SECONDS = 5.0
 """Lines about a flow's backends and nodes are shown this long before and after the flow's."""
-HIDDEN_FIELDS = ("time", "node", "event")
-
-
-@dataclass(frozen=True, slots=True)
-class LogLine:
-    """One line of an event log."""
-
-    time: float
-    node: str
-    event: str
-    fields: Mapping[str, Any]
-
-    def describe(self, since: float) -> str:
-        """Return the line as text, with its time relative to `since`."""
-        shown = " ".join(
-            f"{name}={value}" for name, value in self.fields.items() if name not in HIDDEN_FIELDS
-        )
-        return f"{self.time - since:+9.3f} {self.node:20} {self.event:20} {shown}"
 
 
 def register(app: App) -> None:
@@ -93,7 +74,7 @@
 
 def select(lines: list[LogLine], flow: str) -> Iterator[LogLine]:
     """Yield the lines about a flow, and those about its backends and nodes around that time."""
-    flow_lines = [line for line in lines if _is_about(line, flow)]
+    flow_lines = [line for line in lines if line.is_about(flow)]
     if not flow_lines:
         return
     backends = {line.fields["backend"] for line in flow_lines if "backend" in line.fields}
@@ -103,7 +84,7 @@
     nodes = {line.node for line in flow_lines}
     first, last = flow_lines[0].time - CONTEXT_SECONDS, flow_lines[-1].time + CONTEXT_SECONDS
     for line in lines:
-        if _is_about(line, flow) or (
+        if line.is_about(flow) or (
             first <= line.time
             and _start_time(line) <= last
             and _is_context(line, backends | services, nodes)
@@ -111,19 +92,6 @@
             yield line
 
 
-def read_lines(texts: Iterable[str]) -> Iterator[LogLine]:
-    """Yield the event lines among lines of text; other lines are ignored."""
-    for text in texts:
-        start = text.find("{")
-        if start < 0:
-            continue
-        try:
-            fields = json.loads(text[start:])
-            yield LogLine(float(fields["time"]), fields["node"], fields["event"], fields)
-        except (ValueError, KeyError, TypeError):
-            continue
-
-
 def _read_all(logs: tuple[Path, ...]) -> Iterator[LogLine]:
     if not logs:
         yield from read_lines(sys.stdin)
@@ -135,11 +103,6 @@
             raise UsageError(f"{path} cannot be read: {error.strerror}") from error
 
 
-def _is_about(line: LogLine, flow: str) -> bool:
-    logged = str(line.fields.get("flow", ""))
-    return logged == flow or logged.startswith(f"{flow}>")
-
-
 def _start_time(line: LogLine) -> float:
     """Return when the event of a line began; StartTimeline is logged after the start's end."""
     if line.event != START_EVENT:
