Checks: one rule of when references confirm silence, in the core

Cause: the rule stood in runtime/backend_check.py and again in the simulation, and its two numbers in two further modules; a field of DownEvidence had no unit. Change: confirm_silence beside CheckOutcome in routing/tokens/liveness.py, with both numbers; alive_age_seconds, whose key in the log stays alive_age. No behaviour changed.

--- a/src/beamloom/node/backend_failure_handler.py
+++ b/src/beamloom/node/backend_failure_handler.py
@@ -10,7 +10,12 @@
 
 from beamloom.node.node_observer import DownEvidence, NodeObserver
 from beamloom.routing.tokens.backend_table import Backend
-from beamloom.routing.tokens.liveness import CheckOutcome, LivenessChecks, Suspicion
+from beamloom.routing.tokens.liveness import (
+    REFERENCES_PER_CHECK,
+    CheckOutcome,
+    LivenessChecks,
+    Suspicion,
+)
 from beamloom.routing.tokens.packets import RefusalReason
 from beamloom.routing.tokens.router import TokenRouter
 from beamloom.settings.mechanisms import Mechanisms
@@ -30,8 +35,6 @@
 """How long non-repeatable requests prefer other backends after one node saw a sign of failure."""
 CONFIRMED_UNSAFE_AVOIDANCE_SECONDS = 8.0
 """The same after several nodes saw signs of failure."""
-REFERENCES_PER_CHECK = 3
-"""One more than must answer, as a reference may have died as well."""
 
 
 class BackendFailureHandler:
@@ -194,5 +197,10 @@
 
 
 def _evidence(backend: Backend, outcome: CheckOutcome, now: float) -> DownEvidence:
-    alive_age = now - backend.last_alive_at if backend.last_alive_at > float("-inf") else None
-    return DownEvidence(outcome, backend.check_reason, now - backend.check_began_at, alive_age)
+    was_alive = backend.last_alive_at > float("-inf")
+    return DownEvidence(
+        outcome,
+        backend.check_reason,
+        check_seconds=now - backend.check_began_at,
+        alive_age_seconds=now - backend.last_alive_at if was_alive else None,
+    )
--- a/src/beamloom/node/node_observer.py
+++ b/src/beamloom/node/node_observer.py
@@ -14,16 +14,16 @@
 
 
 class DownEvidence(NamedTuple):
-    """Why a backend was found dead; times in seconds.
+    """Why a backend was found dead.
 
-    `reason` is the value of the `Suspicion` that caused the check. `alive_age` is None if this node
-    has seen no sign of life.
+    `reason` is the value of the `Suspicion` that caused the check. `alive_age_seconds` is the age
+    of the last sign of life, None if this node has seen none.
     """
 
     outcome: CheckOutcome
     reason: str
     check_seconds: float
-    alive_age: float | None
+    alive_age_seconds: float | None
 
 
 class NodeObserver(ABC):
--- a/src/beamloom/routing/tokens/liveness.py
+++ b/src/beamloom/routing/tokens/liveness.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 
 from beamloom.routing.tokens.backend_table import Backend
@@ -50,6 +50,18 @@
 """Outcomes that do not show whether the backend is dead; the check is repeated."""
 
 
+REFERENCES_PER_CHECK = 3
+"""One more than must accept, as a reference may have died as well."""
+REFERENCES_REQUIRED = 2
+"""How many references must accept a connection, of those that are known: one may be lucky."""
+
+
+def confirm_silence(references: Collection[CheckOutcome | None]) -> bool:
+    """Return whether enough references have accepted; None stands for no answer so far."""
+    accepted = sum(outcome is CheckOutcome.ALIVE for outcome in references)
+    return accepted >= min(REFERENCES_REQUIRED, len(references)) > 0
+
+
 class Suspicion(Enum):
     """Reason for a check; the values are counter labels."""
 
--- a/src/beamloom/runtime/backend_check.py
+++ b/src/beamloom/runtime/backend_check.py
@@ -15,13 +15,12 @@
 from collections.abc import Callable, Iterable
 
 from beamloom.routing.tokens.backend_table import Backend
-from beamloom.routing.tokens.liveness import CheckOutcome, LivenessChecks
+from beamloom.routing.tokens.liveness import CheckOutcome, LivenessChecks, confirm_silence
 from beamloom.runtime.connection_limits import (
     CHECK_ATTEMPT_SECONDS,
     CHECK_ATTEMPTS,
     REFERENCE_MARGIN_SECONDS,
     REFERENCE_SECONDS,
-    REFERENCES_REQUIRED,
 )
 
 Address = tuple[str, int]
@@ -107,11 +106,9 @@
 
     @property
     def _references_answered(self) -> bool:
-        """Whether enough references have accepted; a single one may have been lucky."""
-        accepted = sum(
-            task.done() and task.result() is CheckOutcome.ALIVE for task in self._references
-        )
-        return accepted >= min(REFERENCES_REQUIRED, len(self._references)) > 0
+        """Whether enough references have answered so far."""
+        results = [task.result() if task.done() else None for task in self._references]
+        return confirm_silence(results)
 
     def _connect(self, address: Address) -> asyncio.Task[CheckOutcome]:
         return asyncio.get_running_loop().create_task(_connect(address, self._local_host))
--- a/src/beamloom/runtime/connection_limits.py
+++ b/src/beamloom/runtime/connection_limits.py
@@ -43,8 +43,6 @@
 """How long a silent check waits for the answers of references."""
 REFERENCE_MARGIN_SECONDS = 0.05
 """How much longer than the references the backend may take: it may be in another zone."""
-REFERENCES_REQUIRED = 2
-"""How many references must answer, of those that are known."""
 
 MAXIMUM_CONNECTIONS = 64
 """Limit per responder: enough for a dozen callers with several silent connections each."""
--- a/src/beamloom/runtime/decision_log.py
+++ b/src/beamloom/runtime/decision_log.py
@@ -146,7 +146,7 @@
 
     def backend_down(self, record: BackendRecord, evidence: DownEvidence, flows: int) -> None:
         """Record that a check found a backend dead, and how many of its flows were reset."""
-        alive_age = evidence.alive_age
+        alive_age = evidence.alive_age_seconds
         self._log.record(
             "BackendDown",
             {
--- a/src/beamloom/simulation/tokens/connection_checks.py
+++ b/src/beamloom/simulation/tokens/connection_checks.py
@@ -4,13 +4,12 @@
 
 from collections.abc import Callable
 
-from beamloom.routing.tokens.liveness import CheckOutcome
+from beamloom.routing.tokens.liveness import CheckOutcome, confirm_silence
 from beamloom.runtime.connection_limits import (
     CHECK_ATTEMPT_SECONDS,
     CHECK_ATTEMPTS,
     REFERENCE_MARGIN_SECONDS,
     REFERENCE_SECONDS,
-    REFERENCES_REQUIRED,
 )
 from beamloom.simulation.clock import VirtualClock
 
@@ -63,12 +62,11 @@
         answer = self._connect(address)
         seconds = self._round_trip_seconds(host)
         references = [self._connect(reference) for reference in find_references()]
-        accepted = references.count(CheckOutcome.ALIVE)
         if seconds > REFERENCE_SECONDS:
             self._clock.call_later(REFERENCE_SECONDS, on_outcome, CheckOutcome.UNCONFIRMED)
         elif answer is not None:
             self._clock.call_later(seconds, on_outcome, answer)
-        elif accepted >= min(REFERENCES_REQUIRED, len(references)) > 0:
+        elif confirm_silence(references):
             seconds += REFERENCE_MARGIN_SECONDS
             self._clock.call_later(seconds, on_outcome, CheckOutcome.SILENT)
         else:
