start_cost: call the function that removes the bundle by its name

The program of the stage "node" stands in a string, so that the renaming of drop_bundle to remove_bundle passed it by.

--- a/tools/start_cost.py
+++ b/tools/start_cost.py
@@ -32,7 +32,7 @@
 PLACEHOLDERS = f"{BUNDLE}from beamloom.runtime.deferred_modules import deferred\n"
 MAIN = f"{PLACEHOLDERS}with deferred():\n    import beamloom.runtime.token_node_main as main\n"
 LOOP = f"{MAIN}with deferred(), main._no_collections(), main._missing('ssl'):\n    import asyncio\n"
-NODE = f"{MAIN}with main._no_collections():\n    main.load_node()\ndrop_bundle(bundle)\n"
+NODE = f"{MAIN}with main._no_collections():\n    main.load_node()\nremove_bundle(bundle)\n"
 NODE_BY_MODULES = """
 import runpy  # as `python3 -m` does
 import beamloom.runtime.token_node_main as main
