Test of route terms: addresses of its own

It used the same loopback addresses as tests.functional.test_token_node, and modules run side by side. Seen once: OSError, address already in use, when both ran at the same time by hand.

--- a/tests/functional/test_route_terms.py
+++ b/tests/functional/test_route_terms.py
@@ -10,6 +10,8 @@
 
 
 class UnreadableTermTest(TokenNodeCase):
+    network = "127.61.41"
+
     async def test_it_is_logged_and_counted_and_the_route_serves(self) -> None:
         self.add_endpoint(1)
         self.configure_with(1, priority="highest")
