Tests of nodes run them as deployed

Tests started nodes with python3 -m beamloom.runtime.token_node_main, and programs without a node's start.py called load_node alone. Both import the settings before modules are deferred, so that json and json.decoder are loaded; a deployed node has neither.

--- a/tests/functional/test_deferred_modules.py
+++ b/tests/functional/test_deferred_modules.py
@@ -16,8 +16,8 @@
 
 
 LOAD_NODE = """
-from beamloom.runtime.token_node_main import load_node
-load_node()
+from beamloom.runtime.start import load
+load()
 import asyncio, sys
 """
 
--- a/tests/functional/test_signals.py
+++ b/tests/functional/test_signals.py
@@ -52,6 +52,7 @@
 
 class SignalsTest(TokenNodeCase):
     network = "127.61.31"
+    program = ("-m", "beamloom.runtime.token_node_main")
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
--- a/tests/functional/token_node_case.py
+++ b/tests/functional/token_node_case.py
@@ -25,6 +25,7 @@
     RouteRecord,
     RoutingConfiguration,
 )
+from beamloom.soak.program import NodeProgram, install_program
 from beamloom.standins.flow_packets import (
     FlowEnd,
     FlowPacket,
@@ -83,10 +84,21 @@
     """Starts a store; `start_node` starts nodes on loopback addresses of `network`."""
 
     network = "127.61.0"
-    program: tuple[str, ...] = ("-m", "beamloom.runtime.token_node_main")
+    program: tuple[str, ...] = ()
+    """Arguments of the interpreter; without any, nodes are installed and run as deployed.
+
+    Other ways load modules that a deployed node does not have, which hides faults.
+    """
+    deployed: NodeProgram
     bounds: Mapping[str, int] = {}
     """The `[bounds]` of the nodes' settings, in ms; defaults apply to those not given."""
 
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+        cls.deployed = install_program(Path(folder))
+
     async def asyncSetUp(self) -> None:
         self.store = TokenStoreServer(TokenStore())
         await self.store.start(f"{self.network}.200")
@@ -164,9 +176,9 @@
         log = (self.folder / f"node-{number}.log").open("wb")
         self.addCleanup(log.close)
         node = subprocess.Popen(
-            [sys.executable, *self.program],
+            [sys.executable, *(self.program or self.deployed.command[1:])],
             env={
-                **os.environ,
+                **(os.environ if self.program else self.deployed.environment),
                 "BEAMLOOM_CONFIG": str(path),
                 "BEAMLOOM_METRICS_PORT": str(METRICS_PORT),
                 **(environment or {}),
