JSON that cannot be read no longer ends a node

A damaged settings file did the same at a reload.

Cause: load_json calls the C scanner of _json. For a syntax error the scanner looks its exception up in the module json.decoder and returns without one if that is not loaded, which a node avoids; the interpreter then raises SystemError, which nothing expects.

Fix: SystemError of the scanner counts as invalid input, and json.loads decides, as for the other failures. So the substitute decides nothing by itself that json.loads would refuse.

--- a/src/beamloom/runtime/light_modules.py
+++ b/src/beamloom/runtime/light_modules.py
@@ -41,7 +41,9 @@
         start = len(text) - len(text.lstrip(_WHITESPACE))
         try:
             value, end = _scan_json(text, start)
-        except StopIteration:
+        except (StopIteration, SystemError):
+            # The scanner takes the class of its errors from `json.decoder`. If that is not loaded,
+            # it fails without an exception, which the interpreter reports as SystemError.
             end = -1
         if end >= 0 and not text[end:].strip(_WHITESPACE):
             return value
