An entry whose conversion fails in any way concerns itself only

Cause: the collector of an answer's objects caught five types of errors; math.isfinite and int() raise OverflowError, the repr of a deeply nested value RecursionError. Nothing else stands between an entry and the task group of StoreFollower.run.

A number of 401 digits as a route's time-out raised OverflowError from read_terms as well.

Fix: whatever the conversion of an entry raises makes that entry unreadable, which is logged and counted; numbers of the store's counter are checked for type and range; objects beside config/main are no configurations. Missed by tests, fuzzing and soak: examples of other types held no number beyond a float, and the fuzzer's bytes practically never form an entry.

--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -5,13 +5,13 @@
 import json
 import socket
 from collections.abc import Callable, Mapping
-from typing import Any, Generic, TypeVar
+from typing import Any, TypeVar
 
-from beamloom.model.store_revision import number_of, revision_in_era
+from beamloom.model.store_revision import number_of
 from beamloom.platform.errors import PlatformFormatError
 from beamloom.platform.packet_layout import destination_key
+from beamloom.replication.object_answers import ObjectCollector, read_number
 from beamloom.replication.object_watch import ChangeBatch, ListPage, ListRequest, WatchRequest
-from beamloom.replication.store_view import NamedRecord, ObjectChange
 from beamloom.routing.tokens.backend_fields import read_backend
 from beamloom.routing.tokens.records import (
     BackendRecord,
@@ -119,65 +119,33 @@
 def read_page(body: bytes, era: int, translate: Translate[Record]) -> ListPage[Record]:
     """Parse the answer to a list; only faults beyond single objects raise PlatformFormatError."""
     document = _load(body)
-    objects = _ObjectCollector(translate, era)
+    objects = ObjectCollector(translate, era)
     try:
         for entry in document["items"]:
-            objects.add(entry, gone=False)
-        last = objects.names[-1] if objects.names else ""
-        more, number = bool(document["more"]), int(document["at"])
+            _add_object(objects, entry, gone=False)
+        return objects.page(document["at"], more=bool(document["more"]))
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformFormatError(f"a list of the store cannot be read: {error!r}") from error
-    records = tuple(
-        NamedRecord(change.name, change.revision, change.record)
-        for change in objects.changes.values()
-        if change.record is not None
-    )
-    return ListPage(records, more, objects.revision(number), last, tuple(objects.unreadable))
 
 
 def read_changes(body: bytes, era: int, translate: Translate[Record]) -> ChangeBatch[Record]:
     """Parse the answer to a watch; only faults beyond single objects raise PlatformFormatError."""
     document = _load(body)
-    objects = _ObjectCollector(translate, era)
+    objects = ObjectCollector(translate, era)
     try:
         for event in document["events"]:
-            objects.add(event["object"], gone=bool(event["gone"]))
-        revision = objects.revision(int(document["at"]))
+            change = event if isinstance(event, dict) else {}
+            _add_object(objects, change.get("object"), gone=bool(change.get("gone")))
+        return objects.batch(document["at"], len(body))
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformFormatError(f"changes of the store cannot be read: {error!r}") from error
-    changes = tuple(objects.changes.values())
-    return ChangeBatch(changes, revision, tuple(objects.unreadable), len(body))
-
-
-class _ObjectCollector(Generic[Record]):
-    """The last change of each object in an answer; an unreadable object counts as removed."""
-
-    def __init__(self, translate: Translate[Record], era: int) -> None:
-        self.names: list[str] = []
-        self.changes: dict[str, ObjectChange[Record]] = {}
-        self.unreadable: list[str] = []
-        self._translate = translate
-        self._era = era
-
-    def revision(self, number: int) -> int:
-        """Return the revision of a change number in this answer."""
-        return revision_in_era(self._era, number)
-
-    def add(self, entry: Mapping[str, Any], *, gone: bool) -> None:
-        """Add an object; without a readable name and revision it is only listed as unreadable."""
-        try:
-            name, number = str(entry["meta"]["name"]), int(entry["meta"]["revision"])
-        except (KeyError, TypeError, ValueError) as error:
-            self.unreadable.append(f"an object without a name or revision: {error!r}")
-            return
-        self.names.append(name)
-        record = None
-        if not gone:
-            try:
-                record = self._translate(name, entry.get("spec") or entry.get("status"))
-            except (KeyError, TypeError, ValueError, AttributeError, OSError) as error:
-                self.unreadable.append(f"{name}: {error!r}")
-        self.changes[name] = ObjectChange(name, self.revision(number), record)
+
+
+def _add_object(objects: ObjectCollector[Record], entry: object, *, gone: bool) -> None:
+    stored = entry if isinstance(entry, dict) else {}
+    meta = stored["meta"] if isinstance(stored.get("meta"), dict) else {}
+    content = stored.get("spec") or stored.get("status")
+    objects.add(meta.get("name"), meta.get("revision"), content, gone=gone)
 
 
 def translate_backend(name: str, entry: Mapping[str, Any]) -> BackendRecord:
@@ -187,11 +155,13 @@
     )
 
 
-def translate_configuration(_name: str, entry: Mapping[str, Any]) -> RoutingConfiguration:
-    """Convert the operator's configuration."""
+def translate_configuration(name: str, entry: Mapping[str, Any]) -> RoutingConfiguration:
+    """Convert the operator's configuration; raises ValueError for any other object."""
+    if name != CONFIGURATION_NAME:
+        raise PlatformFormatError("it is not the operator's configuration; remove it")
     limits = entry.get("limits", {})
     return RoutingConfiguration(
-        version=int(entry["version"]),
+        version=read_number(entry["version"]),
         routes=tuple(_translate_route(route) for route in entry["routes"]),
         idle_seconds=float(limits.get("idle-timeout-ms", 15_000)) / MILLISECONDS,
         warm_ups=tuple(map(_translate_warm_up, entry.get("services", ()))),
--- /dev/null
+++ b/src/beamloom/replication/object_answers.py
@@ -0,0 +1,88 @@
+"""Collects the objects in an answer of a store, so that none affects how the others are read.
+
+Any program may have written an object. One that cannot be read counts as removed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Generic, TypeVar
+
+from beamloom.model.store_revision import NUMBER_BITS, revision_in_era
+from beamloom.replication.object_watch import ChangeBatch, ListPage
+from beamloom.replication.store_view import NamedRecord, ObjectChange
+
+Record = TypeVar("Record")
+
+NUMBER_LIMIT = 1 << NUMBER_BITS
+"""Limit of the numbers that a store's counter reaches."""
+MAXIMUM_REASON_CHARACTERS = 200
+"""Longer reasons why an object is unreadable are cut, as they may quote any value."""
+
+
+class ObjectFieldError(ValueError):
+    """The store sent an object or an answer without a usable field; the text names the field."""
+
+
+class ObjectCollector(Generic[Record]):
+    """The last change of each object in an answer, whose revisions are of one era.
+
+    `read_record` converts an object's name and content to its record; whatever it raises makes only
+    that object unreadable. `unreadable` describes the objects that were left out.
+    """
+
+    def __init__(self, read_record: Callable[[str, Any], Record], era: int) -> None:
+        self.unreadable: list[str] = []
+        self._read_record = read_record
+        self._era = era
+        self._last_name = ""
+        self._changes: dict[str, ObjectChange[Record]] = {}
+
+    def add(self, name: object, number: object, content: object, *, gone: bool) -> None:
+        """Add an object; without a usable name and revision number it is only unreadable."""
+        try:
+            known_name, revision = _read_name(name), self._revision(number)
+        except ObjectFieldError as error:
+            self.unreadable.append(f"an object without a name or revision: {error}")
+            return
+        self._last_name = known_name
+        record = None if gone else self._convert(known_name, content)
+        self._changes[known_name] = ObjectChange(known_name, revision, record)
+
+    def _convert(self, name: str, content: object) -> Record | None:
+        try:
+            return self._read_record(name, content)
+        except Exception as error:
+            self.unreadable.append(f"{name}: {error!r:.{MAXIMUM_REASON_CHARACTERS}}")
+            return None
+
+    def page(self, number: object, *, more: bool) -> ListPage[Record]:
+        """Return the page of a list at a revision number; raises ObjectFieldError."""
+        records = tuple(
+            NamedRecord(change.name, change.revision, change.record)
+            for change in self._changes.values()
+            if change.record is not None
+        )
+        revision = self._revision(number)
+        return ListPage(records, more, revision, self._last_name, tuple(self.unreadable))
+
+    def batch(self, number: object, size_bytes: int) -> ChangeBatch[Record]:
+        """Return the changes up to a revision number; raises ObjectFieldError."""
+        changes = tuple(self._changes.values())
+        return ChangeBatch(changes, self._revision(number), tuple(self.unreadable), size_bytes)
+
+    def _revision(self, number: object) -> int:
+        return revision_in_era(self._era, read_number(number))
+
+
+def read_number(value: object) -> int:
+    """Return a number of a store's counter; raises ObjectFieldError."""
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value < NUMBER_LIMIT:
+        raise ObjectFieldError("its number is none that a store's counter reaches")
+    return value
+
+
+def _read_name(value: object) -> str:
+    if not isinstance(value, str):
+        raise ObjectFieldError("its name is no text")
+    return value
--- a/src/beamloom/routing/tokens/backend_fields.py
+++ b/src/beamloom/routing/tokens/backend_fields.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 
 from beamloom.routing.tokens.records import BackendRecord, BackendState
@@ -32,7 +31,11 @@
     """A field of a store entry is missing or invalid; its writer must correct the entry."""
 
     def __init__(self, field: str, value: object) -> None:
-        super().__init__(f"{field} = {value!r:.80}: the writer of this entry must correct it")
+        # The `repr` of a deeply nested value raises RecursionError.
+        import reprlib
+
+        shown = reprlib.repr(value)
+        super().__init__(f"{field} = {shown:.80}: the writer of this entry must correct it")
 
 
 def read_backend(name: str, fields: Mapping[str, object]) -> BackendRecord:
@@ -100,8 +103,9 @@
 def _read_warm_up(fields: Mapping[str, object]) -> float:
     """Return the warm-up in seconds; fractions of a millisecond are accepted."""
     value = fields.get("warm_up")
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    if isinstance(value, bool) or not isinstance(value, int | float):
         raise BackendFieldError("warm_up", value)
+    # The comparison is false for NaN, and exact for integers that no float can hold.
     if not 0 <= value <= MAXIMUM_WARM_UP_MILLISECONDS:
         raise BackendFieldError("warm_up", value)
     return value / MILLISECONDS
--- a/src/beamloom/routing/tokens/records.py
+++ b/src/beamloom/routing/tokens/records.py
@@ -101,7 +101,7 @@
     for field, value in values.items():
         try:
             fields[field] = _TERM_READERS[field](value)
-        except (TypeError, ValueError):
+        except (TypeError, ValueError, OverflowError):
             # The node counts and logs unreadable fields when it activates the configuration.
             unreadable.append(field)
     return RouteTerms(**fields, unreadable=tuple(unreadable))
--- a/tests/unit/platform_adapter/test_store_objects.py
+++ b/tests/unit/platform_adapter/test_store_objects.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from beamloom.model.store_revision import revision_in_era
+from beamloom.model.store_revision import NUMBER_BITS, revision_in_era
 from beamloom.platform import store_encoding, store_objects
 from beamloom.platform.errors import PlatformFormatError
 from beamloom.replication.object_watch import ListPage, ListRequest, WatchRequest
@@ -35,6 +35,8 @@
 
 
 ERA = 3
+DEPTH = 700
+"""Nesting that a JSON decoder still reads, but that has no place in an entry."""
 
 
 def in_era(number: int) -> int:
@@ -157,6 +159,31 @@
                 if (field, value) != ("warmup-left-ms", 1.5):
                     self.assert_names_nothing(stored("i-3", {**BACKEND, field: value}))
 
+    def test_numbers_and_depths_beyond_any_use(self) -> None:
+        """Guards against errors of the conversion that are neither of type nor of value."""
+        nested: object = 1
+        for _ in range(DEPTH):
+            nested = [nested]
+        for value in (10**400, -(10**400), 1e308, nested, {"a": nested}):
+            for field in [*BACKEND, "born"]:
+                self.assert_names_nothing(stored("i-3", {**BACKEND, field: value}))
+
+    def test_a_revision_that_no_store_assigns(self) -> None:
+        for revision in (-1, 1 << NUMBER_BITS, 10**400, 1e999, 5.5, True, "5", None, [5]):
+            entry = {"meta": {"name": "i-3", "revision": revision}, "spec": BACKEND}
+            self.assert_names_nothing(entry)
+
+    def test_another_configuration(self) -> None:
+        """Guards against an object beside the operator's that ends its readers."""
+        for version in (1e999, 10**400, "7", None, -1, True):
+            with self.subTest(version=version):
+                others = {"version": version, "routes": [], "limits": {}}
+                items = [stored("main", CONFIGURATION), stored("other", others)]
+                body = json.dumps({"items": items, "more": False, "at": 9}).encode()
+                page = store_objects.read_page(body, ERA, store_objects.translate_configuration)
+                self.assertEqual([named.name for named in page.records], ["main"])
+                self.assertEqual(len(page.unreadable), 1)
+
     def test_an_unknown_state(self) -> None:
         for state in ("READY", "parked", "ready "):
             self.assert_names_nothing(stored("i-3", {**BACKEND, "state": state}))
--- a/tests/unit/tokens/test_route_terms.py
+++ b/tests/unit/tokens/test_route_terms.py
@@ -60,7 +60,7 @@
     def test_an_unreadable_term_gets_its_default_and_is_reported(self) -> None:
         bad: dict[str, tuple[Any, ...]] = {
             "type": ("sfae", None, 3, ["safe"]),
-            "timeout_ms": ("2672", -1, 0, None, True, float("nan"), float("inf")),
+            "timeout_ms": ("2672", -1, 0, None, True, float("nan"), float("inf"), 10**400),
             "target_latency_ms": ({}, 0.2, "soon"),
             "priority": (-1, 1.5, "high", None, True),
         }
