One entry that is not JSON no longer hides the others

What callers saw: while an entry of another writer held a control character, an unclosed quotation mark, a number of 5,000 digits or a list nested 1,200 deep, the store's whole answer was refused.

Cause: the store hands an entry on as its writer sent it, and an answer was decoded as one JSON text.

Fix: an answer that is not JSON as a whole is read entry by entry. A damaged entry ends where its brackets close, or, where its quotation marks do not pair, before the next entry's head, which the store wrote. Its name is still read, so that a known endpoint whose entry is overwritten counts as removed. Answers without damage are decoded as before; the module is imported at the first damage.

--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -10,7 +10,7 @@
 from beamloom.model.store_revision import number_of
 from beamloom.platform.errors import PlatformFormatError
 from beamloom.platform.packet_layout import destination_key
-from beamloom.replication.object_answers import ObjectCollector, read_number
+from beamloom.replication.object_answers import DamagedEntry, ObjectCollector, read_number
 from beamloom.replication.object_watch import ChangeBatch, ListPage, ListRequest, WatchRequest
 from beamloom.routing.tokens.backend_fields import read_backend
 from beamloom.routing.tokens.records import (
@@ -58,6 +58,9 @@
 }
 """Keys of a route's terms on the wire, by the name of the field."""
 
+ENTRY_HEAD = r'\{\s*(?:"gone"\s*:\s*(?:true|false)\s*,\s*"object"\s*:\s*\{\s*)?"meta"\s*:\s*'
+"""How an object in a list, or a change in the answer to a watch, begins."""
+
 Record = TypeVar("Record")
 Translate = Callable[[str, Any], Record]
 """Builds a record from an object's name and content; the content may be null."""
@@ -109,20 +112,19 @@
 
 def read_secret(body: bytes) -> bytes:
     """Parse the object that holds a secret; raises PlatformFormatError."""
-    document = _load(body)
     try:
-        return bytes.fromhex(document["spec"]["key"])
-    except (KeyError, TypeError, ValueError) as error:
+        return bytes.fromhex(json.loads(body)["spec"]["key"])
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
         raise PlatformFormatError(f"the fleet's secret cannot be read: {error!r}") from error
 
 
 def read_page(body: bytes, era: int, translate: Translate[Record]) -> ListPage[Record]:
     """Parse the answer to a list; only faults beyond single objects raise PlatformFormatError."""
-    document = _load(body)
+    document = _load(body, "items")
     objects = ObjectCollector(translate, era)
     try:
         for entry in document["items"]:
-            _add_object(objects, entry, gone=False)
+            _add_object(objects, entry)
         return objects.page(document["at"], more=bool(document["more"]))
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformFormatError(f"a list of the store cannot be read: {error!r}") from error
@@ -130,22 +132,28 @@
 
 def read_changes(body: bytes, era: int, translate: Translate[Record]) -> ChangeBatch[Record]:
     """Parse the answer to a watch; only faults beyond single objects raise PlatformFormatError."""
-    document = _load(body)
+    document = _load(body, "events")
     objects = ObjectCollector(translate, era)
     try:
         for event in document["events"]:
-            change = event if isinstance(event, dict) else {}
-            _add_object(objects, change.get("object"), gone=bool(change.get("gone")))
+            if isinstance(event, dict):
+                _add_object(objects, event.get("object"), gone=bool(event.get("gone")))
+            else:
+                _add_object(objects, event)
         return objects.batch(document["at"], len(body))
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformFormatError(f"changes of the store cannot be read: {error!r}") from error
 
 
-def _add_object(objects: ObjectCollector[Record], entry: object, *, gone: bool) -> None:
+def _add_object(objects: ObjectCollector[Record], entry: object, *, gone: bool = False) -> None:
+    """Add an entry; of a damaged one only what the store itself wrote is known."""
+    damage = ""
+    if isinstance(entry, DamagedEntry):
+        damage, gone, entry = entry.reason, "true" in entry.head, {"meta": entry.meta}
     stored = entry if isinstance(entry, dict) else {}
     meta = stored["meta"] if isinstance(stored.get("meta"), dict) else {}
     content = stored.get("spec") or stored.get("status")
-    objects.add(meta.get("name"), meta.get("revision"), content, gone=gone)
+    objects.add(meta.get("name"), meta.get("revision"), content, gone=gone, damage=damage)
 
 
 def translate_backend(name: str, entry: Mapping[str, Any]) -> BackendRecord:
@@ -187,10 +195,22 @@
     return RouteRecord(str(route["name"]), destination_key(address, port), parts, terms)
 
 
-def _load(body: bytes) -> Mapping[str, Any]:
-    """Parse an answer; undecodable bytes are replaced, so that other objects remain readable."""
+def _load(body: bytes, member: str) -> dict[str, Any]:
+    """Parse an answer; entries of its array `member` that are not JSON become DamagedEntry."""
+    try:
+        document = json.loads(body.decode(errors="replace"))
+    except (ValueError, RecursionError):
+        document = _recover(body, member)
+    if not isinstance(document, dict) or not isinstance(document.get(member), list):
+        raise PlatformFormatError(f"an answer of the store has no array {member!r}")
+    return document
+
+
+def _recover(body: bytes, member: str) -> dict[str, Any]:
+    """Parse an answer entry by entry; the import is late, as few answers are damaged."""
+    from beamloom.replication.answer_recovery import AnswerRecovery
+
     try:
-        document: Mapping[str, Any] = json.loads(body.decode(errors="replace"))
+        return AnswerRecovery(member, ENTRY_HEAD).read(body)
     except (ValueError, RecursionError) as error:
         raise PlatformFormatError(f"an answer of the store is not JSON: {error}") from error
-    return document
--- /dev/null
+++ b/src/beamloom/replication/answer_recovery.py
@@ -0,0 +1,138 @@
+"""Reads an answer of a store that is not JSON as a whole, entry by entry.
+
+A store returns an entry as its writer sent it, and any program may write one. An entry with a
+control character, with a number of too many digits or with too deep a nesting makes the whole
+answer unreadable for a JSON decoder. Here such an entry is set apart, and the other entries are
+read as if it did not exist.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from json import JSONDecoder
+from typing import Any
+
+from beamloom.replication.object_answers import DamagedEntry
+
+MAXIMUM_BRACKETED_CHARACTERS = 64 << 10
+"""How far the closing bracket of a damaged entry is searched; entries are much shorter."""
+
+_SPACE = re.compile(r"[ \t\n\r]*")
+_SEPARATOR = re.compile(r"[ \t\n\r]*,[ \t\n\r]*(?=\{)")
+_TOKEN = re.compile(
+    r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]+|[\]}]+|[\s,:\d+\-.eE]+|true|false|null|NaN|Infinity',
+    re.DOTALL,
+)
+"""A string, a run of opening or closing brackets, or what else JSON has outside strings."""
+
+_DECODER = JSONDecoder()
+
+
+_NO_HEAD = DamagedEntry("", None, "")
+
+
+class AnswerRecovery:
+    """Reads answers whose entries stand in the array `member` of an object.
+
+    `head` is the pattern of how an entry begins, up to a value that the store wrote itself.
+    """
+
+    def __init__(self, member: str, head: str) -> None:
+        self._member = member
+        self._opening = re.compile(rf'"{member}"\s*:\s*\[')
+        self._head = re.compile(head)
+
+    def read(self, body: bytes) -> dict[str, Any]:
+        """Return an answer with a DamagedEntry in place of each entry that cannot be decoded.
+
+        Raises ValueError if anything outside the array of the entries is damaged.
+        """
+        text = body.decode(errors="replace")
+        opening = self._opening.search(text)
+        end = text.rfind("]")
+        if opening is None or end < opening.end():
+            raise ValueError(f"it has no array {self._member!r}")
+        begin = opening.end()
+        document = _DECODER.decode(text[:begin] + text[end:])
+        if not isinstance(document, dict) or document.get(self._member) != []:
+            raise ValueError(f"its array {self._member!r} is not a member of the outermost object")
+        document[self._member] = list(self._read_entries(text, begin, end))
+        return document
+
+    def _read_entries(self, text: str, begin: int, end: int) -> Iterator[object]:
+        position = _skip_space(text, begin)
+        while position < end:
+            entry, after = self._read_entry(text, position, end)
+            yield entry
+            separator = _SEPARATOR.match(text, after, end)
+            position = end if separator is None else separator.end()
+
+    def _read_entry(self, text: str, begin: int, end: int) -> tuple[object, int]:
+        """Return the entry at a position, and where it ends."""
+        try:
+            entry, after = _DECODER.raw_decode(text, begin)
+        except (ValueError, RecursionError) as error:
+            reason = f"{type(error).__name__}: {error}"
+        else:
+            if _is_boundary(text, after, end):
+                return entry, after
+            reason = "it goes on after its last bracket"
+        return self._damaged(text, begin, reason), self._find_end(text, begin, end)
+
+    def _find_end(self, text: str, begin: int, end: int) -> int:
+        """Return where a damaged entry ends: where its brackets close, or before the next head.
+
+        Brackets do not count if they do not pair, as when a quotation mark is missing.
+        """
+        closing = _find_closing_bracket(text, begin, end)
+        if closing is not None and _is_boundary(text, closing, end):
+            return closing
+        for separator in _SEPARATOR.finditer(text, begin, end):
+            if self._read_head(text, separator.end()) is not None:
+                return separator.start()
+        return end
+
+    def _damaged(self, text: str, begin: int, reason: str) -> DamagedEntry:
+        return (self._read_head(text, begin) or _NO_HEAD)._replace(reason=reason)
+
+    def _read_head(self, text: str, begin: int) -> DamagedEntry | None:
+        """Return the readable head of an entry, or None."""
+        head = self._head.match(text, begin)
+        if head is None:
+            return None
+        try:
+            meta, _ = _DECODER.raw_decode(text, head.end())
+        except (ValueError, RecursionError):
+            return None
+        return DamagedEntry(head[0], meta, "")
+
+
+def _is_boundary(text: str, position: int, end: int) -> bool:
+    """Whether an entry can end at a position: the array ends there, or another entry follows."""
+    return _skip_space(text, position) == end or _SEPARATOR.match(text, position, end) is not None
+
+
+def _find_closing_bracket(text: str, begin: int, end: int) -> int | None:
+    """Return the position after the bracket that closes the one at `begin`, or None.
+
+    Anything outside a string that JSON does not have there shows that quotation marks do not pair.
+    """
+    depth = 0
+    position, limit = begin, min(end, begin + MAXIMUM_BRACKETED_CHARACTERS)
+    while (token := _TOKEN.match(text, position, limit)) is not None:
+        position = token.end()
+        run = token[0]
+        if run[0] in "[{":
+            depth += len(run)
+        elif run[0] in "]}":
+            if depth <= len(run):
+                return token.start() + depth if depth else None
+            depth -= len(run)
+    return None
+
+
+def _skip_space(text: str, position: int) -> int:
+    match = _SPACE.match(text, position)
+    assert match is not None
+    return match.end()
--- a/src/beamloom/replication/object_answers.py
+++ b/src/beamloom/replication/object_answers.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Generic, TypeVar
+from typing import Any, Generic, NamedTuple, TypeVar
 
 from beamloom.model.store_revision import NUMBER_BITS, revision_in_era
 from beamloom.replication.object_watch import ChangeBatch, ListPage
@@ -24,6 +24,18 @@
     """The store sent an object or an answer without a usable field; the text names the field."""
 
 
+class DamagedEntry(NamedTuple):
+    """An entry that cannot be decoded, and the reason.
+
+    `head` is how it begins, up to the value `meta`, which its store wrote and which can be read.
+    Without such a beginning `head` is empty and `meta` is None.
+    """
+
+    head: str
+    meta: object
+    reason: str
+
+
 class ObjectCollector(Generic[Record]):
     """The last change of each object in an answer, whose revisions are of one era.
 
@@ -38,24 +50,32 @@
         self._last_name = ""
         self._changes: dict[str, ObjectChange[Record]] = {}
 
-    def add(self, name: object, number: object, content: object, *, gone: bool) -> None:
-        """Add an object; without a usable name and revision number it is only unreadable."""
+    def add(
+        self, name: object, number: object, content: object, *, gone: bool, damage: str = ""
+    ) -> None:
+        """Add an object; without a usable name and revision number it is only unreadable.
+
+        `damage` tells why its content could not be decoded.
+        """
         try:
             known_name, revision = _read_name(name), self._revision(number)
         except ObjectFieldError as error:
-            self.unreadable.append(f"an object without a name or revision: {error}")
+            self._note_unreadable("an object without a name or revision", damage or str(error))
             return
         self._last_name = known_name
-        record = None if gone else self._convert(known_name, content)
+        record = None if gone else self._convert(known_name, content, damage)
         self._changes[known_name] = ObjectChange(known_name, revision, record)
 
-    def _convert(self, name: str, content: object) -> Record | None:
+    def _convert(self, name: str, content: object, damage: str) -> Record | None:
         try:
             return self._read_record(name, content)
         except Exception as error:
-            self.unreadable.append(f"{name}: {error!r:.{MAXIMUM_REASON_CHARACTERS}}")
+            self._note_unreadable(name, damage or repr(error))
             return None
 
+    def _note_unreadable(self, name: str, reason: str) -> None:
+        self.unreadable.append(f"{name}: {reason:.{MAXIMUM_REASON_CHARACTERS}}")
+
     def page(self, number: object, *, more: bool) -> ListPage[Record]:
         """Return the page of a list at a revision number; raises ObjectFieldError."""
         records = tuple(
--- /dev/null
+++ b/tests/functional/foreign_entries.py
@@ -0,0 +1,119 @@
+"""Answers of a store in which one entry was written by another program."""
+
+import json
+import random
+from typing import NamedTuple
+
+from tests.functional.foreign_bytes import damage
+
+GOOD_ENTRY = {
+    "service": "tracker",
+    "address": "10.0.0.9:8080",
+    "zone": "laucala",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup-left-ms": 0,
+    "sequence": 4,
+    "born": 17,
+}
+GOOD_CONFIGURATION = {
+    "version": 7,
+    "routes": [{"name": "r", "hostname": "198.18.0.1", "path-prefix": "/443/", "service": "a"}],
+    "services": [{"name": "a", "warmup-s": 3, "warmup-per-s": 2}],
+    "limits": {"idle-timeout-ms": 9000},
+}
+ODD_VALUES: tuple[bytes, ...] = (
+    b"null",
+    b"true",
+    b"-1",
+    b"1.5",
+    b"1e999",
+    b"NaN",
+    b"9" * 400,
+    b"9" * 5000,
+    b"[]",
+    b"{}",
+    b'""',
+    b'"\\ud800"',
+    b'"\xff\xfe\xfd"',
+    b'"v\x01"',
+    b'"x\\n"',
+    b'"' + b"x" * 3000 + b'"',
+    b'"unclosed',
+    b'v"1"',
+    b"[" * 1200 + b"]" * 1200,
+    b"[" * 800 + b"]" * 800,
+    b'{"a":' * 1200 + b"1" + b"}" * 1200,
+    b"[" * 5000,
+    b"}]}",
+    b"",
+)
+"""Values beyond any type, size, depth or syntax that a field should have."""
+NAMES: tuple[bytes, ...] = (b'"i-0badbad1"', b'"other"', b'"\\ud800-1"', b'"i-\xff"', *ODD_VALUES)
+
+
+class Answer(NamedTuple):
+    """The answer to a list (`is_list`) or a watch, with and without the entry of another writer."""
+
+    kind: str
+    is_list: bool
+    damaged: bytes
+    clean: bytes
+
+
+def make_answer(rng: random.Random) -> Answer:
+    """Return an answer in which one entry holds random bytes, types, depths or numbers."""
+    kind = rng.choice(("servers", "servers", "config", "evacuations"))
+    is_list = rng.random() < 0.5
+    good = [_good_object(kind, number, is_list=is_list) for number in range(rng.randint(1, 4))]
+    foreign = _foreign_object(kind, rng, is_list=is_list)
+    position = rng.randint(0, len(good))
+    entries = [*good[:position], foreign, *good[position:]]
+    return Answer(kind, is_list, _envelope(entries, is_list), _envelope(good, is_list))
+
+
+def _envelope(entries: list[bytes], is_list: bool) -> bytes:
+    if is_list:
+        return b'{"items":[' + b",".join(entries) + b'],"more":false,"at":530}'
+    return b'{"events":[' + b",".join(entries) + b'],"at":530}'
+
+
+def _object(name: bytes, revision: bytes, content: bytes, *, is_list: bool) -> bytes:
+    meta = b'{"name":' + name + b',"revision":' + revision + b',"made":3,"finalizers":[]}'
+    stored = b'{"meta":' + meta + b',"spec":' + content + b',"status":null}'
+    return stored if is_list else b'{"gone":false,"object":' + stored + b"}"
+
+
+def _good_object(kind: str, number: int, *, is_list: bool) -> bytes:
+    if kind == "config":
+        name, content = "main", GOOD_CONFIGURATION
+    elif kind == "evacuations":
+        name, content = f"zone-{number}", {}
+    else:
+        name, content = f"i-{number + 1:08x}", {**GOOD_ENTRY, "address": f"10.0.0.{number}:80"}
+    text = json.dumps(content).encode()
+    return _object(f'"{name}"'.encode(), str(number + 5).encode(), text, is_list=is_list)
+
+
+def _foreign_object(kind: str, rng: random.Random, *, is_list: bool) -> bytes:
+    """Return an object of which the name or the content is odd; the store adds the rest."""
+    name = rng.choice(NAMES) if rng.random() < 0.3 else NAMES[0]
+    template = GOOD_CONFIGURATION if kind == "config" else GOOD_ENTRY
+    content = json.dumps(template).encode()
+    way = rng.random()
+    if way < 0.4:
+        content = _with_odd_field(template, rng)
+    elif way < 0.7:
+        content = damage(content, rng)
+    elif way < 0.9:
+        content = rng.choice(ODD_VALUES)
+    else:
+        content = rng.randbytes(rng.randint(0, 40))
+    return _object(name, b"6", content, is_list=is_list)
+
+
+def _with_odd_field(template: dict[str, object], rng: random.Random) -> bytes:
+    field = rng.choice([*template, "further"])
+    text = json.dumps({**template, field: "@"}).encode()
+    return text.replace(b'"@"', rng.choice(ODD_VALUES))
--- /dev/null
+++ b/tests/functional/test_foreign_entries.py
@@ -0,0 +1,72 @@
+"""Answers of the store that hold an entry of another writer, as a deployed node reads them."""
+
+import os
+import random
+import unittest
+
+from tests.functional.bare_program import run_bare
+from tests.functional.foreign_entries import Answer, make_answer
+
+CASES = int(os.environ.get("BEAMLOOM_FOREIGN_CASES", "1500"))
+SEED = int(os.environ.get("BEAMLOOM_FOREIGN_SEED", "47"))
+PROGRAM = """
+from beamloom.runtime.start import load
+load()
+import sys
+from beamloom.platform import store_objects
+from beamloom.platform.store_objects import read_changes, read_page
+TRANSLATORS = {
+    "servers": store_objects.translate_backend,
+    "config": store_objects.translate_configuration,
+    "evacuations": store_objects.translate_evacuation,
+}
+GOOD = ("i-0000000", "main", "zone-")
+
+def read(kind, is_list, body):
+    translate = TRANSLATORS[kind]
+    if is_list:
+        page = read_page(body, 1, translate)
+        entries, rest = page.records, (page.more, page.revision)
+    else:
+        batch = read_changes(body, 1, translate)
+        entries, rest = batch.changes, (batch.revision,)
+    return [entry for entry in entries if entry.name.startswith(GOOD)], rest
+
+def forget_json():
+    for name in [name for name in sys.modules if name.partition(".")[0] == "json"]:
+        del sys.modules[name]
+
+for line in sys.stdin:
+    kind, is_list, damaged, clean = line.split()
+    forget_json()
+    try:
+        found = read(kind, is_list == "True", bytes.fromhex(damaged))
+        expected = read(kind, is_list == "True", bytes.fromhex(clean))
+        print("same" if found == expected else ascii(f"{found} is not {expected}"))
+    except Exception as error:
+        print(ascii(f"{type(error).__name__}: {error}"[:300]))
+"""
+
+
+def encode(answer: Answer) -> str:
+    kind, is_list, damaged, clean = answer
+    return f"{kind} {is_list} {damaged.hex()} {clean.hex()}"
+
+
+class ForeignEntryTest(unittest.TestCase):
+    """Guards against one entry that takes others with it, or the process that reads it.
+
+    The environment may set BEAMLOOM_FOREIGN_CASES and BEAMLOOM_FOREIGN_SEED.
+    """
+
+    def test_the_other_entries_are_read_as_without_it(self) -> None:
+        rng = random.Random(SEED)
+        answers = [make_answer(rng) for _ in range(CASES)]
+        printed = run_bare(PROGRAM, "\n".join(map(encode, answers))).splitlines()
+        for answer, line in zip(answers, printed, strict=True):
+            with self.subTest(answer=answer.damaged[:300]):
+                self.assertEqual(line, "same")
+
+
+if __name__ == "__main__":
+    unittest.main()
