Texts of an entry have a greatest length

What callers saw: nothing yet; found by the generator. An entry may have 1 MB. A service, a zone or a name of that length was accepted, kept by each node and sent to its peers with every difference that holds the entry: up to 1,024 datagrams in place of one, beyond which split() sends none at all, so that nodes that don't read the store would no longer have heard of the other entries.

Evidence: the generator demands that five entries take less than 4,000 bytes for peers (100,229 at the most before); the unit test's four entries were accepted before.

Fix: 255 characters at the most for the name and each text of an entry. Longer ones make it unreadable.

--- a/src/beamloom/replication/object_answers.py
+++ b/src/beamloom/replication/object_answers.py
@@ -16,6 +16,8 @@
 
 NUMBER_LIMIT = 1 << NUMBER_BITS
 """Limit of the numbers that a store's counter reaches."""
+MAXIMUM_NAME_CHARACTERS = 255
+"""Names of objects that have gone are kept, and each name is sent to peers."""
 MAXIMUM_REASON_CHARACTERS = 200
 """Longer reasons why an object is unreadable are cut, as they may quote any value."""
 
@@ -104,8 +106,8 @@
 
 def _read_name(value: object) -> str:
     """Return a name, which is sent to peers and to the store; raises ObjectFieldError."""
-    if not isinstance(value, str) or not value:
-        raise ObjectFieldError("its name is no text")
+    if not isinstance(value, str) or not 0 < len(value) <= MAXIMUM_NAME_CHARACTERS:
+        raise ObjectFieldError(f"its name is no text of 1 to {MAXIMUM_NAME_CHARACTERS} characters")
     try:
         value.encode()
     except UnicodeEncodeError as error:
--- a/src/beamloom/routing/tokens/backend_fields.py
+++ b/src/beamloom/routing/tokens/backend_fields.py
@@ -23,6 +23,8 @@
 """Exceeds the number of concurrent requests of any backend."""
 MAXIMUM_WARM_UP_MILLISECONDS = 3_600_000
 """One hour; longer warm-ups are rejected as implausible."""
+MAXIMUM_TEXT_CHARACTERS = 255
+"""Longer names of services and zones would fill the messages to other nodes."""
 INTEGER_LIMIT = 1 << 53
 """JSON implementations agree on integers below this (RFC 8259, section 6)."""
 
@@ -86,9 +88,11 @@
 
 
 def _read_text(fields: Mapping[str, object], field: str) -> str:
-    """Return a non-empty printable text, as it is logged and sent; raises BackendFieldError."""
+    """Return a short printable text, as it is logged and sent; raises BackendFieldError."""
     value = fields.get(field)
-    if not isinstance(value, str) or not value or not value.isprintable():
+    if not isinstance(value, str) or not 0 < len(value) <= MAXIMUM_TEXT_CHARACTERS:
+        raise BackendFieldError(field, value)
+    if not value.isprintable():
         raise BackendFieldError(field, value)
     return value
 
--- a/tests/functional/test_foreign_entries.py
+++ b/tests/functional/test_foreign_entries.py
@@ -10,6 +10,7 @@
 CASES = int(os.environ.get("BEAMLOOM_FOREIGN_CASES", "1500"))
 SEED = int(os.environ.get("BEAMLOOM_FOREIGN_SEED", "47"))
 PROGRAM = """
+MAXIMUM_DELTA_BYTES = 4000  # of five entries, each much shorter than a datagram
 from beamloom.runtime.start import load
 load()
 import sys
@@ -80,7 +81,8 @@
     try:
         encoded = CODECS[kind].encode(delta, NEVER)
         is_same = CODECS[kind].decode(encoded).changes == changes
-        print("same" if is_same else "another")
+        is_short = len(encoded) < MAXIMUM_DELTA_BYTES
+        print("same" if is_same and is_short else ascii(f"{len(encoded)} bytes, {is_same}"))
     except Exception as error:
         print(ascii(f"{type(error).__name__}: {error}"[:300]))
 """
--- a/tests/unit/platform_adapter/test_store_objects.py
+++ b/tests/unit/platform_adapter/test_store_objects.py
@@ -203,6 +203,11 @@
         for name in ("i-xyz", "", "i-", "i-" + "f" * 17, "\ud800-12"):
             self.assert_names_nothing(stored(name, BACKEND))
 
+    def test_a_text_that_would_fill_the_messages_between_nodes(self) -> None:
+        for field in ("service", "zone", "version"):
+            self.assert_names_nothing(stored("i-3", {**BACKEND, field: "x" * 3000}))
+        self.assert_names_nothing(stored("x" * 3000 + "-3", BACKEND))
+
     def test_a_name_that_cannot_be_sent(self) -> None:
         """Guards against a name at the end of a page, or in a change, that no message can hold."""
         entry = stored("\ud800-12", BACKEND)
