A secret of the wrong length counts as unreadable

What callers saw: nothing yet; found by looking at each reader of bytes from outside. A key of the fleet of more than 64 bytes ended each node at its first use (ValueError of BLAKE2b), a shorter one was used as it was, and one of no bytes at all signs nothing.

Fix: read_secret demands KEY_BYTES. A node then asks its peers, as with any answer that it cannot use. Where no peer has the secret either, no node gets ready until somebody corrects the object.

--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -22,6 +22,7 @@
     ZoneEvacuation,
     read_terms,
 )
+from beamloom.routing.tokens.token import KEY_BYTES
 from beamloom.units import MILLISECONDS
 
 READINESS_PATH = "/beamloom/readiness"
@@ -113,9 +114,12 @@
 def read_secret(body: bytes) -> bytes:
     """Parse the object that holds a secret; raises PlatformFormatError."""
     try:
-        return bytes.fromhex(json.loads(body)["spec"]["key"])
+        key = bytes.fromhex(json.loads(body)["spec"]["key"])
     except (KeyError, TypeError, ValueError, RecursionError) as error:
         raise PlatformFormatError(f"the fleet's secret cannot be read: {error!r}") from error
+    if len(key) != KEY_BYTES:
+        raise PlatformFormatError(f"the fleet's secret has {len(key)} bytes instead of {KEY_BYTES}")
+    return key
 
 
 def read_page(body: bytes, era: int, translate: Translate[Record]) -> ListPage[Record]:
--- a/tests/unit/platform_adapter/test_store_objects.py
+++ b/tests/unit/platform_adapter/test_store_objects.py
@@ -105,6 +105,16 @@
         body = store_objects.encode_secret(b"0123456789abcdef")
         self.assertEqual(store_objects.read_secret(body), b"0123456789abcdef")
 
+    def test_a_secret_of_another_length_cannot_be_read(self) -> None:
+        """Guards against a key that ends the process at its first use."""
+        for length in (0, 1, 15, 17, 65, 1000):
+            with self.subTest(length=length), self.assertRaises(PlatformFormatError):
+                store_objects.read_secret(store_objects.encode_secret(bytes(length)))
+        for key in (None, 7, [], "\ud800", "9" * 5000):
+            body = json.dumps({"spec": {"key": key}}).encode()
+            with self.subTest(key=repr(key)[:20]), self.assertRaises(PlatformFormatError):
+                store_objects.read_secret(body)
+
     def test_a_faulty_object_does_not_affect_others(self) -> None:
         faulty = {**BACKEND, "address": "nowhere"}
         items = [stored("i-1", BACKEND), stored("i-xyz", BACKEND), stored("i-3", faulty)]
