An era of too many digits counts as missing

What callers saw: nothing yet. A header Store-Era of over 4,300 digits ended the process that read it: int() refuses so many digits with ValueError, and the era is read outside the part of StoreReader that expects one. Evidence: test_an_era_that_no_store_reaches_counts_as_missing ended in ValueError before. Fix: more than 9 digits are malformed, as other values are.

--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -39,6 +39,9 @@
 ERA_HEADER = b"store-era"
 """Sent with every answer of the store; rises each time that it loses acknowledged changes."""
 
+MAXIMUM_ERA_DIGITS = 9
+"""A store is not restored more often; more digits are malformed."""
+
 BACKEND_KEYS = {
     "service": "service",
     "address": "address",
@@ -70,7 +73,7 @@
 def read_era(headers: Mapping[bytes, bytes]) -> int | None:
     """Return the era in an answer's headers; None if it is missing or malformed."""
     value = headers.get(ERA_HEADER, b"")
-    return int(value) if value.isdigit() else None
+    return int(value) if value.isdigit() and len(value) <= MAXIMUM_ERA_DIGITS else None
 
 
 def list_path(kind: str, request: ListRequest) -> str:
--- a/tests/unit/platform_adapter/test_store_objects.py
+++ b/tests/unit/platform_adapter/test_store_objects.py
@@ -115,6 +115,13 @@
             with self.subTest(key=repr(key)[:20]), self.assertRaises(PlatformFormatError):
                 store_objects.read_secret(body)
 
+    def test_an_era_that_no_store_reaches_counts_as_missing(self) -> None:
+        """Guards against a header that ends the process that reads it."""
+        for value in (b"9" * 5000, b"-1", b"1.5", b"", b"\xb2", b"1 "):
+            with self.subTest(value=value[:10]):
+                self.assertIsNone(store_objects.read_era({store_objects.ERA_HEADER: value}))
+        self.assertEqual(store_objects.read_era({store_objects.ERA_HEADER: b"12"}), 12)
+
     def test_a_faulty_object_does_not_affect_others(self) -> None:
         faulty = {**BACKEND, "address": "nowhere"}
         items = [stored("i-1", BACKEND), stored("i-xyz", BACKEND), stored("i-3", faulty)]
