Any settings file is read or refused with the reason

What callers saw: nothing yet; found by a generator of settings files. A file nested too deeply raised RecursionError instead of the typed error: at a start a traceback, at a reload no log line that names the file. A number beyond a float's range raised OverflowError, infinity was accepted as a time, and a reason quoted the whole value.

Fix: a file nested too deeply is a fault of the file, numbers must be finite, and values are quoted in short.

--- a/src/beamloom/settings/document.py
+++ b/src/beamloom/settings/document.py
@@ -18,6 +18,13 @@
     """Return the contents of a file; raises OSError or ValueError."""
     with open(path, encoding="utf-8") as file:
         text = file.read()
+    try:
+        return _decode(text)
+    except RecursionError as error:
+        raise ValueError("it is nested too deeply") from error
+
+
+def _decode(text: str) -> dict[str, Any]:
     if text.lstrip().startswith(JSON_PREFIX):
         document: dict[str, Any] = json.loads(text)
         return document
--- a/src/beamloom/settings/field_reader.py
+++ b/src/beamloom/settings/field_reader.py
@@ -40,8 +40,10 @@
             return fallback
         try:
             return convert(value)
-        except (TypeError, ValueError, IndexError) as error:
-            self.faults.append(f"{name} = {value!r} is not usable ({error})")
+        except (TypeError, ValueError, IndexError, OverflowError) as error:
+            import reprlib  # only here, as few files have faults
+
+            self.faults.append(f"{name} = {reprlib.repr(value)} is not usable ({error})")
             return fallback
 
 
@@ -81,20 +83,20 @@
 
 
 def to_positive(value: Any) -> float:  # noqa: ANN401 - any value of a file
-    """Return a number above 0; raises TypeError or ValueError."""
+    """Return a finite number above 0; raises TypeError, ValueError or OverflowError."""
     number = float(value)
-    if number <= 0:
+    if not 0 < number < float("inf"):
         raise ValueError("a positive number is expected")
     return number
 
 
 def to_number(value: Any) -> float:  # noqa: ANN401 - any value of a file
-    """Return a number of any size; raises TypeError."""
+    """Return a number of any size; raises TypeError or OverflowError."""
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError("a number is expected")
     return float(value)
 
 
 def to_seconds(value: Any) -> float:  # noqa: ANN401 - any value of a file
-    """Convert a positive number of milliseconds to seconds; raises TypeError or ValueError."""
+    """Convert a positive number of milliseconds to seconds; raises as `to_positive`."""
     return to_positive(value) / MILLISECONDS
