A backend that went without draining gets no flow after the time to drain

Cause: the grace of 2 s began when a node learned of the removal, which takes up to 2.3 s if its reader has failed, not 1 s.

Fix: a backend also gets no flow later than 0.5 s before the time to drain is over since the view was last confirmed, as it may have left right after. Where the view was not confirmed for as long as an entry takes to time out, the store was away and has acknowledged nothing: the grace stays whole.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -15,7 +15,11 @@
 from beamloom.node.backend_failure_handler import BackendFailureHandler
 from beamloom.node.evacuation_follower import EvacuationChanges, EvacuationFollower
 from beamloom.node.node_observer import FROM_PEER, FROM_STORE, NodeObserver
-from beamloom.node.record_orders import BackendOrder, ConfigurationOrder
+from beamloom.node.record_orders import (
+    MAXIMUM_MISSED_HEARTBEATS,
+    BackendOrder,
+    ConfigurationOrder,
+)
 from beamloom.replication.object_watch import ObjectWatch
 from beamloom.replication.reader_role import ReaderRole
 from beamloom.replication.retention_timer import RetentionTimer
@@ -129,6 +133,8 @@
             self.evacuations.on_unknown_zone = observer.evacuation_of_unknown_zone
         self.exchange: ViewExchange | None = None
         self._configuration_history = ConfigurationHistory()
+        self._entry_timeout_seconds = MAXIMUM_MISSED_HEARTBEATS * heartbeat_seconds
+        self._backends_confirmed_at: float | None = None
         self._retained_backends = RetentionTimer(self.backends, self._apply_settled_backends)
         self.catch_up_seconds = LatencyHistogram()
         self.on_view_changed: Callable[[], None] = lambda: None
@@ -231,6 +237,7 @@
         is_late = now - self._advanced_at > LATE_SECONDS
         self._advanced_at = self._now = now
         self._update_may_refuse(now)
+        self._backends_confirmed_at = self.backends.confirmed_at
         self._retained_backends.advance(now)
         if self.evacuations is not None:
             self.evacuations.advance(now)
@@ -348,9 +355,13 @@
     def _apply_backends(
         self, changes: tuple[ObjectChange[BackendRecord], ...], source: str
     ) -> None:
+        last_listed_at = self._last_listed_at()
+        self._backends_confirmed_at = self.backends.confirmed_at
         for change in changes:
             if change.record is None:
-                removed = self.router.backends.remove(change.name, self._now)
+                removed = self.router.backends.remove(
+                    change.name, self._now, last_listed_at=last_listed_at
+                )
                 if removed is not None:
                     service = removed.record.service
                     self._observer.backend_gone(change.name, service, change.revision, source)
@@ -360,6 +371,19 @@
                 self._failure_handler.recheck_listed(change.name, self._now)
         self.on_view_changed()
 
+    def _last_listed_at(self) -> float:
+        """Return until when the store listed the backends that are missing in its next version.
+
+        A backend may have left right after the last confirmation of the view, for example if the
+        node that read the store for the others has failed since. But if the view was not confirmed
+        for as long as an entry takes to time out, the store was away, and entries of running
+        backends timed out as they could not be repeated: these count as listed until now.
+        """
+        confirmed_at = self._backends_confirmed_at
+        if confirmed_at is None or self._now - confirmed_at >= self._entry_timeout_seconds:
+            return self._now
+        return confirmed_at
+
     def _apply_configuration(
         self, changes: tuple[ObjectChange[RoutingConfiguration], ...], source: str
     ) -> None:
--- a/src/beamloom/routing/tokens/backend_table.py
+++ b/src/beamloom/routing/tokens/backend_table.py
@@ -43,10 +43,11 @@
     `check_began_at` because of `check_reason`; with `is_check_inconclusive`, it did not show
     whether the backend is dead.
 
-    Record: `revision` is that of its last store record. `gone_at` is when the store stopped listing
-    it. With `ended`, a later incarnation has its address; with `removed`, it was removed from the
-    table; with `evacuated`, operators evacuate its zone. This node learned at `known_since` that
-    the backend had restarted under its name.
+    Record: `revision` is that of its last store record. `gone_at` is when this node learned that
+    the store no longer lists it; the store still listed it at `last_listed_at`. With `ended`, a
+    later incarnation has its address; with `removed`, it was removed from the table; with
+    `evacuated`, operators evacuate its zone. This node learned at `known_since` that the backend
+    had restarted under its name.
 
     Warm-up: it is cold until the latest of `reported_cold_until`, as its record says,
     `presumed_cold_until`, after its process was down, and `zone_return_cold_until`, after the
@@ -70,6 +71,7 @@
         "is_check_inconclusive",
         "known_since",
         "last_alive_at",
+        "last_listed_at",
         "next_check_at",
         "open",
         "pace",
@@ -100,6 +102,7 @@
         self.zone_return_cold_until = float("-inf")
         self.zone_returned_at: int | None = None
         self.gone_at: float | None = None
+        self.last_listed_at = float("-inf")
         self.removed = False
         self.pending = 0
         self.open = 0
@@ -304,12 +307,18 @@
         seconds = self._warm_up_seconds.get(backend.record.service, 0.0)
         backend.presumed_cold_until = max(backend.presumed_cold_until, now + seconds)
 
-    def remove(self, name: str, now: float) -> Backend | None:
-        """Record that the store no longer lists a backend; return it if that is new."""
+    def remove(
+        self, name: str, now: float, *, last_listed_at: float | None = None
+    ) -> Backend | None:
+        """Record that the store no longer lists a backend; return it if that is new.
+
+        `last_listed_at` is a time at which the store still listed it, by default `now`.
+        """
         known = self._by_name.get(name)
         if known is None or known.gone_at is not None:
             return None
         known.gone_at = now
+        known.last_listed_at = now if last_listed_at is None else last_listed_at
         return known
 
     def _add(
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -20,7 +20,9 @@
 
 MAXIMUM_GONE_GRACE_SECONDS = 2.0
 PROPAGATION_SECONDS = 1.0
-"""Upper estimate of the time until a change of a backend reaches a node."""
+"""Usual upper limit of the time until a change of a backend reaches a node."""
+GONE_MARGIN_SECONDS = 0.5
+"""How inexact the time at which the store last listed a backend may be, and the way of a packet."""
 MINIMUM_UNDOUBTED_FRACTION = 0.5
 """If a smaller fraction of the candidates is not marked doubted, the marks are ignored: their cause
 is then probably load, and the few other backends could not take all flows.
@@ -38,15 +40,16 @@
 
     `other_zone_surcharge` is in units of a backend's full load. `open_flow_load` is the load of
     each open flow, to which a pending request adds 1. `gone_grace_seconds` is how long a backend
-    that was removed from the store may be used if no other is left; it must be shorter than the
-    time after which a leaving backend must get no new flows. `weighs_load`, `avoids_suspects`,
-    `weighs_pace`, `spares_unrepeatable` and `keeps_reserve` are switched off only to measure their
-    effect.
+    that was removed from the store may be used if no other is left, since this node learned of it,
+    but not beyond `gone_limit_seconds` after the store last listed it: it must get no new flows
+    when it may have left for so long. `weighs_load`, `avoids_suspects`, `weighs_pace`,
+    `spares_unrepeatable` and `keeps_reserve` are switched off only to measure their effect.
     """
 
     other_zone_surcharge: float = 0.5
     open_flow_load: float = 0.05
     gone_grace_seconds: float = MAXIMUM_GONE_GRACE_SECONDS
+    gone_limit_seconds: float = MAXIMUM_GONE_GRACE_SECONDS + GONE_MARGIN_SECONDS
     weighs_load: bool = True
     avoids_suspects: bool = True
     weighs_pace: bool = True
@@ -61,6 +64,7 @@
     grace = min(MAXIMUM_GONE_GRACE_SECONDS, drain_seconds - PROPAGATION_SECONDS)
     settings = PlacementSettings(
         gone_grace_seconds=max(0.0, grace) if mechanisms.gone_grace else 0.0,
+        gone_limit_seconds=drain_seconds - GONE_MARGIN_SECONDS,
         weighs_load=mechanisms.observed_load,
         avoids_suspects=mechanisms.suspicion,
         weighs_pace=mechanisms.answer_pace,
@@ -200,6 +204,7 @@
             and not (self._cold_starts is not None and backend.cold_until > now)
             and backend.record.state is BackendState.READY
             and now - backend.gone_at < self._settings.gone_grace_seconds
+            and now - backend.last_listed_at < self._settings.gone_limit_seconds
         )
 
     def _cheapest(self, candidates: list[Backend], now: float) -> Backend:
--- a/tests/unit/tokens/test_token_core.py
+++ b/tests/unit/tokens/test_token_core.py
@@ -4,6 +4,7 @@
 import unittest
 
 from beamloom.node.backend_failure_handler import PEER_SUSPICION_SECONDS
+from beamloom.node.record_orders import MAXIMUM_MISSED_HEARTBEATS
 from beamloom.node.token_core import (
     CONFIRMATION_TIMEOUT_SECONDS,
     LATE_SECONDS,
@@ -13,7 +14,7 @@
 from beamloom.protocol.view_messages import ViewDigest
 from beamloom.replication.object_watch import ChangeBatch, ListPage, ListRequest
 from beamloom.replication.store_call_times import store_call_times
-from beamloom.replication.store_view import NamedRecord
+from beamloom.replication.store_view import NamedRecord, ObjectChange
 from beamloom.routing.tokens.packets import (
     DropPacket,
     DropReason,
@@ -22,7 +23,9 @@
     ResetFlow,
     RouterCommand,
 )
+from beamloom.routing.tokens.placement import PlacementSettings
 from beamloom.routing.tokens.records import BackendRecord
+from beamloom.settings.token_node import DEFAULT_HEARTBEAT_SECONDS
 from beamloom.simulation.tokens.quiet_observer import QuietObserver
 from tests.unit.tokens.builders import (
     KEY,
@@ -36,6 +39,8 @@
 
 START = 10.0
 SOME = range(7, 13)
+DRAIN_SECONDS = 3.0
+"""How long after its removal a backend may get new flows, in the deployments with the least."""
 
 
 class StallTest(unittest.TestCase):
@@ -95,6 +100,42 @@
         return self.core.router.handle(packet, now)
 
 
+class GoneBackendTest(CoreCase):
+    """A service's only backend goes without draining; the store did not confirm the view lately."""
+
+    def learn_of_removal(self, confirmed_at: float, now: float) -> None:
+        self.list_backends(backend(7))
+        self.confirm(confirmed_at)
+        self.core.advance(confirmed_at + 0.25)
+        gone = ObjectChange(backend(7).name, 10, None)
+        changes = self.core.backend_watch.handle_changes(ChangeBatch((gone,), 10), now)
+        self.core.apply_backends(changes, now)
+
+    def takes_flows(self, now: float) -> bool:
+        client = round(now * 100)
+        return isinstance(self.core.router.handle(opening(client), now), ForwardPacket)
+
+    def test_it_gets_no_flow_when_it_may_have_left_for_the_time_to_drain(self) -> None:
+        """Guards against a grace that begins only when the node learns of the removal."""
+        confirmed_at = START + 1.0
+        self.learn_of_removal(confirmed_at, now=confirmed_at + 2.3)
+        self.assertTrue(self.takes_flows(confirmed_at + 2.4))
+        self.assertFalse(self.takes_flows(confirmed_at + DRAIN_SECONDS - 0.2))
+
+    def test_the_grace_is_whole_where_the_node_learns_at_once(self) -> None:
+        grace = PlacementSettings().gone_grace_seconds
+        self.learn_of_removal(confirmed_at=START + 1.0, now=START + 1.3)
+        self.assertTrue(self.takes_flows(START + 1.3 + grace - 0.1))
+        self.assertFalse(self.takes_flows(START + 1.3 + grace))
+
+    def test_the_grace_is_whole_after_an_outage_in_which_entries_time_out(self) -> None:
+        grace = PlacementSettings().gone_grace_seconds
+        learned_at = START + 1.0 + MAXIMUM_MISSED_HEARTBEATS * DEFAULT_HEARTBEAT_SECONDS
+        self.learn_of_removal(confirmed_at=START + 1.0, now=learned_at)
+        self.assertTrue(self.takes_flows(learned_at + grace - 0.1))
+        self.assertFalse(self.takes_flows(learned_at + grace))
+
+
 class StartTest(unittest.TestCase):
     def test_first_list_of_backends_is_not_stale(self) -> None:
         """After a store outage a stale list may hold only a few of the backends."""
