A backend that is known to have ended gets no flow as the last resort

Cause: the last resort looked at the state of the record only. Evidence: the new test failed for both states before. Fix: such a backend is not chosen; the opening is refused.

--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -200,6 +200,8 @@
     def _is_recently_gone(self, backend: Backend, now: float) -> bool:
         return (
             backend.gone_at is not None
+            and not backend.ended
+            and backend.down_since is None
             and not backend.evacuated
             and not (self._cold_starts is not None and backend.cold_until > now)
             and backend.record.state is BackendState.READY
--- a/tests/unit/tokens/test_placement_by_view.py
+++ b/tests/unit/tokens/test_placement_by_view.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from beamloom.routing.tokens.decisions import Decision, RequestStalled
-from beamloom.routing.tokens.packets import ForwardPacket, PacketKind
+from beamloom.routing.tokens.packets import ForwardPacket, PacketKind, ResetFlow
 from beamloom.routing.tokens.placement import PlacementSettings
 from beamloom.routing.tokens.records import RoutePart, RouteRecord, RoutingConfiguration
 from beamloom.routing.tokens.router import TokenRouter
@@ -156,6 +156,18 @@
         open_flow(router, 50, 2.1)
         self.assertEqual((held.failures, held.suspect_until), (0, 0.0))
 
+    def test_a_gone_backend_that_has_certainly_ended_is_not_used(self) -> None:
+        """Guards against openings that wait for a backend which is known to be dead."""
+        router = make_router(backend(1))
+        router.backends.remove(backend(1).name, now=10.0)
+        held = router.backends.of_service("tracker")[0]
+        for field, value in (("down_since", 10.1), ("ended", True)):
+            with self.subTest(field=field):
+                before = getattr(held, field)
+                setattr(held, field, value)
+                self.assertIsInstance(router.handle(opening(1), 10.5), ResetFlow)
+                setattr(held, field, before)
+
     def test_a_service_without_listed_backends_is_used_for_the_grace_time(self) -> None:
         """The store sometimes loses live backends, which then write their records again."""
         router = make_router(backend(1), backend(2))
