A malformed message of a peer takes no effect

What callers saw: nothing yet. A signed message of a node of another version whose digest named a peer by a number got that number into the peer table. From then on each tick failed to sort the hosts (TypeError), which ends the process, as nothing catches an error of a tick. An age beyond a float's range raised OverflowError, which the driver doesn't expect either.

Missed before: the fuzzer's bytes reach the codec of datagrams, and behind it only messages that nodes build.

Fix: the exchange checks the types and ranges of the fields that it reads before any of them takes effect. Further items of a row and further fields are still ignored, for later versions.

--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -31,6 +31,7 @@
     ViewRequest,
 )
 from beamloom.replication.backend_reports import BackendReports
+from beamloom.replication.message_checks import check_message
 from beamloom.replication.peer_table import UNKNOWN_RANK, PeerTable
 from beamloom.replication.reader_role import ReaderRole
 from beamloom.replication.shared_view import SharedView
@@ -190,7 +191,8 @@
         self._send_digest(self.peers.own_zone_hosts(), now)
 
     def handle(self, host: str, message: Message, now: float) -> None:
-        """Process a message from the node at a host."""
+        """Process a message from the node at a host; a malformed one raises ValueError."""
+        check_message(message)
         is_new = self._note_peer(host, now, now)
         match message:
             case ViewDigest():
