Soak and node tests: another program writes damaged entries

The stand-in of the store now sends contents that are bytes as they are. Another program (standins/another_writer.py, shared by tests and soak) writes copies of entries with odd fields or damaged bytes, each time others. The soak writes them every 0.4 s beside its other faults, but not to nodes of a former version, and reports each node that ended with an error.

--- a/src/beamloom/soak/faults.py
+++ b/src/beamloom/soak/faults.py
@@ -16,6 +16,7 @@
 from beamloom.soak.proxy import ProxyFault
 from beamloom.standins.token_client import FlowPlan
 
+DAMAGE_SEED_OFFSET = 6
 CHANGE_FRACTION = 0.4
 MAXIMUM_SERIES_FAULTS = 3
 SERIES_SECONDS = 3.0
@@ -87,8 +88,13 @@
             **DeploymentChanges(harness.platform, rng).kinds,
         }
         self._platform_rng = random.Random(seed + 1)
+        damage_rng = None if harness.runs_former else random.Random(seed + DAMAGE_SEED_OFFSET)
         platform_faults = PlatformFaults(
-            harness.platform, self._platform_rng, lambda: harness.now, harness.call_later
+            harness.platform,
+            self._platform_rng,
+            lambda: harness.now,
+            harness.call_later,
+            damage_rng,
         )
         self._platform_kinds = platform_faults.kinds.keys()
         self._pending_platform_kinds: list[str] = []
--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -72,6 +72,11 @@
         self._next_port = 20_000
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def runs_former(self) -> bool:
+        """Whether nodes of an older version run."""
+        return self._former_package is not None
+
     @property
     def now(self) -> float:
         """The time of the event loop's clock in seconds."""
--- a/src/beamloom/soak/nodes.py
+++ b/src/beamloom/soak/nodes.py
@@ -59,7 +59,8 @@
 class NodeProcess:
     """The process of one node; all of its starts append to one log in the soak's folder.
 
-    Each start runs the `program` of that time.
+    Each start runs the `program` of that time. `own_ends` counts the ends with an error before the
+    present start.
     """
 
     def __init__(self, settings: TokenNodeSettings, folder: Path, program: NodeProgram) -> None:
@@ -67,6 +68,7 @@
         self.host = settings.host
         self.misses = 2
         self.starts = 0
+        self.own_ends = 0
         self.last_signal = "none"
         self._readiness = settings.readiness
         self._settings_path = folder / f"{settings.node}.toml"
@@ -90,6 +92,7 @@
         """Start the process unless it is running."""
         if self.running:
             return
+        self.own_ends += bool(self.exit_status and self.exit_status > 0)
         self.starts += 1
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
--- a/src/beamloom/soak/platform_faults.py
+++ b/src/beamloom/soak/platform_faults.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable, Iterable
 from functools import partial
+from typing import Any
 
 from beamloom.platform.store_objects import (
     BACKENDS_KIND,
@@ -26,18 +27,24 @@
 )
 from beamloom.soak.endpoint import SoakEndpoint
 from beamloom.soak.platform_side import SoakPlatform
+from beamloom.standins.another_writer import make_content
 from beamloom.standins.token_store import NoSuchObjectError
 
 MAXIMUM_DOWNTIME_SECONDS = 1.5
 """Maximum downtime of a restarting endpoint; shorter than the timeout of its entry."""
 FOREIGN_SECONDS = 6.0
 FIRST_FOREIGN_IDENTITY = 0xF000
+DAMAGED_NAMES = ("i-0bad0001", "i-0bad0002", "i-0bad0003")
+DAMAGED_CONFIGURATION = "other"
+DAMAGED_INTERVAL_SECONDS = 0.4
+"""How often the damaged objects of another program are written again, each time differently."""
 
 
 class PlatformFaults:
     """Faults of the platform; `kinds` maps their names to functions that inject one.
 
-    `call_later` calls a function after some seconds.
+    `call_later` calls a function after some seconds. With `damage_rng`, foreign entries include
+    damaged ones, which nodes of earlier versions do not survive.
     """
 
     def __init__(
@@ -46,7 +53,9 @@
         rng: random.Random,
         now: Callable[[], float],
         call_later: Callable[[float, Callable[[], object]], None],
+        damage_rng: random.Random | None = None,
     ) -> None:
+        self._damage_rng = damage_rng
         self._platform = platform
         self._rng = rng
         self._call_later = call_later
@@ -134,9 +143,33 @@
             self._platform.server.store.put(BACKENDS_KIND, name, content)
         self._platform.server.note_change()
         self._call_later(FOREIGN_SECONDS, self._remove_foreign)
+        if self._damage_rng is not None:
+            writes = int(FOREIGN_SECONDS / DAMAGED_INTERVAL_SECONDS)
+            self._write_damaged(entry, self._damage_rng, writes)
+
+    def _write_damaged(self, entry: dict[str, Any], rng: random.Random, writes: int) -> None:
+        """Write damaged copies of an endpoint's entry, and a damaged object beside the routes."""
+        store = self._platform.server.store
+        for name in DAMAGED_NAMES:
+            store.put(BACKENDS_KIND, name, make_content(entry, rng))
+        routes = make_content(self._platform.configuration, rng)
+        store.put(CONFIGURATION_KIND, DAMAGED_CONFIGURATION, routes)
+        self._platform.server.note_change()
+        if writes > 1:
+            write_again = partial(self._write_damaged, entry, rng, writes - 1)
+            self._call_later(DAMAGED_INTERVAL_SECONDS, write_again)
+        else:
+            self._call_later(DAMAGED_INTERVAL_SECONDS, self._remove_damaged)
+
+    def _remove_damaged(self) -> None:
+        for name in DAMAGED_NAMES:
+            self._platform.server.store.remove_if_present(BACKENDS_KIND, name)
+        store = self._platform.server.store
+        store.remove_if_present(CONFIGURATION_KIND, DAMAGED_CONFIGURATION)
+        self._platform.server.note_change()
 
     def _remove_foreign(self) -> None:
         for number in range(1, self._foreign_count + 1):
             name = f"i-{FIRST_FOREIGN_IDENTITY + number:08x}"
             self._platform.server.store.remove_if_present(BACKENDS_KIND, name)
-        self._platform.server.note_change()
+        self._remove_damaged()
--- a/src/beamloom/soak/run.py
+++ b/src/beamloom/soak/run.py
@@ -141,6 +141,9 @@
     flows = Counter(flow.state.value for flow in harness.finished)
     flows["answers"] = sum(len(flow.answers) for flow in harness.finished)
     for node in harness.nodes.values():
+        if node.own_ends:
+            detail = f"{node.name} ended {node.own_ends} times with an error"
+            harness.oracle.report("process", harness.now, detail)
         status = node.exit_status
         if status is not None:
             detail = f"{node.name} does not run: exit status {status}; last {node.last_signal}"
--- /dev/null
+++ b/src/beamloom/standins/another_writer.py
@@ -0,0 +1,90 @@
+"""Entries of another program among those of the endpoints in the platform's store.
+
+They name no endpoint: a field has a value beyond its type, range or size, or the bytes are not
+JSON at all. The store returns them as they were written.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Mapping
+
+ODD_VALUES: tuple[bytes, ...] = (
+    b"null",
+    b"true",
+    b"-1",
+    b"1e999",
+    b"NaN",
+    b"9" * 400,
+    b"9" * 5000,
+    b"[]",
+    b"{}",
+    b'""',
+    b'"\\ud800"',
+    b'"\xff\xfe\xfd"',
+    b'"v\x01"',
+    b'"x\\n"',
+    b'"' + b"x" * 3000 + b'"',
+    b'"unclosed',
+    b'v"1"',
+    b"[" * 1200 + b"]" * 1200,
+    b"[" * 800 + b"]" * 800,
+    b'{"a":' * 1200 + b"1" + b"}" * 1200,
+    b"[" * 5000,
+    b"}]}",
+    b"",
+)
+"""Values that no field of an entry may have, by type, range, size or syntax."""
+FRAGMENTS: tuple[bytes, ...] = (
+    *(bytes((byte,)) for byte in b'\x00\x01\x7f"\\[]{},:'),
+    b"\xff\xfe",
+    b"\xc3",
+    b"\xed\xa0\x80",
+    b"\\u12",
+    b"\\ud800",
+    b"tru",
+    b"-0",
+    b"1e999",
+    b"9" * 401,
+    b"9" * 5000,
+    b"[" * 1200 + b"]" * 1200,
+    b"[" * 100_000,
+    b'{"a":' * 1200 + b"1" + b"}" * 1200,
+)
+"""What random damage inserts, besides random bytes."""
+
+
+def damage(data: bytes, rng: random.Random) -> bytes:
+    """Return data with a few random cuts and insertions."""
+    for _ in range(rng.randint(1, 3)):
+        begin = rng.randint(0, len(data))
+        end = min(len(data), begin + rng.choice((0, 0, 1, 5)))
+        inserted = rng.choice(FRAGMENTS) if rng.random() < 0.7 else rng.randbytes(3)
+        data = data[:begin] + inserted + data[end:]
+    return data
+
+
+def with_odd_field(entry: Mapping[str, object], rng: random.Random) -> bytes:
+    """Return the JSON of an entry in which one field has an odd value."""
+    text = json.dumps({**entry, rng.choice(list(entry)): "@"}).encode()
+    return text.replace(b'"@"', rng.choice(ODD_VALUES), 1)
+
+
+def make_content(entry: Mapping[str, object], rng: random.Random) -> bytes:
+    """Return a copy of an entry that names no endpoint any more."""
+    if rng.random() < 0.5:
+        return with_odd_field(entry, rng)
+    content = json.dumps(entry).encode()
+    while is_json(content):
+        content = damage(content, rng)
+    return content
+
+
+def is_json(data: bytes) -> bool:
+    """Whether bytes are JSON in UTF-8, as far as a decoder reads it."""
+    try:
+        json.loads(data.decode())
+    except (ValueError, RecursionError):
+        return False
+    return True
--- a/src/beamloom/standins/token_store_server.py
+++ b/src/beamloom/standins/token_store_server.py
@@ -1,8 +1,12 @@
-"""Serves a `TokenStore` over HTTP as the platform does, with injected faults."""
+"""Serves a `TokenStore` over HTTP as the platform does, with injected faults.
+
+A content that is bytes is sent as it is, as another program may have written it.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import json
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
@@ -109,7 +113,8 @@
         if injected_status is not None:
             status, body = injected_status, {"error": "this host is refused"}
         self.calls[f"{request.method} {status}"] += 1
-        return web.json_response(body, status=status)
+        content = _render(body)
+        return web.Response(body=content, status=status, content_type="application/json")
 
     async def _injected_status(self, request: web.Request) -> int | None:
         faults = self.faults
@@ -176,3 +181,20 @@
         return store_encoding.encode_object(
             stored.name, stored.revision, stored.created_revision, stored.content
         )
+
+
+def _render(body: object) -> bytes:
+    """Return the JSON of an answer, with contents that are bytes as they were written."""
+    contents: dict[bytes, bytes] = {}
+
+    def stand_for(value: object) -> str:
+        if not isinstance(value, bytes):
+            raise TypeError(f"{value!r} is no content of an object")
+        placeholder = f"content {len(contents)}\0"
+        contents[json.dumps(placeholder).encode()] = value
+        return placeholder
+
+    text = json.dumps(body, default=stand_for).encode()
+    for placeholder, content in contents.items():
+        text = text.replace(placeholder, content, 1)
+    return text
--- a/tests/functional/foreign_entries.py
+++ b/tests/functional/foreign_entries.py
@@ -4,7 +4,7 @@
 import random
 from typing import NamedTuple
 
-from tests.functional.foreign_bytes import damage
+from beamloom.standins.another_writer import ODD_VALUES, damage, is_json, with_odd_field
 
 GOOD_ENTRY = {
     "service": "tracker",
@@ -23,33 +23,6 @@
     "services": [{"name": "a", "warmup-s": 3, "warmup-per-s": 2}],
     "limits": {"idle-timeout-ms": 9000},
 }
-ODD_VALUES: tuple[bytes, ...] = (
-    b"null",
-    b"true",
-    b"-1",
-    b"1.5",
-    b"1e999",
-    b"NaN",
-    b"9" * 400,
-    b"9" * 5000,
-    b"[]",
-    b"{}",
-    b'""',
-    b'"\\ud800"',
-    b'"\xff\xfe\xfd"',
-    b'"v\x01"',
-    b'"x\\n"',
-    b'"' + b"x" * 3000 + b'"',
-    b'"unclosed',
-    b'v"1"',
-    b"[" * 1200 + b"]" * 1200,
-    b"[" * 800 + b"]" * 800,
-    b'{"a":' * 1200 + b"1" + b"}" * 1200,
-    b"[" * 5000,
-    b"}]}",
-    b"",
-)
-"""Values beyond any type, size, depth or syntax that a field should have."""
 NAMES: tuple[bytes, ...] = (b'"i-0badbad1"', b'"other"', b'"\\ud800-1"', b'"i-\xff"', *ODD_VALUES)
 
 
@@ -74,18 +47,10 @@
     foreign = _foreign_object(kind, rng, is_list=is_list)
     position = rng.randint(0, len(good))
     entries = [*good[:position], foreign, *good[position:]]
-    is_readable = _is_readable(foreign)
+    is_readable = is_json(foreign)
     return Answer(kind, is_list, is_readable, _envelope(entries, is_list), _envelope(good, is_list))
 
 
-def _is_readable(entry: bytes) -> bool:
-    try:
-        json.loads(entry.decode())
-    except (ValueError, RecursionError):
-        return False
-    return True
-
-
 def _envelope(entries: list[bytes], is_list: bool) -> bytes:
     if is_list:
         return b'{"items":[' + b",".join(entries) + b'],"more":false,"at":530}'
@@ -116,7 +81,7 @@
     content = json.dumps(template).encode()
     way = rng.random()
     if way < 0.4:
-        content = _with_odd_field(template, rng)
+        content = with_odd_field({**template, "further": 1}, rng)
     elif way < 0.7:
         content = damage(content, rng)
     elif way < 0.9:
@@ -124,9 +89,3 @@
     else:
         content = rng.randbytes(rng.randint(0, 40))
     return _object(name, b"6", content, is_list=is_list)
-
-
-def _with_odd_field(template: dict[str, object], rng: random.Random) -> bytes:
-    field = rng.choice([*template, "further"])
-    text = json.dumps({**template, field: "@"}).encode()
-    return text.replace(b'"@"', rng.choice(ODD_VALUES))
--- a/tests/functional/test_foreign_settings.py
+++ b/tests/functional/test_foreign_settings.py
@@ -6,9 +6,8 @@
 import unittest
 from pathlib import Path
 
+from beamloom.standins.another_writer import ODD_VALUES, damage
 from tests.functional.bare_program import run_bare
-from tests.functional.foreign_bytes import damage
-from tests.functional.foreign_entries import ODD_VALUES
 
 CASES = 600
 DOCUMENT = {
--- a/tests/functional/test_light_json.py
+++ b/tests/functional/test_light_json.py
@@ -4,8 +4,8 @@
 import random
 import unittest
 
+from beamloom.standins.another_writer import damage
 from tests.functional.bare_program import run_bare
-from tests.functional.foreign_bytes import damage
 
 CASES = 300
 VALID = b' {"name": "caf\xc3\xa9", "at": [1, 2.5, -3e4, true, null, "\\u00e9\\n"], "b": {}} '
