Fuzzing: the content of one object beside another, from another program's entries

The subject codec passed random bytes to read_page, which practically never form an answer. Now foreign-content puts them into one object of a list and fails if the object beside it is not read; contents of another writer are drawn for all parsers.

--- a/src/beamloom/fuzzing/strategies.py
+++ b/src/beamloom/fuzzing/strategies.py
@@ -6,18 +6,21 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Mapping
 
 import cbor2
 from hypothesis import strategies as st
 
 from beamloom.fuzzing.catalogue import SubjectName
-from beamloom.fuzzing.subjects.codec import PARSERS
+from beamloom.fuzzing.subjects.codec import GOOD_BACKEND, PARSERS
 from beamloom.fuzzing.subjects.settings import NAMES, SCOPES
+from beamloom.platform.store_encoding import encode_backend
 from beamloom.protocol.messages import MESSAGE_TYPES
 from beamloom.routing.hashing import PARTITION_COUNT
 from beamloom.settings.declarations import DECLARATIONS, SettingDeclaration, SettingType
 from beamloom.simulation.deployment import VAKATALE
+from beamloom.standins.another_writer import make_content
 
 Arguments = Mapping[str, st.SearchStrategy[object]]
 """Strategies for the arguments of one action, by the argument's name."""
@@ -189,7 +192,12 @@
     st.sampled_from([0x45, 0x60, 0x46, 0x00]),
     st.binary(max_size=120),
 )
-_BYTES = st.one_of(st.binary(max_size=200), _ENVELOPES, _TOML_FILES, _JSON_BODIES, _PACKETS)
+_FOREIGN_CONTENTS = st.integers(0, (1 << 32) - 1).map(
+    lambda seed: make_content(encode_backend(GOOD_BACKEND), random.Random(seed))
+)
+_BYTES = st.one_of(
+    st.binary(max_size=200), _ENVELOPES, _TOML_FILES, _JSON_BODIES, _PACKETS, _FOREIGN_CONTENTS
+)
 CODEC: Actions = {
     "parse": {
         "parser": st.sampled_from(sorted(PARSERS)),
--- a/src/beamloom/fuzzing/subjects/codec.py
+++ b/src/beamloom/fuzzing/subjects/codec.py
@@ -19,6 +19,7 @@
     reading_from_json,
 )
 from beamloom.platform import packet_layout, store_objects
+from beamloom.platform.store_encoding import encode_backend, encode_list, encode_object
 from beamloom.protocol.codec import KeyRing, decode_datagram
 from beamloom.protocol.errors import ProtocolError
 from beamloom.protocol.flow_messages import unpack_records
@@ -26,6 +27,7 @@
 from beamloom.routing.hashing import PARTITION_COUNT
 from beamloom.routing.packet import PacketError, parse_packet, with_hop_limit_decremented
 from beamloom.routing.tokens.configuration_history import ConfigurationHistory
+from beamloom.routing.tokens.records import BackendRecord, BackendState
 from beamloom.settings.deployment import check_deployment
 from beamloom.settings.errors import SettingsError
 from beamloom.settings.node_file import check_node_settings
@@ -33,6 +35,10 @@
 from beamloom.standins import flow_packets
 
 KEYS = KeyRing((b"fuzzed fleet key",))
+GOOD_BACKEND = BackendRecord(
+    "i-00000001", 1, "tracker", "10.0.0.9", 8080, "west", 2, BackendState.READY
+)
+FOREIGN_NAME = "i-0badbad1"
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +71,20 @@
     return decode(reader, body)
 
 
+def _read_beside_foreign_content(data: bytes) -> object:
+    """Read a list in which another program wrote the content of one object."""
+    objects = (
+        encode_object(FOREIGN_NAME, 5, 5, FOREIGN_NAME),
+        encode_object(GOOD_BACKEND.name, 6, 6, encode_backend(GOOD_BACKEND)),
+    )
+    body = json.dumps(encode_list(objects, False, 9)).encode()
+    body = body.replace(f'"spec": "{FOREIGN_NAME}"'.encode(), b'"spec": ' + data)
+    page = store_objects.read_page(body, 1, store_objects.translate_backend)
+    if GOOD_BACKEND not in [named.record for named in page.records]:
+        raise InvariantViolationError("the entry beside a foreign one was not read")
+    return page
+
+
 PARSERS: dict[str, Parser] = {
     "packet": Parser(_forward_packet, (PacketError,)),
     "control-datagram": Parser(partial(decode_datagram, KEYS), (ProtocolError,)),
@@ -86,6 +106,7 @@
         partial(store_objects.read_changes, era=1, translate=store_objects.translate_configuration),
         (ValueError,),
     ),
+    "foreign-content": Parser(_read_beside_foreign_content, ()),
     "secret": Parser(store_objects.read_secret, (ValueError,)),
     "platform-listing": Parser(partial(_read_platform_answer, listing_from_json), (PlatformError,)),
     "platform-reading": Parser(partial(_read_platform_answer, reading_from_json), (PlatformError,)),
