An upgrade or CONNECT request is closed without an error of the loop

What callers saw: a request with Upgrade or CONNECT to a node's readiness or metrics address, and an answer 101 of the store, raised HttpParserUpgrade, which is no HttpParserError, so that the event loop caught it: a traceback of 12 lines on standard error for each, beside the bounded log. The connection was closed and the call failed as it should.

--- a/src/beamloom/runtime/http_client.py
+++ b/src/beamloom/runtime/http_client.py
@@ -75,7 +75,7 @@
     def data_received(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(CallFailure.BROKEN, f"invalid HTTP: {error}")
             self.close()
             return
--- a/src/beamloom/runtime/http_responder.py
+++ b/src/beamloom/runtime/http_responder.py
@@ -142,7 +142,7 @@
         self._responder.note_activity(self)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.close()
         self._update_state()
 
