Recovery of a damaged answer takes time in proportion to its size

What callers saw: nothing yet. An entry may have 1 MB. One of 100,000 heads of entries without the rest took 32 s to read on the full speed of a core, as each error of the decoder counts the lines of the text before it, and each bracket was searched up to 64 KiB on: the process would have stalled.

--- a/tests/functional/foreign_entries.py
+++ b/tests/functional/foreign_entries.py
@@ -43,27 +43,30 @@
     """Return an answer in which one entry holds random bytes, types, depths or numbers."""
     kind = rng.choice(("servers", "servers", "config", "evacuations"))
     is_list = rng.random() < 0.5
-    good = [_good_object(kind, number, is_list=is_list) for number in range(rng.randint(1, 4))]
+    good = [good_object(kind, number, is_list=is_list) for number in range(rng.randint(1, 4))]
     foreign = _foreign_object(kind, rng, is_list=is_list)
     position = rng.randint(0, len(good))
     entries = [*good[:position], foreign, *good[position:]]
     is_readable = is_json(foreign)
-    return Answer(kind, is_list, is_readable, _envelope(entries, is_list), _envelope(good, is_list))
+    return Answer(kind, is_list, is_readable, envelope(entries, is_list), envelope(good, is_list))
 
 
-def _envelope(entries: list[bytes], is_list: bool) -> bytes:
+def envelope(entries: list[bytes], is_list: bool) -> bytes:
+    """Return the answer to a list or a watch."""
     if is_list:
         return b'{"items":[' + b",".join(entries) + b'],"more":false,"at":530}'
     return b'{"events":[' + b",".join(entries) + b'],"at":530}'
 
 
-def _object(name: bytes, revision: bytes, content: bytes, *, is_list: bool) -> bytes:
+def stored_object(name: bytes, revision: bytes, content: bytes, *, is_list: bool) -> bytes:
+    """Return an object as the store sends it, or a change that holds it."""
     meta = b'{"name":' + name + b',"revision":' + revision + b',"made":3,"finalizers":[]}'
     stored = b'{"meta":' + meta + b',"spec":' + content + b',"status":null}'
     return stored if is_list else b'{"gone":false,"object":' + stored + b"}"
 
 
-def _good_object(kind: str, number: int, *, is_list: bool) -> bytes:
+def good_object(kind: str, number: int, *, is_list: bool) -> bytes:
+    """Return an object of a kind, with a number of its own."""
     if kind == "config":
         name, content = "main", GOOD_CONFIGURATION
     elif kind == "evacuations":
@@ -71,7 +74,7 @@
     else:
         name, content = f"i-{number + 1:08x}", {**GOOD_ENTRY, "address": f"10.0.0.{number}:80"}
     text = json.dumps(content).encode()
-    return _object(f'"{name}"'.encode(), str(number + 5).encode(), text, is_list=is_list)
+    return stored_object(f'"{name}"'.encode(), str(number + 5).encode(), text, is_list=is_list)
 
 
 def _foreign_object(kind: str, rng: random.Random, *, is_list: bool) -> bytes:
@@ -88,4 +91,4 @@
         content = rng.choice(ODD_VALUES)
     else:
         content = rng.randbytes(rng.randint(0, 40))
-    return _object(name, b"6", content, is_list=is_list)
+    return stored_object(name, b"6", content, is_list=is_list)
--- a/tests/functional/test_foreign_entries.py
+++ b/tests/functional/test_foreign_entries.py
@@ -2,13 +2,25 @@
 
 import os
 import random
+import time
 import unittest
 
+from beamloom.platform.store_objects import read_page, translate_backend
 from tests.functional.bare_program import run_bare
-from tests.functional.foreign_entries import Answer, make_answer
+from tests.functional.foreign_entries import (
+    Answer,
+    envelope,
+    good_object,
+    make_answer,
+    stored_object,
+)
 
 CASES = int(os.environ.get("BEAMLOOM_FOREIGN_CASES", "1500"))
 SEED = int(os.environ.get("BEAMLOOM_FOREIGN_SEED", "47"))
+MAXIMUM_ENTRY_BYTES = 1 << 20
+"""The largest object that the platform's store accepts."""
+MAXIMUM_SECONDS = 3.0
+"""Linear time takes a fraction of this, and quadratic time far more."""
 PROGRAM = """
 MAXIMUM_DELTA_BYTES = 4000  # of five entries, each much shorter than a datagram
 from beamloom.runtime.start import load
@@ -110,6 +122,27 @@
         self.assertEqual(set(to_peers), {"same"}, "encoded for peers")
         self.assertGreaterEqual(len(to_peers), CASES)
 
+    def test_the_largest_entry_costs_little_time(self) -> None:
+        """Guards against time that grows with the square of an entry's size."""
+        repeated = (
+            *(b"[", b"[]", b"{", b'"', b'",{', b"\xff", b" ", b", ", b"9", b"\\", b"\n"),
+            *(b',{"meta":', b',{"meta":{}', b',{"meta":{"a":', b',{"meta":{"name":"i-1","a":"'),
+        )
+        for fragment in repeated:
+            content = fragment * (MAXIMUM_ENTRY_BYTES // len(fragment))
+            with self.subTest(fragment=fragment):
+                began = time.process_time()
+                page = read_page(list_with(content), 1, translate_backend)
+                self.assertLess(time.process_time() - began, MAXIMUM_SECONDS)
+                self.assertIn("i-00000001", [named.name for named in page.records])
+
+
+def list_with(content: bytes) -> bytes:
+    """Return a list of one foreign entry with this content, and of the usual ones after it."""
+    good = b",".join(good_object("servers", number, is_list=True) for number in range(100))
+    foreign = stored_object(b'"i-0badbad1"', b"6", content, is_list=True)
+    return envelope([foreign, good], is_list=True)
+
 
 if __name__ == "__main__":
     unittest.main()
