--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -156,7 +156,9 @@
     """Add an entry; of a damaged one only what the store itself wrote is known."""
     damage = ""
     if isinstance(entry, DamagedEntry):
-        damage, gone, entry = entry.reason, "true" in entry.head, {"meta": entry.meta}
+        damage = entry.reason
+        gone = "true" in entry.head  # its only boolean tells whether the object is gone
+        entry = {"meta": entry.meta}
     stored = entry if isinstance(entry, dict) else {}
     meta = stored["meta"] if isinstance(stored.get("meta"), dict) else {}
     content = stored.get("spec") or stored.get("status")
--- a/src/beamloom/replication/answer_recovery.py
+++ b/src/beamloom/replication/answer_recovery.py
@@ -20,7 +20,6 @@
 
 Beyond that only heads are searched, so that the time grows linearly with the size of an answer.
 """
-
 FIRST_PART_CHARACTERS = 4096
 """Longer than the entries of endpoints."""
 LONGEST_TOKEN = 16
@@ -93,7 +92,7 @@
                 return entry, after
             else:
                 reason = "it goes on after its last bracket"
-        return self._damaged(text, begin, reason), self._find_end(text, begin, end)
+        return self._read_damaged(text, begin, reason), self._find_end(text, begin, end)
 
     def _find_end(self, text: str, begin: int, end: int) -> int:
         """Return where a damaged entry ends: where its brackets close, or before the next head.
@@ -125,7 +124,7 @@
                 depth -= len(run)
         return None
 
-    def _damaged(self, text: str, begin: int, reason: str) -> DamagedEntry:
+    def _read_damaged(self, text: str, begin: int, reason: str) -> DamagedEntry:
         """Return what can be read of a damaged entry."""
         unknown = DamagedEntry("", None, reason)
         head = self._head.match(text, begin)
