--- a/tools/soak_broken_builds.py
+++ b/tools/soak_broken_builds.py
@@ -102,7 +102,7 @@
     def ignore_draining(table, record, revision, now):
         return record.state.value != "draining" and update(table, record, revision, now)
     module.BackendTable.update = ignore_draining
-    module.BackendTable.remove = lambda *_: None
+    module.BackendTable.remove = lambda *_, **__: None
 patch("beamloom.routing.tokens.backend_table", change)
 """,
     ),
@@ -155,6 +155,16 @@
         """
 import os, threading
 threading.Timer(20.0, lambda: os._exit(9)).start()
+""",
+    ),
+    "damaged": BrokenBuild(
+        frozenset({"process"}),
+        """
+def change(module):
+    def fail(body, member):
+        raise SystemError("an answer that is not JSON")
+    module._recover = fail
+patch("beamloom.platform.store_objects", change)
 """,
     ),
     "silence": BrokenBuild(
