--- a/tests/unit/simulation/test_token_fleet.py
+++ b/tests/unit/simulation/test_token_fleet.py
@@ -160,7 +160,7 @@
             self.assertIn("flow", self.run_and_collect_rules(range(1, 2), faults=0))
 
     def test_ignored_drains_are_reported(self) -> None:
-        with mock.patch.object(BackendTable, "remove", lambda *_: None):
+        with mock.patch.object(BackendTable, "remove", lambda *_, **__: None):
             original = BackendTable.update
 
             def only_ready(table: BackendTable, record: object, revision: int, now: float) -> bool:
