Two doc comments that had to be read twice

Cause: reading the change once more as one who joins; one spoke of "the way of a packet", the other left open what its "that" was. Change: both say it plainly. The syntax trees without docstrings are equal, ruff, mypy and import order clean, and the tests of both modules pass.

--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -22,7 +22,7 @@
 PROPAGATION_SECONDS = 1.0
 """Usual upper limit of the time until a change of a backend reaches a node."""
 GONE_MARGIN_SECONDS = 0.5
-"""How inexact the time at which the store last listed a backend may be, and the way of a packet."""
+"""Covers the error of the time at which the store last listed a backend, and a packet's transit."""
 MINIMUM_UNDOUBTED_FRACTION = 0.5
 """If a smaller fraction of the candidates is not marked doubted, the marks are ignored: their cause
 is then probably load, and the few other backends could not take all flows.
--- a/src/beamloom/runtime/light_types.py
+++ b/src/beamloom/runtime/light_types.py
@@ -56,8 +56,8 @@
     lambda c, f0, f1, f2, f3, f4, f5, f6: _new_tuple(c, (f0, f1, f2, f3, f4, f5, f6)),
 )
 """Constructors by number of fields. Each type gets a copy with its field names as parameters, which
-is faster than the compilation by `namedtuple`, most of whose cost that is; types with more fields
-use `namedtuple`.
+is faster than `namedtuple`, whose cost is mostly the compilation of one for each type; types with
+more fields use `namedtuple`.
 """
 
 
