Tokens: all copies of an opening go to one backend

Cause: a copy of an opening packet went to a second backend, so that two held the flow half open, each under a valid token. A late, repeated or resent SYN+ACK of one put its token into the packets of the flow that was open at the other, and every node followed it. Change: copies go to the first backend, or to another one if a check was refused since (its process has ended). A packet with another token that acknowledges what the flow's backend has sent goes to that backend, with the flow's token.

--- a/src/beamloom/cli/simulate_tokens.py
+++ b/src/beamloom/cli/simulate_tokens.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Annotated
 
 from cyclopts import App, Parameter
@@ -31,6 +32,8 @@
     nodes: Annotated[int, Parameter(validator=Number(gte=1, lte=MAXIMUM_NODES))] = 7,
     steady: bool = True,
     restores: Annotated[int, Parameter(validator=Number(gte=0, lte=MAXIMUM_FAULTS))] = 2,
+    loss: Annotated[float, Parameter(validator=Number(gte=0, lte=1))] = 0.001,
+    late: Annotated[float, Parameter(validator=Number(gte=0, lte=1))] = 0.001,
 ) -> int:
     """Simulate nodes that route by tokens under random faults, and check the invariants.
 
@@ -52,15 +55,18 @@
         When a node joins or leaves, routers move only its flows; with --no-steady nearly all.
     restores
         Number of times that the store is restored from an older copy.
+    loss
+        Probability that a packet is lost.
+    late
+        Probability that a datagram to a client or between nodes is delayed or arrives twice.
 
     """
     table = Table("seed", "done", "other outcomes", "answers", "store calls", "violations")
+    options = TokenRunOptions(
+        seed, duration, faults, nodes, steady, loss=loss, late=late, restores=restores
+    )
     results = [
-        (
-            number,
-            run_tokens(TokenRunOptions(number, duration, faults, nodes, steady, restores=restores)),
-        )
-        for number in range(seed, seed + seeds)
+        (number, run_tokens(replace(options, seed=number))) for number in range(seed, seed + seeds)
     ]
     for number, result in results:
         _add_row(table, number, result)
--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -99,7 +99,7 @@
             Placement(zone, placement or PlacementSettings(), rng, self._cold_starts),
             observer.decision,
             retries_other_backend=mechanisms.other_backend_for_copies,
-            retries_other_zone=mechanisms.other_zone_for_copies,
+            corrects_tokens=mechanisms.token_corrections,
             refuses_on_timeout=mechanisms.timely_refusals,
         )
         self.router.may_refuse = False
--- a/src/beamloom/routing/tokens/flow_observer.py
+++ b/src/beamloom/routing/tokens/flow_observer.py
@@ -57,12 +57,12 @@
 
 
 class ObservedFlow:
-    """One flow: its backend, the backends tried before, and whether a request is pending.
+    """One flow: its backend, and whether a request is pending.
 
     `token` is that of its last packet. `sequence` is that of the last request, which was sent at
     `requested_at` and then repeated `repeats` times; its answer is overdue at `due_at`, which is
-    None if the route has no objective. `placed_at` is when `backend` was last chosen, `opened_at`
-    when this node first saw that the flow is open there.
+    None if the route has no objective. `placed_at` is when an opening packet was last forwarded to
+    `backend`, `opened_at` when this node first saw that the flow is open there.
     """
 
     __slots__ = (
@@ -79,12 +79,10 @@
         "requested_at",
         "sequence",
         "token",
-        "tried",
     )
 
     def __init__(self, backend: Backend, now: float) -> None:
         self.backend = backend
-        self.tried: list[Backend] = []
         self.token = NO_TOKEN
         self.phase = FlowPhase.OPENING
         self.busy = False
@@ -103,6 +101,13 @@
         """Whether its backend has answered the opening."""
         return self.phase is FlowPhase.OPEN
 
+    @property
+    def began_at(self) -> float:
+        """When it was first seen open; before that, when its opening packet was first forwarded."""
+        if self.opened:
+            return self.opened_at
+        return self.placed_at if self.opening_at is None else self.opening_at
+
 
 class FlowObserver:
     """The flows of one node and their load on backends.
@@ -176,8 +181,6 @@
             flow = self._add(key, backend, now)
         else:
             self._note_unanswered(key, flow, now)
-            if flow.backend is not backend:
-                flow.tried.append(flow.backend)
             self._move_to(flow, backend)
             flow.last_packet = now
             flow.placed_at = now
--- a/src/beamloom/routing/tokens/placement.py
+++ b/src/beamloom/routing/tokens/placement.py
@@ -76,16 +76,6 @@
     return settings
 
 
-class PriorAttempts(NamedTuple):
-    """Backends that did not answer earlier packets of an opening, and zones to avoid."""
-
-    backends: Collection[Backend]
-    zones: frozenset[str] = frozenset()
-
-
-NO_PRIOR_ATTEMPTS = PriorAttempts(())
-
-
 class Placement:
     """Chooses backends for one node in `zone`; `rng` breaks ties.
 
@@ -111,35 +101,24 @@
     def choose(
         self,
         backends: Collection[Backend],
-        tried: PriorAttempts,
         now: float,
         terms: RouteTerms = DEFAULT_TERMS,
     ) -> Backend | None:
-        """Return the backend for a new flow, or None if no backend may take it.
-
-        Backends of `tried`, and those in its zones, are chosen only if no others are left.
-        """
+        """Return the backend for a new flow, or None if no backend may take it."""
         ready = [backend for backend in backends if backend.takes_flows]
         cold: list[Backend] = []
         if self._cold_starts is not None:
             cold = [backend for backend in ready if backend.cold_until > now]
             ready = [backend for backend in ready if backend.cold_until <= now]
-        untried = [
-            backend
-            for backend in ready
-            if backend not in tried.backends and backend.down_since is None
-        ]
-        answering = [backend for backend in untried if not self._is_suspect(backend, now)]
+        running = [backend for backend in ready if backend.down_since is None]
+        answering = [backend for backend in running if not self._is_suspect(backend, now)]
         if cold and not any(map(_has_room, answering)):
-            answering += self._usable_cold(cold, tried.backends, now)
+            answering += self._usable_cold(cold, now)
         if self._settings.spares_unrepeatable and not terms.repeatable:
             answering = self._without_doubted(answering, now)
         if self.reserving_services and terms.priority > HIGHEST_PRIORITY:
             answering = self._without_reserved(answering)
-        in_other_zones = answering
-        if tried.zones:
-            in_other_zones = [other for other in answering if other.record.zone not in tried.zones]
-        for candidates in (in_other_zones, answering, untried, ready):
+        for candidates in (answering, running, ready):
             if candidates:
                 return self._cheapest(candidates, now)
         recently_gone = [backend for backend in backends if self._is_recently_gone(backend, now)]
@@ -174,21 +153,22 @@
             for backend in backends
         )
 
+    def may_take_flow(self, backend: Backend, now: float) -> bool:
+        """Whether a backend that was chosen for a flow may still open it."""
+        return backend.takes_flows or self._is_recently_gone(backend, now)
+
     def note_opening(self, backend: Backend, now: float) -> None:
         """Count an opening packet that goes to a cold backend, if cold backends are limited."""
         if self._cold_starts is not None and backend.cold_until > now:
             self._cold_starts.note_opening(backend, now)
 
-    def _usable_cold(
-        self, cold: list[Backend], tried: Collection[Backend], now: float
-    ) -> list[Backend]:
+    def _usable_cold(self, cold: list[Backend], now: float) -> list[Backend]:
         """Return the cold backends at which this node may open a flow now."""
         assert self._cold_starts is not None
         return [
             backend
             for backend in cold
-            if backend not in tried
-            and backend.down_since is None
+            if backend.down_since is None
             and not self._is_suspect(backend, now)
             and self._cold_starts.allows(backend, now)
         ]
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -5,6 +5,10 @@
 may be open. If a later incarnation has the backend's address, or a check found the backend dead,
 the flow is over and its client gets a reset. A flow that may have been opened since the check is
 forwarded, and the backend checked again.
+
+All copies of an opening packet go to one backend, unless its process has ended. If two backends
+answered, each under a valid token, a late answer of one would direct the packets of the open flow
+from the other to it.
 """
 
 from __future__ import annotations
@@ -31,21 +35,20 @@
     ResetFlow,
     RouterCommand,
 )
-from beamloom.routing.tokens.placement import (
-    HIGHEST_PRIORITY,
-    NO_PRIOR_ATTEMPTS,
-    Placement,
-    PriorAttempts,
-)
+from beamloom.routing.tokens.placement import HIGHEST_PRIORITY, Placement
 from beamloom.routing.tokens.records import RoutingConfiguration
 from beamloom.routing.tokens.route_table import ActiveRoute, RouteTable
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
 
 MINIMUM_COPY_INTERVAL_SECONDS = 0.15
-"""A copy of an opening packet that arrives sooner goes to the same backend. Clients send copies
-after 0.2 s at the earliest, so both packets waited in a socket. If two backends answered, the
-client would combine the token of one with the sequence numbers of the other.
+"""A copy of an opening packet that arrives sooner is no sign that the backend does not answer.
+Clients send copies after 0.2 s at the earliest, so both packets waited in a socket.
+"""
+MAXIMUM_UNSEEN_BYTES = 1 << 20
+"""How far the acknowledgement numbers of two packets of one flow are apart at most, as other nodes
+may have forwarded packets between them. The sequence numbers of two backends are random.
 """
+SEQUENCE_NUMBERS = 1 << 32
 
 OVERDUE_FRACTION = 0.75
 """Fraction of a route's objective after which an answer is overdue. Another backend can still serve
@@ -72,10 +75,12 @@
     `on_decision` receives each decision of `decisions.py`. All packets are dropped until `codec` is
     set. `may_refuse` must be False while routes and backends may be out of date: opening packets
     that would be refused are then dropped, and a later copy is decided by the view at that time.
-    With `retries_other_backend`, a copy of an opening packet goes to another backend, and with
-    `retries_other_zone` preferably in another zone. With `refuses_on_timeout`, a client that does
-    not wait until its next copy is refused instead of waiting for cold backends. `resets` queues
-    the resets of flows that end without a packet from the client.
+    With `retries_other_backend`, a copy of an opening packet goes to another backend if the process
+    of the first has ended, so that it cannot answer as well. With `corrects_tokens`, a packet of an
+    open flow goes to the flow's backend although a second answer to its opening changed its token.
+    With `refuses_on_timeout`, a client that does not wait until its next copy is refused instead of
+    waiting for cold backends. `resets` queues the resets of flows that end without a packet from
+    the client.
     """
 
     def __init__(
@@ -84,11 +89,11 @@
         on_decision: Callable[[Decision], None] = discard_decision,
         *,
         retries_other_backend: bool = True,
-        retries_other_zone: bool = True,
+        corrects_tokens: bool = True,
         refuses_on_timeout: bool = True,
     ) -> None:
         self._retries_other_backend = retries_other_backend
-        self._retries_other_zone = retries_other_zone
+        self._corrects_tokens = corrects_tokens
         self._refuses_on_timeout = refuses_on_timeout
         self.codec: TokenCodec | None = None
         self.may_refuse = True
@@ -141,32 +146,60 @@
         if flow is not None and flow.backend.removed:
             self.flows.forget(packet.flow)
             flow = None
-        if flow is not None and flow.opened:
-            return self._forward(packet, flow.backend, flow.token)
-        if flow is not None and self._keeps_backend(flow, now):
-            token = codec.mint(packet.flow, flow.backend.record.identity)
-            self._placement.note_opening(flow.backend, now)
-            return self._forward(packet, flow.backend, token)
-        backend = self._choose(route, self._prior_attempts(flow), now)
+        if flow is not None and not self._may_move(flow):
+            return self._repeat_opening(packet, route, flow, codec, now)
+        backend = self._choose(route, now)
         if backend is None:
-            return self._handle_no_backend(packet, route, flow, now)
+            return self._handle_no_backend(packet, route, now)
         self._report_placed(packet, route, backend, now)
+        return self._forward_opening(packet, backend, codec, now)
+
+    def _may_move(self, flow: ObservedFlow) -> bool:
+        """Return whether another backend may get the copies of a flow's opening packet.
+
+        A backend that is only silent may have got the first packet, and answer later.
+        """
+        backend = flow.backend
+        has_ended = backend.ended or (backend.was_refused and _is_lost(flow, backend))
+        return self._retries_other_backend and not flow.opened and has_ended
+
+    def _repeat_opening(
+        self,
+        packet: ClientPacket,
+        route: ActiveRoute,
+        flow: ObservedFlow,
+        codec: TokenCodec,
+        now: float,
+    ) -> RouterCommand:
+        """Return the command for a copy of an opening packet that this node has forwarded."""
+        backend = flow.backend
+        if flow.opened:
+            return self._forward(packet, backend, flow.token)
+        if backend.down_since is not None:
+            self.flows.on_suspicion(backend, Suspicion.PACKET, now)
+        services = {part.service for part in route.record.parts}
+        if backend.record.service in services and self._placement.may_take_flow(backend, now):
+            return self._forward_opening(packet, backend, codec, now)
+        return self._drop(packet, DropReason.NO_BACKEND_FOR_COPY)
+
+    def _forward_opening(
+        self, packet: ClientPacket, backend: Backend, codec: TokenCodec, now: float
+    ) -> ForwardPacket:
         self._placement.note_opening(backend, now)
-        self.flows.note_opening(packet.flow, backend, now)
+        flow = self.flows.find(packet.flow)
+        if flow is None or now - flow.placed_at >= MINIMUM_COPY_INTERVAL_SECONDS:
+            self.flows.note_opening(packet.flow, backend, now)
         self.counters["opening_copies" if packet.acknowledged else "openings"] += 1
-        token = codec.mint(packet.flow, backend.record.identity)
-        return self._forward(packet, backend, token)
+        return self._forward(packet, backend, codec.mint(packet.flow, backend.record.identity))
 
     def _handle_no_backend(
-        self, packet: ClientPacket, route: ActiveRoute, flow: ObservedFlow | None, now: float
+        self, packet: ClientPacket, route: ActiveRoute, now: float
     ) -> RouterCommand:
         """Drop or refuse an opening packet that no backend can accept now.
 
         It is dropped if a cold backend may accept a later copy. If there is no cold backend, copies
         are dropped too, as their flow may be open at a backend that another node chose.
         """
-        if flow is not None:
-            return self._drop(packet, DropReason.NO_BACKEND_FOR_COPY)
         has_cold_backend = any(
             self._placement.has_cold_backend(self.backends.of_service(part.service), now)
             for part in route.record.parts
@@ -194,35 +227,24 @@
         self.counters["cannot_meet_timeout"] += 1
         return False
 
-    def _keeps_backend(self, flow: ObservedFlow, now: float) -> bool:
-        """Return whether a copy of an opening packet goes to the same backend as the last one."""
-        if flow.backend.evacuated:
-            return False
-        if now - flow.placed_at < MINIMUM_COPY_INTERVAL_SECONDS:
-            return True
-        return not self._retries_other_backend and flow.backend.takes_flows
-
-    def _prior_attempts(self, flow: ObservedFlow | None) -> PriorAttempts:
-        """Return the backends that did not answer the flow's opening packets, and their zones."""
-        if flow is None:
-            return NO_PRIOR_ATTEMPTS
-        backends = [*flow.tried, flow.backend]
-        zones = (backend.record.zone for backend in backends)
-        return PriorAttempts(backends, frozenset(zones if self._retries_other_zone else ()))
-
-    def _choose(self, route: ActiveRoute, tried: PriorAttempts, now: float) -> Backend | None:
+    def _choose(self, route: ActiveRoute, now: float) -> Backend | None:
         for part in route.next_parts():
             backends = self.backends.of_service(part.service)
-            backend = self._placement.choose(backends, tried, now, route.record.terms)
+            backend = self._placement.choose(backends, now, route.record.terms)
             if backend is not None:
                 return backend
         return None
 
     def _follow_token(self, packet: ClientPacket, codec: TokenCodec, now: float) -> RouterCommand:
-        token = packet.token
-        if token == NO_TOKEN:
+        if packet.token == NO_TOKEN:
             return self._drop(packet, DropReason.NO_TOKEN)
         flow = self.flows.find(packet.flow)
+        written_token = NO_TOKEN
+        if flow is not None and self._corrects_tokens and _has_wrong_token(packet, flow):
+            self.counters["tokens_corrected"] += 1
+            written_token = flow.token
+            packet = packet._replace(token=flow.token)
+        token = packet.token
         if flow is not None and flow.token == token and not flow.backend.removed:
             backend = flow.backend
         else:
@@ -234,14 +256,14 @@
         if backend.ended:
             return self._end_flow(packet, RefusalReason.BACKEND_ENDED, now)
         if backend.down_since is not None:
-            if flow is not None and _is_lost(flow, backend):
+            if flow is not None and flow.opened and _is_lost(flow, backend):
                 return self._end_flow(packet, RefusalReason.BACKEND_DOWN, now)
             self.flows.on_suspicion(backend, Suspicion.PACKET, now)
         if packet.kind is PacketKind.END:
             self.flows.note_end(packet, now)
         elif flow is None or not _opened_at_earlier_incarnation(flow, backend):
             self.flows.note_packet(packet, backend, now)
-        return self._forward(packet, backend, NO_TOKEN)
+        return self._forward(packet, backend, written_token)
 
     def end_flows(
         self, backend: Backend, reason: RefusalReason, opened_until: float = float("inf")
@@ -325,9 +347,20 @@
 
 
 def _is_lost(flow: ObservedFlow, backend: Backend) -> bool:
-    """Return whether a flow was open at a backend before the check that found it dead."""
-    is_open = flow.opened and flow.backend is backend
-    return is_open and flow.opened_at <= backend.flows_lost_until
+    """Return whether a check found a backend dead that began after the flow, or its opening."""
+    return flow.backend is backend and flow.began_at <= backend.flows_lost_until
+
+
+def _has_wrong_token(packet: ClientPacket, flow: ObservedFlow) -> bool:
+    """Return whether a packet has another token than its flow, but continues it.
+
+    The client acknowledges what the flow's backend has sent, and has got the token from another
+    backend that answered the opening as well.
+    """
+    if not flow.opened or packet.token == flow.token or flow.backend.removed:
+        return False
+    distance = (packet.acknowledged - flow.acknowledged) % SEQUENCE_NUMBERS
+    return min(distance, SEQUENCE_NUMBERS - distance) <= MAXIMUM_UNSEEN_BYTES
 
 
 def _opened_at_earlier_incarnation(flow: ObservedFlow, backend: Backend) -> bool:
--- a/src/beamloom/settings/mechanisms.py
+++ b/src/beamloom/settings/mechanisms.py
@@ -29,8 +29,10 @@
     priority_reserve: backends reserve no slots for requests of the highest priority.
     timely_refusals: a client waits for cold backends even if its timeout ends before its next copy.
     told_silence: nodes do not exchange reports of silent backends.
-    other_backend_for_copies: copies of an opening packet go to the same backend again.
-    other_zone_for_copies: copies of an opening packet do not prefer zones that were not tried.
+    other_backend_for_copies: copies of an opening packet go to the same backend even if its process
+        has ended.
+    token_corrections: a packet of an open flow goes to the backend that its token names, also if
+        another backend that answered the opening has sent the token.
     liveness_checks: backends that may be dead are not checked, and their flows are not ended.
     gone_grace: backends that were removed from the store get no flows, even if no other is left.
     confirmed_refusals: flows are refused although the views are not confirmed.
@@ -65,7 +67,7 @@
     timely_refusals: bool = True
     told_silence: bool = True
     other_backend_for_copies: bool = True
-    other_zone_for_copies: bool = True
+    token_corrections: bool = True
     liveness_checks: bool = True
     gone_grace: bool = True
     confirmed_refusals: bool = True
--- a/src/beamloom/standins/token_endpoint.py
+++ b/src/beamloom/standins/token_endpoint.py
@@ -1,7 +1,8 @@
 """Sans-I/O stand-in for an endpoint of the platform: forwarded packets in, packets to clients out.
 
 It answers a request (one packet that starts with `GET ID SIZE`) with SIZE bytes that start with
-`ID NAME`, retransmits unacknowledged packets and resets unknown flows. Times are in seconds.
+`ID NAME`, retransmits unacknowledged packets, the answer to an opening among them, and resets
+packets of flows that it does not hold. Times are in seconds.
 """
 
 from __future__ import annotations
@@ -71,7 +72,7 @@
         if packet.flags & FLAG_SYN:
             return self._open(key, packet, now)
         flow = self._flows.get(key)
-        if flow is None:
+        if flow is None or not _holds(flow, packet):
             self.faults["unknown_flow"] += 1
             return [self._reset(key)]
         return self._continue(key, flow, packet, now)
@@ -94,6 +95,8 @@
             return [self._packet(key, flow, FLAG_ACK | FLAG_FIN)]
         if not flow.opened:
             flow.opened = True
+            flow.unacknowledged = []
+            flow.retransmits = 0
             self.openings.append((now, key))
         return self._take_data(key, flow, packet, now) if packet.data else []
 
@@ -115,11 +118,13 @@
         if flow is None:
             sequence = (self._first_sequence + packet.sequence) & 0xFFFF_FFFF
             flow = _Flow(False, sequence, packet.sequence + 1, packet.echo)
+            flow.retransmit_at = now + INITIAL_RETRANSMIT_SECONDS
             self._flows[key] = flow
         elif flow.opened:
             return []
         flow.echo = packet.echo
-        return [self._packet(key, flow, FLAG_SYN | FLAG_ACK)]
+        flow.unacknowledged = [self._packet(key, flow, FLAG_SYN | FLAG_ACK)]
+        return list(flow.unacknowledged)
 
     def _take_data(
         self, key: FlowKey, flow: _Flow, packet: FlowPacket, now: float
@@ -158,6 +163,8 @@
         return list(flow.unacknowledged)
 
     def _remove_acknowledged(self, flow: _Flow, packet: FlowPacket) -> None:
+        if not flow.opened:
+            return
         flow.unacknowledged = [
             sent
             for sent in flow.unacknowledged
@@ -173,3 +180,8 @@
     def _reset(self, key: FlowKey) -> FlowPacket:
         client, service = key
         return FlowPacket(service, client, FLAG_RST)
+
+
+def _holds(flow: _Flow, packet: FlowPacket) -> bool:
+    """Whether a packet is of a flow: one that opens it acknowledges this endpoint's answer."""
+    return flow.opened or packet.acknowledged == flow.next_sequence
--- a/tests/unit/simulation/test_token_fleet.py
+++ b/tests/unit/simulation/test_token_fleet.py
@@ -44,6 +44,17 @@
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.flows["done"], 0.9 * 600)
 
+    def test_lost_late_and_repeated_opening_answers_break_no_flow(self) -> None:
+        """Guards against a second backend that holds a flow half open and resets it later."""
+        for seed in (100, 101):
+            with self.subTest(seed=seed):
+                options = TokenRunOptions(
+                    seed, faults=12, loss=0.01, late=0.02, steady=seed % 2 == 0
+                )
+                result = run_tokens(options)
+                self.assertEqual(result.violations, [])
+                self.assertGreater(result.flows["done"], 0.9 * 600)
+
     def test_same_seed_gives_the_same_run(self) -> None:
         options = TokenRunOptions(5, faults=20)
         first, second = run_tokens(options), run_tokens(options)
