Tokens: a first copy without its original is dropped

Cause: a node that got a copy of an opening packet, but not the packet itself, chose a backend of its own. If another node had forwarded the packet before the routers changed their choice, two backends held the flow half open; at a third node the late token of one led to a reset of the open flow. Change: such a node drops the first copy (copy_without_original) unless it dropped the packet itself. The first backend repeats its answer before the client's second copy, which is placed as before. Ruled out: asking peers who forwarded the packet (a message to each node of the zone for each copy); dropping all copies (every client of a killed node would wait 1.4 s).

--- a/src/beamloom/routing/tokens/packets.py
+++ b/src/beamloom/routing/tokens/packets.py
@@ -23,6 +23,7 @@
     NO_BACKEND_FOR_COPY = "no_backend_for_copy"
     UNCONFIRMED_VIEW = "unconfirmed_view"
     COLD_BACKENDS = "cold_backends"
+    COPY_WITHOUT_ORIGINAL = "copy_without_original"
 
 
 class RefusalReason(Enum):
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -8,7 +8,9 @@
 
 All copies of an opening packet go to one backend, unless its process has ended. If two backends
 answered, each under a valid token, a late answer of one would direct the packets of the open flow
-from the other to it.
+from the other to it. A first copy whose original this node has not received is dropped: another
+node may have forwarded that one, and its backend sends its answer again before the client sends the
+second copy.
 """
 
 from __future__ import annotations
@@ -58,6 +60,10 @@
 """Delay from a client's opening packet to its first copy (the platform's protocol)."""
 COPIES_PER_OPENING = 2
 """Clients send copies of an opening packet after 0.2 and 0.6 s (the platform's protocol)."""
+OPENING_SECONDS = 1.4
+"""How long a client's attempt to open a flow lasts (the platform's protocol)."""
+MAXIMUM_UNPLACED_OPENINGS = 4096
+"""How many dropped openings are remembered: more than arrive in OPENING_SECONDS."""
 
 MAXIMUM_PENDING_RESETS = 65536
 """Exceeds the number of flows of a node. When the queue is full, the oldest reset is discarded; its
@@ -100,6 +106,7 @@
         self.routes = RouteTable(placement.rng)
         self.backends = BackendTable()
         self.flows = FlowObserver(on_decision)
+        self._unplaced: dict[bytes, float] = {}
         self.resets: deque[ResetFlow] = deque(maxlen=MAXIMUM_PENDING_RESETS)
         self.backends.on_ended = self._reset_flows_of_ended
         self._on_decision = on_decision
@@ -141,13 +148,15 @@
         self.flows.advance(now)
         route = self.routes.find(packet.destination)
         if route is None:
-            return self._refuse_opening(packet, RefusalReason.NO_ROUTE)
+            return self._refuse_opening(packet, RefusalReason.NO_ROUTE, now)
         flow = self.flows.find(packet.flow)
         if flow is not None and flow.backend.removed:
             self.flows.forget(packet.flow)
             flow = None
         if flow is not None and not self._may_move(flow):
             return self._repeat_opening(packet, route, flow, codec, now)
+        if flow is None and packet.acknowledged == 1 and not self._was_dropped(packet, now):
+            return self._drop(packet, DropReason.COPY_WITHOUT_ORIGINAL)
         backend = self._choose(route, now)
         if backend is None:
             return self._handle_no_backend(packet, route, now)
@@ -209,10 +218,10 @@
             and packet.acknowledged < COPIES_PER_OPENING
             and self._can_wait_for_copy(route, packet)
         ):
-            return self._drop(packet, DropReason.COLD_BACKENDS)
+            return self._drop_opening(packet, DropReason.COLD_BACKENDS, now)
         if packet.acknowledged and not has_cold_backend:
             return self._drop(packet, DropReason.NO_BACKEND_FOR_COPY)
-        return self._refuse_opening(packet, RefusalReason.NO_BACKEND)
+        return self._refuse_opening(packet, RefusalReason.NO_BACKEND, now)
 
     def _can_wait_for_copy(self, route: ActiveRoute, packet: ClientPacket) -> bool:
         """Return whether a client will still be waiting when it sends its next copy.
@@ -318,9 +327,11 @@
         self.counters["forwarded"] += 1
         return ForwardPacket(packet, record.identity, record.address, token)
 
-    def _refuse_opening(self, packet: ClientPacket, reason: RefusalReason) -> RouterCommand:
+    def _refuse_opening(
+        self, packet: ClientPacket, reason: RefusalReason, now: float
+    ) -> RouterCommand:
         if not self.may_refuse:
-            return self._drop(packet, DropReason.UNCONFIRMED_VIEW)
+            return self._drop_opening(packet, DropReason.UNCONFIRMED_VIEW, now)
         return self._refuse(packet, reason)
 
     def _refuse(self, packet: ClientPacket, reason: RefusalReason, sequence: int = 0) -> ResetFlow:
@@ -339,6 +350,20 @@
         )
         return ResetFlow(packet.flow, reason, sequence)
 
+    def _drop_opening(self, packet: ClientPacket, reason: DropReason, now: float) -> DropPacket:
+        """Drop an opening packet whose copies this node may place."""
+        if not packet.acknowledged:
+            while self._unplaced and next(iter(self._unplaced.values())) <= now - OPENING_SECONDS:
+                del self._unplaced[next(iter(self._unplaced))]
+            if len(self._unplaced) < MAXIMUM_UNPLACED_OPENINGS:
+                self._unplaced.pop(packet.flow, None)
+                self._unplaced[packet.flow] = now
+        return self._drop(packet, reason)
+
+    def _was_dropped(self, packet: ClientPacket, now: float) -> bool:
+        """Return whether this node has dropped the original of a copy, so that no other has it."""
+        return now - self._unplaced.get(packet.flow, float("-inf")) < OPENING_SECONDS
+
     def _drop(self, packet: ClientPacket, reason: DropReason) -> DropPacket:
         self.counters[f"dropped_{reason.value}"] += 1
         version = self.routes.version
