Views: no change up to a view's revision adds an object

Cause: an answer that a cut had held up was applied to a view that was beyond it. A change was compared only with the known record of its name, and a removed object has none. Change: a view contains all changes up to its revision, so that an older one only removes. Test: test_a_removed_object_does_not_come_back_by_an_older_change failed before.

--- a/src/beamloom/replication/store_view.py
+++ b/src/beamloom/replication/store_view.py
@@ -177,8 +177,17 @@
     def apply(
         self, changes: Iterable[ObjectChange[Record]], revision: int
     ) -> tuple[ObjectChange[Record], ...]:
-        """Apply changes that follow the view's revision; return those that had an effect."""
-        applied = [change for change in changes if self._apply_one(change, revision)]
+        """Apply changes of a history up to `revision`; return those that had an effect.
+
+        Objects changed up to the view's revision are contained in it, or have been removed since.
+        """
+        known = EVERYTHING if self.revision is None else self.revision
+        applied = [
+            change
+            for change in changes
+            if (change.record is None or change.revision > known)
+            and self._apply_one(change, revision)
+        ]
         if self.revision is None or revision > self.revision:
             self.revision = revision
         self._prune_tombstones()
--- a/tests/unit/views/test_store_view.py
+++ b/tests/unit/views/test_store_view.py
@@ -104,6 +104,18 @@
         view.apply((ObjectChange("a", 55, "old"), ObjectChange("a", 40, None)), 58)
         self.assertEqual(contents(view), {"a": "new"})
 
+    def test_a_removed_object_does_not_come_back_by_an_older_change(self) -> None:
+        """Guards against an answer that was held up while peers told of the removal."""
+        view: View = StoreView()
+        view.replace([NamedRecord("a", 1, "A"), NamedRecord("b", 2, "B")], 5)
+        view.apply((ObjectChange("a", 7, None),), 7)
+        view.replace([NamedRecord("c", 8, "C")], 9)
+        self.assertEqual(view.apply((ObjectChange("a", 6, "A2"),), 6), ())
+        self.assertEqual(view.apply((ObjectChange("b", 4, "B2"),), 12), ())
+        self.assertEqual(contents(view), {"c": "C"})
+        view.apply((ObjectChange("a", 13, "A3"),), 13)
+        self.assertEqual(contents(view), {"a": "A3", "c": "C"})
+
     def test_confirmed_at_never_decreases(self) -> None:
         view: View = StoreView()
         self.assertTrue(view.confirm(5.0))
