Store: freshness counts from the question, late answers confirm nothing

Cause: an answer confirmed a view as of its arrival. One that a cut held up was up to 2.2 s old, and its age was passed on to all nodes. Change: a watch with changes confirms as of its question, one without as of the end of its wait; an answer that peers have overtaken changes and confirms nothing; the next watch waits for what is left since the last confirmation. A digest states when it was sent, and its ages count from then. An answer without an era is of the era in which it was asked for. After a stall only later confirmations allow refusals. In the simulation cuts hold answers up and come in series. Replaced: test_it_continues_from_the_revision_of_a_watch demanded that an answer below the view's revision confirms it; two tests demand now that it does not, and that one at it does.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -148,6 +148,7 @@
         self._advanced_at = float("inf")
         self._stall_pending = False
         self._stall_taken = False
+        self._stalled_until = float("-inf")
         self._confirmation_deadline = float("inf")
 
     @property
@@ -230,6 +231,7 @@
         """Run whatever is due; to be called a few times a second."""
         stalled = self.has_stalled(now)
         if stalled:
+            self._stalled_until = now
             self._observer.stalled(now - self._advanced_at)
             self._invalidate_confirmations()
         self._stall_pending = stalled and not self._stall_taken
@@ -291,33 +293,46 @@
         if self.exchange is not None:
             self.exchange.announce_away(now)
 
-    def apply_backends(self, changes: tuple[ObjectChange[BackendRecord], ...], now: float) -> None:
-        """Apply the changes of a store answer and announce the view's revision to peers."""
+    def apply_backends(
+        self,
+        changes: tuple[ObjectChange[BackendRecord], ...],
+        now: float,
+        given_at: float | None = None,
+    ) -> None:
+        """Apply the changes of a store answer and announce the view's revision to peers.
+
+        The store has not given the answer before `given_at`, by default `now`.
+        """
         self._now = now
         self._apply_backends(changes, FROM_STORE)
-        self._note_answer(now)
+        self._note_answer(now, given_at)
 
     def apply_configuration(
-        self, changes: tuple[ObjectChange[RoutingConfiguration], ...], now: float
+        self,
+        changes: tuple[ObjectChange[RoutingConfiguration], ...],
+        now: float,
+        given_at: float | None = None,
     ) -> None:
-        """Apply the changes of a store answer and announce the view's revision to peers."""
+        """Apply the changes of a store answer like `apply_backends`."""
         self._now = now
         self._apply_configuration(changes, FROM_STORE)
-        self._note_answer(now)
+        self._note_answer(now, given_at)
 
-    def apply_evacuations(self, changes: EvacuationChanges, now: float) -> None:
-        """Apply the changes of a store answer and announce the view's revision to peers."""
+    def apply_evacuations(
+        self, changes: EvacuationChanges, now: float, given_at: float | None = None
+    ) -> None:
+        """Apply the changes of a store answer like `apply_backends`."""
         self._now = now
         self._apply_evacuations(changes)
-        self._note_answer(now)
+        self._note_answer(now, given_at)
 
     def _apply_evacuations(self, changes: EvacuationChanges) -> None:
         if self.evacuations is not None:
             self.evacuations.apply(changes, self._now)
 
-    def _note_answer(self, now: float) -> None:
+    def _note_answer(self, now: float, given_at: float | None) -> None:
         self._update_may_refuse(now)
-        self.role.note_answer(now)
+        self.role.note_answer(now if given_at is None else given_at)
         if self.exchange is not None:
             self.exchange.announce(now)
 
@@ -330,8 +345,8 @@
         if not self._mechanisms.confirmed_refusals:
             self.router.may_refuse = True
             return
-        views = (self.backends, self.configuration)
-        if all(view.confirmed_at is not None for view in views):
+        confirmations = (self.backends.confirmed_at, self.configuration.confirmed_at)
+        if all(at is not None and at >= self._stalled_until for at in confirmations):
             self._confirmation_deadline = float("inf")
             self.router.may_refuse = True
             return
--- a/src/beamloom/protocol/view_messages.py
+++ b/src/beamloom/protocol/view_messages.py
@@ -30,7 +30,8 @@
     `capacity` (encoded by `to_wire`, empty from earlier versions) are the sender's own.
 
     `silent` holds `[backend, reporter, milliseconds since]` for openings without an answer, and
-    `failing` the same for answers that look like errors.
+    `failing` the same for answers that look like errors. All these times are as of `sent_at`, in
+    milliseconds of the sender's monotonic clock; NEVER from earlier versions.
     """
 
     views: list[list[int]]
@@ -44,6 +45,7 @@
     ranks: list[int] = field(default_factory=list)
     eras: list[int] = field(default_factory=list)
     marks: list[int] = field(default_factory=list)
+    sent_at: int = NEVER
 
 
 @register_message(81, Priority.CONFIGURATION)
--- a/src/beamloom/replication/backend_reports.py
+++ b/src/beamloom/replication/backend_reports.py
@@ -53,12 +53,12 @@
         """Report that this node has found a backend dead."""
         self._down.note(backend)
 
-    def add_digest(self, digest: ViewDigest, now: float) -> None:
-        """Add the reports of a peer's digest."""
+    def add_digest(self, digest: ViewDigest, sent_at: float, now: float) -> None:
+        """Add the reports of a peer's digest, whose ages count from `sent_at`."""
         for backend, reporter, age in digest.silent:
-            self._add_silent(SilenceReport(backend, reporter, now - age / MILLISECONDS), now)
+            self._add_silent(SilenceReport(backend, reporter, sent_at - age / MILLISECONDS), now)
         for backend, reporter, age in digest.failing:
-            self._add_failing(SilenceReport(backend, reporter, now - age / MILLISECONDS), now)
+            self._add_failing(SilenceReport(backend, reporter, sent_at - age / MILLISECONDS), now)
 
     def add_down_reports(self, names: list[str], now: float) -> None:
         """Add reports of dead backends from another node."""
--- a/src/beamloom/replication/message_checks.py
+++ b/src/beamloom/replication/message_checks.py
@@ -41,7 +41,7 @@
 }
 """Fields that are lists, by the type of their items."""
 _VALUES: Mapping[type[Message], Mapping[str, type]] = {
-    ViewDigest: {"zone": str},
+    ViewDigest: {"zone": str, "sent_at": int},
     ViewRequest: {"view": int, "since": int, "attempt": int, "era": int},
     AskElsewhere: {"view": int},
     ViewPart: {"view": int, "transfer": int, "part": int, "parts": int, "data": bytes},
--- a/src/beamloom/replication/object_watch.py
+++ b/src/beamloom/replication/object_watch.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 import random
-from typing import Generic, NamedTuple, TypeVar
+from typing import Any, Generic, NamedTuple, TypeVar
 
 from beamloom.model.store_revision import era_of, number_of, revision_in_era
 from beamloom.replication.backoff import FullJitter
@@ -75,6 +75,27 @@
 Changes = tuple[ObjectChange[Record], ...]
 
 
+class Question(NamedTuple):
+    """A call to the store: when it was made, how long a watch may wait, and the view's era then.
+
+    The era is assumed for an answer that states none.
+    """
+
+    request: ListRequest | WatchRequest
+    asked_at: float
+    wait_seconds: float
+    era: int
+
+    def earliest_answer_time(self, batch: ChangeBatch[Any], now: float) -> float:
+        """Return a time before which the store has not given an answer that arrived at `now`.
+
+        An answer may be held up on its way. One without changes was given after the wait.
+        """
+        waited_until = self.asked_at + self.wait_seconds
+        is_empty = not batch.changes and not batch.unreadable
+        return waited_until if is_empty and waited_until <= now else self.asked_at
+
+
 class OlderAnswerError(ValueError):
     """A store answered with a lower revision than before, although it reports no new era."""
 
@@ -246,14 +267,21 @@
         return changes
 
     def handle_changes(
-        self, batch: ChangeBatch[Record], now: float, *, reports_era: bool = True
+        self,
+        batch: ChangeBatch[Record],
+        watched: int,
+        given_at: float,
+        *,
+        reports_era: bool = True,
     ) -> Changes[Record]:
-        """Apply the answer to a watch; the next watch continues from its revision.
-
-        A delayed answer makes the confirmation at `now` too late by at most the call's timeout. An
-        answer of a later era than the view's is discarded and a list follows: numbers are reused in
-        the new era, so changes below the watched number would be missing. Raises OlderAnswerError
-        if the answer is of a former era.
+        """Apply the answer to a watch from a revision; the next one continues from its revision.
+
+        `given_at` is a time before which the store has not given the answer. Peers may have brought
+        the view to a higher revision since; then the answer changes and confirms nothing. An answer
+        of a later era than the view's is discarded and a list follows: numbers are reused in the
+        new era, so changes below the watched number would be missing. Raises OlderAnswerError if
+        the answer is of a former era, or ends below the watched revision although the store
+        reports its era. A store that reports none may have been restored then.
         """
         self._reports_era = reports_era
         known = self.view.revision
@@ -262,10 +290,17 @@
         if known is not None and era_of(batch.revision) > era_of(known):
             self.handle_lost_history()
             return ()
+        if batch.revision < watched:
+            if reports_era:
+                raise OlderAnswerError(batch.revision, watched)
+            self._may_be_restored = True
+            return ()
         self._pauses.reset()
-        changes = self.view.apply(batch.changes, batch.revision)
         self._prefers_list = self._is_small and batch.size_bytes >= LARGE_ANSWER_BYTES
-        self.view.confirm(now)
+        if known is not None and batch.revision < known:
+            return ()
+        changes = self.view.apply(batch.changes, batch.revision)
+        self.view.confirm(given_at)
         return changes
 
     def handle_lost_history(self) -> None:
--- a/src/beamloom/replication/peer_table.py
+++ b/src/beamloom/replication/peer_table.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from beamloom.settings.capacity import LEAST, LOWEST_RANK, Capacity, weight_of_rank
 
@@ -146,7 +146,7 @@
         chosen = self._rng.sample(near, from_near)
         return chosen + self._rng.sample(far, count - from_near)
 
-    def hosts(self) -> Iterable[str]:
+    def hosts(self) -> Collection[str]:
         """Return all hosts seen recently."""
         return self._last_seen.keys()
 
--- a/src/beamloom/replication/reader_role.py
+++ b/src/beamloom/replication/reader_role.py
@@ -71,15 +71,16 @@
         self._failed_at = float("-inf")
         self.peer_count = 0
 
-    def note_answer(self, now: float) -> None:
-        """Record an answer of the store to this node.
+    def note_answer(self, given_at: float) -> None:
+        """Record an answer of the store to this node, which was not given before a time.
 
         Only a reader's answers are advertised: a node that asked once because its view was stale
         would keep others from becoming readers.
         """
         self._failed_at = float("-inf")
         if self.reading:
-            self._readers_seen[self.reader_id] = now
+            known = self._readers_seen.get(self.reader_id, given_at)
+            self._readers_seen[self.reader_id] = max(known, given_at)
 
     def note_failure(self, now: float) -> None:
         """Record a failed call; this node does not become a reader for `silence_seconds`."""
--- a/src/beamloom/replication/store_call_schedule.py
+++ b/src/beamloom/replication/store_call_schedule.py
@@ -54,7 +54,6 @@
         self._lists_from_peers = lists_from_peers
         self._lists_at: float | None = None
         self._unconfirmed_until = float("-inf")
-        self._gather_seconds = 0.0
 
     @property
     def purpose(self) -> CallPurpose:
@@ -68,12 +67,15 @@
                 return CallPurpose.HISTORY_LOST
         return CallPurpose.READER if self._role.reads(self._kind) else CallPurpose.CONFIRMATION
 
-    @property
-    def wait_seconds(self) -> float:
-        """How long a watch may wait: 0 unless this node reads the kind and is advertised."""
+    def wait_seconds(self, now: float) -> float:
+        """How long a watch may wait: 0 unless this node reads the kind and is advertised.
+
+        The answer must arrive before the view's last confirmation is older than the usual wait.
+        """
         if not self._role.reads(self._kind) or not self._role.answered:
             return 0.0
-        return self._times.wait_seconds - self._gather_seconds
+        age = self._watch.view.age(now)
+        return max(0.0, self._times.wait_seconds - max(0.0 if age is None else age, 0.0))
 
     def must_ask(self, now: float) -> bool:
         """Whether to call now: as a reader, for a missing list, or because the view is stale."""
@@ -118,8 +120,7 @@
         self._stale_spread = self._rng.uniform(0.0, STALE_SPREAD_SECONDS)
         self._stale_after = self._times.stale_seconds + self._stale_spread
         self._unconfirmed_until = now + self._times.unconfirmed_seconds + self._stale_spread
-        self._gather_seconds = self._times.gather_seconds if changes else 0.0
-        return self._gather_seconds
+        return self._times.gather_seconds if changes else 0.0
 
     def note_failure(self, now: float) -> float:
         """Record a call without a usable answer; return the seconds to pause before the next one.
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -3,8 +3,9 @@
 Each node sends the revisions of its views (a digest) to a few peers at once after a change, and to
 at least one peer about every second. A node that receives a higher revision than its own requests
 the missing changes. One that receives a lower revision, or an older confirmation, replies with its
-own digest. With up to DIRECT_PEERS peers a digest is sent to all of them; in a larger fleet it
-spreads over several hops.
+own digest. Ages in a digest count from when it was sent, which is estimated if it was held up on
+its way (`message_delays.py`). With up to DIRECT_PEERS peers a digest is sent to all of them; in a
+larger fleet it spreads over several hops.
 """
 
 from __future__ import annotations
@@ -32,6 +33,7 @@
 )
 from beamloom.replication.backend_reports import BackendReports
 from beamloom.replication.message_checks import check_message
+from beamloom.replication.message_delays import MessageDelays
 from beamloom.replication.peer_table import UNKNOWN_RANK, PeerTable
 from beamloom.replication.reader_role import ReaderRole
 from beamloom.replication.shared_view import SharedView
@@ -59,6 +61,8 @@
 REPLY_INTERVAL_SECONDS = 0.2
 """The shortest interval between replies to digests of one peer."""
 OLDEST_AGE_SECONDS = 60.0
+LATE_DIGEST_SECONDS = 0.2
+"""From this delay on a digest is counted as late."""
 
 
 class ViewExchange:
@@ -92,6 +96,7 @@
         self._next_heartbeat = float("-inf")
         self._discovered_at = float("-inf")
         self._replied_at: dict[str, float] = {}
+        self._delays = MessageDelays()
 
     def limit_answers(self, answer_share: float) -> None:
         """Limit answers to peers to this share (0 to 1) of the usual bytes.
@@ -135,6 +140,7 @@
         period = DISCOVERY_HEARTBEAT_SECONDS if meeting else HEARTBEAT_SECONDS
         self._next_heartbeat = now + period * self._rng.uniform(0.9, 1.1)
         self.peers.remove_expired(now)
+        self._delays.keep(self.peers.hosts())
         self.pulls.choice.forget(now)
         hosts = self.peers.choose(1)
         if len(self.peers) < MINIMUM_PEERS:
@@ -218,14 +224,15 @@
         self._note_capacities(host, digest)
         if digest.zone == self.peers.zone:
             self._note_stop_state(host, digest.stop, now)
-        self.reports.add_digest(digest, now)
+        sent_at = self._sending_time(host, digest, now)
+        self.reports.add_digest(digest, sent_at, now)
         for peer, age in digest.peers:
-            self._note_peer(peer, now - age / MILLISECONDS, now)
+            self._note_peer(peer, sent_at - age / MILLISECONDS, now)
         peer_is_behind = False
         has_newer_confirmation = False
         has_readers = False
         for reader, age in digest.readers:
-            has_readers |= self._role.note_reader(reader, now - age / MILLISECONDS)
+            has_readers |= self._role.note_reader(reader, sent_at - age / MILLISECONDS)
         self._compare_marks(host, digest, now)
         for index, (shared, (revision, age)) in enumerate(
             zip(self.views, _revisions_in(digest), strict=False)
@@ -235,19 +242,28 @@
             if revision > own:
                 shared.behind_since = now if shared.behind_since is None else shared.behind_since
                 if age != NEVER:
-                    shared.note_pending_confirmation(revision, now - age / MILLISECONDS)
+                    shared.note_pending_confirmation(revision, sent_at - age / MILLISECONDS)
                 self.pulls.request(host, index, revision, now)
             elif revision < own:
                 peer_is_behind = True
             elif age != NEVER:
-                has_newer_confirmation |= self._confirm(shared, now - age / MILLISECONDS)
-                peer_is_behind |= self._is_outdated_confirmation(shared, now - age / MILLISECONDS)
+                confirmed_at = sent_at - age / MILLISECONDS
+                has_newer_confirmation |= self._confirm(shared, confirmed_at)
+                peer_is_behind |= self._is_outdated_confirmation(shared, confirmed_at)
         if peer_is_behind or is_new:
             self._reply_with_digest(host, is_new, now)
         if (has_newer_confirmation or has_readers) and len(self.peers) > DIRECT_PEERS:
             count = FORWARD_PEERS if has_readers else FORWARD_PEERS // 2
             self._send_digest(self._choose(count), now)
 
+    def _sending_time(self, host: str, digest: ViewDigest, now: float) -> float:
+        """Return when a digest was sent, by this node's clock; `now` if it does not tell."""
+        if digest.sent_at == NEVER:
+            return now
+        delay = self._delays.note(host, digest.sent_at / MILLISECONDS, now)
+        self.counters["digests_late"] += delay >= LATE_DIGEST_SECONDS
+        return now - delay
+
     def _compare_marks(self, host: str, digest: ViewDigest, now: float) -> None:
         """Request a whole view from a peer that has a higher mark but no higher revision.
 
@@ -342,6 +358,7 @@
             [UNKNOWN_RANK if rank is None else rank for rank in ranks],
             [max(UNKNOWN_ERA, era_of(shared.revision)) for shared in self.views],
             [shared.mark for shared in self.views],
+            int(now * MILLISECONDS),
         )
 
 
--- a/src/beamloom/runtime/store_follower.py
+++ b/src/beamloom/runtime/store_follower.py
@@ -233,7 +233,7 @@
         kind: KindFormat[Record],
         watch: ObjectWatch[Record],
         schedule: StoreCallSchedule,
-        apply_changes: Callable[[tuple[ObjectChange[Record], ...], float], None],
+        apply_changes: Callable[[tuple[ObjectChange[Record], ...], float, float], None],
     ) -> StoreReader[Record]:
         connection = self._connect(ConnectionKind(kind.label))
         reader = StoreReader(watch, kind, connection, schedule)
@@ -244,8 +244,8 @@
         reader.on_older_list = functools.partial(self._decisions.older_list, kind.label)
         reader.on_recovery = functools.partial(self._decisions.dependency_regained, dependency)
 
-        def apply_answer(changes: tuple[ObjectChange[Record], ...]) -> None:
-            apply_changes(changes, _now())
+        def apply_answer(changes: tuple[ObjectChange[Record], ...], given_at: float) -> None:
+            apply_changes(changes, _now(), given_at)
             self.send()
 
         reader.on_answer = apply_answer
--- a/src/beamloom/runtime/store_reader.py
+++ b/src/beamloom/runtime/store_reader.py
@@ -20,6 +20,7 @@
     ListPage,
     ListRequest,
     ObjectWatch,
+    Question,
     WatchRequest,
 )
 from beamloom.replication.store_call_schedule import StoreCallSchedule
@@ -57,7 +58,8 @@
 class StoreReader(Generic[Record]):
     """Reads one kind of object; `run` ends only when it is cancelled.
 
-    `on_answer` is called with the changes after each list or watch that was answered and decoded.
+    `on_answer` is called with the changes after each list or watch that was answered and decoded,
+    and a time before which the store has not given the answer.
     """
 
     def __init__(
@@ -71,7 +73,9 @@
         self.counters: Counter[str] = Counter()
         self.purposes: Counter[str] = Counter()
         self.list_seconds = LatencyHistogram()
-        self.on_answer: Callable[[tuple[ObjectChange[Record], ...]], None] = lambda changes: None
+        self.on_answer: Callable[[tuple[ObjectChange[Record], ...], float], None] = (
+            lambda changes, given_at: None
+        )
         self.on_failure: Callable[[str, int], None] = lambda reason, failures: None
         self.on_recovery: Callable[[int], None] = lambda failures: None
         self.on_unreadable: Callable[[str], None] = lambda text: None
@@ -117,16 +121,16 @@
         self._pause_seconds = 0.0
         request = self.watch.next_request()
         failures = self.watch.failures
-        asked_at = _now()
+        question = self._ask(request)
         try:
-            answer = await self._call(request)
+            answer = await self._call(question)
         except CallFailedError as error:
             self.counters[f"calls_{error.failure.value}"] += 1
             return self._handle_failure(error.failure)
         self._was_silent = False
         self.counters[f"calls_{answer.status}"] += 1
         self._report_new_era(answer)
-        failure = self._handle_answer(request, answer, asked_at)
+        failure = self._handle_answer(question, answer)
         if failure is None and failures:
             self.on_recovery(failures)
         return failure
@@ -148,50 +152,61 @@
             self._list_seconds = min(MAXIMUM_LIST_SECONDS, 2 * self._list_seconds)
         return failure.value
 
-    async def _call(self, request: ListRequest | WatchRequest) -> HttpResponse:
+    def _ask(self, request: ListRequest | WatchRequest) -> Question:
+        now = _now()
+        waits = isinstance(request, WatchRequest) and not self._was_silent
+        wait = self._schedule.wait_seconds(now) if waits else 0.0
+        return Question(request, now, wait, self._view_era)
+
+    async def _call(self, question: Question) -> HttpResponse:
         self.purposes[self._schedule.purpose.value] += 1
+        request = question.request
         if isinstance(request, ListRequest):
             limits = list_limits(self._list_seconds)
             return await self._connection.call("GET", self._kind.list_path(request), limits)
-        wait = 0.0 if self._was_silent else self._schedule.wait_seconds
-        path = self._kind.watch_path(request, wait)
-        return await self._connection.call("GET", path, watch_limits(wait))
+        path = self._kind.watch_path(request, question.wait_seconds)
+        return await self._connection.call("GET", path, watch_limits(question.wait_seconds))
 
-    def _handle_answer(
-        self, request: ListRequest | WatchRequest, answer: HttpResponse, asked_at: float
-    ) -> str | None:
+    def _handle_answer(self, question: Question, answer: HttpResponse) -> str | None:
         if answer.status == STATUS_GONE:
             self.watch.handle_lost_history()
             return None
         if answer.status != STATUS_OK:
             return f"status_{answer.status}"
         try:
-            changes = self._apply_body(request, answer, asked_at)
+            changes, given_at = self._apply_body(question, answer)
         except ValueError as error:
             return f"unreadable: {error}"
         self._pause_seconds = self._schedule.note_answer(_now(), changes=bool(changes))
-        self.on_answer(changes)
+        self.on_answer(changes, given_at)
         return None
 
     def _apply_body(
-        self, request: ListRequest | WatchRequest, answer: HttpResponse, asked_at: float
-    ) -> tuple[ObjectChange[Record], ...]:
+        self, question: Question, answer: HttpResponse
+    ) -> tuple[tuple[ObjectChange[Record], ...], float]:
+        """Apply an answer; return the changes and a time before which it was not given."""
+        request, asked_at = question.request, question.asked_at
         answer_era = self._kind.read_era(answer.headers)
-        era = self._view_era if answer_era is None else answer_era
+        reports_era = answer_era is not None
+        era = question.era if answer_era is None else answer_era
         self._list_seconds = LIST_SECONDS if not self.watch.must_list else self._list_seconds
         if isinstance(request, ListRequest):
             self.list_seconds.observe(_now() - asked_at)
             page = self._kind.read_page(answer.body, era)
             self._report_unreadable(page.unreadable)
             self._report_older_list(page.revision)
-            return self.watch.handle_page(page, asked_at, reports_era=answer_era is not None)
+            return self.watch.handle_page(page, asked_at, reports_era=reports_era), asked_at
         batch = self._kind.read_changes(answer.body, era)
         self._report_unreadable(batch.unreadable)
-        return self.watch.handle_changes(batch, _now(), reports_era=answer_era is not None)
+        given_at = question.earliest_answer_time(batch, _now())
+        changes = self.watch.handle_changes(
+            batch, request.revision, given_at, reports_era=reports_era
+        )
+        return changes, given_at
 
     @property
     def _view_era(self) -> int:
-        """The era of the view, which is assumed for an answer that states none."""
+        """The era of the view when a call is made, assumed for an answer that states none."""
         known = self.watch.view.revision
         return UNKNOWN_ERA if known is None else era_of(known)
 
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -154,11 +154,11 @@
         self.oracle.note_fault(name, self.clock.now + seconds)
 
     def cut_from_store(self, name: str, seconds: float) -> None:
-        """Drop a node's calls to the store for `seconds`."""
+        """Hold up a node's calls to the store, and the answers, for `seconds`."""
         host = self.nodes[name].host
         self.link.partitioned_hosts.add(host)
         self.oracle.note_fault(name, self.clock.now + seconds)
-        self.clock.call_later(seconds, self.link.partitioned_hosts.discard, host)
+        self.clock.call_later(seconds, self.link.heal, host)
 
     def refuse_node(self, name: str, seconds: float) -> None:
         """Refuse a node's calls to the store for `seconds`; the time bounds still apply to it."""
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -10,7 +10,12 @@
 from beamloom.node.token_core import TokenCore
 from beamloom.platform import packet_layout
 from beamloom.protocol.messages import Message
-from beamloom.replication.object_watch import ListRequest, ObjectWatch, OlderAnswerError
+from beamloom.replication.object_watch import (
+    ObjectWatch,
+    OlderAnswerError,
+    Question,
+    WatchRequest,
+)
 from beamloom.replication.store_call_schedule import StoreCallSchedule
 from beamloom.replication.store_call_times import (
     CALL_TIMEOUT_SECONDS,
@@ -49,7 +54,7 @@
         kind: str,
         watch: ObjectWatch[Any],
         schedule: StoreCallSchedule,
-        apply_changes: Callable[[tuple[ObjectChange[Any], ...], float], None],
+        apply_changes: Callable[[tuple[ObjectChange[Any], ...], float, float], None],
     ) -> None:
         self._node = node
         self._kind = kind
@@ -70,12 +75,19 @@
         call_number, asked_at = self._call_number, self._node.clock.now
         request = self._watch.next_request()
         self._node.observer.counters[f"call_{self._kind}_{self._schedule.purpose.value}"] += 1
-        wait = 0.0 if isinstance(request, ListRequest) else self._schedule.wait_seconds
+        waits = isinstance(request, WatchRequest)
+        question = Question(
+            request,
+            asked_at,
+            self._schedule.wait_seconds(asked_at) if waits else 0.0,
+            era_of(self._watch.view.revision or 0),
+        )
+        wait = question.wait_seconds
 
         def on_answer(answer: StoreAnswer) -> None:
             if call_number == self._call_number:
                 self._call_number += 1
-                self._node.call_when_running(lambda: self._handle_answer(answer, asked_at))
+                self._node.call_when_running(lambda: self._handle_answer(answer, question))
 
         def on_timeout() -> None:
             on_answer(StoreAnswer())
@@ -83,36 +95,45 @@
         self._node.link.call(self._node.host, self._kind, request, wait, on_answer)
         self._node.clock.call_later(wait + CALL_TIMEOUT_SECONDS, on_timeout)
 
-    def _handle_answer(self, answer: StoreAnswer, asked_at: float) -> None:
+    def _handle_answer(self, answer: StoreAnswer, question: Question) -> None:
         now = self._node.clock.now
         if answer.history_gone:
             self._watch.handle_lost_history()
             self._finish_call()
             return
         try:
-            changes = self._apply_answer(answer, asked_at)
+            applied = self._apply_answer(answer, question)
         except OlderAnswerError:
-            changes = None
-        if changes is None:
+            applied = None
+        if applied is None:
             self._node.clock.call_later(self._schedule.note_failure(now), self._finish_call)
             return
+        changes, given_at = applied
         pause_seconds = self._schedule.note_answer(now, changes=bool(changes))
-        self._apply_changes(changes, now)
+        self._apply_changes(changes, now, given_at)
         self._node.send_messages()
         self._node.clock.call_later(pause_seconds, self._finish_call)
 
     def _apply_answer(
-        self, answer: StoreAnswer, asked_at: float
-    ) -> tuple[ObjectChange[Any], ...] | None:
-        """Apply an answer to the watch; return the changes, None if the answer is unusable."""
+        self, answer: StoreAnswer, question: Question
+    ) -> tuple[tuple[ObjectChange[Any], ...], float] | None:
+        """Apply an answer to the watch; return the changes and a time before it was given.
+
+        Returns None if the answer is unusable.
+        """
         reports_era = self._node.link.reports_era
         if not reports_era:
-            answer = answer.in_era(era_of(self._watch.view.revision or 0))
+            answer = answer.in_era(question.era)
         if answer.page is not None:
-            return self._watch.handle_page(answer.page, asked_at, reports_era=reports_era)
-        if answer.batch is not None:
-            now = self._node.clock.now
-            return self._watch.handle_changes(answer.batch, now, reports_era=reports_era)
+            asked_at = question.asked_at
+            changes = self._watch.handle_page(answer.page, asked_at, reports_era=reports_era)
+            return changes, asked_at
+        if answer.batch is not None and isinstance(question.request, WatchRequest):
+            given_at = question.earliest_answer_time(answer.batch, self._node.clock.now)
+            changes = self._watch.handle_changes(
+                answer.batch, question.request.revision, given_at, reports_era=reports_era
+            )
+            return changes, given_at
         return None
 
     def _finish_call(self) -> None:
--- a/src/beamloom/simulation/tokens/run.py
+++ b/src/beamloom/simulation/tokens/run.py
@@ -17,6 +17,9 @@
 SETTLE_SECONDS = 6.0
 QUIET_END_SECONDS = 10.0
 OPENING_INTERVAL_SECONDS = 0.1
+BRIEF_CUTS = 4
+BRIEF_CUT_SECONDS = (0.3, 2.0)
+BRIEF_CUT_PAUSE_SECONDS = (0.1, 0.5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +63,7 @@
             "kill": lambda: fleet.kill_node(self._pick_node()),
             "stop": lambda: fleet.stop_node(self._pick_node()),
             "freeze": lambda: fleet.freeze_node(self._pick_node(), 4.0),
+            "brief_cuts": self._cut_briefly,
             "cut_from_store": lambda: fleet.cut_from_store(self._pick_node(), 5.0),
             "refused_by_store": lambda: fleet.refuse_node(self._pick_node(), 6.0),
             "cut_from_peers": lambda: fleet.cut_from_peers(self._pick_node(), 5.0),
@@ -83,6 +87,18 @@
         ]
         return self._rng.choice(sorted(running or self._fleet.nodes))
 
+    def _cut_briefly(self) -> None:
+        """Cut a node from the store several times, so that answers arrive late but in time."""
+        name, delay = self._pick_node(), 0.0
+        for _ in range(BRIEF_CUTS):
+            seconds = self._rng.uniform(*BRIEF_CUT_SECONDS)
+            self._fleet.clock.call_later(delay, self._cut_if_running, name, seconds)
+            delay += seconds + self._rng.uniform(*BRIEF_CUT_PAUSE_SECONDS)
+
+    def _cut_if_running(self, name: str, seconds: float) -> None:
+        if name in self._fleet.nodes:
+            self._fleet.cut_from_store(name, seconds)
+
     def _add_node(self) -> None:
         self._fleet.add_node(self._rng.choice(ZONES))
 
--- a/src/beamloom/simulation/tokens/store_link.py
+++ b/src/beamloom/simulation/tokens/store_link.py
@@ -63,8 +63,9 @@
 
 
 class StoreLink:
-    """Calls of all nodes; those of `partitioned_hosts` are dropped, of `refused_hosts` refused.
+    """Calls of all nodes; those of `refused_hosts` are refused.
 
+    Calls and answers of `partitioned_hosts` are held up until `heal`, as TCP sends them again.
     Without `reports_era`, revisions in answers have an unknown era.
     """
 
@@ -78,6 +79,20 @@
         self.disturbed_until = 0.0
         self._clock = clock
         self._store = store
+        self._held: dict[str, list[Callable[[], None]]] = {}
+
+    def heal(self, host: str) -> None:
+        """End the partition of a host and deliver what it held up."""
+        self.partitioned_hosts.discard(host)
+        for deliver in self._held.pop(host, []):
+            self._clock.call_later(self.call_latency_seconds, deliver)
+
+    def _deliver(self, host: str, deliver: Callable[[], None]) -> None:
+        """Deliver a call or an answer of a host, now or when its partition ends."""
+        if host in self.partitioned_hosts:
+            self._held.setdefault(host, []).append(deliver)
+        else:
+            deliver()
 
     def call(
         self,
@@ -89,7 +104,17 @@
     ) -> None:
         """Make a call; `on_answer` is called later, or never if the call is dropped."""
         self.calls += 1
-        if self._drops_call(host):
+        self._deliver(host, lambda: self._receive(host, kind, request, wait, on_answer))
+
+    def _receive(
+        self,
+        host: str,
+        kind: str,
+        request: ListRequest | WatchRequest,
+        wait: float,
+        on_answer: OnAnswer,
+    ) -> None:
+        if self.fault is StoreFault.SILENT:
             return
         if self.fault is StoreFault.REFUSES or host in self.refused_hosts:
             self._clock.call_later(self.call_latency_seconds, on_answer, StoreAnswer())
@@ -99,9 +124,6 @@
             self.call_latency_seconds, self._answer, host, kind, request, end, on_answer
         )
 
-    def _drops_call(self, host: str) -> bool:
-        return self.fault is StoreFault.SILENT or host in self.partitioned_hosts
-
     def _answer(
         self,
         host: str,
@@ -110,23 +132,28 @@
         end: float,
         on_answer: OnAnswer,
     ) -> None:
-        if self._drops_call(host):
+        if self.fault is StoreFault.SILENT:
             return
-        if isinstance(request, ListRequest):
-            on_answer(StoreAnswer(page=self._page(kind, request)))
-            return
-        try:
-            batch = self._batch(kind, request)
-        except HistoryGoneError:
-            on_answer(StoreAnswer(history_gone=True))
-            return
-        if batch.changes or self._clock.now >= end:
-            on_answer(StoreAnswer(batch=batch))
+        answer = self._answer_now(kind, request, is_due=self._clock.now >= end)
+        if answer is not None:
+            self._deliver(host, lambda: on_answer(answer))
             return
         self._clock.call_later(
             POLL_INTERVAL_SECONDS, self._answer, host, kind, request, end, on_answer
         )
 
+    def _answer_now(
+        self, kind: str, request: ListRequest | WatchRequest, *, is_due: bool
+    ) -> StoreAnswer | None:
+        """Return the answer to a call; None if a watch goes on waiting."""
+        if isinstance(request, ListRequest):
+            return StoreAnswer(page=self._page(kind, request))
+        try:
+            batch = self._batch(kind, request)
+        except HistoryGoneError:
+            return StoreAnswer(history_gone=True)
+        return StoreAnswer(batch=batch) if batch.changes or is_due else None
+
     def _page(self, kind: str, request: ListRequest) -> ListPage[object]:
         if request.stale:
             objects, more, revision = self._store.stale_page(kind, request.after)
--- a/tests/unit/tokens/test_evacuation.py
+++ b/tests/unit/tokens/test_evacuation.py
@@ -184,9 +184,9 @@
         assert receiver.evacuations is not None
         sender.evacuations.watch.handle_page(ListPage((), False, 9, ""), asked_at=START)
         changes = sender.evacuations.watch.handle_changes(
-            ChangeBatch((evacuation("east"),), 9), START
+            ChangeBatch((evacuation("east", 10),), 10), 9, START
         )
-        sender.apply_evacuations(changes, START)
+        sender.apply_evacuations(changes, START, START)
         sender.handle_message("10.0.0.2", ViewDigest([], [], []), START)
         for _ in range(4):
             for core, host, other in (
--- a/tests/unit/tokens/test_token_core.py
+++ b/tests/unit/tokens/test_token_core.py
@@ -87,13 +87,13 @@
         named = tuple(NamedRecord(record.name, 3, record) for record in records)
         page = ListPage(named, False, 9, named[-1].name)
         changes = self.core.backend_watch.handle_page(page, asked_at=START)
-        self.core.apply_backends(changes, START)
+        self.core.apply_backends(changes, START, START)
 
     def confirm(self, now: float) -> None:
-        self.core.backend_watch.handle_changes(ChangeBatch((), 9), now)
-        self.core.apply_backends((), now)
-        self.core.configuration_watch.handle_changes(ChangeBatch((), 9), now)
-        self.core.apply_configuration((), now)
+        self.core.backend_watch.handle_changes(ChangeBatch((), 9), 9, now)
+        self.core.apply_backends((), now, now)
+        self.core.configuration_watch.handle_changes(ChangeBatch((), 9), 9, now)
+        self.core.apply_configuration((), now, now)
 
     def open_flow(self, now: float, destination: bytes | None = None) -> RouterCommand:
         packet = opening(1) if destination is None else opening(1, destination=destination)
@@ -108,8 +108,8 @@
         self.confirm(confirmed_at)
         self.core.advance(confirmed_at + 0.25)
         gone = ObjectChange(backend(7).name, 10, None)
-        changes = self.core.backend_watch.handle_changes(ChangeBatch((gone,), 10), now)
-        self.core.apply_backends(changes, now)
+        changes = self.core.backend_watch.handle_changes(ChangeBatch((gone,), 10), 9, now)
+        self.core.apply_backends(changes, now, now)
 
     def takes_flows(self, now: float) -> bool:
         client = round(now * 100)
--- a/tests/unit/views/test_object_watch.py
+++ b/tests/unit/views/test_object_watch.py
@@ -13,6 +13,7 @@
     ListRequest,
     ObjectWatch,
     OlderAnswerError,
+    Question,
     WatchRequest,
 )
 from beamloom.replication.store_call_times import MAXIMUM_PAUSE_SECONDS
@@ -96,12 +97,39 @@
 
     def test_it_continues_from_the_revision_of_a_watch(self) -> None:
         self.watch.handle_page(page("a", False, 10), asked_at=1.0)
-        self.watch.handle_changes(ChangeBatch((ObjectChange("a", 12, None),), 12), now=2.0)
+        removal = ChangeBatch((ObjectChange("a", 12, None),), 12)
+        self.watch.handle_changes(removal, 10, given_at=2.0)
         self.assertEqual(self.watch.next_request(), WatchRequest(12))
-        self.watch.handle_changes(ChangeBatch((), 11), now=3.0)
+        self.watch.handle_changes(ChangeBatch((), 12), 12, given_at=3.0)
         self.assertEqual(self.watch.next_request(), WatchRequest(12))
         self.assertEqual(self.view.confirmed_at, 3.0)
 
+    def test_an_answer_that_peers_have_overtaken_changes_and_confirms_nothing(self) -> None:
+        """Guards against a removed object that a held-up answer brings back."""
+        self.watch.handle_page(page("a", False, 10), asked_at=1.0)
+        self.view.apply((ObjectChange("b", 11, "B"), ObjectChange("b", 12, None)), 12)
+        held_up = ChangeBatch((ObjectChange("b", 11, "B"),), 11)
+        self.assertEqual(self.watch.handle_changes(held_up, 10, given_at=3.0), ())
+        self.assertEqual((len(self.view), self.view.revision, self.view.confirmed_at), (1, 12, 1.0))
+        self.assertEqual(self.watch.next_request(), WatchRequest(12))
+
+    def test_an_answer_beyond_a_removal_does_not_repeat_what_came_before_it(self) -> None:
+        self.watch.handle_page(page("a", False, 10), asked_at=1.0)
+        self.view.apply((ObjectChange("b", 12, None),), 12)
+        batch = ChangeBatch((ObjectChange("b", 11, "B"), ObjectChange("c", 13, "C")), 13)
+        changes = self.watch.handle_changes(batch, 10, given_at=3.0)
+        self.assertEqual([change.name for change in changes], ["c"])
+        again = ChangeBatch((ObjectChange("b", 14, "B"),), 14)
+        self.assertEqual(len(self.watch.handle_changes(again, 13, given_at=4.0)), 1)
+
+    def test_freshness_counts_from_the_question(self) -> None:
+        """Guards against a held-up answer that counts as a confirmation of when it arrives."""
+        question = Question(WatchRequest(10), 5.0, 1.5, 0)
+        changed = ChangeBatch((ObjectChange("b", 11, "B"),), 11)
+        self.assertEqual(question.earliest_answer_time(changed, 7.0), 5.0)
+        self.assertEqual(question.earliest_answer_time(ChangeBatch((), 10), 7.0), 6.5)
+        self.assertEqual(question.earliest_answer_time(ChangeBatch((), 10), 6.0), 5.0)
+
     def test_it_continues_from_a_revision_learned_from_a_peer(self) -> None:
         self.watch.handle_page(page("a", False, 10), asked_at=1.0)
         self.view.apply((ObjectChange("b", 25, "B"),), 30)
@@ -122,7 +150,8 @@
         """A watch returns every large version, so that the newest one arrives late."""
         self.watch.handle_page(page("a", False, 10), asked_at=1.0)
         versions = (ObjectChange("a", 12, "A2"),)
-        self.watch.handle_changes(ChangeBatch(versions, 12, (), LARGE_ANSWER_BYTES), now=2.0)
+        batch = ChangeBatch(versions, 12, (), LARGE_ANSWER_BYTES)
+        self.watch.handle_changes(batch, 10, given_at=2.0)
         self.assertEqual(self.watch.next_request(), ListRequest(""))
         newest = ListPage((NamedRecord("a", 30, "A9"),), False, 30, "a")
         self.assertEqual(len(self.watch.handle_page(newest, asked_at=2.4)), 1)
@@ -140,7 +169,8 @@
         names = "abcdefgh"[: FEW_OBJECTS + 1]
         self.watch.handle_page(page(names, False, 10), asked_at=1.0)
         change = (ObjectChange("a", 12, "A2"),)
-        self.watch.handle_changes(ChangeBatch(change, 12, (), LARGE_ANSWER_BYTES), now=2.0)
+        batch = ChangeBatch(change, 12, (), LARGE_ANSWER_BYTES)
+        self.watch.handle_changes(batch, 10, given_at=2.0)
         self.assertEqual(self.watch.next_request(), WatchRequest(12))
         self.watch.handle_failure()
         self.assertEqual(self.watch.next_request(), WatchRequest(12))
@@ -149,7 +179,7 @@
         pauses = [self.watch.handle_failure() for _ in range(200)]
         self.assertLessEqual(max(pauses), MAXIMUM_PAUSE_SECONDS)
         self.assertLess(min(pauses), 0.05)
-        self.watch.handle_changes(ChangeBatch((), 1), now=1.0)
+        self.watch.handle_changes(ChangeBatch((), 1), 1, given_at=1.0)
         self.assertEqual(self.watch.failures, 0)
 
     def test_a_list_that_repeats_its_last_name_ends(self) -> None:
@@ -182,7 +212,8 @@
         """The store may have passed the watched number, and a watch omits changes below it."""
         change = ObjectChange("c", revision_in_era(2, 31), "C")
         batch = ChangeBatch((change,), revision_in_era(2, 31))
-        self.assertEqual(self.watch.handle_changes(batch, now=9.0), ())
+        watched = revision_in_era(1, 30)
+        self.assertEqual(self.watch.handle_changes(batch, watched, given_at=9.0), ())
         self.assertEqual(self.view.confirmed_at, 1.0)
         self.assertEqual(self.watch.next_request(), ListRequest(""))
         self.assertEqual(self.take_list("c", era=2, number=31), ["c", "a", "b"])
@@ -193,7 +224,7 @@
             (ObjectChange("b", revision_in_era(1, 31), None),), revision_in_era(1, 31)
         )
         with self.assertRaises(OlderAnswerError):
-            self.watch.handle_changes(batch, now=9.0)
+            self.watch.handle_changes(batch, revision_in_era(1, 30), given_at=9.0)
         self.assertEqual((self.view.confirmed_at, len(self.view)), (1.0, 2))
 
     def test_a_list_with_pages_of_two_eras_starts_over(self) -> None:
@@ -291,7 +322,7 @@
         self.assertEqual(self.view.revision, 40)
 
     def test_a_store_that_reports_its_era_is_still_watched(self) -> None:
-        self.watch.handle_changes(ChangeBatch((), 31), now=2.0, reports_era=True)
+        self.watch.handle_changes(ChangeBatch((), 31), 30, given_at=2.0, reports_era=True)
         self.watch.handle_lost_history()
         self.watch.handle_page(ListPage((), False, 33, ""), 3.0)
         self.watch.handle_failure()
--- a/tests/unit/views/test_store_call_schedule.py
+++ b/tests/unit/views/test_store_call_schedule.py
@@ -58,7 +58,7 @@
     def test_without_a_known_reader_a_view_becomes_stale_sooner(self) -> None:
         """After a start of all nodes, backends would be missing for the whole staleness."""
         self.take_list(1.0)
-        self.watch.handle_changes(ChangeBatch((), 12), now=2.0)
+        self.watch.handle_changes(ChangeBatch((), 12), 10, given_at=2.0)
         self.schedule.note_answer(2.0, changes=False)
         self.role.advance(0.0)
         self.role.advance(READER_DISCOVERY_SECONDS + MAXIMUM_START_DELAY_SECONDS)
@@ -72,7 +72,7 @@
     def test_a_node_that_just_joined_does_not_ask_sooner(self) -> None:
         """After a start of all nodes, each would ask and become a reader."""
         self.take_list(1.0)
-        self.watch.handle_changes(ChangeBatch((), 12), now=2.0)
+        self.watch.handle_changes(ChangeBatch((), 12), 10, given_at=2.0)
         self.schedule.note_answer(2.0, changes=False)
         self.role.advance(2.0, joined=False)
         self.assertFalse(self.schedule.must_ask(2.0 + self.times.stale_seconds - 0.01))
@@ -90,22 +90,32 @@
     def test_a_new_readers_first_watch_does_not_wait(self) -> None:
         """All nodes would become readers while the first reader's watch waits."""
         self.role.reading = True
-        self.assertEqual(self.schedule.wait_seconds, 0.0)
+        self.assertEqual(self.schedule.wait_seconds(1.0), 0.0)
         self.role.note_answer(2.0)
-        self.assertEqual(self.schedule.wait_seconds, self.times.wait_seconds)
+        self.assertEqual(self.schedule.wait_seconds(2.0), self.times.wait_seconds)
         self.role.advance(2.1 + self.times.silence_seconds)
-        self.assertEqual(self.schedule.wait_seconds, 0.0)
+        self.assertEqual(self.schedule.wait_seconds(2.1 + self.times.silence_seconds), 0.0)
 
     def test_the_pause_after_changes_shortens_the_watch(self) -> None:
         self.role.reading = True
         self.role.note_answer(1.0)
-        self.assertEqual(self.schedule.wait_seconds, self.times.wait_seconds)
-        self.watch.handle_changes(ChangeBatch((ObjectChange("b", 12, "B"),), 12), now=2.0)
+        self.assertEqual(self.schedule.wait_seconds(1.0), self.times.wait_seconds)
+        change = ChangeBatch((ObjectChange("b", 12, "B"),), 12)
+        self.watch.handle_changes(change, 10, given_at=2.0)
         pause = self.schedule.note_answer(2.0, changes=True)
         self.assertGreater(pause, 0.1)
-        self.assertLessEqual(pause + self.schedule.wait_seconds, self.times.wait_seconds)
+        wait = self.schedule.wait_seconds(2.0 + pause)
+        self.assertLessEqual(pause + wait, self.times.wait_seconds)
         self.assertEqual(self.schedule.note_answer(3.0, changes=False), 0.0)
-        self.assertEqual(self.schedule.wait_seconds, self.times.wait_seconds)
+
+    def test_a_watch_after_a_late_answer_waits_for_what_is_left(self) -> None:
+        """The next answer then comes before the view that others got is stale."""
+        self.role.reading = True
+        self.role.note_answer(2.0)
+        self.watch.handle_changes(ChangeBatch((ObjectChange("b", 12, "B"),), 12), 10, given_at=2.0)
+        left = self.schedule.wait_seconds(3.0)
+        self.assertAlmostEqual(left, self.times.wait_seconds - 1.0)
+        self.assertEqual(self.schedule.wait_seconds(2.0 + 2 * self.times.wait_seconds), 0.0)
 
     def test_pauses_between_failing_calls_grow_with_the_fleet(self) -> None:
         self.take_list(1.0)
@@ -147,7 +157,7 @@
 
     def test_a_reader_of_other_kinds_asks_before_the_view_is_stale(self) -> None:
         self.take_list(1.0)
-        self.watch.handle_changes(ChangeBatch((), 12), now=2.0)
+        self.watch.handle_changes(ChangeBatch((), 12), 10, given_at=2.0)
         self.schedule.note_answer(2.0, changes=False)
         self.role.reading = True
         self.role.note_reader("3", 2.0)
@@ -155,7 +165,7 @@
         self.assertFalse(self.schedule.must_ask(2.0 + self.times.wait_seconds))
         self.assertTrue(self.schedule.must_ask(2.01 + self.times.overdue_seconds))
         self.assertLess(self.times.overdue_seconds, self.times.stale_seconds)
-        self.assertEqual(self.schedule.wait_seconds, 0.0)
+        self.assertEqual(self.schedule.wait_seconds(2.01 + self.times.overdue_seconds), 0.0)
 
 
 if __name__ == "__main__":
--- a/tests/unit/views/test_store_reader.py
+++ b/tests/unit/views/test_store_reader.py
@@ -19,7 +19,7 @@
 BACKENDS = KindFormat[BackendRecord](
     "backends",
     lambda request: LIST_PATH,
-    lambda request, wait_seconds: f"wait {wait_seconds:g}",
+    lambda request, wait_seconds: f"wait {round(wait_seconds, 1):g}",
     lambda body, era: ListPage((), False, REVISION, ""),
     lambda body, era: ChangeBatch((), REVISION),
     read_era,
@@ -59,7 +59,7 @@
         reader = StoreReader(core.backend_watch, BACKENDS, connection, core.backend_schedule)
         failures: list[str] = []
         reader.on_failure = lambda reason, count: failures.append(reason)
-        reader.on_answer = lambda changes: core.role.note_answer(asyncio.get_running_loop().time())
+        reader.on_answer = lambda changes, given_at: core.role.note_answer(given_at)
         task = asyncio.create_task(reader.run())
         try:
             await asyncio.wait_for(connection.exhausted.wait(), MAXIMUM_SECONDS)
