Store answers: read up to the first damaged entry, in linear time

The pattern for the next head read to the end of the answer from each of n places, and a head within the entry's content counted as the next entry. Change: nothing behind the beginning of a damaged entry is read. A list goes on behind its name, which the store wrote, with another call; a list replaces changes. A path of over 8 KB ends a connection to the node's HTTP ports. The other writer of the soak, of AnotherWriterTest and the fuzzing write such bytes, up to 512 KB. Names that no store can write (no text) go with readable contents only.

--- a/src/beamloom/fuzzing/subjects/codec.py
+++ b/src/beamloom/fuzzing/subjects/codec.py
@@ -72,7 +72,10 @@
 
 
 def _read_beside_foreign_content(data: bytes) -> object:
-    """Read a list in which another program wrote the content of one object."""
+    """Read a list in which another program wrote the content of one object.
+
+    The other object is read, or remains for the next page.
+    """
     objects = (
         encode_object(FOREIGN_NAME, 5, 5, FOREIGN_NAME),
         encode_object(GOOD_BACKEND.name, 6, 6, encode_backend(GOOD_BACKEND)),
@@ -80,6 +83,8 @@
     body = json.dumps(encode_list(objects, False, 9)).encode()
     body = body.replace(f'"spec": "{FOREIGN_NAME}"'.encode(), b'"spec": ' + data)
     page = store_objects.read_page(body, 1, store_objects.translate_backend)
+    if (page.more, page.last_name) == (True, FOREIGN_NAME):
+        return page
     if GOOD_BACKEND not in [named.record for named in page.records]:
         raise InvariantViolationError("the entry beside a foreign one was not read")
     return page
--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -10,7 +10,7 @@
 from beamloom.model.store_revision import number_of
 from beamloom.platform.errors import PlatformFormatError
 from beamloom.platform.packet_layout import destination_key
-from beamloom.replication.object_answers import DamagedEntry, ObjectCollector, read_number
+from beamloom.replication.object_answers import ObjectCollector, PartialAnswer, read_number
 from beamloom.replication.object_watch import ChangeBatch, ListPage, ListRequest, WatchRequest
 from beamloom.routing.tokens.backend_fields import read_backend
 from beamloom.routing.tokens.records import (
@@ -64,6 +64,8 @@
 
 ENTRY_HEAD = r'\{\s*(?:"gone"\s*:\s*(?:true|false)\s*,\s*"object"\s*:\s*\{\s*)?"meta"\s*:\s*'
 """How an object in a list, or a change in the answer to a watch, begins."""
+ENTRY_MEMBERS = frozenset({"meta", "spec", "status"})
+"""Members of each object that the store returns."""
 
 Record = TypeVar("Record")
 Translate = Callable[[str, Any], Record]
@@ -85,10 +87,16 @@
 
 
 def _percent_encode(text: str) -> str:
-    """Encode a query value; the import is late, as few lists have a second page."""
+    """Encode a query value; the import is late, as few lists have a second page.
+
+    Bytes that are not UTF-8 remain as they are in names that a store returned.
+    """
     from urllib.parse import quote
 
-    return quote(text, safe="")
+    try:
+        return quote(text, safe="", errors="surrogateescape")
+    except UnicodeEncodeError:
+        return quote(text, safe="", errors="surrogatepass")
 
 
 def watch_path(kind: str, request: WatchRequest, wait_seconds: float) -> str:
@@ -126,43 +134,50 @@
 
 
 def read_page(body: bytes, era: int, translate: Translate[Record]) -> ListPage[Record]:
-    """Parse the answer to a list; only faults beyond single objects raise PlatformFormatError."""
-    document = _load(body, "items")
+    """Parse the answer to a list; only faults beyond single objects raise PlatformFormatError.
+
+    The page ends at an entry that is not JSON.
+    """
+    answer = _load(body, "items")
     objects = ObjectCollector(translate, era)
     try:
-        for entry in document["items"]:
+        for entry in answer.entries:
             _add_object(objects, entry)
-        return objects.page(document["at"], more=bool(document["more"]))
+        _cut_at_damage(objects, answer)
+        return objects.page(answer.document["at"], more=bool(answer.document["more"]))
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformFormatError(f"a list of the store cannot be read: {error!r}") from error
 
 
 def read_changes(body: bytes, era: int, translate: Translate[Record]) -> ChangeBatch[Record]:
-    """Parse the answer to a watch; only faults beyond single objects raise PlatformFormatError."""
-    document = _load(body, "events")
+    """Parse the answer to a watch; only faults beyond single objects raise PlatformFormatError.
+
+    It is cut at an entry that is not JSON.
+    """
+    answer = _load(body, "events")
     objects = ObjectCollector(translate, era)
     try:
-        for event in document["events"]:
+        for event in answer.entries:
             if isinstance(event, dict):
                 _add_object(objects, event.get("object"), gone=bool(event.get("gone")))
             else:
                 _add_object(objects, event)
-        return objects.batch(document["at"], len(body))
+        _cut_at_damage(objects, answer)
+        return objects.batch(answer.document["at"], len(body))
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformFormatError(f"changes of the store cannot be read: {error!r}") from error
 
 
 def _add_object(objects: ObjectCollector[Record], entry: object, *, gone: bool = False) -> None:
-    """Add an entry; of a damaged one only what the store itself wrote is known."""
-    damage = ""
-    if isinstance(entry, DamagedEntry):
-        damage = entry.reason
-        gone = "true" in entry.head  # its only boolean tells whether the object is gone
-        entry = {"meta": entry.meta}
     stored = entry if isinstance(entry, dict) else {}
     meta = stored["meta"] if isinstance(stored.get("meta"), dict) else {}
     content = stored.get("spec") or stored.get("status")
-    objects.add(meta.get("name"), meta.get("revision"), content, gone=gone, damage=damage)
+    objects.add(meta.get("name"), meta.get("revision"), content, gone=gone)
+
+
+def _cut_at_damage(objects: ObjectCollector[Record], answer: PartialAnswer) -> None:
+    if answer.damaged is not None:
+        objects.cut(answer.damaged)
 
 
 def translate_backend(name: str, entry: Mapping[str, Any]) -> BackendRecord:
@@ -204,22 +219,29 @@
     return RouteRecord(str(route["name"]), destination_key(address, port), parts, terms)
 
 
-def _load(body: bytes, member: str) -> dict[str, Any]:
-    """Parse an answer; entries of its array `member` that are not JSON become DamagedEntry."""
+def _load(body: bytes, member: str) -> PartialAnswer:
+    """Parse an answer with the array `member`, up to an entry that is not JSON."""
     try:
         document = json.loads(body.decode())
     except (ValueError, RecursionError):
-        document = _recover(body, member)
-    if not isinstance(document, dict) or not isinstance(document.get(member), list):
+        return _recover(body, member)
+    entries = document.get(member) if isinstance(document, dict) else None
+    if not isinstance(entries, list):
         raise PlatformFormatError(f"an answer of the store has no array {member!r}")
-    return document
+    return PartialAnswer(document, entries, None)
 
 
-def _recover(body: bytes, member: str) -> dict[str, Any]:
+def _recover(body: bytes, member: str) -> PartialAnswer:
     """Parse an answer entry by entry; the import is late, as few answers are damaged."""
     from beamloom.replication.answer_recovery import AnswerRecovery
 
     try:
-        return AnswerRecovery(member, ENTRY_HEAD).read(body)
+        return AnswerRecovery(member, ENTRY_HEAD, _is_complete).read(body)
     except (ValueError, RecursionError) as error:
         raise PlatformFormatError(f"an answer of the store is not JSON: {error}") from error
+
+
+def _is_complete(entry: object) -> bool:
+    """Whether an object in a list, or a change, has all members that the store returns."""
+    stored = entry.get("object", entry) if isinstance(entry, dict) else None
+    return isinstance(stored, dict) and stored.keys() >= ENTRY_MEMBERS
--- a/src/beamloom/replication/answer_recovery.py
+++ b/src/beamloom/replication/answer_recovery.py
@@ -1,41 +1,33 @@
-"""Reads an answer of a store that is not JSON as a whole, entry by entry.
+"""Reads an answer of a store that is not JSON as a whole, up to its first damaged entry.
 
 A store returns an entry as its writer sent it, and any program may write one. An entry with bytes
 that are not UTF-8, a control character, a number of too many digits or too deep a nesting makes the
-whole answer unreadable for a JSON decoder. Here such an entry is set apart, and the other entries
-are read as if it did not exist.
+whole answer unreadable for a JSON decoder. Where such an entry ends cannot be told for certain: it
+may hold what looks like the end of an entry and the beginning of the next one. So nothing after its
+beginning is read. The store lists the entries after it by its name, which the store itself wrote.
+
+Each byte is read a constant number of times.
 """
 
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Mapping
 from json import JSONDecodeError, JSONDecoder
-from typing import Any
-
-from beamloom.replication.object_answers import DamagedEntry
 
-MAXIMUM_TOKENS = 50_000
-"""How many tokens of an answer are read to find the closing brackets of damaged entries.
+from beamloom.replication.object_answers import DamagedEntry, PartialAnswer
 
-Beyond that only heads are searched, so that the time grows linearly with the size of an answer.
-"""
 FIRST_PART_CHARACTERS = 4096
 """Longer than the entries of endpoints."""
 LONGEST_TOKEN = 16
 """Exceeds the length of each literal and escape of JSON, which the end of a part may cut."""
+MAXIMUM_META_CHARACTERS = 65_536
+"""Exceeds the length of what a store writes about an object."""
 
 _UNDECODABLE = re.compile("[\udc80-\udcff]")
 """What the error handler `surrogateescape` puts in place of bytes that are not UTF-8."""
 _SPACE = re.compile(r"[ \t\n\r]*")
 _SEPARATOR = re.compile(r"[ \t\n\r]*,[ \t\n\r]*(?=\{)")
-_FLAT_OBJECT = r'\{(?:[^{}"]++|"[^"\\]*+(?:\\.[^"\\]*+)*+")*+\}'
-"""An object without objects inside."""
-_TOKEN = re.compile(
-    r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]+|[\]}]+|[\s,:\d+\-.eE]+|true|false|null|NaN|Infinity',
-    re.DOTALL,
-)
-"""A string, a run of opening or closing brackets, or what else JSON has outside strings."""
 
 _DECODER = JSONDecoder()
 
@@ -44,20 +36,21 @@
     """Reads an answer whose entries stand in the array `member` of an object.
 
     `head` is the pattern of how an entry begins, up to a value that the store wrote itself.
+    `is_complete` returns whether a decoded value has all parts of an entry: a damaged entry may
+    seem to end early.
     """
 
-    def __init__(self, member: str, head: str) -> None:
+    def __init__(self, member: str, head: str, is_complete: Callable[[object], bool]) -> None:
         self._member = member
-        self._tokens_left = MAXIMUM_TOKENS
+        self._is_complete = is_complete
         self._opening = re.compile(rf'"{member}"\s*:\s*\[')
-        head_and_meta = f"(?P<head>{head})(?P<meta>{_FLAT_OBJECT})"
-        self._head = re.compile(head_and_meta, re.DOTALL)
-        self._next = re.compile(rf",[ \t\n\r]*+(?={head_and_meta})", re.DOTALL)
+        self._head = re.compile(head)
 
-    def read(self, body: bytes) -> dict[str, Any]:
-        """Return an answer with a DamagedEntry in place of each entry that cannot be decoded.
+    def read(self, body: bytes) -> PartialAnswer:
+        """Return an answer up to its first damaged entry.
 
-        Raises ValueError if anything outside the array of the entries is damaged.
+        Raises ValueError if anything outside the array of the entries is damaged, or what the
+        store wrote about the damaged entry.
         """
         text = body.decode(errors="surrogateescape")
         opening = self._opening.search(text)
@@ -68,72 +61,46 @@
         document = _DECODER.decode(text[:begin] + text[end:])
         if not isinstance(document, dict) or document.get(self._member) != []:
             raise ValueError(f"its array {self._member!r} is not a member of the outermost object")
-        document[self._member] = list(self._read_entries(text, begin, end))
-        return document
-
-    def _read_entries(self, text: str, begin: int, end: int) -> Iterator[object]:
+        entries: list[object] = []
+        damaged = self._read_entries(text, begin, end, entries)
+        return PartialAnswer(document, entries, damaged)
+
+    def _read_entries(
+        self, text: str, begin: int, end: int, entries: list[object]
+    ) -> DamagedEntry | None:
+        """Append the entries before the first damaged one, and return that one."""
         position = _skip_space(text, begin)
         while position < end:
-            entry, after = self._read_entry(text, position, end)
-            yield entry
+            try:
+                entry, after = self._read_entry(text, position, end)
+            except (ValueError, RecursionError) as error:
+                return DamagedEntry(self._read_meta(text, position), str(error))
+            entries.append(entry)
             separator = _SEPARATOR.match(text, after, end)
             position = end if separator is None else separator.end()
-
-    def _read_entry(self, text: str, begin: int, end: int) -> tuple[object, int]:
-        """Return the entry at a position, and where it ends."""
-        try:
-            entry, after = _decode_entry(text, begin)
-        except (ValueError, RecursionError) as error:
-            reason = f"{type(error).__name__}: {error}"
-        else:
-            if _UNDECODABLE.search(text, begin, after):
-                reason = "it has bytes that are not UTF-8"
-            elif _is_boundary(text, after, end):
-                return entry, after
-            else:
-                reason = "it goes on after its last bracket"
-        return self._read_damaged(text, begin, reason), self._find_end(text, begin, end)
-
-    def _find_end(self, text: str, begin: int, end: int) -> int:
-        """Return where a damaged entry ends: where its brackets close, or before the next head.
-
-        Brackets do not count if they do not pair, as when a quotation mark is missing.
-        """
-        closing = self._find_closing_bracket(text, begin, end)
-        if closing is not None and _is_boundary(text, closing, end):
-            return closing
-        following = self._next.search(text, begin, end)
-        return end if following is None else following.start()
-
-    def _find_closing_bracket(self, text: str, begin: int, end: int) -> int | None:
-        """Return the position after the bracket that closes the one at `begin`, or None.
-
-        Anything outside a string that JSON does not have there shows that quotation marks do not
-        pair.
-        """
-        depth, position = 0, begin
-        while self._tokens_left and (token := _TOKEN.match(text, position, end)) is not None:
-            self._tokens_left -= 1
-            position = token.end()
-            run = token[0]
-            if run[0] in "[{":
-                depth += len(run)
-            elif run[0] in "]}":
-                if depth <= len(run):
-                    return token.start() + depth if depth else None
-                depth -= len(run)
         return None
 
-    def _read_damaged(self, text: str, begin: int, reason: str) -> DamagedEntry:
-        """Return what can be read of a damaged entry."""
-        unknown = DamagedEntry("", None, reason)
+    def _read_entry(self, text: str, begin: int, end: int) -> tuple[object, int]:
+        """Return the entry at a position, and its end; raises ValueError or RecursionError."""
+        entry, after = _decode_entry(text, begin)
+        if _UNDECODABLE.search(text, begin, after):
+            raise ValueError("it has bytes that are not UTF-8")
+        is_last = _skip_space(text, after) == end
+        if not is_last and _SEPARATOR.match(text, after, end) is None:
+            raise ValueError("it goes on after its last bracket")
+        if not self._is_complete(entry):
+            raise ValueError("it ends before its last member")
+        return entry, after
+
+    def _read_meta(self, text: str, begin: int) -> Mapping[str, object]:
+        """Return what the store wrote about a damaged entry; raises ValueError."""
         head = self._head.match(text, begin)
-        if head is None or _UNDECODABLE.search(head["meta"]):
-            return unknown
-        try:
-            return DamagedEntry(head["head"], _DECODER.decode(head["meta"]), reason)
-        except (ValueError, RecursionError):
-            return unknown
+        if head is None:
+            raise ValueError("a damaged entry does not begin like one of the store's")
+        meta, _ = _DECODER.raw_decode(text[head.end() : head.end() + MAXIMUM_META_CHARACTERS])
+        if not isinstance(meta, dict):
+            raise ValueError("a damaged entry does not begin like one of the store's")
+        return meta
 
 
 def _decode_entry(text: str, begin: int) -> tuple[object, int]:
@@ -153,11 +120,6 @@
     return entry, begin + length
 
 
-def _is_boundary(text: str, position: int, end: int) -> bool:
-    """Whether an entry can end at a position: the array ends there, or another entry follows."""
-    return _skip_space(text, position) == end or _SEPARATOR.match(text, position, end) is not None
-
-
 def _skip_space(text: str, position: int) -> int:
     match = _SPACE.match(text, position)
     assert match is not None
--- a/src/beamloom/replication/object_answers.py
+++ b/src/beamloom/replication/object_answers.py
@@ -1,11 +1,13 @@
 """Collects the objects in an answer of a store, so that none affects how the others are read.
 
-Any program may have written an object. One that cannot be read counts as removed.
+Any program may have written an object. One that cannot be read counts as removed. One that cannot
+even be decoded cuts its answer: the rest of a list is requested by another page, and changes are
+replaced by a list.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Generic, NamedTuple, TypeVar
 
 from beamloom.model.store_revision import NUMBER_BITS, revision_in_era
@@ -27,22 +29,26 @@
 
 
 class DamagedEntry(NamedTuple):
-    """An entry that cannot be decoded, and the reason.
+    """The first entry that cannot be decoded: `meta` as the store wrote it, and the reason."""
 
-    `head` is how it begins, up to the value `meta`, which its store wrote and which can be read.
-    Without such a beginning `head` is empty and `meta` is None.
-    """
-
-    head: str
-    meta: object
+    meta: Mapping[str, object]
     reason: str
 
 
+class PartialAnswer(NamedTuple):
+    """The members of an answer besides its entries, and the entries before a damaged one."""
+
+    document: dict[str, Any]
+    entries: list[object]
+    damaged: DamagedEntry | None
+
+
 class ObjectCollector(Generic[Record]):
     """The last change of each object in an answer, whose revisions are of one era.
 
     `read_record` converts an object's name and content to its record; whatever it raises makes only
-    that object unreadable. `unreadable` describes the objects that were left out.
+    that object unreadable. `unreadable` describes the objects that were left out. An answer is cut
+    at an object that cannot be decoded.
     """
 
     def __init__(self, read_record: Callable[[str, Any], Record], era: int) -> None:
@@ -50,6 +56,7 @@
         self._read_record = read_record
         self._era = era
         self._last_name = ""
+        self._is_cut = False
         self._changes: dict[str, ObjectChange[Record]] = {}
 
     def add(
@@ -68,6 +75,18 @@
         record = None if gone else self._convert(known_name, content, damage)
         self._changes[known_name] = ObjectChange(known_name, revision, record)
 
+    def cut(self, entry: DamagedEntry) -> None:
+        """Add a last object whose content is unknown; whatever follows it in the answer is too.
+
+        Raises ObjectFieldError if it has no name after which a list can be continued.
+        """
+        name = entry.meta.get("name")
+        if not isinstance(name, str) or not name:
+            raise ObjectFieldError("an entry that cannot be decoded has no name")
+        self.add(name, entry.meta.get("revision"), None, gone=False, damage=entry.reason)
+        self._last_name = name
+        self._is_cut = True
+
     def _convert(self, name: str, content: object, damage: str) -> Record | None:
         try:
             return self._read_record(name, content)
@@ -79,19 +98,24 @@
         self.unreadable.append(f"{name}: {reason:.{MAXIMUM_REASON_CHARACTERS}}")
 
     def page(self, number: object, *, more: bool) -> ListPage[Record]:
-        """Return the page of a list at a revision number; raises ObjectFieldError."""
+        """Return the page of a list at a revision number; raises ObjectFieldError.
+
+        The next page begins after an object at which this one is cut.
+        """
         records = tuple(
             NamedRecord(change.name, change.revision, change.record)
             for change in self._changes.values()
             if change.record is not None
         )
         revision = self._revision(number)
-        return ListPage(records, more, revision, self._last_name, tuple(self.unreadable))
+        unreadable = tuple(self.unreadable)
+        return ListPage(records, more or self._is_cut, revision, self._last_name, unreadable)
 
     def batch(self, number: object, size_bytes: int) -> ChangeBatch[Record]:
         """Return the changes up to a revision number; raises ObjectFieldError."""
         changes = tuple(self._changes.values())
-        return ChangeBatch(changes, self._revision(number), tuple(self.unreadable), size_bytes)
+        revision, unreadable = self._revision(number), tuple(self.unreadable)
+        return ChangeBatch(changes, revision, unreadable, size_bytes, self._is_cut)
 
     def _revision(self, number: object) -> int:
         return revision_in_era(self._era, read_number(number))
--- a/src/beamloom/replication/object_watch.py
+++ b/src/beamloom/replication/object_watch.py
@@ -63,13 +63,14 @@
     """The answer to a watch: the changes, and the revision to continue from.
 
     `unreadable` describes invalid objects, which are reported as removed. `size_bytes` is the
-    length of the answer.
+    length of the answer. If it `is_cut`, changes are missing.
     """
 
     changes: tuple[ObjectChange[Record], ...]
     revision: int
     unreadable: tuple[str, ...] = ()
     size_bytes: int = 0
+    is_cut: bool = False
 
 
 Changes = tuple[ObjectChange[Record], ...]
@@ -279,9 +280,10 @@
         `given_at` is a time before which the store has not given the answer. Peers may have brought
         the view to a higher revision since; then the answer changes and confirms nothing. An answer
         of a later era than the view's is discarded and a list follows: numbers are reused in the
-        new era, so changes below the watched number would be missing. Raises OlderAnswerError if
-        the answer is of a former era, or ends below the watched revision although the store
-        reports its era. A store that reports none may have been restored then.
+        new era, so changes below the watched number would be missing. A list follows one that is
+        cut, too. Raises OlderAnswerError if the answer is of a former era, or ends below the
+        watched revision although the store reports its era. A store that reports none may have been
+        restored then.
         """
         self._reports_era = reports_era
         known = self.view.revision
@@ -290,6 +292,9 @@
         if known is not None and era_of(batch.revision) > era_of(known):
             self.handle_lost_history()
             return ()
+        if batch.is_cut:
+            self.handle_lost_history()
+            return ()
         if batch.revision < watched:
             if reports_era:
                 raise OlderAnswerError(batch.revision, watched)
--- a/src/beamloom/runtime/http_responder.py
+++ b/src/beamloom/runtime/http_responder.py
@@ -37,6 +37,8 @@
     """The client to read its answers."""
 
 
+MAXIMUM_PATH_BYTES = 8192
+"""A caller that sends a longer path is disconnected."""
 EVICTED = "evicted"
 """Counts connections that were closed in favour of a new one."""
 FLOODING = "flooding"
@@ -169,6 +171,10 @@
         self._request_incomplete = True
 
     def on_url(self, url: bytes) -> None:
+        if len(self._path) + len(url) > MAXIMUM_PATH_BYTES:
+            self._responder.counters[FLOODING] += 1
+            self.close()
+            return
         self._path += url.decode("latin-1")
 
     def on_message_complete(self) -> None:
--- a/src/beamloom/runtime/store_reader.py
+++ b/src/beamloom/runtime/store_reader.py
@@ -89,6 +89,7 @@
         self._list_seconds = LIST_SECONDS
         self._pause_seconds = 0.0
         self._was_silent = False
+        self._saw_unreadable = False
 
     def advance(self, now: float) -> None:
         """Wake `run` if a call has become necessary; to be called a few times a second."""
@@ -177,7 +178,9 @@
             changes, given_at = self._apply_body(question, answer)
         except ValueError as error:
             return f"unreadable: {error}"
-        self._pause_seconds = self._schedule.note_answer(_now(), changes=bool(changes))
+        # A pause after unreadable objects bounds how often another writer can cause lists.
+        pauses = bool(changes) or (self._saw_unreadable and not self.watch.must_list)
+        self._pause_seconds = self._schedule.note_answer(_now(), changes=pauses)
         self.on_answer(changes, given_at)
         return None
 
@@ -218,6 +221,7 @@
             self.on_older_list(number_of(listed), number_of(known))
 
     def _report_unreadable(self, unreadable: tuple[str, ...]) -> None:
+        self._saw_unreadable = bool(unreadable)
         for text in unreadable:
             self.counters["objects_unreadable"] += 1
             self.on_unreadable(text)
--- a/src/beamloom/standins/another_writer.py
+++ b/src/beamloom/standins/another_writer.py
@@ -53,6 +53,16 @@
     b'{"a":' * 1200 + b"1" + b"}" * 1200,
 )
 """What random damage inserts, besides random bytes."""
+LOOK_ALIKES: tuple[bytes, ...] = (
+    b', {"meta": {\\"',
+    b',{"meta":{"name":"i-0badbad8","revision":9},"spec":',
+    b',"status":null},{"meta":{"name":"i-0badbad9","revision":9},"spec":{"service":"',
+    b',{"gone":true,"object":{"meta":{"name":"i-0badbad9"},',
+)
+"""Parts of what a store writes around an entry, as a copy of its answer holds them."""
+LARGE_SHARE = 0.05
+LARGE_ENTRY_BYTES = 1 << 19
+"""Half of the largest object that the platform's store accepts."""
 
 
 def damage(data: bytes, rng: random.Random) -> bytes:
@@ -72,10 +82,15 @@
 
 
 def make_content(entry: Mapping[str, object], rng: random.Random) -> bytes:
-    """Return a copy of an entry that names no endpoint any more."""
+    """Return a copy of an entry that names no endpoint any more; a few are large."""
     if rng.random() < 0.5:
         return with_odd_field(entry, rng)
     content = json.dumps(entry).encode()
+    if rng.random() < LARGE_SHARE:
+        part = rng.choice((*LOOK_ALIKES, *FRAGMENTS))
+        content = content[: rng.randint(0, 20)] + part * (LARGE_ENTRY_BYTES // len(part))
+    elif rng.random() < LARGE_SHARE:
+        content = content[:-1] + rng.choice(LOOK_ALIKES) + content[rng.randint(0, 20) :]
     while is_json(content):
         content = damage(content, rng)
     return content
--- a/tests/functional/test_foreign_http.py
+++ b/tests/functional/test_foreign_http.py
@@ -3,11 +3,12 @@
 import asyncio
 import random
 import unittest
+from contextlib import suppress
 from typing import Any
 
 from beamloom.runtime.connection_limits import ConnectionKind, list_limits
 from beamloom.runtime.http_client import CallFailedError, HttpConnection, HttpResponse
-from beamloom.runtime.http_responder import HttpResponder
+from beamloom.runtime.http_responder import MAXIMUM_PATH_BYTES, HttpResponder
 from beamloom.standins.another_writer import damage
 
 HOST = "127.0.0.1"
@@ -51,6 +52,19 @@
         writer.close()
         self.assertEqual(self.errors, [])
 
+    async def test_a_caller_with_an_endless_path_is_disconnected(self) -> None:
+        """Guards against time and memory that grow with a path, part by part."""
+        responder = HttpResponder({}, ConnectionKind.READINESS)
+        await responder.start(HOST, 0)
+        self.addCleanup(responder.close)
+        assert responder._server is not None
+        reader, writer = await asyncio.open_connection(*responder._server.sockets[0].getsockname())
+        writer.write(b"GET /" + bytes(b"a" * MAXIMUM_PATH_BYTES))
+        with suppress(ConnectionError):
+            self.assertEqual(await asyncio.wait_for(reader.read(), 1.0), b"")
+        writer.close()
+        self.assertEqual(responder.counters["flooding"], 1)
+
     async def test_a_call_is_answered_or_fails_as_declared(self) -> None:
         rng = random.Random(47)
         answers = [SWITCH, *(damage(ANSWER, rng) for _ in range(CASES))]
