Soak: answers held up in series of cuts, lost, late and doubled datagrams

Change: `way_held_up` holds a node's calls and answers up four times, 0.3 to 2 s each; 0.5% of the packets of endpoints are lost, 1% late by up to 1 s or doubled; a reset by an endpoint is a violation while another one holds the flow. Nodes of an older version, which send copies of an opening to two endpoints, are spared the datagrams.

--- a/src/beamloom/soak/faults.py
+++ b/src/beamloom/soak/faults.py
@@ -73,6 +73,7 @@
             "way_cut": lambda: proxy_fault(ProxyFault.CUT),
             "way_cut_answers": lambda: proxy_fault(ProxyFault.CUT_ANSWERS),
             "way_delayed": lambda: proxy_fault(ProxyFault.DELAY),
+            "way_held_up": self._cut_briefly,
             "way_reset": self._reset_connections,
             "store_unavailable": lambda: store_fault("unavailable", True, 4.0),
             "store_silent": lambda: store_fault("silent", True, 4.0),
@@ -141,6 +142,10 @@
     def _inject_proxy_fault(self, fault: ProxyFault) -> None:
         self._harness.inject_proxy_fault(self._pick_node(), fault, 4.0)
 
+    def _cut_briefly(self) -> None:
+        name, rng = self._pick_node(), random.Random(self._rng.getrandbits(32))
+        self._harness.spawn(self._harness.cut_briefly(name, rng))
+
     def _reset_connections(self) -> None:
         name = self._pick_node()
         self._harness.note_fault(name, 0.0)
--- a/src/beamloom/soak/harness.py
+++ b/src/beamloom/soak/harness.py
@@ -41,13 +41,20 @@
 """Minimum time between a planned stop and the start that follows it."""
 MAXIMUM_DATAGRAM_BYTES = 4096
 FORMER_FOLDER = "former"
+DATAGRAM_SEED_OFFSET = 7
+OTHER_ENDPOINT = "another endpoint"
+BRIEF_CUTS = 4
+BRIEF_CUT_SECONDS = (0.3, 2.0)
+BRIEF_CUT_PAUSE_SECONDS = (0.1, 0.5)
+"""What these cuts hold up arrives before calls time out, and the next cut begins soon after."""
 
 
 class SoakHarness:
     """One deployment of real nodes; `start` is called first and `close` last.
 
     Each soak has a loopback network of its own, so that several can run at once. With
-    `former_package`, the package of an older version, nodes run that version until `upgrade`.
+    `former_package`, the package of an older version, nodes run that version until `upgrade`, and
+    the datagrams of endpoints are not disturbed, as it sends copies of an opening to two endpoints.
     Raises OSError if no network is free.
     """
 
@@ -62,7 +69,10 @@
         network, self._client_socket = _claim_network()
         self._network = network
         self._client_host = f"{network}{CLIENT_HOST_SUFFIX}"
-        self.congestion = Congestion(self._client_socket, (self._client_host, PACKETS_PORT))
+        datagram_rng = None if former_package else random.Random(seed + DATAGRAM_SEED_OFFSET)
+        self.congestion = Congestion(
+            self._client_socket, (self._client_host, PACKETS_PORT), datagram_rng
+        )
         self.platform = SoakPlatform(network, self.oracle, lambda: self.now, self.call_later)
         self._paused_until: dict[str, float] = {}
         self._folder = folder
@@ -186,6 +196,13 @@
             proxy.reset_connections()
         self.call_later(seconds, lambda: setattr(proxy, "fault", ProxyFault.NONE))
 
+    async def cut_briefly(self, name: str, rng: random.Random) -> None:
+        """Hold up a node's calls and answers several times, each time for a short while."""
+        for _ in range(BRIEF_CUTS):
+            seconds = rng.uniform(*BRIEF_CUT_SECONDS)
+            self.inject_proxy_fault(name, ProxyFault.HOLD, seconds)
+            await asyncio.sleep(seconds + rng.uniform(*BRIEF_CUT_PAUSE_SECONDS))
+
     def silence(self, name: str) -> None:
         """Silence the current connections of a node to the store for good."""
         self.note_fault(name, 0.0)
@@ -276,8 +293,8 @@
             if packet is None or flow is None or flow.ended:
                 continue
             node = self._node_at(host)
-            if node and packet.flags & FLAG_RST:
-                self._check_reset(flow, node)
+            if packet.flags & FLAG_RST and (node or not self.runs_former):
+                self._check_reset(flow, node or OTHER_ENDPOINT)
             first, count = flow.answers[:1], len(flow.answers)
             replies = flow.handle(packet, self.now)
             if len(flow.answers) > count and first:
@@ -286,19 +303,22 @@
                 self.oracle.report("mixed", self.now, text)
             self._send_to_nodes(replies)
 
-    def _check_reset(self, flow: TokenClientFlow, node: str) -> None:
+    def _check_reset(self, flow: TokenClientFlow, sender: str) -> None:
+        """Check a reset by a node, or by an endpoint, which resets only flows that it lacks."""
+        if flow.state is FlowState.OPENING and sender == OTHER_ENDPOINT:
+            return
         if flow.state is FlowState.OPENING:
             destination = key_of(flow.service)
             if self.platform.may_have_no_backend(destination):
                 self.oracle.counters["refusals_for_cold"] += 1
                 return
             zones = zones_of(self.platform, destination)
-            self.oracle.check_refusal(node, destination, self.now, zones)
+            self.oracle.check_refusal(sender, destination, self.now, zones)
         elif any(
             endpoint.alive and endpoint.model.holds(flow.source)
             for endpoint in self.platform.endpoints
         ):
-            self.oracle.report("flow", self.now, f"{node} reset {flow.source}")
+            self.oracle.report("flow", self.now, f"{sender} reset {flow.source}")
 
     def _send_to_nodes(self, packets: list[FlowPacket]) -> None:
         for packet in packets:
--- a/src/beamloom/soak/proxy.py
+++ b/src/beamloom/soak/proxy.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 CHUNK_BYTES = 65_536
+HOLD_POLL_SECONDS = 0.005
 CLOSE_TIMEOUT_SECONDS = 0.5
 """How long `close` waits for the forwarding tasks, whose connections it has reset."""
 
@@ -23,6 +24,8 @@
     """Requests pass, answers are dropped."""
     DELAY = "delay"
     """Answers are delayed."""
+    HOLD = "hold"
+    """Data is held up in both directions until the fault ends, as TCP sends it again."""
 
 
 class _Connection:
@@ -122,6 +125,8 @@
             while data := await reader.read(CHUNK_BYTES):
                 if answers and self.fault is ProxyFault.DELAY:
                     await asyncio.sleep(self.delay_seconds)
+                while self.fault is ProxyFault.HOLD:
+                    await asyncio.sleep(HOLD_POLL_SECONDS)
                 if connection.silent or self._drops_data(answers):
                     continue
                 writer.write(data)
