--- a/src/beamloom/standins/another_writer.py
+++ b/src/beamloom/standins/another_writer.py
@@ -36,6 +36,8 @@
     b"",
 )
 """Values that no field of an entry may have, by type, range, size or syntax."""
+ODD_ADDRESSES = (b'"10.0.0.9:70000"', b'"10.0.0.9:0"', b'"10.0.0.9:' + b"9" * 5000 + b'"')
+"""Addresses whose port is out of range."""
 FRAGMENTS: tuple[bytes, ...] = (
     *(bytes((byte,)) for byte in b'\x00\x01\x7f"\\[]{},:'),
     b"\xff\xfe",
@@ -77,8 +79,10 @@
 
 def with_odd_field(entry: Mapping[str, object], rng: random.Random) -> bytes:
     """Return the JSON of an entry in which one field has an odd value."""
-    text = json.dumps({**entry, rng.choice(list(entry)): "@"}).encode()
-    return text.replace(b'"@"', rng.choice(ODD_VALUES), 1)
+    field = rng.choice(list(entry))
+    values = (*ODD_VALUES, *ODD_ADDRESSES) if field == "address" else ODD_VALUES
+    text = json.dumps({**entry, field: "@"}).encode()
+    return text.replace(b'"@"', rng.choice(values), 1)
 
 
 def make_content(entry: Mapping[str, object], rng: random.Random) -> bytes:
