Secret: one that a peer gave is checked in the store

Cause: a node that got the secret from a peer checked the store only if that had held none. A peer's answer that was held up may hold a secret that has been replaced since, and the node would mint tokens that no other verifies. Change: such a node reads the secret once the store answers. Test: test_a_secret_that_a_peer_gave_is_checked_in_the_store failed before. Cost: a call for each node that starts while the store does not answer.

--- a/src/beamloom/runtime/fleet_secret.py
+++ b/src/beamloom/runtime/fleet_secret.py
@@ -108,9 +108,10 @@
 
     def _schedule_check(self, steps: SharedSecret, *, from_peer: bool) -> None:
         """Have `keep` check the store if it may not hold the secret that was fetched."""
-        # A stale answer of a restored store may hold a secret that the store has lost since.
+        # A stale answer of a restored store may hold a secret that the store has lost since, and a
+        # peer's answer one that the store has replaced since.
         is_old = steps.step is SecretStep.READ_STALE and steps.store_was_restored
-        if is_old or (from_peer and steps.found_none):
+        if is_old or from_peer:
             self._check_needed.set()
         if steps.era is not None:
             self.record_era(steps.era)
--- a/tests/functional/test_restored_store.py
+++ b/tests/functional/test_restored_store.py
@@ -122,6 +122,20 @@
         self.assertEqual(self.secret(), secret_before)
         self.assertNotIn("SecretChanged", self.logs())
 
+    async def test_a_secret_that_a_peer_gave_is_checked_in_the_store(self) -> None:
+        """Guards against a peer's late answer, which holds a secret that has been replaced."""
+        await self.start_two()
+        second = self.nodes["node-2"]
+        second.kill()
+        second.wait()
+        self.store.faults.refused_hosts.add(f"{self.network}.2")
+        self.start_node(2)
+        await self.wait_for_line(2, "SecretKnown")
+        await self.wait_until_ready(2)
+        self.store.store.put(SECRETS_KIND, TOKEN_SECRET_NAME, OTHER_SECRET)
+        self.store.faults.refused_hosts.clear()
+        await self.wait_for_line(2, "SecretChanged", 6.0)
+
     async def test_another_secret_in_the_store_is_adopted_and_open_flows_continue(self) -> None:
         await self.start_two()
         flows = [self.new_flow(2000 + number, LONG) for number in range(4)]
