--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -33,7 +33,7 @@
 )
 from beamloom.replication.backend_reports import BackendReports
 from beamloom.replication.message_checks import check_message
-from beamloom.replication.message_delays import MessageDelays
+from beamloom.replication.message_delays import MessageDelay, MessageDelays
 from beamloom.replication.peer_table import UNKNOWN_RANK, PeerTable
 from beamloom.replication.reader_role import ReaderRole
 from beamloom.replication.shared_view import SharedView
@@ -220,11 +220,10 @@
         return is_new
 
     def _handle_digest(self, host: str, digest: ViewDigest, is_new: bool, now: float) -> None:
-        self.peers.note_zone(host, digest.zone)
-        self._note_capacities(host, digest)
-        if digest.zone == self.peers.zone:
-            self._note_stop_state(host, digest.stop, now)
-        sent_at = self._sending_time(host, digest, now)
+        delay = self._note_delay(host, digest, now)
+        sent_at = now - delay.seconds
+        if not delay.is_overtaken:
+            self._note_sender(host, digest, now)
         self.reports.add_digest(digest, sent_at, now)
         for peer, age in digest.peers:
             self._note_peer(peer, sent_at - age / MILLISECONDS, now)
@@ -238,7 +237,8 @@
             zip(self.views, _revisions_in(digest), strict=False)
         ):
             own = shared.revision
-            self.pulls.choice.note_revision(index, host, revision, now)
+            if not delay.is_overtaken:
+                self.pulls.choice.note_revision(index, host, revision, now)
             if revision > own:
                 shared.behind_since = now if shared.behind_since is None else shared.behind_since
                 if age != NEVER:
@@ -256,13 +256,20 @@
             count = FORWARD_PEERS if has_readers else FORWARD_PEERS // 2
             self._send_digest(self._choose(count), now)
 
-    def _sending_time(self, host: str, digest: ViewDigest, now: float) -> float:
-        """Return when a digest was sent, by this node's clock; `now` if it does not tell."""
+    def _note_delay(self, host: str, digest: ViewDigest, now: float) -> MessageDelay:
+        """Return the delay of a digest, and count a late one; earlier versions tell no time."""
         if digest.sent_at == NEVER:
-            return now
+            return MessageDelay(0.0)
         delay = self._delays.note(host, digest.sent_at / MILLISECONDS, now)
-        self.counters["digests_late"] += delay >= LATE_DIGEST_SECONDS
-        return now - delay
+        self.counters["digests_late"] += delay.seconds >= LATE_DIGEST_SECONDS
+        return delay
+
+    def _note_sender(self, host: str, digest: ViewDigest, now: float) -> None:
+        """Record what the sender of its newest digest says of itself."""
+        self.peers.note_zone(host, digest.zone)
+        self._note_capacities(host, digest)
+        if digest.zone == self.peers.zone:
+            self._note_stop_state(host, digest.stop, now)
 
     def _compare_marks(self, host: str, digest: ViewDigest, now: float) -> None:
         """Request a whole view from a peer that has a higher mark but no higher revision.
--- a/tests/unit/views/test_held_up_answers.py
+++ b/tests/unit/views/test_held_up_answers.py
@@ -18,6 +18,7 @@
     Question,
     WatchRequest,
 )
+from beamloom.replication.stop_turns import StopState
 from beamloom.replication.store_view import StoreView
 from beamloom.simulation.tokens.fleet import BACKENDS, TokenFleet
 from tests.unit.views.exchange_network import Node
@@ -158,17 +159,27 @@
 
     def test_delays_are_relative_to_the_fastest_recent_message(self) -> None:
         delays = MessageDelays()
-        self.assertEqual(delays.note("a", 0.0, 7.0), 0.0)
-        self.assertEqual(delays.note("a", 1.0, 8.5), 0.5)
-        self.assertEqual(delays.note("b", 1.0, 8.5), 0.0)
+        self.assertEqual(delays.note("a", 0.0, 7.0).seconds, 0.0)
+        self.assertEqual(delays.note("a", 1.0, 8.5).seconds, 0.5)
+        self.assertEqual(delays.note("b", 1.0, 8.5).seconds, 0.0)
         for second in range(2, 40):
             late = delays.note("a", float(second), second + 7.5)
-        self.assertEqual(late, 0.0)
+        self.assertEqual(late.seconds, 0.0)
+
+    def test_an_overtaken_digest_does_not_take_back_a_stop(self) -> None:
+        """Guards against two nodes of a zone that stop at the same time."""
+        node = self.node_with_view()
+        node.exchange.request_stop(20.0)
+        states = ((101.0, StopState.AWAY, 21.0), (100.0, StopState.SERVING, 22.0))
+        for sent, state, arrived in states:
+            digest = ViewDigest([], [], [], "", stop=int(state), sent_at=int(sent * 1000))
+            node.exchange.handle("10.0.0.2", digest, arrived)
+        self.assertFalse(node.exchange.may_stop(22.1))
 
     def test_a_clock_that_starts_anew_is_no_delay(self) -> None:
         delays = MessageDelays()
         delays.note("a", 5000.0, 7.0)
-        self.assertEqual(delays.note("a", 1.0, 7.0 + MAXIMUM_DELAY_SECONDS), 0.0)
+        self.assertEqual(delays.note("a", 1.0, 7.0 + MAXIMUM_DELAY_SECONDS).seconds, 0.0)
 
 
 class HeldUpFleetTest(unittest.TestCase):
