Store answers: parsing moves out of platform/, clients that open ignore data

What is no name or format of the platform (decoding an answer up to a damaged entry) moves to replication/object_answers.py. - test_a_node_that_starts_while_the_store_is_down_learns_all_from_a_neighbour: it plays the same client ports twice, and datagrams of the first play waited in the clients' socket.

--- a/src/beamloom/platform/store_objects.py
+++ b/src/beamloom/platform/store_objects.py
@@ -10,7 +10,12 @@
 from beamloom.model.store_revision import number_of
 from beamloom.platform.errors import PlatformFormatError
 from beamloom.platform.packet_layout import destination_key
-from beamloom.replication.object_answers import ObjectCollector, PartialAnswer, read_number
+from beamloom.replication.object_answers import (
+    EntryFormat,
+    ObjectCollector,
+    parse_answer,
+    read_number,
+)
 from beamloom.replication.object_watch import ChangeBatch, ListPage, ListRequest, WatchRequest
 from beamloom.routing.tokens.backend_fields import read_backend
 from beamloom.routing.tokens.records import (
@@ -62,10 +67,12 @@
 }
 """Keys of a route's terms on the wire, by the name of the field."""
 
-ENTRY_HEAD = r'\{\s*(?:"gone"\s*:\s*(?:true|false)\s*,\s*"object"\s*:\s*\{\s*)?"meta"\s*:\s*'
-"""How an object in a list, or a change in the answer to a watch, begins."""
-ENTRY_MEMBERS = frozenset({"meta", "spec", "status"})
-"""Members of each object that the store returns."""
+ENTRY = EntryFormat(
+    head=r'\{\s*(?:"gone"\s*:\s*(?:true|false)\s*,\s*"object"\s*:\s*\{\s*)?"meta"\s*:\s*',
+    wrapper="object",
+    members=frozenset({"meta", "spec", "status"}),
+)
+"""Objects in a list, and changes in the answer to a watch, as the store writes them."""
 
 Record = TypeVar("Record")
 Translate = Callable[[str, Any], Record]
@@ -138,12 +145,12 @@
 
     The page ends at an entry that is not JSON.
     """
-    answer = _load(body, "items")
     objects = ObjectCollector(translate, era)
     try:
+        answer = parse_answer(body, "items", ENTRY)
         for entry in answer.entries:
             _add_object(objects, entry)
-        _cut_at_damage(objects, answer)
+        objects.end(answer)
         return objects.page(answer.document["at"], more=bool(answer.document["more"]))
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformFormatError(f"a list of the store cannot be read: {error!r}") from error
@@ -154,15 +161,15 @@
 
     It is cut at an entry that is not JSON.
     """
-    answer = _load(body, "events")
     objects = ObjectCollector(translate, era)
     try:
+        answer = parse_answer(body, "events", ENTRY)
         for event in answer.entries:
             if isinstance(event, dict):
                 _add_object(objects, event.get("object"), gone=bool(event.get("gone")))
             else:
                 _add_object(objects, event)
-        _cut_at_damage(objects, answer)
+        objects.end(answer)
         return objects.batch(answer.document["at"], len(body))
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformFormatError(f"changes of the store cannot be read: {error!r}") from error
@@ -175,11 +182,6 @@
     objects.add(meta.get("name"), meta.get("revision"), content, gone=gone)
 
 
-def _cut_at_damage(objects: ObjectCollector[Record], answer: PartialAnswer) -> None:
-    if answer.damaged is not None:
-        objects.cut(answer.damaged)
-
-
 def translate_backend(name: str, entry: Mapping[str, Any]) -> BackendRecord:
     """Convert an endpoint's entry; any program may have written it."""
     return read_backend(
@@ -217,31 +219,3 @@
     parts = tuple(RoutePart(str(part["service"]), float(part["weight"])) for part in split)
     terms = read_terms({field: route[key] for field, key in TERM_KEYS.items() if key in route})
     return RouteRecord(str(route["name"]), destination_key(address, port), parts, terms)
-
-
-def _load(body: bytes, member: str) -> PartialAnswer:
-    """Parse an answer with the array `member`, up to an entry that is not JSON."""
-    try:
-        document = json.loads(body.decode())
-    except (ValueError, RecursionError):
-        return _recover(body, member)
-    entries = document.get(member) if isinstance(document, dict) else None
-    if not isinstance(entries, list):
-        raise PlatformFormatError(f"an answer of the store has no array {member!r}")
-    return PartialAnswer(document, entries, None)
-
-
-def _recover(body: bytes, member: str) -> PartialAnswer:
-    """Parse an answer entry by entry; the import is late, as few answers are damaged."""
-    from beamloom.replication.answer_recovery import AnswerRecovery
-
-    try:
-        return AnswerRecovery(member, ENTRY_HEAD, _is_complete).read(body)
-    except (ValueError, RecursionError) as error:
-        raise PlatformFormatError(f"an answer of the store is not JSON: {error}") from error
-
-
-def _is_complete(entry: object) -> bool:
-    """Whether an object in a list, or a change, has all members that the store returns."""
-    stored = entry.get("object", entry) if isinstance(entry, dict) else None
-    return isinstance(stored, dict) and stored.keys() >= ENTRY_MEMBERS
--- a/src/beamloom/replication/answer_recovery.py
+++ b/src/beamloom/replication/answer_recovery.py
@@ -12,10 +12,10 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from json import JSONDecodeError, JSONDecoder
 
-from beamloom.replication.object_answers import DamagedEntry, PartialAnswer
+from beamloom.replication.object_answers import DamagedEntry, EntryFormat, PartialAnswer
 
 FIRST_PART_CHARACTERS = 4096
 """Longer than the entries of endpoints."""
@@ -35,16 +35,14 @@
 class AnswerRecovery:
     """Reads an answer whose entries stand in the array `member` of an object.
 
-    `head` is the pattern of how an entry begins, up to a value that the store wrote itself.
-    `is_complete` returns whether a decoded value has all parts of an entry: a damaged entry may
-    seem to end early.
+    An entry must have all members of its format, as a damaged one may seem to end early.
     """
 
-    def __init__(self, member: str, head: str, is_complete: Callable[[object], bool]) -> None:
+    def __init__(self, member: str, entry: EntryFormat) -> None:
         self._member = member
-        self._is_complete = is_complete
+        self._is_complete = entry.is_complete
         self._opening = re.compile(rf'"{member}"\s*:\s*\[')
-        self._head = re.compile(head)
+        self._head = re.compile(entry.head)
 
     def read(self, body: bytes) -> PartialAnswer:
         """Return an answer up to its first damaged entry.
@@ -52,6 +50,12 @@
         Raises ValueError if anything outside the array of the entries is damaged, or what the
         store wrote about the damaged entry.
         """
+        try:
+            return self._read(body)
+        except RecursionError as error:
+            raise ValueError(str(error)) from error
+
+    def _read(self, body: bytes) -> PartialAnswer:
         text = body.decode(errors="surrogateescape")
         opening = self._opening.search(text)
         end = text.rfind("]")
--- a/src/beamloom/replication/object_answers.py
+++ b/src/beamloom/replication/object_answers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable, Mapping
 from typing import Any, Generic, NamedTuple, TypeVar
 
@@ -28,6 +29,23 @@
     """The store sent an object or an answer without a usable field; the text names the field."""
 
 
+class EntryFormat(NamedTuple):
+    """How a store writes the entries of its answers.
+
+    `head` is the pattern of how one begins, up to the value that describes it. An object has all of
+    `members`; in some answers it is the member `wrapper` of its entry.
+    """
+
+    head: str
+    wrapper: str
+    members: frozenset[str]
+
+    def is_complete(self, entry: object) -> bool:
+        """Whether a decoded value has all members of an object."""
+        stored = entry.get(self.wrapper, entry) if isinstance(entry, dict) else None
+        return isinstance(stored, dict) and stored.keys() >= self.members
+
+
 class DamagedEntry(NamedTuple):
     """The first entry that cannot be decoded: `meta` as the store wrote it, and the reason."""
 
@@ -43,6 +61,23 @@
     damaged: DamagedEntry | None
 
 
+def parse_answer(body: bytes, member: str, entry: EntryFormat) -> PartialAnswer:
+    """Parse an answer with the array `member` up to an entry that is not JSON; raises ValueError.
+
+    The import is late, as few answers are damaged.
+    """
+    try:
+        document = json.loads(body.decode())
+    except (ValueError, RecursionError):
+        from beamloom.replication.answer_recovery import AnswerRecovery
+
+        return AnswerRecovery(member, entry).read(body)
+    entries = document.get(member) if isinstance(document, dict) else None
+    if not isinstance(entries, list):
+        raise ObjectFieldError(f"it has no array {member!r}")
+    return PartialAnswer(document, entries, None)
+
+
 class ObjectCollector(Generic[Record]):
     """The last change of each object in an answer, whose revisions are of one era.
 
@@ -75,15 +110,18 @@
         record = None if gone else self._convert(known_name, content, damage)
         self._changes[known_name] = ObjectChange(known_name, revision, record)
 
-    def cut(self, entry: DamagedEntry) -> None:
-        """Add a last object whose content is unknown; whatever follows it in the answer is too.
+    def end(self, answer: PartialAnswer) -> None:
+        """Add the entry at which an answer ends early, if any: its content is unknown.
 
         Raises ObjectFieldError if it has no name after which a list can be continued.
         """
-        name = entry.meta.get("name")
+        if answer.damaged is None:
+            return
+        meta, reason = answer.damaged
+        name = meta.get("name")
         if not isinstance(name, str) or not name:
             raise ObjectFieldError("an entry that cannot be decoded has no name")
-        self.add(name, entry.meta.get("revision"), None, gone=False, damage=entry.reason)
+        self.add(name, meta.get("revision"), None, gone=False, damage=reason)
         self._last_name = name
         self._is_cut = True
 
--- a/src/beamloom/standins/token_client.py
+++ b/src/beamloom/standins/token_client.py
@@ -96,7 +96,7 @@
         self._token = packet.echo
         if packet.flags & FLAG_SYN:
             return self._handle_opening_answer(packet, now)
-        if not packet.data:
+        if not packet.data or self.state is FlowState.OPENING:
             return []
         return self._handle_data(packet, now)
 
