Tokens: a first copy without its original is dropped only while flows move

Cause: drops each first copy whose original a node has not received, so that a client waits for 0.6 s instead of 0.2 s where the original was simply lost, or sent to a node that had failed. Change: only for 2.5 s after a start or stall of the node, a new node, or a stop or return in its zone. Routers turn away from a failed node after two checks, 0.5 s or more, so that a first copy (0.2 s) cannot follow an original that this node has forwarded. Test: test_first_copies_are_dropped_after_each_change_of_the_nodes.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -55,6 +55,10 @@
 """
 MAXIMUM_FAULTY_ROUTES_LOGGED = 20
 """Routes with unreadable terms that are logged per configuration; the counter counts all terms."""
+FLOWS_MOVE_SECONDS = 2.5
+"""How long after a change of the nodes routers may choose another node for a flow than shortly
+before: two readiness checks, a tick, and the copies of an opening.
+"""
 LATE_SECONDS = 0.4
 """Gap between calls of `advance` above which this node reports no backend as silent or overdue."""
 
@@ -149,6 +153,8 @@
         self._stall_pending = False
         self._stall_taken = False
         self._stalled_until = float("-inf")
+        self._complete_since: float | None = None
+        self.router.flows_move_until = float("inf")
         self._confirmation_deadline = float("inf")
 
     @property
@@ -239,6 +245,7 @@
         is_late = now - self._advanced_at > LATE_SECONDS
         self._advanced_at = self._now = now
         self._update_may_refuse(now)
+        self._update_flows_move(now)
         self._backends_confirmed_at = self.backends.confirmed_at
         self._retained_backends.advance(now)
         if self.evacuations is not None:
@@ -354,6 +361,17 @@
             self._confirmation_deadline = now + CONFIRMATION_TIMEOUT_SECONDS
         self.router.may_refuse = now >= self._confirmation_deadline
 
+    def _update_flows_move(self, now: float) -> None:
+        """Tell the router until when the routers may be moving flows between nodes."""
+        if self._complete_since is None:
+            if not self.complete:
+                return
+            self._complete_since = now
+        changed_at = max(self._complete_since, self._stalled_until)
+        if self.exchange is not None:
+            changed_at = max(changed_at, self.exchange.nodes_changed_at)
+        self.router.flows_move_until = changed_at + FLOWS_MOVE_SECONDS
+
     def _invalidate_confirmations(self) -> None:
         """Require new answers of the store: data of peers that is read after a stall may be old."""
         self.backend_schedule.discard_confirmation()
--- a/src/beamloom/replication/stop_turns.py
+++ b/src/beamloom/replication/stop_turns.py
@@ -34,19 +34,27 @@
 
 
 class StopTurns:
-    """The planned stops of a zone, as known to its node `host`; times are in seconds."""
+    """The planned stops of a zone, as known to its node `host`; times are in seconds.
+
+    `changed_at` is when another node last announced a stop, or its return.
+    """
 
     def __init__(self, host: str) -> None:
         self.state = StopState.SERVING
         self._host = host
         self._requested_at = 0.0
         self._stops: dict[str, _Stop] = {}
+        self.changed_at = float("-inf")
 
     def note_peer(self, host: str, state: StopState, now: float) -> None:
         """Record the state that another node of the zone announced."""
+        known = self._stops.get(host)
+        if state is (StopState.SERVING if known is None else known.state):
+            return
+        self.changed_at = now
         if state is StopState.SERVING:
-            self._stops.pop(host, None)
-        elif host not in self._stops or self._stops[host].state is not state:
+            del self._stops[host]
+        else:
             self._stops[host] = _Stop(state, now)
 
     def request_stop(self, now: float) -> None:
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -98,6 +98,11 @@
         self._replied_at: dict[str, float] = {}
         self._delays = MessageDelays()
 
+    @property
+    def nodes_changed_at(self) -> float:
+        """When this node last learned of a new node, or of a stop or return in its zone."""
+        return max(self._discovered_at, self.stops.changed_at)
+
     def limit_answers(self, answer_share: float) -> None:
         """Limit answers to peers to this share (0 to 1) of the usual bytes.
 
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -8,9 +8,10 @@
 
 All copies of an opening packet go to one backend, unless its process has ended. If two backends
 answered, each under a valid token, a late answer of one would direct the packets of the open flow
-from the other to it. A first copy whose original this node has not received is dropped: another
-node may have forwarded that one, and its backend sends its answer again before the client sends the
-second copy.
+from the other to it. While routers may be moving flows between nodes, a first copy whose original
+this node has not received is dropped: another node may have forwarded that one, and its backend
+sends its answer again before the client sends the second copy. At other times the original was lost
+on its way, or by a node that failed: routers take longer than 0.2 s to notice that.
 """
 
 from __future__ import annotations
@@ -79,7 +80,8 @@
     """Routes, backends and flows of one node; decides what to do with each packet.
 
     `on_decision` receives each decision of `decisions.py`. All packets are dropped until `codec` is
-    set. `may_refuse` must be False while routes and backends may be out of date: opening packets
+    set. `flows_move_until` is until when flows may arrive that routers sent to another node shortly
+    before. `may_refuse` must be False while routes and backends may be out of date: opening packets
     that would be refused are then dropped, and a later copy is decided by the view at that time.
     With `retries_other_backend`, a copy of an opening packet goes to another backend if the process
     of the first has ended, so that it cannot answer as well. With `corrects_tokens`, a packet of an
@@ -103,6 +105,7 @@
         self._refuses_on_timeout = refuses_on_timeout
         self.codec: TokenCodec | None = None
         self.may_refuse = True
+        self.flows_move_until = float("-inf")
         self.routes = RouteTable(placement.rng)
         self.backends = BackendTable()
         self.flows = FlowObserver(on_decision)
@@ -155,7 +158,7 @@
             flow = None
         if flow is not None and not self._may_move(flow):
             return self._repeat_opening(packet, route, flow, codec, now)
-        if flow is None and packet.acknowledged == 1 and not self._was_dropped(packet, now):
+        if flow is None and self._may_have_moved(packet, now):
             return self._drop(packet, DropReason.COPY_WITHOUT_ORIGINAL)
         backend = self._choose(route, now)
         if backend is None:
@@ -360,9 +363,14 @@
                 self._unplaced[packet.flow] = now
         return self._drop(packet, reason)
 
-    def _was_dropped(self, packet: ClientPacket, now: float) -> bool:
-        """Return whether this node has dropped the original of a copy, so that no other has it."""
-        return now - self._unplaced.get(packet.flow, float("-inf")) < OPENING_SECONDS
+    def _may_have_moved(self, packet: ClientPacket, now: float) -> bool:
+        """Return whether another node may have forwarded the original of a first copy.
+
+        If this node has dropped the original itself, no other one has received it.
+        """
+        if packet.acknowledged != 1 or now >= self.flows_move_until:
+            return False
+        return now - self._unplaced.get(packet.flow, float("-inf")) >= OPENING_SECONDS
 
     def _drop(self, packet: ClientPacket, reason: DropReason) -> DropPacket:
         self.counters[f"dropped_{reason.value}"] += 1
--- a/tests/unit/tokens/test_token_core.py
+++ b/tests/unit/tokens/test_token_core.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections.abc import Callable
 
 from beamloom.node.backend_failure_handler import PEER_SUSPICION_SECONDS
 from beamloom.node.record_orders import MAXIMUM_MISSED_HEARTBEATS
@@ -13,6 +14,7 @@
 )
 from beamloom.protocol.view_messages import ViewDigest
 from beamloom.replication.object_watch import ChangeBatch, ListPage, ListRequest
+from beamloom.replication.stop_turns import StopState
 from beamloom.replication.store_call_times import store_call_times
 from beamloom.replication.store_view import NamedRecord, ObjectChange
 from beamloom.routing.tokens.packets import (
@@ -25,6 +27,7 @@
 )
 from beamloom.routing.tokens.placement import PlacementSettings
 from beamloom.routing.tokens.records import BackendRecord
+from beamloom.settings.mechanisms import ALL_MECHANISMS
 from beamloom.settings.token_node import DEFAULT_HEARTBEAT_SECONDS
 from beamloom.simulation.tokens.quiet_observer import QuietObserver
 from tests.unit.tokens.builders import (
@@ -33,6 +36,7 @@
     ZONE,
     backend,
     configuration,
+    make_core,
     new_core,
     opening,
 )
@@ -100,6 +104,36 @@
         return self.core.router.handle(packet, now)
 
 
+class MovedFlowsTest(unittest.TestCase):
+    def run_core(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.1)):
+            self.now += 0.1
+            self.core.advance(self.now)
+
+    def test_first_copies_are_dropped_after_each_change_of_the_nodes(self) -> None:
+        """Guards against a second backend for a flow that routers have moved to this node."""
+        self.now, self.core = START, make_core(ALL_MECHANISMS, backend(1))
+        self.core.join_peers("10.0.0.1", ())
+        new, stopping = (
+            ViewDigest([], [], [], ZONE, [], int(state)) for state in (0, StopState.AWAY)
+        )
+        changes: tuple[Callable[[], object], ...] = (
+            lambda: None,
+            lambda: self.core.handle_message("10.0.0.2", new, self.now),
+            lambda: self.core.handle_message("10.0.0.2", stopping, self.now),
+            lambda: self.core.advance(self.now + STALL_THRESHOLD_SECONDS + 0.1),
+        )
+        for number, change in enumerate(changes):
+            with self.subTest(change=number):
+                change()
+                self.run_core(2.0)
+                command = self.core.router.handle(opening(number, 1), self.now)
+                self.assertIsInstance(command, DropPacket)
+                self.run_core(2.0)
+                command = self.core.router.handle(opening(10 + number, 1), self.now)
+                self.assertIsInstance(command, ForwardPacket)
+
+
 class GoneBackendTest(CoreCase):
     """A service's only backend goes without draining; the store did not confirm the view lately."""
 
