Start: opening packets that waited for longer than a client's first copy are dropped

Cause: a killed node had started again, and an opening packet waited in its socket until it was ready, 0.2 and 0.4 s later. The routers had sent the first copy to another node, which placed it, and the original went to a second backend. Such openings were dropped only after a start of 0.4 s. Change: the limit is 0.15 s, below the 0.2 s after which clients send a copy. A node remembers the originals that it dropped at a start or after a stall, and places their copies. Test: test_an_opening_that_waited_for_a_start_is_older_than_no_copy failed before.

--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -353,16 +353,26 @@
         )
         return ResetFlow(packet.flow, reason, sequence)
 
+    def note_late_opening(self, packet: ClientPacket, now: float) -> None:
+        """Count an opening packet that was dropped, as it waited too long to be read."""
+        self.counters[f"dropped_{DropReason.LATE_OPENING.value}"] += 1
+        self._note_unplaced(packet, now)
+
     def _drop_opening(self, packet: ClientPacket, reason: DropReason, now: float) -> DropPacket:
         """Drop an opening packet whose copies this node may place."""
-        if not packet.acknowledged:
-            while self._unplaced and next(iter(self._unplaced.values())) <= now - OPENING_SECONDS:
-                del self._unplaced[next(iter(self._unplaced))]
-            if len(self._unplaced) < MAXIMUM_UNPLACED_OPENINGS:
-                self._unplaced.pop(packet.flow, None)
-                self._unplaced[packet.flow] = now
+        self._note_unplaced(packet, now)
         return self._drop(packet, reason)
 
+    def _note_unplaced(self, packet: ClientPacket, now: float) -> None:
+        """Record an original that this node has dropped, so that no backend has received it."""
+        if packet.acknowledged:
+            return
+        while self._unplaced and next(iter(self._unplaced.values())) <= now - OPENING_SECONDS:
+            del self._unplaced[next(iter(self._unplaced))]
+        if len(self._unplaced) < MAXIMUM_UNPLACED_OPENINGS:
+            self._unplaced.pop(packet.flow, None)
+            self._unplaced[packet.flow] = now
+
     def _may_have_moved(self, packet: ClientPacket, now: float) -> bool:
         """Return whether another node may have forwarded the original of a first copy.
 
--- a/src/beamloom/runtime/packet_socket.py
+++ b/src/beamloom/runtime/packet_socket.py
@@ -112,7 +112,7 @@
             self._router.counters[f"dropped_{DropReason.MALFORMED.value}"] += 1
             return
         if self._drops_openings and packet.kind is PacketKind.OPEN:
-            self._router.counters[f"dropped_{DropReason.LATE_OPENING.value}"] += 1
+            self._router.note_late_opening(packet, now)
             return
         self._execute_command(self._router.handle(packet, now))
 
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -53,9 +53,9 @@
 retransmit after 0.2 to 1.6 s, so older packets are useless: a node that is not ready by then reads
 them, and drops those that it cannot forward.
 """
-MAXIMUM_OPENING_WAIT_SECONDS = 0.4
-"""After a longer start, opening packets in the buffer are dropped: another node may have forwarded
-their retransmitted copies.
+MAXIMUM_OPENING_WAIT_SECONDS = 0.15
+"""After a longer start, opening packets in the buffer are dropped: clients send copies after 0.2 s,
+which another node may have forwarded.
 """
 
 
--- a/tests/functional/test_packet_socket.py
+++ b/tests/functional/test_packet_socket.py
@@ -28,6 +28,9 @@
         self.handled.append(packet.kind)
         return DropPacket(packet, DropReason.NO_TOKEN)
 
+    def note_late_opening(self, _packet: ClientPacket, _now: float) -> None:
+        self.counters["dropped_late_opening"] += 1
+
 
 class PacketSocketTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
--- a/tests/unit/tokens/test_router.py
+++ b/tests/unit/tokens/test_router.py
@@ -18,7 +18,9 @@
     ResetFlow,
 )
 from beamloom.routing.tokens.records import BackendState
+from beamloom.routing.tokens.router import FIRST_COPY_SECONDS
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
+from beamloom.runtime.token_node import MAXIMUM_OPENING_WAIT_SECONDS
 from tests.unit.tokens.builders import (
     KEY,
     OTHER_DESTINATION,
@@ -65,6 +67,15 @@
         self.assertIs(command.reason, DropReason.COPY_WITHOUT_ORIGINAL)
         self.assertEqual(forwarded_to(router.handle(opening(1, copies=2), now=1.6)), 7)
 
+    def test_an_opening_that_waited_for_a_start_is_older_than_no_copy(self) -> None:
+        """Guards against an original that is forwarded after its copy went to another node."""
+        self.assertLess(MAXIMUM_OPENING_WAIT_SECONDS, FIRST_COPY_SECONDS)
+        router = make_router(backend(7))
+        router.flows_move_until = 3.0
+        router.note_late_opening(opening(1), now=1.0)
+        self.assertEqual(router.counters["dropped_late_opening"], 1)
+        self.assertEqual(forwarded_to(router.handle(opening(1, copies=1), now=1.2)), 7)
+
     def test_a_copy_of_an_opening_that_this_node_dropped_opens_a_flow(self) -> None:
         router = make_router()
         router.may_refuse = False
