Tokens: nodes ask and tell each other where openings went

Callers saw: a reset of an open flow after routers had moved it, where answers to openings came late. Cause: a node without the original of a copy chose a backend of its own: a second copy at any time, a first one when it had not heard of the change (another node's stall, the stop of a node in another zone). Later the late token of the first backend reached a node that had not seen the flow. In one trace a backend restarted under its id, and the copy of a packet that the new process had got went to another one. A node that stops reports its openings without an answer. A flow at whose opening two backends may have answered is reported with its acknowledgement number, so that nodes which never saw it correct its token. A copy follows its backend's restart under the same id.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -59,6 +59,8 @@
 """How long after a change of the nodes routers may choose another node for a flow than shortly
 before: two readiness checks, a tick, and the copies of an opening.
 """
+MAXIMUM_REPORTED_OPENINGS = 30
+"""How many openings fit into one datagram."""
 LATE_SECONDS = 0.4
 """Gap between calls of `advance` above which this node reports no backend as silent or overdue."""
 
@@ -211,6 +213,10 @@
         self.exchange = ViewExchange(views, peers, self.role, self._rng, by_capacity=by_capacity)
         self.exchange.on_unusable_capacity = self._observer.unusable_capacity
         self._failure_handler.join(self.exchange)
+        openings = self.exchange.openings
+        openings.find_opening = self.router.find_opening
+        openings.on_known = self.router.note_opening_elsewhere
+        openings.on_unknown = self.router.note_unknown_opening
         if self._cold_starts is not None:
             self._cold_start_share = FleetShare(
                 peers, SENDERS_PER_BACKEND, self._now, by_capacity=by_capacity
@@ -256,8 +262,22 @@
         if self.role.advance(now, joined=self.exchange is not None):
             self._observer.reader_changed(self.role.reading)
         if self.exchange is not None:
+            self._tell_openings()
             self.exchange.advance(now)
 
+    def _tell_openings(self) -> None:
+        """Report the flows at whose openings two backends may have answered."""
+        untold = self.router.untold
+        if untold and self.exchange is not None and self._mechanisms.opening_queries:
+            self.exchange.openings.tell(list(untold.values())[:MAXIMUM_REPORTED_OPENINGS])
+        untold.clear()
+
+    def announce_end(self, now: float) -> None:
+        """Report the openings that this node has forwarded, as it is about to end."""
+        unopened = self.router.unopened(now)
+        if unopened and self.exchange is not None and self._mechanisms.opening_queries:
+            self.exchange.openings.tell(unopened[:MAXIMUM_REPORTED_OPENINGS])
+
     def handle_message(self, host: str, message: Message, now: float) -> None:
         """Handle a message from the node at `host`; a malformed one raises TypeError or ValueError.
 
@@ -270,7 +290,19 @@
 
     def take_sends(self) -> list[SendToHost]:
         """Return and clear the messages to be sent to peers."""
-        return [] if self.exchange is None else self.exchange.take_sends()
+        if self.exchange is None:
+            return []
+        self.ask_about_openings()
+        return self.exchange.take_sends()
+
+    def ask_about_openings(self) -> bool:
+        """Queue questions about the copies that the router holds; return whether there are any."""
+        held = self.router.held_copies
+        flows = held.take_questions()
+        if self.exchange is None or not flows:
+            return False
+        held.note_asked(flows, self.exchange.openings.ask(flows))
+        return True
 
     def apply_limit_state(self, state: str, before: str, limit: str, share: float) -> None:
         """Shed or resume roles on a change of state in `node/own_limits.py`."""
@@ -370,6 +402,9 @@
         changed_at = max(self._complete_since, self._stalled_until)
         if self.exchange is not None:
             changed_at = max(changed_at, self.exchange.nodes_changed_at)
+            self.router.asks_peers = self._mechanisms.opening_queries and bool(
+                self.exchange.openings.hosts()
+            )
         self.router.flows_move_until = changed_at + FLOWS_MOVE_SECONDS
 
     def _invalidate_confirmations(self) -> None:
--- a/src/beamloom/replication/message_checks.py
+++ b/src/beamloom/replication/message_checks.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 
 from beamloom.protocol.messages import Message
+from beamloom.protocol.opening_messages import OpeningQuery, OpeningReport
 from beamloom.protocol.view_messages import (
     NEVER,
     AskElsewhere,
@@ -30,7 +31,8 @@
         "peers": (str, int),
         "silent": (str, str, int),
         "failing": (str, str, int),
-    }
+    },
+    OpeningReport: {"openings": (bytes, str, int)},
 }
 """Fields that are lists of rows, by the types of the first items of a row."""
 _ITEMS: Mapping[type[Message], Mapping[str, type]] = {
@@ -38,6 +40,8 @@
     ViewRequest: {"versions": int},
     AskElsewhere: {"hosts": str},
     BackendsDown: {"names": str},
+    OpeningQuery: {"flows": bytes},
+    OpeningReport: {"unknown": bytes},
 }
 """Fields that are lists, by the type of their items."""
 _VALUES: Mapping[type[Message], Mapping[str, type]] = {
--- a/src/beamloom/replication/view_exchange.py
+++ b/src/beamloom/replication/view_exchange.py
@@ -23,6 +23,7 @@
     revision_in_era,
 )
 from beamloom.protocol.messages import Message
+from beamloom.protocol.opening_messages import OpeningQuery, OpeningReport
 from beamloom.protocol.view_messages import (
     NEVER,
     AskElsewhere,
@@ -34,6 +35,7 @@
 from beamloom.replication.backend_reports import BackendReports
 from beamloom.replication.message_checks import check_message
 from beamloom.replication.message_delays import MessageDelay, MessageDelays
+from beamloom.replication.opening_queries import OpeningQueries
 from beamloom.replication.peer_table import UNKNOWN_RANK, PeerTable
 from beamloom.replication.reader_role import ReaderRole
 from beamloom.replication.shared_view import SharedView
@@ -88,6 +90,7 @@
         self._by_capacity = by_capacity
         self._sheds_load = False
         self._sends: list[SendToHost] = []
+        self.openings = OpeningQueries(peers, self._sends, self.counters)
         self.pulls = ViewPulls(
             views, peers, rng, self._sends, self.counters, by_capacity=by_capacity
         )
@@ -216,6 +219,8 @@
                 self.pulls.handle_part(host, message, now)
             case BackendsDown():
                 self.reports.add_down_reports(message.names, now)
+            case OpeningQuery() | OpeningReport():
+                self.openings.handle(host, message, now)
         self._forward_down_reports(now)
 
     def _note_peer(self, host: str, at: float, now: float) -> bool:
--- a/src/beamloom/routing/tokens/flow_observer.py
+++ b/src/beamloom/routing/tokens/flow_observer.py
@@ -62,7 +62,8 @@
     `token` is that of its last packet. `sequence` is that of the last request, which was sent at
     `requested_at` and then repeated `repeats` times; its answer is overdue at `due_at`, which is
     None if the route has no objective. `placed_at` is when an opening packet was last forwarded to
-    `backend`, `opened_at` when this node first saw that the flow is open there.
+    `backend`, `opened_at` when this node first saw that the flow is open there. With
+    `may_have_two_answers`, another backend may have answered its opening too.
     """
 
     __slots__ = (
@@ -71,6 +72,7 @@
         "busy",
         "due_at",
         "last_packet",
+        "may_have_two_answers",
         "opened_at",
         "opening_at",
         "phase",
@@ -95,6 +97,7 @@
         self.placed_at = now
         self.opened_at = float("inf")
         self.last_packet = now
+        self.may_have_two_answers = False
 
     @property
     def opened(self) -> bool:
@@ -174,6 +177,14 @@
             times.append(self._answer_deadlines.next_deadline)
         return min(times, default=None)
 
+    def unopened_since(self, time: float) -> list[tuple[bytes, ObservedFlow]]:
+        """Return the flows not open yet whose opening packet was forwarded after a time."""
+        return [
+            (key, flow)
+            for key, flow in self._flows.items()
+            if not flow.opened and flow.opening_at is not None and flow.opening_at > time
+        ]
+
     def note_opening(self, key: bytes, backend: Backend, now: float) -> None:
         """Record that a backend was chosen for an opening packet, or for a copy of it."""
         flow = self._flows.get(key)
@@ -191,7 +202,11 @@
             (now + SUSPICION_FRACTION * self.opening_timeout_seconds, key, backend)
         )
 
-    def note_packet(self, packet: ClientPacket, backend: Backend, now: float) -> None:
+    def move_opening(self, flow: ObservedFlow, backend: Backend) -> None:
+        """Assign a flow that is not open to the process that replaced its backend's."""
+        self._move_to(flow, backend)
+
+    def note_packet(self, packet: ClientPacket, backend: Backend, now: float) -> ObservedFlow:
         """Record a packet that was forwarded by its token."""
         flow = self._flows.get(packet.flow)
         if flow is None:
@@ -210,6 +225,7 @@
         flow.token = packet.token
         flow.acknowledged = packet.acknowledged
         flow.last_packet = now
+        return flow
 
     def note_end(self, packet: ClientPacket, now: float) -> None:
         """Remove a flow that its client ended, with or without an answer to its last request."""
--- a/src/beamloom/routing/tokens/packets.py
+++ b/src/beamloom/routing/tokens/packets.py
@@ -84,4 +84,10 @@
     reason: DropReason
 
 
-RouterCommand = ForwardPacket | ResetFlow | DropPacket
+class HoldPacket(NamedTuple):
+    """Send nothing yet; the router returns a command for the packet later."""
+
+    packet: ClientPacket
+
+
+RouterCommand = ForwardPacket | ResetFlow | DropPacket | HoldPacket
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -8,10 +8,11 @@
 
 All copies of an opening packet go to one backend, unless its process has ended. If two backends
 answered, each under a valid token, a late answer of one would direct the packets of the open flow
-from the other to it. While routers may be moving flows between nodes, a first copy whose original
-this node has not received is dropped: another node may have forwarded that one, and its backend
-sends its answer again before the client sends the second copy. At other times the original was lost
-on its way, or by a node that failed: routers take longer than 0.2 s to notice that.
+from the other to it. So the other nodes are asked about a copy whose original this node has not
+received; it goes to the backend that one of them has chosen. If none has, the original was lost,
+unless routers may be moving flows between nodes: then the node that got it may have ended. A first
+copy is dropped then, as the backend sends its answer again before the client sends the second copy.
+If two backends may have answered all the same, the nodes tell each other where the flow is open.
 """
 
 from __future__ import annotations
@@ -27,12 +28,14 @@
     PacketDropped,
 )
 from beamloom.routing.tokens.flow_observer import FlowObserver, ObservedFlow
+from beamloom.routing.tokens.held_copies import HeldCopies
 from beamloom.routing.tokens.liveness import Suspicion
 from beamloom.routing.tokens.packets import (
     ClientPacket,
     DropPacket,
     DropReason,
     ForwardPacket,
+    HoldPacket,
     PacketKind,
     RefusalReason,
     ResetFlow,
@@ -42,6 +45,10 @@
 from beamloom.routing.tokens.records import RoutingConfiguration
 from beamloom.routing.tokens.route_table import ActiveRoute, RouteTable
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
+from beamloom.routing.tokens.told_openings import NOT_OPEN, ToldOpening, ToldOpenings
+
+OpeningReport = tuple[bytes, str, int]
+"""A flow, the name of its backend, and its acknowledgement number, or NOT_OPEN."""
 
 MINIMUM_COPY_INTERVAL_SECONDS = 0.15
 """A copy of an opening packet that arrives sooner is no sign that the backend does not answer.
@@ -65,6 +72,8 @@
 """How long a client's attempt to open a flow lasts (the platform's protocol)."""
 MAXIMUM_UNPLACED_OPENINGS = 4096
 """How many dropped openings are remembered: more than arrive in OPENING_SECONDS."""
+MAXIMUM_UNTOLD = 30
+"""Bounds the bytes that clients can cause; no other node corrects the tokens of further flows."""
 
 MAXIMUM_PENDING_RESETS = 65536
 """Exceeds the number of flows of a node. When the queue is full, the oldest reset is discarded; its
@@ -87,8 +96,12 @@
     of the first has ended, so that it cannot answer as well. With `corrects_tokens`, a packet of an
     open flow goes to the flow's backend although a second answer to its opening changed its token.
     With `refuses_on_timeout`, a client that does not wait until its next copy is refused instead of
-    waiting for cold backends. `resets` queues the resets of flows that end without a packet from
-    the client.
+    waiting for cold backends. With `asks_peers`, copies whose originals other nodes may have got
+    are held; the nodes are asked about those in `held_copies`, and `note_opening_elsewhere` and
+    `note_unknown_opening` are called with the answers. The nodes are to be told `untold`: flows at
+    whose openings two backends may have answered, with the name of the backend where each is open
+    and the client's acknowledgement number. `resets` queues the resets of flows that end
+    without a packet from the client, `late_commands` the commands for packets that were held.
     """
 
     def __init__(
@@ -110,6 +123,11 @@
         self.backends = BackendTable()
         self.flows = FlowObserver(on_decision)
         self._unplaced: dict[bytes, float] = {}
+        self.asks_peers = False
+        self.held_copies = HeldCopies()
+        self.late_commands: deque[RouterCommand] = deque()
+        self.told = ToldOpenings()
+        self.untold: dict[bytes, OpeningReport] = {}
         self.resets: deque[ResetFlow] = deque(maxlen=MAXIMUM_PENDING_RESETS)
         self.backends.on_ended = self._reset_flows_of_ended
         self._on_decision = on_decision
@@ -144,8 +162,73 @@
         return self._follow_token(packet, self.codec, now)
 
     def advance(self, now: float) -> None:
-        """Process due checks and timeouts of flows; remove idle flows."""
+        """Process due checks and timeouts of flows and held copies; remove idle flows."""
         self.flows.advance(now)
+        for packet in self.held_copies.take_due(now):
+            self.counters["openings_unanswered_by_peers"] += 1
+            self._place_late(packet, now)
+
+    def next_deadline(self) -> float | None:
+        """Return when `advance` has the next flow or held copy to process, or None."""
+        deadlines = (self.flows.next_deadline(), self.held_copies.next_deadline())
+        return min((at for at in deadlines if at is not None), default=None)
+
+    def find_opening(self, flow: bytes, now: float) -> OpeningReport | None:
+        """Return where a flow is that this node has seen or was told of, or None."""
+        observed = self.flows.find(flow)
+        if observed is not None:
+            return self._report_opening(flow, observed)
+        told = self._find_recently_told(flow, now)
+        return None if told is None else (flow, told.backend, told.acknowledged)
+
+    def unopened(self, now: float) -> list[OpeningReport]:
+        """Return where the flows are that this node has forwarded and that may still open."""
+        reports = (
+            self._report_opening(key, flow)
+            for key, flow in self.flows.unopened_since(now - OPENING_SECONDS)
+        )
+        return [report for report in reports if report is not None]
+
+    def _report_opening(self, key: bytes, flow: ObservedFlow) -> OpeningReport | None:
+        if flow.backend.removed or self._may_move(flow):
+            return None
+        return key, flow.backend.record.name, flow.acknowledged if flow.opened else NOT_OPEN
+
+    def note_opening_elsewhere(
+        self, flow: bytes, backend_name: str, acknowledged: int, now: float
+    ) -> None:
+        """Record at which backend another node has seen a flow, and handle a held copy of it.
+
+        `acknowledged` is NOT_OPEN if the node has only forwarded the opening packet.
+        """
+        packet = self.held_copies.take(flow)
+        if packet is None:
+            self.told.note(flow, backend_name, acknowledged, now)
+            observed = self.flows.find(flow)
+            if observed is not None and observed.backend.record.name != backend_name:
+                observed.may_have_two_answers = True
+            return
+        self.counters["openings_known_to_peers"] += 1
+        self.late_commands.append(self._follow_told(packet, backend_name, now))
+
+    def _find_recently_told(self, flow: bytes, now: float) -> ToldOpening | None:
+        """Return what this node was told of a flow while its client may still open it."""
+        told = self.told.find(flow, now)
+        return None if told is None or told.told_at <= now - OPENING_SECONDS else told
+
+    def _follow_told(self, packet: ClientPacket, backend_name: str, now: float) -> RouterCommand:
+        """Return the command for a copy whose original another node has forwarded to a backend."""
+        backend = self.backends.find(backend_name)
+        route = self.routes.find(packet.destination)
+        if self.codec is None or backend is None or route is None:
+            return self._drop(packet, DropReason.COPY_WITHOUT_ORIGINAL)
+        return self._forward_copy(packet, route, backend, self.codec, now)
+
+    def note_unknown_opening(self, flow: bytes, host: str, now: float) -> None:
+        """Handle a held copy whose original the node at a host has not forwarded."""
+        packet = self.held_copies.note_unknown(flow, host)
+        if packet is not None:
+            self._place_late(packet, now)
 
     def _open(self, packet: ClientPacket, codec: TokenCodec, now: float) -> RouterCommand:
         self.flows.advance(now)
@@ -154,17 +237,73 @@
             return self._refuse_opening(packet, RefusalReason.NO_ROUTE, now)
         flow = self.flows.find(packet.flow)
         if flow is not None and flow.backend.removed:
-            self.flows.forget(packet.flow)
-            flow = None
+            flow = self._follow_restart(packet.flow, flow)
         if flow is not None and not self._may_move(flow):
             return self._repeat_opening(packet, route, flow, codec, now)
+        if flow is None and packet.acknowledged:
+            told = self._find_recently_told(packet.flow, now)
+            if told is not None:
+                return self._follow_told(packet, told.backend, now)
+        if flow is None and self._hold_copy(packet, now):
+            return HoldPacket(packet)
         if flow is None and self._may_have_moved(packet, now):
             return self._drop(packet, DropReason.COPY_WITHOUT_ORIGINAL)
+        return self._place(packet, route, codec, now)
+
+    def _follow_restart(self, key: bytes, flow: ObservedFlow) -> ObservedFlow | None:
+        """Return a flow whose backend restarted, at its new process; None if it has to begin anew.
+
+        The new process may have got the opening packet before its store record reached this node.
+        """
+        former = flow.backend.record
+        successor = self.backends.find(former.name)
+        is_same = successor is not None and successor.record.identity == former.identity
+        if flow.opened or successor is None or not is_same:
+            self.flows.forget(key)
+            return None
+        self.flows.move_opening(flow, successor)
+        return flow
+
+    def _place(
+        self, packet: ClientPacket, route: ActiveRoute, codec: TokenCodec, now: float
+    ) -> RouterCommand:
         backend = self._choose(route, now)
         if backend is None:
             return self._handle_no_backend(packet, route, now)
         self._report_placed(packet, route, backend, now)
-        return self._forward_opening(packet, backend, codec, now)
+        is_new = self.flows.find(packet.flow) is None
+        command = self._forward_opening(packet, backend, codec, now)
+        if is_new and packet.acknowledged and not self._has_dropped(packet, now):
+            self._note_second_answer(packet.flow)
+        return command
+
+    def _note_second_answer(self, key: bytes) -> None:
+        """Report a new flow whose original another node may have forwarded to another backend."""
+        flow = self.flows.find(key)
+        assert flow is not None
+        flow.may_have_two_answers = True
+        self._queue_untold((key, flow.backend.record.name, NOT_OPEN))
+
+    def _hold_copy(self, packet: ClientPacket, now: float) -> bool:
+        """Hold a copy if other nodes are to be asked about it; return whether it is held."""
+        if not self.asks_peers or not packet.acknowledged or self._has_dropped(packet, now):
+            return False
+        if not self.held_copies.hold(packet, now):
+            self.counters["copies_not_held"] += 1
+            return False
+        self.counters["copies_held"] += 1
+        return True
+
+    def _place_late(self, packet: ClientPacket, now: float) -> None:
+        """Place a copy that was held and whose original no other node is known to have."""
+        route = self.routes.find(packet.destination)
+        if self.codec is None or route is None:
+            command: RouterCommand = self._drop(packet, DropReason.NO_BACKEND_FOR_COPY)
+        elif self._may_have_moved(packet, now):
+            command = self._drop(packet, DropReason.COPY_WITHOUT_ORIGINAL)
+        else:
+            command = self._place(packet, route, self.codec, now)
+        self.late_commands.append(command)
 
     def _may_move(self, flow: ObservedFlow) -> bool:
         """Return whether another backend may get the copies of a flow's opening packet.
@@ -189,6 +328,17 @@
             return self._forward(packet, backend, flow.token)
         if backend.down_since is not None:
             self.flows.on_suspicion(backend, Suspicion.PACKET, now)
+        return self._forward_copy(packet, route, backend, codec, now)
+
+    def _forward_copy(
+        self,
+        packet: ClientPacket,
+        route: ActiveRoute,
+        backend: Backend,
+        codec: TokenCodec,
+        now: float,
+    ) -> RouterCommand:
+        """Forward a copy to the backend that has got the original, if it may open flows."""
         services = {part.service for part in route.record.parts}
         if backend.record.service in services and self._placement.may_take_flow(backend, now):
             return self._forward_opening(packet, backend, codec, now)
@@ -252,11 +402,13 @@
             return self._drop(packet, DropReason.NO_TOKEN)
         flow = self.flows.find(packet.flow)
         written_token = NO_TOKEN
-        if flow is not None and self._corrects_tokens and _has_wrong_token(packet, flow):
+        token = self._find_token(packet, flow, codec, now)
+        if token != packet.token:
             self.counters["tokens_corrected"] += 1
-            written_token = flow.token
-            packet = packet._replace(token=flow.token)
-        token = packet.token
+            written_token = token
+            packet = packet._replace(token=token)
+            if flow is not None:
+                flow.may_have_two_answers = True
         if flow is not None and flow.token == token and not flow.backend.removed:
             backend = flow.backend
         else:
@@ -274,9 +426,37 @@
         if packet.kind is PacketKind.END:
             self.flows.note_end(packet, now)
         elif flow is None or not _opened_at_earlier_incarnation(flow, backend):
-            self.flows.note_packet(packet, backend, now)
+            noted = self.flows.note_packet(packet, backend, now)
+            if noted.may_have_two_answers or (flow is None and self.told.find(packet.flow, now)):
+                noted.may_have_two_answers = False
+                self._queue_untold((packet.flow, backend.record.name, packet.acknowledged))
         return self._forward(packet, backend, written_token)
 
+    def _find_token(
+        self, packet: ClientPacket, flow: ObservedFlow | None, codec: TokenCodec, now: float
+    ) -> int:
+        """Return a packet's token, or that of its flow's backend if another one has sent it.
+
+        The client then acknowledges what the flow's backend has sent, with a token that it got from
+        another backend that answered the opening as well.
+        """
+        if not self._corrects_tokens:
+            return packet.token
+        if flow is not None and flow.opened:
+            is_wrong = not flow.backend.removed and _continues(packet, flow.acknowledged)
+            return flow.token if is_wrong else packet.token
+        told = self.told.find(packet.flow, now)
+        if told is None or told.acknowledged == NOT_OPEN:
+            return packet.token
+        backend = self.backends.find(told.backend)
+        if backend is None or not _continues(packet, told.acknowledged):
+            return packet.token
+        return codec.mint(packet.flow, backend.record.identity)
+
+    def _queue_untold(self, report: OpeningReport) -> None:
+        if len(self.untold) < MAXIMUM_UNTOLD:
+            self.untold[report[0]] = report
+
     def end_flows(
         self, backend: Backend, reason: RefusalReason, opened_until: float = float("inf")
     ) -> int:
@@ -380,7 +560,11 @@
         """
         if packet.acknowledged != 1 or now >= self.flows_move_until:
             return False
-        return now - self._unplaced.get(packet.flow, float("-inf")) >= OPENING_SECONDS
+        return not self._has_dropped(packet, now)
+
+    def _has_dropped(self, packet: ClientPacket, now: float) -> bool:
+        """Return whether this node has received and dropped the original of a copy."""
+        return now - self._unplaced.get(packet.flow, float("-inf")) < OPENING_SECONDS
 
     def _drop(self, packet: ClientPacket, reason: DropReason) -> DropPacket:
         self.counters[f"dropped_{reason.value}"] += 1
@@ -394,15 +578,9 @@
     return flow.backend is backend and flow.began_at <= backend.flows_lost_until
 
 
-def _has_wrong_token(packet: ClientPacket, flow: ObservedFlow) -> bool:
-    """Return whether a packet has another token than its flow, but continues it.
-
-    The client acknowledges what the flow's backend has sent, and has got the token from another
-    backend that answered the opening as well.
-    """
-    if not flow.opened or packet.token == flow.token or flow.backend.removed:
-        return False
-    distance = (packet.acknowledged - flow.acknowledged) % SEQUENCE_NUMBERS
+def _continues(packet: ClientPacket, acknowledged: int) -> bool:
+    """Return whether a packet is of the flow in which a client has sent this acknowledgement."""
+    distance = (packet.acknowledged - acknowledged) % SEQUENCE_NUMBERS
     return min(distance, SEQUENCE_NUMBERS - distance) <= MAXIMUM_UNSEEN_BYTES
 
 
--- a/src/beamloom/runtime/gradual_import.py
+++ b/src/beamloom/runtime/gradual_import.py
@@ -33,6 +33,7 @@
     "beamloom.protocol.replay",
     "beamloom.protocol.secret_messages",
     "beamloom.protocol.view_messages",
+    "beamloom.protocol.opening_messages",
     "socket",
     "beamloom.runtime.peer_link",
     "beamloom.replication.secret_exchange",
@@ -43,6 +44,9 @@
     "beamloom.replication.answer_budget",
     "beamloom.replication.pull_choice",
     "beamloom.replication.view_pulls",
+    "beamloom.replication.message_checks",
+    "beamloom.replication.message_delays",
+    "beamloom.replication.opening_queries",
     "beamloom.replication.view_exchange",
     "beamloom.replication.fleet_share",
 )
--- a/src/beamloom/runtime/packet_socket.py
+++ b/src/beamloom/runtime/packet_socket.py
@@ -9,7 +9,6 @@
 
 from beamloom.platform import packet_layout
 from beamloom.routing.tokens.packets import (
-    DropPacket,
     DropReason,
     ForwardPacket,
     PacketKind,
@@ -126,9 +125,15 @@
     def _execute(self, command: RouterCommand) -> None:
         if isinstance(command, ForwardPacket):
             self._send(packet_layout.encode_forward(command), command.address)
-        elif not isinstance(command, DropPacket):
+        elif isinstance(command, ResetFlow):
             self._reset(command)
 
+    def send_late_commands(self) -> None:
+        """Execute the router's commands for packets that it had held."""
+        commands = self._router.late_commands
+        while commands:
+            self._execute(commands.popleft())
+
     def send_resets(self) -> None:
         """Send queued resets of the router, up to MAXIMUM_RESETS_PER_CALL."""
         resets = self._router.resets
--- a/src/beamloom/runtime/store_follower.py
+++ b/src/beamloom/runtime/store_follower.py
@@ -65,7 +65,10 @@
 
 
 class StoreFollower:
-    """Reads the store for a core, and exchanges the core's messages with other nodes."""
+    """Reads the store for a core, and exchanges the core's messages with other nodes.
+
+    `on_message` is called after each message that the core has handled.
+    """
 
     def __init__(
         self,
@@ -77,6 +80,7 @@
     ) -> None:
         self._mechanisms = mechanisms
         self.link: PeerLink | None = None
+        self.on_message: Callable[[], None] = lambda: None
         self._settings = settings
         self._core = core
         self._decisions = decisions
@@ -216,6 +220,7 @@
             self._core.handle_message(host, message, _now())
         except (TypeError, ValueError) as error:
             self._decisions.lifecycle("PeerMessageRefused", host=host, reason=repr(error))
+        self.on_message()
         self.send()
 
     def _handle_unsigned(self, host: str, message: Message) -> None:
--- a/src/beamloom/runtime/token_node.py
+++ b/src/beamloom/runtime/token_node.py
@@ -114,9 +114,10 @@
             self.core.router,
             self._log_packet_fault,
             self._before_packets,
-            self._schedule_deadline,
+            self._after_packets,
             on_first=self.start.record,
         )
+        self.follower.on_message = self._packets.send_late_commands
         self._checker = BackendChecker(self.core.checks, settings.host, self._send_pending)
         self._deadline_timer: asyncio.TimerHandle | None = None
         self._responder = HttpResponder(
@@ -239,6 +240,7 @@
             self.loop_lag.observe(now - due)
             self.core.advance(now)
             self.follower.advance(now)
+            self._packets.send_late_commands()
             self._packets.send_resets()
             self.start.advance(now)
             self.log.flush()
@@ -248,15 +250,25 @@
         self._packets.send_resets()
         self.follower.send()
 
+    def _after_packets(self) -> None:
+        if self.core.ask_about_openings():
+            self.follower.send()
+        self._schedule_deadline()
+
     def _schedule_deadline(self) -> None:
-        """Set a timer for the next opening or request whose answer deadline expires."""
-        due = self.core.router.flows.next_deadline()
-        if due is not None and self._deadline_timer is None:
-            self._deadline_timer = asyncio.get_running_loop().call_at(due, self._handle_deadline)
+        """Set a timer for the next flow or held copy that the router has to process."""
+        due = self.core.router.next_deadline()
+        timer = self._deadline_timer
+        if due is None or (timer is not None and timer.when() <= due):
+            return
+        if timer is not None:
+            timer.cancel()
+        self._deadline_timer = asyncio.get_running_loop().call_at(due, self._handle_deadline)
 
     def _handle_deadline(self) -> None:
         self._deadline_timer = None
         self.core.router.advance(asyncio.get_running_loop().time())
+        self._packets.send_late_commands()
         self._schedule_deadline()
 
     def _handle_signals(self) -> None:
@@ -274,6 +286,8 @@
         unblock_signals()
 
     def _close(self) -> None:
+        self.core.announce_end(time.monotonic())
+        self.follower.send()
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
         self._checker.close()
--- a/src/beamloom/settings/mechanisms.py
+++ b/src/beamloom/settings/mechanisms.py
@@ -33,6 +33,8 @@
         has ended.
     token_corrections: a packet of an open flow goes to the backend that its token names, also if
         another backend that answered the opening has sent the token.
+    opening_queries: other nodes are not asked about copies of opening packets whose originals this
+        node has not received.
     liveness_checks: backends that may be dead are not checked, and their flows are not ended.
     gone_grace: backends that were removed from the store get no flows, even if no other is left.
     confirmed_refusals: flows are refused although the views are not confirmed.
@@ -68,6 +70,7 @@
     told_silence: bool = True
     other_backend_for_copies: bool = True
     token_corrections: bool = True
+    opening_queries: bool = True
     liveness_checks: bool = True
     gone_grace: bool = True
     confirmed_refusals: bool = True
--- a/src/beamloom/simulation/tokens/fleet.py
+++ b/src/beamloom/simulation/tokens/fleet.py
@@ -146,7 +146,11 @@
         """Begin a planned stop of a node; kill and restart it 2.5 s later."""
         self.nodes[name].stopping = True
         self.oracle.note_fault(name, self.clock.now + 3.0)
-        self.clock.call_later(2.5, self.kill_node, name)
+        self.clock.call_later(2.5, self._end_stopped, self.nodes[name])
+
+    def _end_stopped(self, node: SimulatedTokenNode) -> None:
+        node.announce_end()
+        self.kill_node(node.name)
 
     def freeze_node(self, name: str, seconds: float) -> None:
         """Freeze the process of a node for `seconds`."""
--- a/src/beamloom/simulation/tokens/node.py
+++ b/src/beamloom/simulation/tokens/node.py
@@ -25,7 +25,12 @@
 from beamloom.replication.store_view import ObjectChange
 from beamloom.routing.tokens.backend_table import Backend
 from beamloom.routing.tokens.liveness import CheckOutcome
-from beamloom.routing.tokens.packets import DropPacket, ForwardPacket, PacketKind
+from beamloom.routing.tokens.packets import (
+    ForwardPacket,
+    PacketKind,
+    ResetFlow,
+    RouterCommand,
+)
 from beamloom.settings.mechanisms import ALL_MECHANISMS, Mechanisms
 from beamloom.simulation.clock import VirtualClock
 from beamloom.simulation.tokens.connection_checks import Address, FindReferences, OnOutcome
@@ -189,7 +194,7 @@
         self._forward = forward
         self._send_message = send_message
         self._check_backend = check_backend
-        self._deadline_scheduled = False
+        self._deadline_at = float("inf")
         self.core.checks.start_check = self._begin_check
         core = self.core
         self._readers = [
@@ -230,6 +235,15 @@
         """Whether a readiness check of the node succeeds."""
         return self.alive and not self.frozen and not self.stopping and self.core.complete
 
+    def announce_end(self) -> None:
+        """Send what a node reports at the end of a planned stop."""
+
+        def announce() -> None:
+            self.core.announce_end(self.clock.now)
+            self.send_messages()
+
+        self.call_when_running(announce)
+
     def kill(self) -> None:
         """End the process without a planned stop."""
         self.alive = False
@@ -257,6 +271,7 @@
 
         def handle() -> None:
             self.core.handle_message(host, message, self.clock.now)
+            self._send_late_commands()
             self.send_messages()
 
         self.call_when_running(handle)
@@ -272,28 +287,38 @@
             return
         if packet.kind is PacketKind.OPEN and self.core.has_stalled(self.clock.now):
             return
-        command = self.core.router.handle(packet, self.clock.now)
+        self._execute(self.core.router.handle(packet, self.clock.now))
+        if self.core.ask_about_openings():
+            self.send_messages()
+        self._schedule_next_deadline()
+
+    def _execute(self, command: RouterCommand) -> None:
         if isinstance(command, ForwardPacket):
             self._forward(packet_layout.encode_forward(command), command.address)
-        elif not isinstance(command, DropPacket):
+        elif isinstance(command, ResetFlow):
             self._forward(
                 packet_layout.encode_reset(command), (packet_layout.client_host(command.flow), 0)
             )
-        self._schedule_next_deadline()
+
+    def _send_late_commands(self) -> None:
+        commands = self.core.router.late_commands
+        while commands:
+            self._execute(commands.popleft())
 
     def _schedule_next_deadline(self) -> None:
         """Advance the router at its next deadline, as the real node does between ticks."""
-        due = self.core.router.flows.next_deadline()
-        if due is None or self._deadline_scheduled:
+        due = self.core.router.next_deadline()
+        if due is None or self._deadline_at <= due:
             return
-        self._deadline_scheduled = True
+        self._deadline_at = due
         self.clock.call_later(
             max(0.0, due - self.clock.now), self.call_when_running, self._handle_deadline
         )
 
     def _handle_deadline(self) -> None:
-        self._deadline_scheduled = False
+        self._deadline_at = float("inf")
         self.core.router.advance(self.clock.now)
+        self._send_late_commands()
         self._schedule_next_deadline()
 
     def _begin_check(self, backend: Backend) -> None:
@@ -325,6 +350,7 @@
         if self.frozen:
             return
         self.core.advance(self.clock.now)
+        self._send_late_commands()
         for reader in self._readers:
             reader.advance()
         self.send_resets()
--- a/tests/unit/tokens/test_mechanisms.py
+++ b/tests/unit/tokens/test_mechanisms.py
@@ -128,6 +128,14 @@
     return late.identity
 
 
+def opening_queries(mechanisms: Mechanisms) -> object:
+    core = make_core(mechanisms, backend(1))
+    core.join_peers("10.0.0.1", ("10.0.0.2",))
+    core.handle_message("10.0.0.2", ViewDigest([], [], []), NOW)
+    core.advance(NOW)
+    return type(core.router.handle(opening(1, 2), NOW))
+
+
 def liveness_checks(mechanisms: Mechanisms) -> object:
     core = make_core(mechanisms, backend(1))
     begun: list[Backend] = []
@@ -339,6 +347,7 @@
         gone_grace,
         other_backend_for_copies,
         token_corrections,
+        opening_queries,
         liveness_checks,
         error_answers,
         overdue_answers,
--- a/tests/unit/tokens/test_token_core.py
+++ b/tests/unit/tokens/test_token_core.py
@@ -17,10 +17,13 @@
 from beamloom.replication.stop_turns import StopState
 from beamloom.replication.store_call_times import store_call_times
 from beamloom.replication.store_view import NamedRecord, ObjectChange
+from beamloom.routing.tokens.held_copies import ANSWER_SECONDS
 from beamloom.routing.tokens.packets import (
+    ClientPacket,
     DropPacket,
     DropReason,
     ForwardPacket,
+    HoldPacket,
     RefusalReason,
     ResetFlow,
     RouterCommand,
@@ -110,6 +113,14 @@
             self.now += 0.1
             self.core.advance(self.now)
 
+    def handle(self, packet: ClientPacket) -> RouterCommand:
+        """Return the command for a packet, also if it is held first, as no peer answers."""
+        command = self.core.router.handle(packet, self.now)
+        if not isinstance(command, HoldPacket):
+            return command
+        self.core.router.advance(self.now + ANSWER_SECONDS)
+        return self.core.router.late_commands.popleft()
+
     def test_first_copies_are_dropped_after_each_change_of_the_nodes(self) -> None:
         """Guards against a second backend for a flow that routers have moved to this node."""
         self.now, self.core = START, make_core(ALL_MECHANISMS, backend(1))
@@ -127,11 +138,9 @@
             with self.subTest(change=number):
                 change()
                 self.run_core(2.0)
-                command = self.core.router.handle(opening(number, 1), self.now)
-                self.assertIsInstance(command, DropPacket)
+                self.assertIsInstance(self.handle(opening(number, 1)), DropPacket)
                 self.run_core(2.0)
-                command = self.core.router.handle(opening(10 + number, 1), self.now)
-                self.assertIsInstance(command, ForwardPacket)
+                self.assertIsInstance(self.handle(opening(10 + number, 1)), ForwardPacket)
 
 
 class GoneBackendTest(CoreCase):
--- a/tests/unit/views/test_malformed_messages.py
+++ b/tests/unit/views/test_malformed_messages.py
@@ -6,6 +6,7 @@
 from dataclasses import fields, replace
 
 from beamloom.protocol.messages import Message
+from beamloom.protocol.opening_messages import OpeningQuery, OpeningReport
 from beamloom.protocol.view_messages import (
     AskElsewhere,
     BackendsDown,
@@ -23,6 +24,8 @@
     AskElsewhere(0, ["10.0.0.4"]),
     ViewPart(0, 1, 0, 1, b"\x84"),
     BackendsDown(["i-00000001"]),
+    OpeningQuery([b"flow"]),
+    OpeningReport([(b"flow", "i-00000001", 7)], [b"other"]),
 )
 HOST = "10.0.0.1"
 ODD_VALUES: tuple[object, ...] = (
