Openings: one name for a reported opening; the simulated store link states a call's fields once

Cause: read as a newcomer, the router's alias `OpeningReport` had the name of the message that carries several of them; `take_questions` took nothing away; `StoreLink.call` and `_receive` repeated five parameters. Change: `Opening`, `unasked_flows`, and `_receive` as the closure of its only caller. Behaviour stays.

--- a/src/beamloom/node/token_core.py
+++ b/src/beamloom/node/token_core.py
@@ -298,7 +298,7 @@
     def ask_about_openings(self) -> bool:
         """Queue questions about the copies that the router holds; return whether there are any."""
         held = self.router.held_copies
-        flows = held.take_questions()
+        flows = held.unasked_flows()
         if self.exchange is None or not flows:
             return False
         held.note_asked(flows, self.exchange.openings.ask(flows))
--- a/src/beamloom/routing/tokens/held_copies.py
+++ b/src/beamloom/routing/tokens/held_copies.py
@@ -36,7 +36,7 @@
         self._copies[packet.flow] = _HeldCopy(packet, now + ANSWER_SECONDS)
         return True
 
-    def take_questions(self) -> list[bytes]:
+    def unasked_flows(self) -> list[bytes]:
         """Return the flows that no node was asked about yet."""
         return [flow for flow, held in self._copies.items() if held.missing is None]
 
--- a/src/beamloom/routing/tokens/router.py
+++ b/src/beamloom/routing/tokens/router.py
@@ -47,7 +47,7 @@
 from beamloom.routing.tokens.token import NO_TOKEN, TokenCodec
 from beamloom.routing.tokens.told_openings import NOT_OPEN, ToldOpening, ToldOpenings
 
-OpeningReport = tuple[bytes, str, int]
+Opening = tuple[bytes, str, int]
 """A flow, the name of its backend, and its acknowledgement number, or NOT_OPEN."""
 
 MINIMUM_COPY_INTERVAL_SECONDS = 0.15
@@ -127,7 +127,7 @@
         self.held_copies = HeldCopies()
         self.late_commands: deque[RouterCommand] = deque()
         self.told = ToldOpenings()
-        self.untold: dict[bytes, OpeningReport] = {}
+        self.untold: dict[bytes, Opening] = {}
         self.resets: deque[ResetFlow] = deque(maxlen=MAXIMUM_PENDING_RESETS)
         self.backends.on_ended = self._reset_flows_of_ended
         self._on_decision = on_decision
@@ -173,7 +173,7 @@
         deadlines = (self.flows.next_deadline(), self.held_copies.next_deadline())
         return min((at for at in deadlines if at is not None), default=None)
 
-    def find_opening(self, flow: bytes, now: float) -> OpeningReport | None:
+    def find_opening(self, flow: bytes, now: float) -> Opening | None:
         """Return where a flow is that this node has seen or was told of, or None."""
         observed = self.flows.find(flow)
         if observed is not None:
@@ -181,7 +181,7 @@
         told = self._find_recently_told(flow, now)
         return None if told is None else (flow, told.backend, told.acknowledged)
 
-    def unopened(self, now: float) -> list[OpeningReport]:
+    def unopened(self, now: float) -> list[Opening]:
         """Return where the flows are that this node has forwarded and that may still open."""
         reports = (
             self._report_opening(key, flow)
@@ -189,7 +189,7 @@
         )
         return [report for report in reports if report is not None]
 
-    def _report_opening(self, key: bytes, flow: ObservedFlow) -> OpeningReport | None:
+    def _report_opening(self, key: bytes, flow: ObservedFlow) -> Opening | None:
         if flow.backend.removed or self._may_move(flow):
             return None
         return key, flow.backend.record.name, flow.acknowledged if flow.opened else NOT_OPEN
@@ -453,7 +453,7 @@
             return packet.token
         return codec.mint(packet.flow, backend.record.identity)
 
-    def _queue_untold(self, report: OpeningReport) -> None:
+    def _queue_untold(self, report: Opening) -> None:
         if len(self.untold) < MAXIMUM_UNTOLD:
             self.untold[report[0]] = report
 
--- a/src/beamloom/simulation/tokens/store_link.py
+++ b/src/beamloom/simulation/tokens/store_link.py
@@ -104,25 +104,19 @@
     ) -> None:
         """Make a call; `on_answer` is called later, or never if the call is dropped."""
         self.calls += 1
-        self._deliver(host, lambda: self._receive(host, kind, request, wait, on_answer))
 
-    def _receive(
-        self,
-        host: str,
-        kind: str,
-        request: ListRequest | WatchRequest,
-        wait: float,
-        on_answer: OnAnswer,
-    ) -> None:
-        if self.fault is StoreFault.SILENT:
-            return
-        if self.fault is StoreFault.REFUSES or host in self.refused_hosts:
-            self._clock.call_later(self.call_latency_seconds, on_answer, StoreAnswer())
-            return
-        end = self._clock.now + wait
-        self._clock.call_later(
-            self.call_latency_seconds, self._answer, host, kind, request, end, on_answer
-        )
+        def receive() -> None:
+            if self.fault is StoreFault.SILENT:
+                return
+            if self.fault is StoreFault.REFUSES or host in self.refused_hosts:
+                self._clock.call_later(self.call_latency_seconds, on_answer, StoreAnswer())
+                return
+            end = self._clock.now + wait
+            self._clock.call_later(
+                self.call_latency_seconds, self._answer, host, kind, request, end, on_answer
+            )
+
+        self._deliver(host, receive)
 
     def _answer(
         self,
